Set down the kernel, rings, core types and messages

Cause: an empty repository; every later part needs the folders, the core types and the shape (services found by name, duties joined by bounded rings) before it can be built.

No program exists yet.

--- /dev/null
+++ b/fault/fault.go
@@ -0,0 +1,117 @@
+// Package fault defines the errors that cross module boundaries. Each carries
+// the step and the peer at which it arose, and a reason that metrics count.
+package fault
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/zeebo/errs"
+)
+
+// The classes of faults.
+var (
+	// NotRun means that the operation had no effect and will have none.
+	NotRun = errs.Class("not run")
+	// Unknown means that the operation may have taken effect, now or later.
+	Unknown = errs.Class("outcome unknown")
+	// Invalid means that the input is wrong and a repeat cannot succeed.
+	Invalid = errs.Class("invalid")
+)
+
+// Reason names why work was refused or retried. Every reason is a metric tag.
+type Reason string
+
+// Reasons for refusals and retries.
+const (
+	ReasonNoKey             Reason = "no-key"
+	ReasonWrongKey          Reason = "wrong-key"
+	ReasonWithdrawnKey      Reason = "withdrawn-key"
+	ReasonWrongTeam         Reason = "wrong-team"
+	ReasonKeysNotCurrent    Reason = "keys-not-current"
+	ReasonNoState           Reason = "no-state"
+	ReasonUnknownQueue      Reason = "unknown-queue"
+	ReasonUnknownHost       Reason = "unknown-host"
+	ReasonUnknownRequest    Reason = "unknown-request"
+	ReasonUnknownJob        Reason = "unknown-job"
+	ReasonBodyTooLarge      Reason = "body-too-large"
+	ReasonMalformed         Reason = "malformed"
+	ReasonQueueFull         Reason = "queue-full"
+	ReasonDeadline          Reason = "deadline"
+	ReasonWouldMissDeadline Reason = "would-miss-deadline"
+	ReasonLimit             Reason = "team-limit"
+	ReasonPaused            Reason = "paused"
+	ReasonRingFull          Reason = "ring-full"
+	ReasonDraining          Reason = "draining"
+	ReasonNoBackendServer   Reason = "no-backend-server"
+	ReasonConnect           Reason = "connect-failed"
+	ReasonNoSlots           Reason = "no-slots"
+	ReasonLeaving           Reason = "leaving"
+	ReasonStalled           Reason = "connection-stalled"
+	ReasonConnectionLost    Reason = "connection-lost"
+	ReasonWrongReply        Reason = "wrong-reply"
+	ReasonTruncated         Reason = "truncated-reply"
+	ReasonRetryBudget       Reason = "retry-budget"
+	ReasonPlatformDown      Reason = "platform-down"
+	ReasonPlatformBusy      Reason = "platform-busy"
+	ReasonConflict          Reason = "conflict"
+	ReasonClaimed           Reason = "claimed"
+	ReasonClaimInDoubt      Reason = "claim-in-doubt"
+	ReasonNotPermitted      Reason = "not-permitted"
+	ReasonCancelled         Reason = "cancelled"
+	ReasonNoRoom            Reason = "no-room"
+	ReasonBudget            Reason = "availability-budget"
+	ReasonStaleHostList     Reason = "stale-host-list"
+	ReasonMemberUnconfirmed Reason = "member-unconfirmed"
+	ReasonInternal          Reason = "internal"
+)
+
+// Error is a fault with the step and the peer at which it arose.
+type Error struct {
+	Kind   *errs.Class
+	Reason Reason
+	Step   string
+	Peer   string
+	Err    error
+}
+
+// New returns a fault. Peer may be empty when no other process is involved.
+func New(kind *errs.Class, reason Reason, step, peer, format string, args ...any) *Error {
+	return &Error{Kind: kind, Reason: reason, Step: step, Peer: peer, Err: fmt.Errorf(format, args...)}
+}
+
+// Error returns "kind: step (peer): reason: cause".
+func (e *Error) Error() string {
+	where := e.Step
+	if e.Peer != "" {
+		where += " (" + e.Peer + ")"
+	}
+	return fmt.Sprintf("%s: %s: %s: %v", *e.Kind, where, e.Reason, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// IsKind reports whether e belongs to the class kind.
+func (e *Error) IsKind(kind *errs.Class) bool { return e.Kind == kind }
+
+// As returns the fault in err's chain, if there is one.
+func As(err error) (*Error, bool) {
+	var f *Error
+	ok := errors.As(err, &f)
+	return f, ok
+}
+
+// IsNotRun reports whether err states that the operation had no effect.
+func IsNotRun(err error) bool {
+	f, ok := As(err)
+	return ok && f.Kind != &Unknown
+}
+
+// ReasonOf returns the reason of err, or ReasonInternal when it has none.
+func ReasonOf(err error) Reason {
+	if f, ok := As(err); ok {
+		return f.Reason
+	}
+	return ReasonInternal
+}
--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,276 @@
+// Package kernel holds the names of services and runs their life cycle.
+//
+// It knows nothing of the domain. A program registers its services by name and
+// calls Run. Each service looks up the services it depends on by name while it
+// is provisioned; the kernel provisions those first. Services start in
+// provision order, and drain and stop in reverse, so that a service is always
+// drained before the services it depends on.
+package kernel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime/pprof"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of life-cycle errors.
+var Error = errs.Class("kernel")
+
+// Service is the part every service has. Provision looks up dependencies,
+// builds the service's rings and registers its duties. It performs no I/O.
+type Service interface {
+	Provision(*Context) error
+}
+
+// Starter is implemented by services that open listeners or connections.
+// Duties of the service run from just before Start is called.
+type Starter interface {
+	Start(ctx context.Context) error
+}
+
+// Drainer is implemented by services that must finish accepted work before
+// they stop. Drain returns when the work is done or ctx ends.
+type Drainer interface {
+	Drain(ctx context.Context) error
+}
+
+// Stopper is implemented by services that hold resources other than duties.
+type Stopper interface {
+	Stop(ctx context.Context) error
+}
+
+// Kernel owns the registered services. Its methods are called from one
+// goroutine, except Context.Duty's functions, which run on their own.
+type Kernel struct {
+	log      zerolog.Logger
+	scope    tally.Scope
+	services map[string]*entry
+	order    []*entry
+	path     []string
+	faults   []error
+}
+
+type entry struct {
+	name        string
+	service     Service
+	provisioned bool
+	err         error
+	duties      []duty
+	cancel      context.CancelFunc
+	running     sync.WaitGroup
+	started     bool
+}
+
+type duty struct {
+	name string
+	run  func(context.Context)
+}
+
+// Context is handed to a service while it is provisioned.
+type Context struct {
+	// Name is the name under which the service is registered.
+	Name string
+	// Log carries the field service=Name.
+	Log zerolog.Logger
+	// Scope is the root metrics scope of the process.
+	Scope tally.Scope
+
+	kernel *Kernel
+	entry  *entry
+}
+
+// New returns an empty kernel.
+func New(log zerolog.Logger, scope tally.Scope) *Kernel {
+	if scope == nil {
+		scope = tally.NoopScope
+	}
+	return &Kernel{log: log, scope: scope, services: make(map[string]*entry)}
+}
+
+// Register adds a service under a name. A name that is taken is reported by
+// Provision together with all other faults.
+func (k *Kernel) Register(name string, s Service) {
+	if _, taken := k.services[name]; taken {
+		k.faults = append(k.faults, Error.New("service %q is registered twice", name))
+		return
+	}
+	k.services[name] = &entry{name: name, service: s}
+}
+
+// Names returns the registered names in alphabetical order.
+func (k *Kernel) Names() []string {
+	names := make([]string, 0, len(k.services))
+	for name := range k.services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Provision provisions every service, dependencies first, and returns all
+// faults joined.
+func (k *Kernel) Provision() error {
+	for _, name := range k.Names() {
+		e := k.services[name]
+		if e.provisioned || e.err != nil {
+			continue
+		}
+		if err := k.provision(e); err != nil {
+			k.faults = append(k.faults, err)
+		}
+	}
+	return errors.Join(k.faults...)
+}
+
+func (k *Kernel) provision(e *entry) error {
+	if slices.Contains(k.path, e.name) {
+		cycle := append(slices.Clone(k.path), e.name)
+		return Error.New("dependency cycle: %s", strings.Join(cycle, " -> "))
+	}
+	k.path = append(k.path, e.name)
+	defer func() { k.path = k.path[:len(k.path)-1] }()
+
+	c := &Context{
+		Name:   e.name,
+		Log:    k.log.With().Str("service", e.name).Logger(),
+		Scope:  k.scope,
+		kernel: k,
+		entry:  e,
+	}
+	if err := e.service.Provision(c); err != nil {
+		e.err = Error.New("provision %s: %v", e.name, err)
+		return e.err
+	}
+	e.provisioned = true
+	k.order = append(k.order, e)
+	return nil
+}
+
+// Lookup returns the service registered under name as a T and provisions it
+// first if needed. It is valid only while c's service is being provisioned.
+// The error for a missing or wrongly typed name lists what is registered.
+func Lookup[T any](c *Context, name string) (T, error) {
+	var zero T
+	e, ok := c.kernel.services[name]
+	if !ok {
+		return zero, Error.New("no service %q; registered: %s", name, strings.Join(c.kernel.Names(), ", "))
+	}
+	typed, ok := e.service.(T)
+	if !ok {
+		return zero, Error.New("service %q is a %T, not a %s; registered: %s",
+			name, e.service, typeName[T](), strings.Join(c.kernel.Names(), ", "))
+	}
+	if e.provisioned {
+		return typed, nil
+	}
+	if e.err != nil {
+		return zero, Error.New("service %q failed to provision", name)
+	}
+	if err := c.kernel.provision(e); err != nil {
+		return zero, err
+	}
+	return typed, nil
+}
+
+func typeName[T any]() string {
+	return strings.TrimPrefix(fmt.Sprintf("%T", (*T)(nil)), "*")
+}
+
+// Duty registers a long-lived goroutine of the service. run returns when its
+// context ends. Duties of a service start before its Start method is called
+// and end after its Stop method has returned.
+func (c *Context) Duty(name string, run func(context.Context)) {
+	c.entry.duties = append(c.entry.duties, duty{name: name, run: run})
+}
+
+// Start provisions what is not yet provisioned and starts every service. On
+// an error the services that were started are stopped again.
+func (k *Kernel) Start(ctx context.Context) error {
+	if err := k.Provision(); err != nil {
+		return err
+	}
+	for _, e := range k.order {
+		if err := k.start(ctx, e); err != nil {
+			k.Stop(ctx)
+			return Error.New("start %s: %v", e.name, err)
+		}
+	}
+	return nil
+}
+
+func (k *Kernel) start(ctx context.Context, e *entry) error {
+	dutyCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	e.cancel = cancel
+	e.started = true
+	for _, d := range e.duties {
+		e.running.Go(func() {
+			pprof.Do(dutyCtx, pprof.Labels("duty", d.name), d.run)
+		})
+	}
+	s, ok := e.service.(Starter)
+	if !ok {
+		return nil
+	}
+	return s.Start(ctx)
+}
+
+// Drain asks every service, in reverse start order, to finish its work. It
+// goes on after an error and returns all of them joined.
+func (k *Kernel) Drain(ctx context.Context) error {
+	var failed []error
+	for _, e := range slices.Backward(k.order) {
+		s, ok := e.service.(Drainer)
+		if !ok || !e.started {
+			continue
+		}
+		if err := s.Drain(ctx); err != nil {
+			failed = append(failed, Error.New("drain %s: %v", e.name, err))
+		}
+	}
+	return errors.Join(failed...)
+}
+
+// Stop stops every started service in reverse start order and waits for its
+// duties.
+func (k *Kernel) Stop(ctx context.Context) error {
+	var failed []error
+	for _, e := range slices.Backward(k.order) {
+		if !e.started {
+			continue
+		}
+		if s, ok := e.service.(Stopper); ok {
+			if err := s.Stop(ctx); err != nil {
+				failed = append(failed, Error.New("stop %s: %v", e.name, err))
+			}
+		}
+		e.cancel()
+		e.running.Wait()
+		e.started = false
+	}
+	return errors.Join(failed...)
+}
+
+// Run starts the services, waits until ctx ends, then drains them within
+// drainTimeout and stops them.
+func (k *Kernel) Run(ctx context.Context, drainTimeout time.Duration) error {
+	if err := k.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	k.log.Info().Dur("timeout", drainTimeout).Msg("draining")
+	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
+	defer cancel()
+	drainErr := k.Drain(drainCtx)
+	stopErr := k.Stop(drainCtx)
+	k.log.Info().Msg("stopped")
+	return errors.Join(drainErr, stopErr)
+}
--- /dev/null
+++ b/services/work.go
@@ -0,0 +1,221 @@
+package services
+
+import (
+	"context"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/budget"
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+// Identity is what an entry host is called. It never changes while the
+// process runs.
+type Identity struct {
+	Name        string
+	Zone        fleet.AvailabilityZone
+	Incarnation uint64
+	PeerAddress string
+}
+
+// Membership keeps this host's row at the platform.
+type Membership interface {
+	Self() Identity
+	// MayUseRights reports whether rights held may be used at now, and the
+	// reason when they may not (hold term over, or paused and not yet
+	// confirmed).
+	MayUseRights(now time.Time) error
+	// MayAcceptChanges reports whether every listed member has confirmed
+	// this one.
+	MayAcceptChanges() error
+	// Members returns the identities listed at the platform when last read.
+	Members() []Identity
+}
+
+// Request is one caller's request on its way to a backend server. Body is not
+// modified.
+type Request struct {
+	ID string
+	// CallerID is set when the caller chose ID, so that a claim is needed.
+	CallerID   bool
+	Team       string
+	Queue      document.Queue
+	Share      float64
+	Limit      int
+	Idempotent bool
+	Body       []byte
+	// ContentType is passed to the backend server and is informative only.
+	ContentType string
+	Deadline    time.Time
+}
+
+// Reply is a whole answer from a backend server.
+type Reply struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	Server      string
+}
+
+// Dispatcher queues requests and runs them on backend servers.
+type Dispatcher interface {
+	// Submit waits for the outcome of req, at most until its deadline. The
+	// error is a fault that tells whether the request was not run or its
+	// outcome is unknown.
+	Submit(ctx context.Context, req *Request) (*Reply, error)
+	// Queues describes the waiting and running work of this host.
+	Queues() []QueueStatus
+}
+
+// QueueStatus describes one queue on this entry host.
+type QueueStatus struct {
+	Queue   string
+	Team    string
+	Waiting int
+	Running int
+}
+
+// BackendSend is one attempt at one backend server.
+type BackendSend struct {
+	Server  fleet.Host
+	Request *Request
+	// Attempt counts from one.
+	Attempt int
+	// Done receives the one result; it must not block.
+	Done func(BackendResult)
+}
+
+// BackendResult is the outcome of one attempt. Err is a fault of class
+// fault.NotRun when the backend server cannot have started the request.
+type BackendResult struct {
+	Send      BackendSend
+	Reply     *Reply
+	Err       error
+	SlotsFree int
+	Leaving   bool
+	Elapsed   time.Duration
+}
+
+// Backends owns the connections to backend servers.
+type Backends interface {
+	// Send posts one attempt. An error is a fault of class fault.NotRun, and
+	// Done is then not called.
+	Send(ctx context.Context, s BackendSend) error
+	// Retain closes the connections to all servers that are not named.
+	Retain(servers map[string]fleet.Host)
+}
+
+// RightsUse is the state of one team's rights on this entry host.
+type RightsUse struct {
+	Team    string
+	Limit   int
+	Held    int
+	Used    int
+	Waiting int
+	// FleetHeld is the sum over all entry hosts when the row was last read.
+	FleetHeld int
+}
+
+// Rights grants the rights to run that bound each team to its limit.
+type Rights interface {
+	// Acquire takes n free rights of team and reports whether it got them
+	// all; it never waits. The reason of a refusal is a fault.
+	Acquire(ctx context.Context, team string, n int) error
+	// Release returns n rights after the work has surely ended.
+	Release(team string, n int)
+	// Waiting reports how much work of team waits for a right here.
+	Waiting(team string, n int)
+	// Freed returns a ring that receives a team's name when a right became
+	// free after a refusal. It is called during Provision.
+	Freed(name string) FreedRing
+	Use() []RightsUse
+}
+
+// FreedRing is the part of a ring that the waiting duty reads.
+type FreedRing interface{ C() <-chan string }
+
+// ClaimState is the position of a claimed request.
+type ClaimState string
+
+// States of a claim.
+const (
+	ClaimNone     ClaimState = ""
+	ClaimHeld     ClaimState = "claimed"
+	ClaimReleased ClaimState = "released"
+	ClaimDone     ClaimState = "done"
+	ClaimUnknown  ClaimState = "unknown"
+)
+
+// ClaimRecord is what the platform keeps of one claimed request.
+type ClaimRecord struct {
+	State       ClaimState `json:"state"`
+	Host        string     `json:"host"`
+	Incarnation uint64     `json:"incarnation"`
+	Attempt     int        `json:"attempt"`
+	// BodyHash tells apart a repeat of a request and another request under
+	// the same identifier.
+	BodyHash string `json:"bodyHash"`
+	Status   int    `json:"status,omitempty"`
+	// ContentType and Body are the answer when State is ClaimDone; Object
+	// names it in the object store when it is too large for the row.
+	ContentType string `json:"contentType,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	Object      string `json:"object,omitempty"`
+}
+
+// Claims records which requests with a caller's identifier were started.
+type Claims interface {
+	// Claim commits the claim for req. It returns a done record when the
+	// request ran before; the request may be started only when the record's
+	// state is ClaimHeld and err is nil.
+	Claim(ctx context.Context, req *Request) (ClaimRecord, error)
+	// Outcome records the outcome of a request that this process claimed.
+	// It returns once the record is queued, and retries until the platform
+	// has it or the process ends.
+	Outcome(req *Request, reply *Reply, err error)
+	// Lookup returns the record of a request.
+	Lookup(ctx context.Context, team, id string) (ClaimRecord, error)
+}
+
+// JobSpec is what a caller submits to run on a worker.
+type JobSpec struct {
+	Queue       string          `json:"queue"`
+	Idempotent  bool            `json:"idempotent"`
+	Resources   fleet.Resources `json:"resources"`
+	DeclaredRun time.Duration   `json:"declaredRun"`
+	Payload     []byte          `json:"payload,omitempty"`
+}
+
+// JobStatus is what callers and operators see of a job.
+type JobStatus struct {
+	ID      string `json:"id"`
+	Team    string `json:"team"`
+	Queue   string `json:"queue"`
+	State   string `json:"state"`
+	Reason  string `json:"reason,omitempty"`
+	Worker  string `json:"worker,omitempty"`
+	Attempt int    `json:"attempt"`
+}
+
+// Jobs records, schedules and ends jobs.
+type Jobs interface {
+	// Submit returns once the job is recorded at the platform. A repeat
+	// under the same id and team returns the recorded job.
+	Submit(ctx context.Context, team, id string, spec JobSpec) (JobStatus, error)
+	Status(ctx context.Context, team, id string) (JobStatus, error)
+	// Result returns the job's output; ok is false while it has none.
+	Result(ctx context.Context, team, id string) (data []byte, ok bool, err error)
+	Cancel(ctx context.Context, team, id string) (JobStatus, error)
+	List(ctx context.Context, queue string, limit int) ([]JobStatus, error)
+}
+
+// Maintenance moves hosts in and out of service. Changes are conditional on
+// the shared state; a refused grant is a fault of class fault.NotRun with the
+// bound that it would break.
+type Maintenance interface {
+	Drain(ctx context.Context, changeID, host string, cause budget.Cause) (budget.Out, error)
+	Return(ctx context.Context, changeID, host string) error
+	Move(ctx context.Context, changeID, host, toPool string) (budget.Out, error)
+	StartWave(ctx context.Context, w budget.Wave) (budget.Wave, error)
+	StopWave(ctx context.Context, changeID, id, reason string) error
+}
