Serve a request end to end through an entry host

Cause: nothing ran yet; later parts need one real path to build on.

Change: platform client, replica of the shared state with conditional changes, callers' listener, dispatch to backend servers over connections that each carry one request, operators' Apply, the daemon, and a stand-in of the platform and backend servers.

Rights, claims, peers, jobs and maintenance are not part of the path yet.

--- /dev/null
+++ b/cmd/fuchsiactl/main.go
@@ -0,0 +1,4 @@
+// Command fuchsiactl is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/fuchsiafrontd/main.go
@@ -0,0 +1,47 @@
+// Command fuchsiafrontd is the daemon of an entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/rs/zerolog"
+
+	"fuchsiafront.example/fuchsiafront/entryhost"
+)
+
+// exitSettings is the exit status for wrong settings.
+const exitSettings = 2
+
+func main() {
+	var settings entryhost.Settings
+	arg.MustParse(&settings)
+	if err := settings.Validate(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if settings.Check {
+		fmt.Println("the settings are valid")
+		return
+	}
+	if err := run(settings); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(settings entryhost.Settings) error {
+	level, err := zerolog.ParseLevel(settings.LogLevel)
+	if err != nil {
+		return err
+	}
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	return entryhost.Assemble(settings, log, time.Now).Run(ctx, settings.DrainTimeout)
+}
--- a/decision/document/document.go
+++ b/decision/document/document.go
@@ -101,3 +101,44 @@
 type Document struct {
 	Sections map[string]Section
 }
+
+// Queue returns the queue of a name.
+func (d *Document) Queue(name string) (Queue, bool) {
+	for _, s := range d.Sections {
+		for _, q := range s.Queues {
+			if q.Name == name {
+				return q, true
+			}
+		}
+	}
+	return Queue{}, false
+}
+
+// Team returns the team of a name.
+func (d *Document) Team(name string) (Team, bool) {
+	for _, s := range d.Sections {
+		for _, t := range s.Teams {
+			if t.Name == name {
+				return t, true
+			}
+		}
+	}
+	return Team{}, false
+}
+
+// Pool returns the pool of a name.
+func (d *Document) Pool(name string) (Pool, bool) {
+	for _, s := range d.Sections {
+		for _, p := range s.Pools {
+			if p.Name == name {
+				return p, true
+			}
+		}
+	}
+	return Pool{}, false
+}
+
+// Operators returns the operators of the section that declares them.
+func (d *Document) Operators() []Operator {
+	return d.Sections[OperatorsSection].Operators
+}
--- /dev/null
+++ b/entryhost/entryhost.go
@@ -0,0 +1,72 @@
+package entryhost
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/services/admin"
+	"fuchsiafront.example/fuchsiafront/services/backend"
+	"fuchsiafront.example/fuchsiafront/services/dispatch"
+	"fuchsiafront.example/fuchsiafront/services/front"
+	"fuchsiafront.example/fuchsiafront/services/hosts"
+	"fuchsiafront.example/fuchsiafront/services/membership"
+	"fuchsiafront.example/fuchsiafront/services/metrics"
+	"fuchsiafront.example/fuchsiafront/services/platform"
+	"fuchsiafront.example/fuchsiafront/services/statesync"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// Assemble registers the services of an entry host with a new kernel.
+// Settings must be valid.
+func Assemble(s Settings, log zerolog.Logger, clock services.Clock) *kernel.Kernel {
+	measured, scope := metrics.New()
+	log = log.With().Str("host", s.Name).Str("zone", s.Zone).Logger()
+	k := kernel.New(log, scope)
+	k.Register(services.NameMetrics, measured)
+	k.Register(services.NamePlatform, platform.New(platform.Settings{URL: s.Platform, SourceIP: s.SourceIP}))
+	k.Register(services.NameHosts, hosts.New(clock))
+	k.Register(services.NameMembership, membership.New(s.identity(clock())))
+	k.Register(services.NameState, statesync.New(clock))
+	k.Register(services.NameBackend, backend.New(backend.Settings{MaxEntryHosts: s.MaxEntryHosts, SourceIP: s.SourceIP}, clock))
+	k.Register(services.NameDispatch, dispatch.New(clock))
+	k.Register(services.NameAdmin, admin.New(s.admin()))
+	k.Register(services.NameFront, front.New(s.front(), clock))
+	return k
+}
+
+// identity names the incarnation after the start time, so that a later
+// process under the same name has a higher one.
+func (s *Settings) identity(now time.Time) services.Identity {
+	return services.Identity{
+		Name:        s.Name,
+		Zone:        fleet.AvailabilityZone(s.Zone),
+		Incarnation: uint64(now.UnixNano()),
+		PeerAddress: s.PeerAddress,
+	}
+}
+
+func (s *Settings) admin() admin.Settings {
+	bootstrap := document.Operator{}
+	if s.BootstrapKey != "" {
+		bootstrap, _ = s.bootstrap()
+	}
+	return admin.Settings{Address: s.AdminAddress, Bootstrap: bootstrap}
+}
+
+func (s *Settings) front() front.Settings {
+	return front.Settings{
+		Address:        s.CallerAddress,
+		MaxBodyBytes:   s.MaxBodyBytes,
+		DefaultTimeout: s.DefaultTimeout,
+		MaxTimeout:     s.MaxTimeout,
+		KeyCurrency:    s.KeyCurrency,
+		ReadinessDelay: s.ReadinessDelay,
+	}
+}
--- a/services/peers.go
+++ b/services/peers.go
@@ -1,11 +1,6 @@
 package services
 
-import (
-	"context"
-	"time"
-
-	"fuchsiafront.example/fuchsiafront/decision/revision"
-)
+import "time"
 
 // PeerStatus is what this host last heard of another entry host.
 type PeerStatus struct {
@@ -28,8 +23,6 @@
 
 // Peers exchanges digests and state with the other entry hosts.
 type Peers interface {
-	// Push sends newly accepted parts to all peers, without waiting.
-	Push(head revision.Head, parts []revision.Part)
 	// Status returns the last report of each peer.
 	Status() []PeerStatus
 	// Loads returns the last reported load of every peer.
@@ -38,8 +31,6 @@
 	SetLoads(loads []TeamLoad)
 	// SetLeavingHosts sets the hosts that this host saw leaving.
 	SetLeavingHosts(names []string)
-	// Confirm asks one member to confirm that it knows this one.
-	Confirm(ctx context.Context, member Identity) error
 }
 
 // Clock is the source of time for services; tests pass a virtual one.
--- /dev/null
+++ b/services/statesync/replica.go
@@ -0,0 +1,133 @@
+package statesync
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/budget"
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/decision/revision"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/wire/yamldoc"
+)
+
+// replicaMessage is what the replica duty receives: advance or proof.
+type replicaMessage interface{ replicaMessage() }
+
+// advance offers a head together with at least the parts that changed.
+type advance struct {
+	head  revision.Head
+	parts map[string]revision.Part
+	done  *ring.Ring[struct{}]
+}
+
+// proof states that no revision above revision was accepted by asOf.
+type proof struct {
+	revision uint64
+	asOf     time.Time
+}
+
+func (advance) replicaMessage() {}
+func (proof) replicaMessage()   {}
+
+// runReplica owns the replica. It alone publishes views and proofs.
+func (s *Service) runReplica(ctx context.Context) {
+	state := &revision.State{Parts: map[string]revision.Part{}}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-s.replica.C():
+			switch m := m.(type) {
+			case advance:
+				state = s.applyAdvance(state, m)
+			case proof:
+				s.applyProof(state, m)
+			}
+		}
+	}
+}
+
+func (s *Service) applyAdvance(state *revision.State, m advance) *revision.State {
+	if m.done != nil {
+		defer m.done.Offer(struct{}{})
+	}
+	next, advanced := state.Advance(m.head, m.parts)
+	firstEmpty := m.head.Revision == 0 && s.view.Load() == nil
+	if !advanced && !firstEmpty {
+		return state
+	}
+	view, err := decodeView(s.view.Load(), next)
+	if err != nil {
+		s.log.Error().Err(err).Uint64("revision", next.Revision).Msg("shared state cannot be decoded")
+		return state
+	}
+	s.view.Store(view)
+	for _, w := range s.watches {
+		w.OfferLatest(view)
+	}
+	s.log.Info().Uint64("revision", next.Revision).Msg("revision in force")
+	return next
+}
+
+// applyProof moves the proof forward. A proof for a revision above the
+// replica's says nothing about the replica.
+func (s *Service) applyProof(state *revision.State, m proof) {
+	if m.revision > state.Revision || s.view.Load() == nil {
+		return
+	}
+	if m.asOf.After(s.CurrentSince()) {
+		s.current.Store(&m.asOf)
+	}
+}
+
+// decodeView decodes the parts that differ from those of the previous view.
+func decodeView(previous *services.View, state *revision.State) (*services.View, error) {
+	v := &services.View{
+		Revision:    state.Revision,
+		State:       state,
+		Document:    &document.Document{Sections: map[string]document.Section{}},
+		Assignments: budget.Assignments{},
+		Ledger:      &budget.Ledger{Out: map[string]budget.Out{}},
+	}
+	for _, part := range state.Parts {
+		if err := decodePart(v, previous, part); err != nil {
+			return nil, err
+		}
+	}
+	return v, nil
+}
+
+func decodePart(v, previous *services.View, part revision.Part) error {
+	switch {
+	case part.Name == services.PartLedger:
+		return json.Unmarshal(part.Data, v.Ledger)
+	case strings.HasPrefix(part.Name, services.PartHostsPrefix):
+		return json.Unmarshal(part.Data, &v.Assignments)
+	case strings.HasPrefix(part.Name, services.PartSectionPrefix):
+		return decodeSection(v, previous, part)
+	}
+	return nil
+}
+
+// decodeSection reuses the section of the previous view when it is unchanged.
+// Empty data stands for a deleted section.
+func decodeSection(v, previous *services.View, part revision.Part) error {
+	if len(part.Data) == 0 {
+		return nil
+	}
+	name := strings.TrimPrefix(part.Name, services.PartSectionPrefix)
+	if previous != nil && previous.State.Parts[part.Name].Revision == part.Revision {
+		v.Document.Sections[name] = previous.Document.Sections[name]
+		return nil
+	}
+	section, err := yamldoc.Decode(part.Name, part.Data)
+	if err != nil {
+		return err
+	}
+	v.Document.Sections[name] = section
+	return nil
+}
--- /dev/null
+++ b/services/statesync/rows.go
@@ -0,0 +1,100 @@
+package statesync
+
+import (
+	"context"
+	"encoding/json"
+
+	"fuchsiafront.example/fuchsiafront/decision/revision"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+const (
+	headKey    = "state/head"
+	partPrefix = "state/part/"
+)
+
+// headRow is the head together with the version of its row.
+type headRow struct {
+	head    revision.Head
+	version uint64
+}
+
+func (s *Service) readHead(ctx context.Context) (headRow, error) {
+	rows, err := s.table.Get(ctx, headKey)
+	if err != nil {
+		return headRow{}, err
+	}
+	h := headRow{head: revision.Head{Parts: map[string]uint64{}}, version: rows[0].Version}
+	if h.version == 0 {
+		return h, nil
+	}
+	if err := json.Unmarshal(rows[0].Value, &h.head); err != nil {
+		return headRow{}, fault.New(&fault.Invalid, fault.ReasonMalformed, "read state head", "platform", "%w", err)
+	}
+	return h, nil
+}
+
+func (s *Service) readParts(ctx context.Context, names []string) (map[string]revision.Part, error) {
+	parts := make(map[string]revision.Part, len(names))
+	if len(names) == 0 {
+		return parts, nil
+	}
+	keys := make([]string, len(names))
+	for i, name := range names {
+		keys[i] = partPrefix + name
+	}
+	rows, err := s.table.Get(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	for i, row := range rows {
+		if row.Version == 0 {
+			continue
+		}
+		var p revision.Part
+		if err := json.Unmarshal(row.Value, &p); err != nil {
+			return nil, fault.New(&fault.Invalid, fault.ReasonMalformed, "read state part", names[i], "%w", err)
+		}
+		parts[p.Name] = p
+	}
+	return parts, nil
+}
+
+// readNewer reads the head and, when it is newer than the replica, the parts
+// that differ. Parts are read after the head, so one of them may be newer
+// than the head says; the replica then keeps its state until the next read.
+func (s *Service) readNewer(ctx context.Context) (revision.Head, map[string]revision.Part, error) {
+	h, err := s.readHead(ctx)
+	if err != nil {
+		return revision.Head{}, nil, err
+	}
+	have := &revision.State{}
+	if v := s.View(); v != nil {
+		have = v.State
+	}
+	if h.head.Revision <= have.Revision {
+		return h.head, nil, nil
+	}
+	parts, err := s.readParts(ctx, have.Stale(h.head))
+	return h.head, parts, err
+}
+
+func encodeProposal(version uint64, p revision.Proposal) (services.Transaction, error) {
+	head, err := json.Marshal(p.Head)
+	if err != nil {
+		return services.Transaction{}, err
+	}
+	tx := services.Transaction{
+		Conditions: []services.Condition{{Key: headKey, Version: version}},
+		Writes:     []services.Write{{Key: headKey, Value: head}},
+	}
+	for _, part := range p.Parts {
+		data, err := json.Marshal(part)
+		if err != nil {
+			return services.Transaction{}, err
+		}
+		tx.Writes = append(tx.Writes, services.Write{Key: partPrefix + part.Name, Value: data})
+	}
+	return tx, nil
+}
--- /dev/null
+++ b/services/statesync/statesync.go
@@ -0,0 +1,152 @@
+// Package statesync keeps this host's replica of the shared state: the
+// operators' document, the host assignments and the ledger of hosts out of
+// service.
+//
+// The replica advances by reading the platform's head row, by this host's own
+// changes, and by parts that peers hand over. It never applies a revision
+// lower than the one it has.
+package statesync
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fuchsiafront.example/fuchsiafront/decision/revision"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+const (
+	replicaCapacity = 256
+	commitCapacity  = 64
+	watchCapacity   = 4
+	// followPeriod is the time between two reads of the head by the reader
+	// of a zone.
+	followPeriod = time.Second
+)
+
+// Service implements services.State and services.PeerState.
+type Service struct {
+	clock services.Clock
+	log   zerolog.Logger
+
+	table      services.Table
+	membership services.Membership
+
+	replica *ring.Ring[replicaMessage]
+	commits *ring.Ring[commitRequest]
+	watches []*ring.Ring[*services.View]
+
+	// The replica duty publishes these; every other goroutine only reads.
+	view    atomic.Pointer[services.View]
+	current atomic.Pointer[time.Time]
+
+	readTurn atomic.Bool
+	inDoubt  atomic.Bool
+}
+
+// New returns the service. clock must be monotonic.
+func New(clock services.Clock) *Service {
+	return &Service{clock: clock}
+}
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(c *kernel.Context) error {
+	s.log = c.Log
+	var err error
+	if s.table, err = kernel.Lookup[services.Table](c, services.NamePlatform); err != nil {
+		return err
+	}
+	if s.membership, err = kernel.Lookup[services.Membership](c, services.NameMembership); err != nil {
+		return err
+	}
+	s.replica = ring.New[replicaMessage]("statesync.replica", replicaCapacity, c.Scope)
+	s.commits = ring.New[commitRequest]("statesync.commit", commitCapacity, c.Scope)
+	s.readTurn.Store(true)
+	c.Duty("statesync.replica", s.runReplica)
+	c.Duty("statesync.follow", s.runFollow)
+	c.Duty("statesync.commit", s.runCommit)
+	return nil
+}
+
+// View implements services.State.
+func (s *Service) View() *services.View { return s.view.Load() }
+
+// Watch implements services.State.
+func (s *Service) Watch(name string) *ring.Ring[*services.View] {
+	w := ring.New[*services.View](name, watchCapacity, nil)
+	s.watches = append(s.watches, w)
+	return w
+}
+
+// CurrentSince implements services.State.
+func (s *Service) CurrentSince() time.Time {
+	if t := s.current.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
+// Head implements services.PeerState.
+func (s *Service) Head() (revision.Head, bool) {
+	// The doubt is read first: a change that leaves doubt between the two
+	// reads is then still reported as in doubt or is part of the head.
+	doubt := s.inDoubt.Load()
+	if v := s.view.Load(); v != nil {
+		return v.State.Head(), doubt
+	}
+	return revision.Head{}, doubt
+}
+
+// PlatformReadTurn implements services.PeerState.
+func (s *Service) PlatformReadTurn(turn bool) { s.readTurn.Store(turn) }
+
+// ReceiveParts implements services.PeerState.
+func (s *Service) ReceiveParts(head revision.Head, parts []revision.Part) {
+	s.replica.Offer(advance{head: head, parts: byName(parts)})
+}
+
+// ReceiveProof implements services.PeerState.
+func (s *Service) ReceiveProof(rev uint64, asOf time.Time) {
+	s.replica.Offer(proof{revision: rev, asOf: asOf})
+}
+
+func byName(parts []revision.Part) map[string]revision.Part {
+	m := make(map[string]revision.Part, len(parts))
+	for _, p := range parts {
+		m[p.Name] = p
+	}
+	return m
+}
+
+// runFollow reads the head once a period while this host is its zone's
+// reader, or while it has no state at all.
+func (s *Service) runFollow(ctx context.Context) {
+	ticker := time.NewTicker(followPeriod)
+	defer ticker.Stop()
+	for {
+		if s.readTurn.Load() || s.View() == nil {
+			s.follow(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Service) follow(ctx context.Context) {
+	started := s.clock()
+	head, parts, err := s.readNewer(ctx)
+	if err != nil {
+		s.log.Debug().Err(err).Msg("state head not read")
+		return
+	}
+	s.offer(ctx, head, parts)
+	s.ReceiveProof(head.Revision, started)
+}
--- a/wire/fuchsiafront/v1/fuchsiafrontv1connect/peer.connect.go
+++ b/wire/fuchsiafront/v1/fuchsiafrontv1connect/peer.connect.go
@@ -40,8 +40,6 @@
 	PeerServicePushProcedure = "/fuchsiafront.v1.PeerService/Push"
 	// PeerServiceFetchStateProcedure is the fully-qualified name of the PeerService's FetchState RPC.
 	PeerServiceFetchStateProcedure = "/fuchsiafront.v1.PeerService/FetchState"
-	// PeerServiceConfirmProcedure is the fully-qualified name of the PeerService's Confirm RPC.
-	PeerServiceConfirmProcedure = "/fuchsiafront.v1.PeerService/Confirm"
 )
 
 // PeerServiceClient is a client for the fuchsiafront.v1.PeerService service.
@@ -49,7 +47,6 @@
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
 	Push(context.Context, *connect.Request[v1.PushRequest]) (*connect.Response[v1.PushResponse], error)
 	FetchState(context.Context, *connect.Request[v1.FetchStateRequest]) (*connect.Response[v1.FetchStateResponse], error)
-	Confirm(context.Context, *connect.Request[v1.ConfirmRequest]) (*connect.Response[v1.ConfirmResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the fuchsiafront.v1.PeerService service. By default,
@@ -81,12 +78,6 @@
 			connect.WithSchema(peerServiceMethods.ByName("FetchState")),
 			connect.WithClientOptions(opts...),
 		),
-		confirm: connect.NewClient[v1.ConfirmRequest, v1.ConfirmResponse](
-			httpClient,
-			baseURL+PeerServiceConfirmProcedure,
-			connect.WithSchema(peerServiceMethods.ByName("Confirm")),
-			connect.WithClientOptions(opts...),
-		),
 	}
 }
 
@@ -95,7 +86,6 @@
 	exchange   *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
 	push       *connect.Client[v1.PushRequest, v1.PushResponse]
 	fetchState *connect.Client[v1.FetchStateRequest, v1.FetchStateResponse]
-	confirm    *connect.Client[v1.ConfirmRequest, v1.ConfirmResponse]
 }
 
 // Exchange calls fuchsiafront.v1.PeerService.Exchange.
@@ -113,17 +103,11 @@
 	return c.fetchState.CallUnary(ctx, req)
 }
 
-// Confirm calls fuchsiafront.v1.PeerService.Confirm.
-func (c *peerServiceClient) Confirm(ctx context.Context, req *connect.Request[v1.ConfirmRequest]) (*connect.Response[v1.ConfirmResponse], error) {
-	return c.confirm.CallUnary(ctx, req)
-}
-
 // PeerServiceHandler is an implementation of the fuchsiafront.v1.PeerService service.
 type PeerServiceHandler interface {
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
 	Push(context.Context, *connect.Request[v1.PushRequest]) (*connect.Response[v1.PushResponse], error)
 	FetchState(context.Context, *connect.Request[v1.FetchStateRequest]) (*connect.Response[v1.FetchStateResponse], error)
-	Confirm(context.Context, *connect.Request[v1.ConfirmRequest]) (*connect.Response[v1.ConfirmResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -151,12 +135,6 @@
 		connect.WithSchema(peerServiceMethods.ByName("FetchState")),
 		connect.WithHandlerOptions(opts...),
 	)
-	peerServiceConfirmHandler := connect.NewUnaryHandler(
-		PeerServiceConfirmProcedure,
-		svc.Confirm,
-		connect.WithSchema(peerServiceMethods.ByName("Confirm")),
-		connect.WithHandlerOptions(opts...),
-	)
 	return "/fuchsiafront.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -165,8 +143,6 @@
 			peerServicePushHandler.ServeHTTP(w, r)
 		case PeerServiceFetchStateProcedure:
 			peerServiceFetchStateHandler.ServeHTTP(w, r)
-		case PeerServiceConfirmProcedure:
-			peerServiceConfirmHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -187,7 +163,3 @@
 func (UnimplementedPeerServiceHandler) FetchState(context.Context, *connect.Request[v1.FetchStateRequest]) (*connect.Response[v1.FetchStateResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fuchsiafront.v1.PeerService.FetchState is not implemented"))
 }
-
-func (UnimplementedPeerServiceHandler) Confirm(context.Context, *connect.Request[v1.ConfirmRequest]) (*connect.Response[v1.ConfirmResponse], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("fuchsiafront.v1.PeerService.Confirm is not implemented"))
-}
