--- /dev/null
+++ b/e2e/cluster_test.go
@@ -0,0 +1,171 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/decision/keyring"
+	wirev1 "fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1"
+	"fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1/fuchsiafrontv1connect"
+	"fuchsiafront.example/fuchsiafront/wire/yamldoc"
+)
+
+// zoneNames are the availability zones of the test deployment; zone i has the
+// addresses 127.0.(firstZoneOctet+i).0/24.
+var zoneNames = []string{"klang", "shahalam", "penang"}
+
+const (
+	firstZoneOctet = 11
+	hostsPerZone   = 2
+	// inForceWithin is the stated time in which an accepted configuration
+	// is in force everywhere.
+	inForceWithin = 4 * time.Second
+	startWithin   = 20 * time.Second
+)
+
+// cluster is a stand-in platform with entry hosts in three zones.
+type cluster struct {
+	standin *process
+	control fuchsiafrontv1connect.StandinServiceClient
+	hosts   []*entryHost
+	// operator is the key of the operator that may change everything.
+	operator keyring.Presented
+	changes  int
+}
+
+type entryHost struct {
+	name, zone string
+	ip         string
+	callers    string
+	operators  string
+	peers      string
+	process    *process
+	admin      fuchsiafrontv1connect.AdminServiceClient
+}
+
+func startCluster(t *testing.T, extra ...string) *cluster {
+	t.Helper()
+	args := []string{"serve", "--zones"}
+	for i, zone := range zoneNames {
+		args = append(args, fmt.Sprintf("%s=127.0.%d.0/24", zone, firstZoneOctet+i))
+	}
+	args = append(args, "--backend-services", "quotes=3", "ledger=2", "--host-list-lag", "1s")
+	c := &cluster{operator: keyring.Presented{Holder: "bootstrap", ID: "root", Secret: "test-secret"}}
+	c.standin = startProcess(t, "standin", "fuchsiastandin", args...)
+	url := c.standin.firstLine(t)
+	c.control = fuchsiafrontv1connect.NewStandinServiceClient(http.DefaultClient, url)
+	for i, zone := range zoneNames {
+		for n := range hostsPerZone {
+			c.hosts = append(c.hosts, c.startHost(t, zone, fmt.Sprintf("127.0.%d.%d", firstZoneOctet+i, n+1), n, url, extra))
+		}
+	}
+	for _, h := range c.hosts {
+		eventually(t, startWithin, h.name+" ready", h.ready)
+	}
+	return c
+}
+
+func (c *cluster) startHost(t *testing.T, zone, ip string, n int, platform string, extra []string) *entryHost {
+	t.Helper()
+	h := &entryHost{
+		name:      fmt.Sprintf("entry-%s-%d", zone, n+1),
+		zone:      zone,
+		ip:        ip,
+		callers:   freePort(t, ip),
+		operators: freePort(t, ip),
+		peers:     freePort(t, ip),
+	}
+	stored := c.operator.Store("salt")
+	args := append([]string{
+		"--name", h.name, "--zone", zone, "--platform", platform, "--source-ip", ip,
+		"--caller-address", h.callers, "--admin-address", h.operators, "--peer-address", h.peers,
+		"--bootstrap-key", stored.ID + ":" + stored.Salt + ":" + stored.Hash,
+		"--readiness-delay", "500ms", "--log-level", "debug",
+	}, extra...)
+	h.process = startProcess(t, h.name, "fuchsiafrontd", args...)
+	h.admin = fuchsiafrontv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+h.operators)
+	return h
+}
+
+func (h *entryHost) ready() bool {
+	resp, err := http.Get("http://" + h.operators + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// apply changes one section through a host and returns the revision.
+func (c *cluster) apply(t *testing.T, h *entryHost, section document.Section) uint64 {
+	t.Helper()
+	text, err := yamldoc.Encode(section)
+	assert.NilError(t, err)
+	c.changes++
+	req := connect.NewRequest(&wirev1.ApplyRequest{
+		ChangeId: fmt.Sprintf("change-%d", c.changes),
+		Changes:  []*wirev1.SectionChange{{Name: section.Name, IfRevision: c.sectionRevision(t, h, section.Name), Yaml: string(text)}},
+	})
+	c.authorize(req)
+	resp, err := h.admin.Apply(t.Context(), req)
+	assert.NilError(t, err)
+	return resp.Msg.Revision
+}
+
+func (c *cluster) authorize(req connect.AnyRequest) {
+	req.Header().Set("Authorization", "Bearer "+c.operator.Format())
+}
+
+// document returns what a host has in force.
+func (c *cluster) document(ctx context.Context, h *entryHost) (*wirev1.GetDocumentResponse, error) {
+	req := connect.NewRequest(&wirev1.GetDocumentRequest{})
+	c.authorize(req)
+	resp, err := h.admin.GetDocument(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+func (c *cluster) sectionRevision(t *testing.T, h *entryHost, name string) uint64 {
+	t.Helper()
+	doc, err := c.document(t.Context(), h)
+	assert.NilError(t, err)
+	for _, s := range doc.Sections {
+		if s.Name == name {
+			return s.Revision
+		}
+	}
+	return 0
+}
+
+// inForce waits until every named host has the revision.
+func (c *cluster) inForce(t *testing.T, revision uint64, hosts []*entryHost) {
+	t.Helper()
+	for _, h := range hosts {
+		eventually(t, inForceWithin, fmt.Sprintf("revision %d in force on %s", revision, h.name), func() bool {
+			doc, err := c.document(t.Context(), h)
+			return err == nil && doc.Revision >= revision
+		})
+	}
+}
+
+func (c *cluster) setFaults(t *testing.T, f *wirev1.Faults) {
+	t.Helper()
+	_, err := c.control.SetFaults(t.Context(), connect.NewRequest(&wirev1.SetFaultsRequest{Faults: f}))
+	assert.NilError(t, err)
+}
+
+func (c *cluster) executions(t *testing.T) *wirev1.ListExecutionsResponse {
+	t.Helper()
+	resp, err := c.control.ListExecutions(t.Context(), connect.NewRequest(&wirev1.ListExecutionsRequest{}))
+	assert.NilError(t, err)
+	return resp.Msg
+}
--- /dev/null
+++ b/e2e/processes_test.go
@@ -0,0 +1,144 @@
+// Package e2e tests the system as separate processes over real sockets.
+package e2e
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// binaries is the folder that holds the programs under test.
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "fuchsiafront-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "../cmd/...")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", out, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one program that a test started.
+type process struct {
+	name string
+	cmd  *exec.Cmd
+	out  io.ReadCloser
+	done chan struct{}
+
+	mu  sync.Mutex
+	log strings.Builder
+	err error
+}
+
+// Write collects standard error.
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+func startProcess(t *testing.T, name, program string, args ...string) *process {
+	t.Helper()
+	p := &process{name: name, done: make(chan struct{})}
+	p.cmd = exec.Command(filepath.Join(binaries, program), args...)
+	p.cmd.Stderr = p
+	var err error
+	p.out, err = p.cmd.StdoutPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, p.cmd.Start())
+	go func() {
+		err := p.cmd.Wait()
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		<-p.done
+		if t.Failed() {
+			t.Logf("%s wrote:\n%s", p.name, p.tail())
+		}
+	})
+	return p
+}
+
+// logTail bounds what a failed test prints of each process.
+const logTail = 6000
+
+func (p *process) tail() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	text := p.log.String()
+	if len(text) > logTail {
+		text = text[len(text)-logTail:]
+	}
+	return text
+}
+
+func (p *process) firstLine(t *testing.T) string {
+	t.Helper()
+	line, err := bufio.NewReader(p.out).ReadString('\n')
+	assert.NilError(t, err, "%s: %s", p.name, p.tail())
+	return strings.TrimSpace(line)
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	assert.NilError(t, p.cmd.Process.Signal(s))
+}
+
+// wait waits for the process to end and returns its error.
+func (p *process) wait(t *testing.T, limit time.Duration) error {
+	t.Helper()
+	select {
+	case <-p.done:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.err
+	case <-time.After(limit):
+		t.Fatalf("%s did not end within %v", p.name, limit)
+		return nil
+	}
+}
+
+// freePort returns an address on ip whose port the kernel chose.
+func freePort(t *testing.T, ip string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// eventually waits until condition holds.
+func eventually(t *testing.T, limit time.Duration, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s did not hold within %v", what, limit)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -26,7 +26,7 @@
 // Assemble registers the services of an entry host with a new kernel.
 // Settings must be valid.
 func Assemble(s Settings, log zerolog.Logger, clock services.Clock) *kernel.Kernel {
-	measured, scope := metrics.New()
+	measured, scope := metrics.New(log)
 	log = log.With().Str("host", s.Name).Str("zone", s.Zone).Logger()
 	k := kernel.New(log, scope)
 	k.Register(services.NameMetrics, measured)
--- a/services/metrics/metrics.go
+++ b/services/metrics/metrics.go
@@ -12,6 +12,7 @@
 	"time"
 
 	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -43,10 +44,17 @@
 	reason fault.Reason
 }
 
-// New returns the service and the root scope that it reports.
-func New() (*Service, tally.Scope) {
+// New returns the service and the root scope that it reports. log receives
+// the errors of metrics that cannot be registered.
+func New(log zerolog.Logger) (*Service, tally.Scope) {
 	registry := prom.NewRegistry()
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+		OnRegisterError: func(err error) {
+			log.Error().Err(err).Msg("metric not registered")
+		},
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 metricPrefix,
 		Separator:              prometheus.DefaultSeparator,
