--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -1,6 +1,7 @@
 package entryhost
 
 import (
+	"cmp"
 	"strconv"
 	"time"
 
@@ -48,7 +49,7 @@
 		Name:        s.Name,
 		Zone:        fleet.AvailabilityZone(s.Zone),
 		Incarnation: uint64(now.UnixNano()),
-		PeerAddress: s.PeerAddress,
+		PeerAddress: cmp.Or(s.PeerAdvertise, s.PeerAddress),
 	}
 }
 
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -20,6 +20,7 @@
 	CallerAddress  string        `arg:"--caller-address,env:FUCHSIAFRONT_CALLER_ADDRESS" default:"127.0.0.1:8080" help:"IP:port for callers" placeholder:"IP:PORT"`
 	AdminAddress   string        `arg:"--admin-address,env:FUCHSIAFRONT_ADMIN_ADDRESS" default:"127.0.0.1:8081" help:"IP:port for operators, health and metrics" placeholder:"IP:PORT"`
 	PeerAddress    string        `arg:"--peer-address,env:FUCHSIAFRONT_PEER_ADDRESS" default:"127.0.0.1:8082" help:"IP:port for other entry hosts" placeholder:"IP:PORT"`
+	PeerAdvertise  string        `arg:"--peer-advertise,env:FUCHSIAFRONT_PEER_ADVERTISE" help:"IP:port at which other entry hosts reach --peer-address, when it differs" placeholder:"IP:PORT"`
 	SourceIP       string        `arg:"--source-ip,env:FUCHSIAFRONT_SOURCE_IP" help:"IP that outgoing connections start from" placeholder:"IP"`
 	Platform       string        `arg:"--platform,env:FUCHSIAFRONT_PLATFORM" help:"URL of the platform, http://IP:port" placeholder:"URL"`
 	BootstrapKey   string        `arg:"--bootstrap-key,env:FUCHSIAFRONT_BOOTSTRAP_KEY" help:"stored form ID:SALT:HASH of the operator key that is accepted while the document declares no operators" placeholder:"KEY"`
@@ -76,6 +77,11 @@
 			reject(a.flag, a.value, "IP:port")
 		}
 	}
+	if s.PeerAdvertise != "" {
+		if _, err := netip.ParseAddrPort(s.PeerAdvertise); err != nil {
+			reject("--peer-advertise", s.PeerAdvertise, "IP:port")
+		}
+	}
 	if s.SourceIP != "" {
 		if _, err := netip.ParseAddr(s.SourceIP); err != nil {
 			reject("--source-ip", s.SourceIP, "an IP address")
--- a/standin/platform/hosts.go
+++ b/standin/platform/hosts.go
@@ -80,7 +80,7 @@
 	for _, e := range h.s.fleet.Executions() {
 		resp.Executions = append(resp.Executions, &wirev1.Execution{
 			RequestId: e.RequestID, Team: e.Team, Queue: e.Queue, Server: e.Server,
-			StartUnixMs: e.Start.UnixMilli(), EndUnixMs: e.End.UnixMilli(),
+			StartUnixUs: e.Start.UnixMicro(), EndUnixUs: e.End.UnixMicro(),
 		})
 	}
 	for team, peak := range h.s.fleet.PeakByTeam() {
