Decide grants, assignments and steps of hosts

Change: decision/budget decides on a draft of the ledger: first assignment, buckets, grants, steps, failed hosts and waves. A refusal names the bound, its value and what it would become. revision.Change gets Requires, the revisions of parts that a change only read. Without it a paused planner could commit a grant under bounds that an operator has lowered since.

Ruled out: writing the section unchanged to make a grant conditional on it, which would make operators' edits conflict with every grant; assigning hosts that are not live, because an unavailable host would then join a pool past the condition of a concurrent grant.

Conclusion: no grant exceeds a bound, given the failures that its planner or the ledger knew of when it was decided.

--- /dev/null
+++ b/decision/budget/budget_test.go
@@ -0,0 +1,186 @@
+package budget
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// basis has six workers w0 to w5 in pool "a", two in each of three zones, and
+// pool "spare".
+func basis() Basis {
+	b := Basis{
+		Document: &document.Document{Sections: map[string]document.Section{"pools": {Pools: []document.Pool{
+			{Name: "a", Kind: fleet.KindWorker, Adopt: []string{"w*"}, MaxUnavailable: 2, MaxUnavailablePerZone: 1, MaxRacksOut: 2},
+			{Name: "late", Kind: fleet.KindWorker, Adopt: []string{"w1*"}},
+			{Name: "spare", Kind: fleet.KindWorker, Spare: true},
+			{Name: "servers", Kind: fleet.KindBackendServer, Adopt: []string{"*"}},
+		}}}},
+		Assignments: Assignments{}, Ledger: &Ledger{Out: map[string]Out{}},
+		Hosts: &fleet.HostList{AsOf: start}, Now: start,
+	}
+	for i := range 6 {
+		name := fmt.Sprint("w", i)
+		b.Assignments[name] = "a"
+		b.Hosts.Hosts = append(b.Hosts.Hosts, fleet.Host{Name: name, Kind: fleet.KindWorker,
+			Zone: fleet.AvailabilityZone(fmt.Sprint("z", i%3)), Rack: fmt.Sprint("r", i), Phase: fleet.PhaseLive})
+	}
+	return b
+}
+
+// TestGrantCountsEveryUnavailableHost guards against a grant that overlooks a
+// failed, leaving or missing host, or that refuses without naming the bound.
+func TestGrantCountsEveryUnavailableHost(t *testing.T) {
+	phase := func(i int, p fleet.HostPhase) func(*Basis) { return func(b *Basis) { b.Hosts.Hosts[i].Phase = p } }
+	missing := func(b *Basis) { b.Hosts.Hosts = b.Hosts.Hosts[:5] }
+	cases := []struct {
+		name   string
+		change []func(*Basis)
+		reason fault.Reason
+		says   string
+	}{
+		{"all live", nil, "", ""},
+		{"other zone failed", []func(*Basis){phase(1, fleet.PhaseFailed)}, "", ""},
+		{"same zone failed", []func(*Basis){phase(3, fleet.PhaseFailed)}, fault.ReasonBudget,
+			`host "w0": maxUnavailablePerZone of pool "a", availability zone "z0" is 1 and would become 2`},
+		{"same zone leaving", []func(*Basis){phase(3, fleet.PhaseLeaving)}, fault.ReasonBudget, ""},
+		{"missing host of unknown zone", []func(*Basis){missing}, fault.ReasonBudget, ""},
+		{"two failed elsewhere", []func(*Basis){phase(1, fleet.PhaseFailed), phase(2, fleet.PhaseFailed)}, fault.ReasonBudget,
+			`host "w0": maxUnavailable of pool "a" is 2 and would become 3`},
+		{"leaving by itself", []func(*Basis){phase(0, fleet.PhaseLeaving)}, "", ""},
+		{"unassigned failed host of the zone", []func(*Basis){phase(3, fleet.PhaseFailed), func(b *Basis) { delete(b.Assignments, "w3") }}, fault.ReasonBudget, ""},
+		{"list too old", []func(*Basis){func(b *Basis) { b.Now = start.Add(MaxHostListAge + 1) }}, fault.ReasonStaleHostList, ""},
+		{"list never read", []func(*Basis){func(b *Basis) { b.Hosts.AsOf = time.Time{} }}, fault.ReasonStaleHostList, ""},
+		{"already out", []func(*Basis){func(b *Basis) { b.Ledger.Out["w0"] = Out{Host: "w0", Pool: "a"} }}, fault.ReasonHostOut, ""},
+		{"unassigned", []func(*Basis){func(b *Basis) { delete(b.Assignments, "w0") }}, fault.ReasonUnassignedHost, ""},
+		{"no such pool", []func(*Basis){func(b *Basis) { b.Assignments["w0"] = "gone" }}, fault.ReasonUnknownPool, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := basis()
+			for _, change := range c.change {
+				change(&b)
+			}
+			_, refusal := NewDraft(b).Grant(Request{Host: "w0", Cause: CauseReboot})
+			if c.reason == "" {
+				assert.Assert(t, refusal == nil, "refused: %v", refusal)
+				return
+			}
+			assert.Assert(t, refusal != nil)
+			assert.Equal(t, refusal.Reason, c.reason)
+			if c.says != "" {
+				assert.Equal(t, refusal.Error(), c.says)
+			}
+		})
+	}
+}
+
+// TestMoveEndsWithAssignment guards against a moved host whose entry ends
+// without its new pool, and against one that ends before it is live.
+func TestMoveEndsWithAssignment(t *testing.T) {
+	b := basis()
+	d := NewDraft(b)
+	_, refusal := d.Grant(Request{Host: "w0", Cause: CauseMove, MoveTo: "servers"})
+	assert.Equal(t, refusal.Reason, fault.ReasonWrongKind)
+	_, refusal = d.Grant(Request{Host: "w0", Cause: CauseMove, MoveTo: "spare"})
+	assert.Assert(t, refusal == nil)
+	d.Finish("w0")
+	assert.Equal(t, len(d.Outcome().Assigned), 0)
+	d.Advance("w0")
+	d.Advance("w0")
+	b.Hosts.Hosts[0].Phase = fleet.PhaseLeaving
+	d.Finish("w0")
+	assert.Equal(t, len(d.Outcome().Assigned), 0)
+	b.Hosts.Hosts[0].Phase = fleet.PhaseLive
+	d.Finish("w0")
+	_, out := d.Out("w0")
+	assert.Assert(t, !out)
+	assert.DeepEqual(t, d.Outcome().Assigned, Assignments{"w0": "spare"})
+}
+
+// TestInitialPool guards against an adoption order that differs between
+// planners, a host of the wrong kind, and a host that is not live.
+func TestInitialPool(t *testing.T) {
+	b := basis()
+	add := func(name string, kind fleet.HostKind, phase fleet.HostPhase) {
+		b.Hosts.Hosts = append(b.Hosts.Hosts, fleet.Host{Name: name, Kind: kind, Phase: phase})
+	}
+	add("w10", fleet.KindWorker, fleet.PhaseLive)
+	add("x1", fleet.KindWorker, fleet.PhaseLive)
+	add("w11", fleet.KindBackendServer, fleet.PhaseLive)
+	add("w12", fleet.KindWorker, fleet.PhaseFailed)
+	add("t1", "unheard", fleet.PhaseLive)
+	d := NewDraft(b)
+	assert.DeepEqual(t, d.AssignFirstSeen(), []string{"t1"})
+	assert.DeepEqual(t, d.Outcome().Assigned, Assignments{"w10": "a", "x1": "spare", "w11": "servers"})
+	assert.Equal(t, Bucket("w10"), 17, "stored buckets depend on the hash")
+}
+
+// TestFailuresEnterAndLeaveTheLedger guards against a failure that no other
+// planner learns of, a recovered host that stays out, and a wave that does
+// not count a host that fails after its maintenance.
+func TestFailuresEnterAndLeaveTheLedger(t *testing.T) {
+	b := basis()
+	b.Ledger.Waves = map[string]Wave{"v": {ID: "v", Pool: "a", Pending: []string{"w5"}, Done: []string{"w1"}, MaxFailed: 1}}
+	b.Hosts.Hosts[1].Phase = fleet.PhaseFailed
+	b.Hosts.Hosts = b.Hosts.Hosts[:5]
+	d := NewDraft(b)
+	d.RecordFailures(map[string]fleet.Host{"w5": {Zone: "z2", Rack: "r5"}})
+	w1, _ := d.Out("w1")
+	w5, _ := d.Out("w5")
+	assert.Equal(t, w1.Cause, CauseFailed)
+	assert.Equal(t, w5.Zone, fleet.AvailabilityZone("z2"))
+	assert.Equal(t, d.Unavailable("a"), 2)
+	wave, _ := d.Wave("v")
+	assert.DeepEqual(t, wave.Failed, []string{"w1"})
+	assert.Equal(t, len(wave.Done), 0)
+	b.Ledger = d.Outcome().Ledger
+	b.Hosts.Hosts[1].Phase = fleet.PhaseLive
+	d = NewDraft(b)
+	d.RecordFailures(nil)
+	_, out := d.Out("w1")
+	assert.Assert(t, !out)
+	assert.Equal(t, d.Unavailable("a"), 1)
+}
+
+// TestNextStep guards against a step taken before the platform confirmed it,
+// or on a host list that does not reflect it yet.
+func TestNextStep(t *testing.T) {
+	times := StepTimes{Drain: 10 * time.Second, Settle: 5 * time.Second, Deadline: time.Minute}
+	cases := []struct {
+		name  string
+		cause Cause
+		step  Step
+		seen  Observation
+		want  Action
+	}{
+		{"drain not called", CauseReboot, StepDraining, Observation{fleet.PhaseLeaving, 20 * time.Second, false}, ActionWait},
+		{"drain not listed", CauseReboot, StepDraining, Observation{fleet.PhaseLive, 20 * time.Second, true}, ActionWait},
+		{"work may go on", CauseReboot, StepDraining, Observation{fleet.PhaseLeaving, 9 * time.Second, true}, ActionWait},
+		{"drained", CauseReboot, StepDraining, Observation{fleet.PhaseLeaving, 10 * time.Second, true}, ActionAdvance},
+		{"drain never accepted", CauseReboot, StepDraining, Observation{fleet.PhaseLive, 2 * time.Minute, false}, ActionFail},
+		{"reboot not called", CauseReboot, StepMaintenance, Observation{fleet.PhaseLeaving, time.Second, false}, ActionWait},
+		{"rebooted", CauseReboot, StepMaintenance, Observation{fleet.PhaseLeaving, time.Second, true}, ActionAdvance},
+		{"reboot never accepted", CauseReboot, StepMaintenance, Observation{fleet.PhaseLeaving, 2 * time.Minute, false}, ActionFail},
+		{"drained by an operator", CauseDrain, StepMaintenance, Observation{fleet.PhaseLeaving, time.Hour, true}, ActionWait},
+		{"move", CauseMove, StepMaintenance, Observation{fleet.PhaseLeaving, 0, false}, ActionAdvance},
+		{"back, list may lag", CauseMove, StepReturning, Observation{fleet.PhaseLive, 4 * time.Second, true}, ActionWait},
+		{"back", CauseMove, StepReturning, Observation{fleet.PhaseLive, 5 * time.Second, true}, ActionFinish},
+		{"not back", CauseReboot, StepReturning, Observation{"", 2 * time.Minute, true}, ActionFail},
+		{"failed", CauseFailed, StepMaintenance, Observation{fleet.PhaseLeaving, time.Hour, false}, ActionWait},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got, why := Next(Out{Cause: c.cause, Step: c.step}, c.seen, times)
+			assert.Equal(t, got, c.want, why)
+		})
+	}
+}
--- /dev/null
+++ b/decision/budget/grant.go
@@ -0,0 +1,131 @@
+package budget
+
+import (
+	"fmt"
+
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+// Request asks to take one host out of service.
+type Request struct {
+	Host  string
+	Cause Cause
+	// Wave is the wave on whose behalf the request is made, if any.
+	Wave string
+	// MoveTo is the target pool when Cause is CauseMove.
+	MoveTo string
+}
+
+// Refusal tells why a decision was not taken. For fault.ReasonBudget it names
+// the bound, its value and the value that it would get.
+type Refusal struct {
+	Reason fault.Reason
+	Host   string
+	Pool   string
+	Bound  Bound
+	Zone   fleet.AvailabilityZone
+	Limit  int
+	Would  int
+	Detail string
+}
+
+// Error describes the refusal.
+func (r *Refusal) Error() string {
+	if r.Reason != fault.ReasonBudget {
+		return fmt.Sprintf("host %q: %s", r.Host, r.Detail)
+	}
+	where := fmt.Sprintf("pool %q", r.Pool)
+	if r.Zone != "" {
+		where += fmt.Sprintf(", availability zone %q", r.Zone)
+	}
+	return fmt.Sprintf("host %q: %s of %s is %d and would become %d", r.Host, r.Bound, where, r.Limit, r.Would)
+}
+
+func refuse(reason fault.Reason, host, format string, args ...any) *Refusal {
+	return &Refusal{Reason: reason, Host: host, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Grant takes a host out of service when the budget of its pool still holds
+// with it, and adds its entry at StepDraining. A host that is already counted
+// (leaving by itself) is not counted again, but it too is refused while a
+// bound of its pool is exceeded.
+func (d *Draft) Grant(r Request) (Out, *Refusal) {
+	h, p, refusal := d.eligible(r)
+	if refusal != nil {
+		return Out{}, refusal
+	}
+	at := place{h.Zone, h.Rack}
+	u := d.usage[p.Name]
+	added := !d.counted(r.Host)
+	if added {
+		u.add(at, 1)
+	}
+	if b, zone, limit, would, broken := u.broken(p.Pool); broken {
+		if added {
+			u.add(at, -1)
+		}
+		return Out{}, &Refusal{Reason: fault.ReasonBudget, Host: r.Host, Pool: p.Name, Bound: b, Zone: zone, Limit: limit, Would: would}
+	}
+	o := Out{
+		Host: r.Host, Pool: p.Name, Zone: h.Zone, Rack: h.Rack,
+		Cause: r.Cause, Step: StepDraining, Wave: r.Wave, MoveTo: r.MoveTo,
+		Since: d.basis.Now, Granted: d.basis.Now,
+	}
+	d.put(o)
+	d.Begin(r.Wave, r.Host)
+	d.hosts[r.Host] = true
+	d.sections[p.section] = true
+	return o, nil
+}
+
+// eligible returns the listed host and its pool, or why no budget is even
+// looked at.
+func (d *Draft) eligible(r Request) (*fleet.Host, declaredPool, *Refusal) {
+	var none declaredPool
+	if d.stale() {
+		return nil, none, refuse(fault.ReasonStaleHostList, r.Host,
+			"the host list is older than %v", MaxHostListAge)
+	}
+	if o, out := d.ledger.Out[r.Host]; out {
+		return nil, none, refuse(fault.ReasonHostOut, r.Host, "already out of service (%s, %s)", o.Cause, o.Step)
+	}
+	h, ok := d.listed[r.Host]
+	if !ok {
+		return nil, none, refuse(fault.ReasonUnknownHost, r.Host, "not in the host list")
+	}
+	name, ok := d.Pool(r.Host)
+	if !ok {
+		return nil, none, refuse(fault.ReasonUnassignedHost, r.Host, "assigned to no pool yet")
+	}
+	p, ok := d.pools[name]
+	if !ok {
+		return nil, none, refuse(fault.ReasonUnknownPool, r.Host, "its pool %q is not declared", name)
+	}
+	if r.Cause == CauseMove {
+		if refusal := d.eligibleTarget(r, h, name); refusal != nil {
+			return nil, none, refusal
+		}
+	}
+	return h, p, nil
+}
+
+func (d *Draft) eligibleTarget(r Request, h *fleet.Host, from string) *Refusal {
+	to, ok := d.pools[r.MoveTo]
+	if !ok {
+		return refuse(fault.ReasonUnknownPool, r.Host, "target pool %q is not declared", r.MoveTo)
+	}
+	if to.Kind != h.Kind {
+		return refuse(fault.ReasonWrongKind, r.Host, "a %s cannot move to pool %q of %s hosts", h.Kind, r.MoveTo, to.Kind)
+	}
+	if r.MoveTo == from {
+		return refuse(fault.ReasonHostInService, r.Host, "already in pool %q", from)
+	}
+	d.sections[to.section] = true
+	return nil
+}
+
+func (d *Draft) put(o Out) {
+	d.ledger.Out[o.Host] = o
+	d.changed = true
+}
--- /dev/null
+++ b/decision/budget/property_test.go
@@ -0,0 +1,318 @@
+package budget
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/decision/revision"
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+const section = "section/pools"
+
+// world is the platform: the shared parts, the true phases of hosts, and the
+// list as it was at earlier times.
+type world struct {
+	t       *rapid.T
+	head    revision.Head
+	parts   map[string]revision.Part
+	now     time.Time
+	hosts   []fleet.Host
+	history [][]fleet.Host
+	applied map[string]int
+	pools   map[string]string
+}
+
+// planner is an entry host with copies that may be stale, and a change that
+// it decided and has not submitted, or submits again.
+type planner struct {
+	basis              Basis
+	parts              map[string]revision.Part
+	change             *revision.Change
+	granted, operation string
+	list               fleet.HostList
+	// known and decidedOn are the assignments and the list of the decision.
+	known     Assignments
+	decidedOn []fleet.Host
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, parts: map[string]revision.Part{}, head: revision.Head{Parts: map[string]uint64{}},
+		now: time.Unix(1_000_000, 0), applied: map[string]int{}, pools: map[string]string{}}
+	for i := range 9 {
+		w.addHost(fleet.AvailabilityZone(fmt.Sprint("z", i%3)), fmt.Sprint("r", i%3, i/6))
+	}
+	w.setBounds(2, 1, 0)
+	w.observe()
+	return w
+}
+
+func (w *world) addHost(zone fleet.AvailabilityZone, rack string) {
+	name := fmt.Sprintf("w%02d", len(w.hosts))
+	w.hosts = append(w.hosts, fleet.Host{Name: name, Kind: fleet.KindWorker, Zone: zone, Rack: rack, Phase: fleet.PhaseLive})
+}
+
+func (w *world) observe() { w.history = append(w.history, slices.Clone(w.hosts)) }
+
+func (w *world) setBounds(pool, zone, racks int) {
+	data := encode(document.Section{Name: "pools", Pools: []document.Pool{
+		{Name: "a", Kind: fleet.KindWorker, Adopt: []string{"w*[02468]"}, MaxUnavailable: pool, MaxUnavailablePerZone: zone, MaxRacksOut: racks},
+		{Name: "b", Kind: fleet.KindWorker, Spare: true, MaxUnavailable: pool, MaxUnavailablePerZone: zone, MaxRacksOut: racks},
+	}})
+	c := revision.Change{ID: fmt.Sprint("bounds", w.head.Revision), Updates: []revision.Update{{Part: section, IfRevision: w.head.Parts[section], Data: data}}}
+	assert.Equal(w.t, w.commit(c), revision.Accept)
+}
+
+func (w *world) commit(c revision.Change) revision.Verdict {
+	p := revision.Propose(w.head, w.parts, c)
+	if p.Verdict == revision.Accept {
+		w.head = p.Head
+		for _, part := range p.Parts {
+			w.parts[part.Name] = part
+		}
+	}
+	return p.Verdict
+}
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func decode(parts map[string]revision.Part) (doc *document.Document, all Assignments, l Ledger) {
+	var s document.Section
+	all = Assignments{}
+	for name, p := range parts {
+		var err error
+		switch name {
+		case section:
+			err = json.Unmarshal(p.Data, &s)
+		case "ledger":
+			err = json.Unmarshal(p.Data, &l)
+		default:
+			var bucket Assignments
+			err = json.Unmarshal(p.Data, &bucket)
+			maps.Copy(all, bucket)
+		}
+		if err != nil {
+			panic(err)
+		}
+	}
+	return &document.Document{Sections: map[string]document.Section{"pools": s}}, all, l
+}
+
+func (p *planner) refresh(w *world) {
+	p.parts = maps.Clone(w.parts)
+	doc, all, l := decode(p.parts)
+	p.basis.Document, p.basis.Assignments, p.basis.Ledger = doc, all, &l
+}
+
+func (p *planner) draft(w *world) *Draft {
+	p.granted, p.operation = "", ""
+	p.basis.Now, p.basis.Hosts = w.now, &p.list
+	return NewDraft(p.basis)
+}
+
+// prepare turns a draft into a change as services/maintenance does.
+func (p *planner) prepare(id string, o Outcome) {
+	p.change = nil
+	if o.Empty() {
+		return
+	}
+	c := &revision.Change{ID: id}
+	touched := map[string]bool{}
+	if o.Ledger != nil {
+		c.Updates = append(c.Updates, revision.Update{Part: "ledger", IfRevision: p.parts["ledger"].Revision, Data: encode(o.Ledger)})
+	}
+	for host := range o.Assigned {
+		part := fmt.Sprint("hosts/", Bucket(host))
+		if touched[part] {
+			continue
+		}
+		touched[part] = true
+		bucket := Assignments{}
+		for name, pool := range p.basis.Assignments {
+			if Bucket(name) == Bucket(host) {
+				bucket[name] = pool
+			}
+		}
+		for name, pool := range o.Assigned {
+			if Bucket(name) == Bucket(host) {
+				bucket[name] = pool
+			}
+		}
+		c.Updates = append(c.Updates, revision.Update{Part: part, IfRevision: p.parts[part].Revision, Data: encode(bucket)})
+	}
+	for _, s := range o.Sections {
+		c.Requires = append(c.Requires, revision.Requirement{Part: "section/" + s, Revision: p.parts["section/"+s].Revision})
+	}
+	p.change, p.known, p.decidedOn = c, p.basis.Assignments, p.list.Hosts
+}
+
+func (p *planner) submit(w *world) {
+	if p.change == nil || w.commit(*p.change) != revision.Accept {
+		return
+	}
+	if p.operation != "" {
+		w.applied[p.operation]++
+		assert.Equal(w.t, w.applied[p.operation], 1, "request %s applied twice", p.operation)
+	}
+	if p.granted != "" {
+		w.checkBudget(p)
+	}
+}
+
+// checkBudget counts afresh what the ledger and the planner's list say.
+func (w *world) checkBudget(p *planner) {
+	doc, all, ledger := decode(w.parts)
+	pool := ledger.Out[p.granted].Pool
+	bounds := doc.Sections["pools"].Pools[0]
+	out := map[string]place{}
+	for _, o := range ledger.Out {
+		if o.Pool == pool {
+			out[o.Host] = place{o.Zone, o.Rack}
+		}
+	}
+	listed := map[string]bool{}
+	for _, h := range p.decidedOn {
+		listed[h.Name] = true
+		if _, entered := ledger.Out[h.Name]; !entered && all[h.Name] == pool && h.Phase != fleet.PhaseLive {
+			out[h.Name] = place{h.Zone, h.Rack}
+		}
+	}
+	for host, in := range p.known {
+		if _, entered := ledger.Out[host]; !entered && in == pool && !listed[host] {
+			out[host] = place{w.hosts[slices.IndexFunc(w.hosts, func(h fleet.Host) bool { return h.Name == host })].Zone, host}
+		}
+	}
+	zones, racks := map[fleet.AvailabilityZone]int{}, map[place]bool{}
+	for _, at := range out {
+		zones[at.zone]++
+		racks[at] = true
+		assert.Assert(w.t, zones[at.zone] <= bounds.MaxUnavailablePerZone, "zone %s of %s over its bound: %v", at.zone, pool, out)
+	}
+	assert.Assert(w.t, len(out) <= bounds.MaxUnavailable, "pool %s over its bound: %v", pool, out)
+	assert.Assert(w.t, bounds.MaxRacksOut == 0 || len(racks) <= bounds.MaxRacksOut, "racks of %s over the bound: %v", pool, out)
+}
+
+// checkPools guards against a host in two pools, in the wrong bucket, or lost.
+func (w *world) checkPools() {
+	found := map[string]string{}
+	for name, p := range w.parts {
+		if name == section || name == "ledger" {
+			continue
+		}
+		_, bucket, _ := decode(map[string]revision.Part{name: p})
+		for host, pool := range bucket {
+			assert.Equal(w.t, name, fmt.Sprint("hosts/", Bucket(host)))
+			_, twice := found[host]
+			assert.Assert(w.t, !twice && (pool == "a" || pool == "b"))
+			found[host] = pool
+		}
+	}
+	for host := range w.pools {
+		_, ok := found[host]
+		assert.Assert(w.t, ok, "host %s lost its pool", host)
+	}
+	w.pools = found
+}
+
+// TestGrantsKeepEveryBound guards against a budget spent twice by stale,
+// paused or repeating planners, and against a host with two pools.
+func TestGrantsKeepEveryBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		planners := []*planner{{}, {}, {}}
+		id := 0
+		pick := func() *planner { return planners[rapid.IntRange(0, len(planners)-1).Draw(t, "planner")] }
+		list := func(p *planner) {
+			lag := rapid.IntRange(0, min(3, len(w.history)-1)).Draw(t, "lag")
+			p.list = fleet.HostList{Hosts: w.history[len(w.history)-1-lag], AsOf: w.now}
+		}
+		decide := func(p *planner, f func(*Draft)) {
+			id++
+			d := p.draft(w)
+			f(d)
+			p.prepare(fmt.Sprint("c", id), d.Outcome())
+		}
+		for _, p := range planners {
+			list(p)
+			p.refresh(w)
+		}
+		decide(planners[0], func(d *Draft) { d.AssignFirstSeen() })
+		planners[0].submit(w)
+		for _, p := range planners {
+			p.refresh(w)
+		}
+		actions := map[string]func(*rapid.T){
+			"":     func(*rapid.T) { w.checkPools() },
+			"view": func(*rapid.T) { pick().refresh(w) },
+			"list": func(*rapid.T) { list(pick()) },
+			"time": func(t *rapid.T) { w.now = w.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "s")) * time.Second) },
+			"phase": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(w.hosts)-1).Draw(t, "host")
+				w.hosts[i].Phase = rapid.SampledFrom([]fleet.HostPhase{fleet.PhaseLive, fleet.PhaseLive, fleet.PhaseLeaving, fleet.PhaseFailed}).Draw(t, "phase")
+				w.observe()
+			},
+			"add": func(*rapid.T) {
+				if len(w.hosts) < 14 {
+					w.addHost("z0", "r01")
+					w.observe()
+				}
+			},
+			"bounds": func(t *rapid.T) {
+				w.setBounds(rapid.IntRange(1, 3).Draw(t, "pool"), rapid.IntRange(1, 2).Draw(t, "zone"), rapid.IntRange(0, 2).Draw(t, "racks"))
+			},
+			"grant": func(t *rapid.T) {
+				p := pick()
+				r := Request{Host: w.hosts[rapid.IntRange(0, len(w.hosts)-1).Draw(t, "host")].Name, Cause: CauseReboot}
+				if rapid.Bool().Draw(t, "move") {
+					r.Cause, r.MoveTo = CauseMove, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "to")
+				}
+				op := fmt.Sprint("op", rapid.IntRange(0, 99).Draw(t, "op"))
+				decide(p, func(d *Draft) {
+					if !d.Remember(op) {
+						return
+					}
+					if _, refused := d.Grant(r); refused == nil {
+						p.granted, p.operation = r.Host, op
+					} else {
+						d.changed = false
+					}
+				})
+			},
+			"failures": func(*rapid.T) { decide(pick(), func(d *Draft) { d.RecordFailures(nil) }) },
+			"assign":   func(*rapid.T) { decide(pick(), func(d *Draft) { d.AssignFirstSeen() }) },
+			"step": func(t *rapid.T) {
+				p := pick()
+				out := slices.Sorted(maps.Keys(p.basis.Ledger.Out))
+				if len(out) == 0 {
+					return
+				}
+				host := rapid.SampledFrom(out).Draw(t, "host")
+				decide(p, func(d *Draft) {
+					d.Advance(host)
+					d.Finish(host)
+				})
+			},
+			"submit": func(*rapid.T) { pick().submit(w) },
+		}
+		weighted := []string{"view", "view", "view", "list", "time", "phase", "add", "bounds", "failures",
+			"assign", "grant", "grant", "grant", "grant", "step", "step", "step", "submit", "submit", "submit", "submit", "submit"}
+		for range rapid.IntRange(1, 200).Draw(t, "actions") {
+			actions[rapid.SampledFrom(weighted).Draw(t, "action")](t)
+			w.checkPools()
+		}
+	})
+}
--- /dev/null
+++ b/decision/budget/steps.go
@@ -0,0 +1,237 @@
+package budget
+
+import (
+	"slices"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+// StepTimes are the durations that pace the steps of a host.
+type StepTimes struct {
+	// Drain is the least time between the drain and the next step, so that
+	// every entry host has stopped sending work (3 s) and short work ends.
+	Drain time.Duration
+	// Settle is the least time in the returning step, so that a list read
+	// through a lagging replica is not taken for the effect of the return.
+	Settle time.Duration
+	// Deadline is the time after which a host that does not come through
+	// its step counts as failed.
+	Deadline time.Duration
+}
+
+// Observation is what one process knows of a host in a step.
+type Observation struct {
+	// Phase is the phase in the host list, empty when the host is missing.
+	Phase fleet.HostPhase
+	// InStep is how long this process has seen the host in this step, on
+	// its own clock.
+	InStep time.Duration
+	// Called means that the platform's operation for this step succeeded.
+	Called bool
+}
+
+// Action is what to do with a host in a step.
+type Action string
+
+// Actions on a host in a step.
+const (
+	ActionWait    Action = "wait"
+	ActionAdvance Action = "advance"
+	ActionFinish  Action = "finish"
+	ActionFail    Action = "fail"
+)
+
+// Next decides the action for the host of o and why. Draining ends only after
+// the host list has shown the host as not live: the list then already
+// reflects the drain, so that a live phase seen while returning is newer.
+func Next(o Out, seen Observation, t StepTimes) (Action, string) {
+	if o.Cause == CauseFailed && o.Step != StepReturning {
+		return ActionWait, "failed"
+	}
+	switch o.Step {
+	case StepDraining:
+		return nextDraining(seen, t)
+	case StepMaintenance:
+		return nextMaintenance(o, seen, t)
+	default:
+		return nextReturning(seen, t)
+	}
+}
+
+func nextDraining(seen Observation, t StepTimes) (Action, string) {
+	switch {
+	case !seen.Called && seen.InStep > t.Deadline:
+		return ActionFail, "the platform did not accept the drain in time"
+	case !seen.Called:
+		return ActionWait, "drain not confirmed by the platform"
+	case seen.Phase == fleet.PhaseLive:
+		return ActionWait, "host list does not show the drain yet"
+	case seen.InStep < t.Drain:
+		return ActionWait, "work ends"
+	}
+	return ActionAdvance, "drained"
+}
+
+func nextMaintenance(o Out, seen Observation, t StepTimes) (Action, string) {
+	switch {
+	case o.Cause == CauseDrain:
+		return ActionWait, "until an operator returns the host"
+	case o.Cause == CauseMove:
+		return ActionAdvance, "a move needs no maintenance"
+	case seen.Called:
+		return ActionAdvance, "rebooted"
+	case seen.InStep > t.Deadline:
+		return ActionFail, "the platform did not reboot the host in time"
+	}
+	return ActionWait, "reboot not confirmed by the platform"
+}
+
+func nextReturning(seen Observation, t StepTimes) (Action, string) {
+	switch {
+	case seen.Called && seen.Phase == fleet.PhaseLive && seen.InStep >= t.Settle:
+		return ActionFinish, "live"
+	case seen.InStep > t.Deadline:
+		return ActionFail, "the host did not come back in time"
+	}
+	return ActionWait, "not live yet"
+}
+
+// Advance moves a host to its next step before in service.
+func (d *Draft) Advance(host string) {
+	o, ok := d.ledger.Out[host]
+	if !ok {
+		return
+	}
+	switch o.Step {
+	case StepDraining:
+		o.Step = StepMaintenance
+	case StepMaintenance:
+		o.Step = StepReturning
+	default:
+		return
+	}
+	o.Since = d.basis.Now
+	d.put(o)
+}
+
+// Return sends a host back into service from any step, on an operator's
+// request. A move that has not ended is abandoned.
+func (d *Draft) Return(host string) (Out, *Refusal) {
+	o, ok := d.ledger.Out[host]
+	if !ok {
+		return Out{}, refuse(fault.ReasonHostInService, host, "not out of service")
+	}
+	if o.Step == StepReturning {
+		return o, nil
+	}
+	o.Step = StepReturning
+	o.MoveTo = ""
+	o.Since = d.basis.Now
+	d.put(o)
+	return o, nil
+}
+
+// Finish puts a returning host that is live back into service. When it was
+// moved, its assignment changes together with the end of its entry.
+func (d *Draft) Finish(host string) {
+	o, ok := d.ledger.Out[host]
+	if !ok || o.Step != StepReturning || d.stale() {
+		return
+	}
+	if h, listed := d.listed[host]; !listed || h.Phase != fleet.PhaseLive {
+		return
+	}
+	if to, declared := d.pools[o.MoveTo]; declared {
+		d.assigned[host] = o.MoveTo
+		d.sections[to.section] = true
+	}
+	d.remove(o)
+	d.finishInWave(o)
+}
+
+// Fail marks a host as failed. The failure counts in its wave. A host that
+// fails while draining goes to returning, because the drain may have taken
+// effect and has to be undone.
+func (d *Draft) Fail(host string) {
+	o, ok := d.ledger.Out[host]
+	if !ok {
+		return
+	}
+	o.Cause = CauseFailed
+	if o.Step == StepDraining {
+		o.Step = StepReturning
+	} else {
+		o.Step = StepMaintenance
+	}
+	o.MoveTo = ""
+	o.Since = d.basis.Now
+	d.put(o)
+	d.failInWaves(host)
+}
+
+// RecordFailures adds entries for assigned hosts that are failed or missing
+// in the host list, and removes those of failed hosts that are live again.
+// lastSeen tells the place of hosts missing from the list; it may be nil.
+func (d *Draft) RecordFailures(lastSeen map[string]fleet.Host) {
+	if d.stale() {
+		return
+	}
+	for host, pool := range d.basis.Assignments {
+		h, listed := d.listed[host]
+		o, out := d.ledger.Out[host]
+		switch {
+		case out && o.Cause == CauseFailed && o.Step == StepMaintenance && listed && h.Phase == fleet.PhaseLive:
+			d.remove(o)
+		case !out && !listed:
+			d.addFailed(pool, host, lastSeen[host])
+		case !out && h.Phase == fleet.PhaseFailed:
+			d.addFailed(pool, host, *h)
+		}
+	}
+}
+
+func (d *Draft) addFailed(pool, host string, h fleet.Host) {
+	counted := place{}
+	if listed, ok := d.listed[host]; ok {
+		counted = place{listed.Zone, listed.Rack}
+	}
+	d.count(pool, counted, -1)
+	d.count(pool, place{h.Zone, h.Rack}, 1)
+	d.put(Out{
+		Host: host, Pool: pool, Zone: h.Zone, Rack: h.Rack,
+		Cause: CauseFailed, Step: StepMaintenance,
+		Since: d.basis.Now, Granted: d.basis.Now,
+	})
+	d.failInWaves(host)
+}
+
+// remove deletes the entry of a host that the list shows as live.
+func (d *Draft) remove(o Out) {
+	delete(d.ledger.Out, o.Host)
+	d.changed = true
+	d.count(o.Pool, place{o.Zone, o.Rack}, -1)
+}
+
+// AssignFirstSeen assigns live hosts that have no pool. Hosts that are not
+// live wait, because an unavailable host that joined a pool without a ledger
+// change would escape the condition of a concurrent grant. It returns the
+// hosts that no pool takes.
+func (d *Draft) AssignFirstSeen() (unassigned []string) {
+	for i := range d.basis.Hosts.Hosts {
+		h := &d.basis.Hosts.Hosts[i]
+		if _, has := d.Pool(h.Name); has || h.Phase != fleet.PhaseLive {
+			continue
+		}
+		p, ok := initialPool(d.order, *h)
+		if !ok {
+			unassigned = append(unassigned, h.Name)
+			continue
+		}
+		d.assigned[h.Name] = p.Name
+		d.sections[p.section] = true
+	}
+	slices.Sort(unassigned)
+	return unassigned
+}
--- /dev/null
+++ b/decision/budget/waves.go
@@ -0,0 +1,126 @@
+package budget
+
+import (
+	"slices"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/fault"
+)
+
+// meanWeight is the weight of the newest host in a wave's moving mean, one
+// part in meanWeight.
+const meanWeight = 4
+
+// StartWave records a wave. A pool has at most one wave under way, because
+// two would share one measure of pace and tolerance.
+func (d *Draft) StartWave(w Wave) *Refusal {
+	p, ok := d.pools[w.Pool]
+	if !ok {
+		return refuse(fault.ReasonUnknownPool, "", "wave %q: pool %q is not declared", w.ID, w.Pool)
+	}
+	for _, other := range d.ledger.Waves {
+		if other.Pool == w.Pool && !other.Ended() {
+			return refuse(fault.ReasonPoolHasWave, "", "wave %q: wave %q of pool %q is under way", w.ID, other.ID, w.Pool)
+		}
+	}
+	d.sections[p.section] = true
+	d.ledger.Waves[w.ID] = w
+	d.changed = true
+	d.pruneWaves()
+	return nil
+}
+
+// StopWave ends a wave. Hosts already out go on through their steps; hosts
+// not started stay in service.
+func (d *Draft) StopWave(id, reason string) *Refusal {
+	w, ok := d.ledger.Waves[id]
+	if !ok {
+		return refuse(fault.ReasonUnknownWave, "", "no wave %q", id)
+	}
+	if w.Stopped != "" {
+		return nil
+	}
+	w.Stopped = reason
+	w.Pending = nil
+	d.putWave(w)
+	return nil
+}
+
+// Begin removes a host that was granted, or that left the pool, from the
+// wave's pending hosts.
+func (d *Draft) Begin(id, host string) {
+	w, ok := d.ledger.Waves[id]
+	if !ok {
+		return
+	}
+	i := slices.Index(w.Pending, host)
+	if i < 0 {
+		return
+	}
+	w.Pending = slices.Delete(slices.Clone(w.Pending), i, i+1)
+	d.putWave(w)
+}
+
+func (d *Draft) finishInWave(o Out) {
+	w, ok := d.ledger.Waves[o.Wave]
+	if !ok || o.Cause == CauseFailed {
+		return
+	}
+	w.Done = append(slices.Clip(w.Done), o.Host)
+	took := max(d.basis.Now.Sub(o.Granted), time.Millisecond)
+	if w.MeanOut == 0 {
+		w.MeanOut, w.BestOut = took, took
+	}
+	w.MeanOut += (took - w.MeanOut) / meanWeight
+	w.BestOut = min(w.BestOut, took)
+	d.putWave(w)
+}
+
+// failInWaves counts a failure in every wave under way that has started the
+// host. A host that fails after it came back counts too, because the
+// maintenance itself may be the cause.
+func (d *Draft) failInWaves(host string) {
+	o := d.ledger.Out[host]
+	for id, w := range d.ledger.Waves {
+		started := o.Wave == id || slices.Contains(w.Done, host)
+		over := w.Stopped != "" || w.Ended() && !d.hasHostsOut(id)
+		if over || !started || slices.Contains(w.Failed, host) {
+			continue
+		}
+		w.Failed = append(slices.Clip(w.Failed), host)
+		if i := slices.Index(w.Done, host); i >= 0 {
+			w.Done = slices.Delete(slices.Clone(w.Done), i, i+1)
+		}
+		d.putWave(w)
+	}
+}
+
+func (d *Draft) putWave(w Wave) {
+	d.ledger.Waves[w.ID] = w
+	d.changed = true
+}
+
+// pruneWaves forgets ended waves beyond rememberedWaves, in order of their
+// identifiers.
+func (d *Draft) pruneWaves() {
+	var ended []string
+	for id, w := range d.ledger.Waves {
+		if w.Ended() && !d.hasHostsOut(id) {
+			ended = append(ended, id)
+		}
+	}
+	slices.Sort(ended)
+	for len(ended) > rememberedWaves {
+		delete(d.ledger.Waves, ended[0])
+		ended = ended[1:]
+	}
+}
+
+func (d *Draft) hasHostsOut(wave string) bool {
+	for _, o := range d.ledger.Out {
+		if o.Wave == wave {
+			return true
+		}
+	}
+	return false
+}
--- a/decision/revision/revision.go
+++ b/decision/revision/revision.go
@@ -48,10 +48,20 @@
 	Data       []byte
 }
 
+// Requirement makes a change conditional on a part that it only read.
+type Requirement struct {
+	Part string
+	// Revision that the part must have; zero means that it must not exist.
+	Revision uint64
+}
+
 // Change is a set of updates that take effect together.
 type Change struct {
 	ID      string
 	Updates []Update
+	// Requires lists parts that were read to decide the change and that it
+	// does not write, such as the section that declares a pool's bounds.
+	Requires []Requirement
 }
 
 // Verdict tells what became of a change.
@@ -95,6 +105,11 @@
 			return Proposal{Verdict: Conflict, ConflictPart: u.Part, ConflictRevision: have}
 		}
 	}
+	for _, r := range c.Requires {
+		if have := head.Parts[r.Part]; have != r.Revision {
+			return Proposal{Verdict: Conflict, ConflictPart: r.Part, ConflictRevision: have}
+		}
+	}
 	return accept(head, current, c)
 }
 
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -62,6 +62,13 @@
 	ReasonNoRoom            Reason = "no-room"
 	ReasonBudget            Reason = "availability-budget"
 	ReasonStaleHostList     Reason = "stale-host-list"
+	ReasonUnknownPool       Reason = "unknown-pool"
+	ReasonUnassignedHost    Reason = "unassigned-host"
+	ReasonHostOut           Reason = "host-already-out"
+	ReasonHostInService     Reason = "host-in-service"
+	ReasonWrongKind         Reason = "wrong-host-kind"
+	ReasonUnknownWave       Reason = "unknown-wave"
+	ReasonPoolHasWave       Reason = "pool-has-wave"
 	ReasonMemberUnconfirmed Reason = "member-unconfirmed"
 	ReasonInternal          Reason = "internal"
 )
--- a/services/platform.go
+++ b/services/platform.go
@@ -70,11 +70,31 @@
 	ListHosts(ctx context.Context) ([]fleet.Host, error)
 }
 
+// HostOperations are the platform's operations on one host. All are
+// idempotent, block until the answer is there or ctx ends, and may be used
+// concurrently. Errors are faults as for Table.
+type HostOperations interface {
+	// DrainHost marks the host as leaving; its running work goes on.
+	DrainHost(ctx context.Context, host string) error
+	// RebootHost restarts a drained host. It is refused with class
+	// fault.NotRun while the host is live or its work goes on.
+	RebootHost(ctx context.Context, host string) error
+	// ReturnHost marks the host as live again.
+	ReturnHost(ctx context.Context, host string) error
+}
+
 // Platform is what the service NamePlatform offers.
 type Platform interface {
 	Table
 	Objects
 	HostLister
+	HostOperations
+}
+
+// HostReadTurn is implemented by the service NameHosts. The reader of a zone
+// reads the host list once a second; the others read it less often.
+type HostReadTurn interface {
+	SetHostReadTurn(turn bool)
 }
 
 // Hosts is the service that keeps the latest copy of the host list.
--- a/services/state.go
+++ b/services/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/budget"
@@ -17,9 +18,15 @@
 	PartLedger        = "ledger"
 	// HostBuckets is the number of parts that hold host assignments. At
 	// 4,900 hosts a bucket holds about 77, so that a move rewrites 4 KB.
-	HostBuckets = 64
+	HostBuckets = budget.Buckets
 )
 
+// HostsPart returns the name of the part that holds host's assignment. Its
+// data is the JSON of a budget.Assignments.
+func HostsPart(host string) string {
+	return fmt.Sprintf("%s%02d", PartHostsPrefix, budget.Bucket(host))
+}
+
 // View is the decoded, immutable shared state at one revision. Fields must not
 // be modified by readers.
 type View struct {
