Plan maintenance waves and capacity moves

Cause: hosts of a pool have to be maintained together within the budget, with few hosts held spare, and hosts have to follow lasting demand with few moves.

Change: decision/wave orders hosts by rack and zone, and takes as many at once as the least sum of roll-out time and buffer cost, demand, the tolerance and the budget permit. It keeps no state: pace is measured in the ledger. A second planner moves hosts between pools by the trend of demand, with hysteresis and a cost per move. The weights of both are parameters.

--- a/decision/budget/budget_test.go
+++ b/decision/budget/budget_test.go
@@ -184,3 +184,26 @@
 		})
 	}
 }
+
+func benchmarkGrant(b *testing.B, hosts int) {
+	c := basis()
+	c.Document.Sections["pools"].Pools[0].MaxUnavailable = hosts
+	c.Document.Sections["pools"].Pools[0].MaxUnavailablePerZone = hosts
+	c.Document.Sections["pools"].Pools[0].MaxRacksOut = hosts
+	for i := len(c.Hosts.Hosts); i < hosts; i++ {
+		name := fmt.Sprintf("w%d", i)
+		c.Assignments[name] = "a"
+		c.Hosts.Hosts = append(c.Hosts.Hosts, fleet.Host{Name: name, Kind: fleet.KindWorker,
+			Zone: fleet.AvailabilityZone(fmt.Sprint("z", i%13)), Rack: fmt.Sprint("r", i/4), Phase: fleet.PhaseLive})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, refusal := NewDraft(c).Grant(Request{Host: "w0", Cause: CauseReboot}); refusal != nil {
+			b.Fatal(refusal)
+		}
+	}
+}
+
+func BenchmarkGrant50(b *testing.B)   { benchmarkGrant(b, 50) }
+func BenchmarkGrant500(b *testing.B)  { benchmarkGrant(b, 500) }
+func BenchmarkGrant5000(b *testing.B) { benchmarkGrant(b, 5000) }
--- a/decision/budget/draft.go
+++ b/decision/budget/draft.go
@@ -166,6 +166,29 @@
 	return o, ok
 }
 
+// WaveOut returns the number of hosts of a wave that are out and have not
+// failed.
+func (d *Draft) WaveOut(id string) int {
+	n := 0
+	for _, o := range d.ledger.Out {
+		if o.Wave == id && o.Cause != CauseFailed {
+			n++
+		}
+	}
+	return n
+}
+
+// Members returns the number of hosts assigned to pool.
+func (d *Draft) Members(pool string) int {
+	n := 0
+	for host := range d.basis.Assignments {
+		if in, _ := d.Pool(host); in == pool {
+			n++
+		}
+	}
+	return n
+}
+
 // Wave returns a wave of the draft.
 func (d *Draft) Wave(id string) (Wave, bool) {
 	w, ok := d.ledger.Waves[id]
--- a/decision/budget/waves.go
+++ b/decision/budget/waves.go
@@ -46,18 +46,18 @@
 	return nil
 }
 
-// Begin removes a host that was granted, or that left the pool, from the
-// wave's pending hosts.
-func (d *Draft) Begin(id, host string) {
+// Begin removes hosts that were granted, or that left the pool, from the
+// pending hosts of a wave.
+func (d *Draft) Begin(id string, hosts []string) {
 	w, ok := d.ledger.Waves[id]
-	if !ok {
+	if !ok || len(hosts) == 0 {
 		return
 	}
-	i := slices.Index(w.Pending, host)
-	if i < 0 {
-		return
+	begun := make(map[string]bool, len(hosts))
+	for _, host := range hosts {
+		begun[host] = true
 	}
-	w.Pending = slices.Delete(slices.Clone(w.Pending), i, i+1)
+	w.Pending = slices.DeleteFunc(slices.Clone(w.Pending), func(host string) bool { return begun[host] })
 	d.putWave(w)
 }
 
--- /dev/null
+++ b/decision/wave/capacity.go
@@ -0,0 +1,151 @@
+package wave
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+// Trend is the moving mean of a pool's demand in hosts. Bursts of seconds must
+// not move hosts, because a move takes longer than the burst.
+type Trend struct {
+	Mean float64
+	At   time.Time
+}
+
+// Observe returns the trend with a sample taken at now. A sample's weight
+// halves every halfLife.
+func (t Trend) Observe(demand float64, now time.Time, halfLife time.Duration) Trend {
+	if t.At.IsZero() || halfLife <= 0 {
+		return Trend{Mean: demand, At: now}
+	}
+	age := max(now.Sub(t.At), 0)
+	keep := math.Exp2(-float64(age) / float64(halfLife))
+	return Trend{Mean: keep*t.Mean + (1-keep)*demand, At: now}
+}
+
+// PoolLoad is what the move planner knows of one pool.
+type PoolLoad struct {
+	Pool  string
+	Kind  fleet.HostKind
+	Spare bool
+	// Hosts are in service or on their way into the pool, and not on their
+	// way out of it.
+	Hosts int
+	// Demand is the trend of the hosts needed.
+	Demand float64
+}
+
+// MoveParams sets when hosts move between pools.
+type MoveParams struct {
+	Weights
+	// Hysteresis is the number of hosts by which a pool must be short before
+	// it receives one, and which a donor keeps above its own target, so that
+	// a host does not move back on a small change of demand.
+	Hysteresis float64
+	// MoveCost is the waiting, in hosts short, that one move is worth at
+	// equal weights of share and moves.
+	MoveCost float64
+	// MaxMoves bounds the moves of one round; zero means no bound.
+	MaxMoves int
+}
+
+// Move takes one host from a pool to another.
+type Move struct {
+	From string
+	To   string
+}
+
+// target returns the hosts that a pool should have. The headroom follows the
+// square-root staffing rule (Halfin and Whitt, Operations Research 29, 1981);
+// its factor falls as held hosts weigh more against waiting work.
+func (p MoveParams) target(l PoolLoad) float64 {
+	if p.Share <= 0 {
+		return l.Demand
+	}
+	return l.Demand + p.Share/(p.Share+p.Buffer)*math.Sqrt(max(l.Demand, 0))
+}
+
+// PlanMoves returns the moves that are worth their cost, the pool that is
+// shortest in proportion to its demand first. Spare pools give first, then the
+// pool with the largest surplus of the same kind of hosts.
+func PlanMoves(pools []PoolLoad, p MoveParams) []Move {
+	loads := slices.Clone(pools)
+	without := make(map[fleet.HostKind]bool)
+	var moves []Move
+	for p.MaxMoves == 0 || len(moves) < p.MaxMoves {
+		to := p.neediest(loads, without)
+		if to < 0 {
+			return moves
+		}
+		from := p.donor(loads, loads[to])
+		if from < 0 {
+			without[loads[to].Kind] = true
+			continue
+		}
+		loads[to].Hosts++
+		loads[from].Hosts--
+		moves = append(moves, Move{From: loads[from].Pool, To: loads[to].Pool})
+	}
+	return moves
+}
+
+func (p MoveParams) short(l PoolLoad) float64 { return p.target(l) - float64(l.Hosts) }
+
+// worth reports whether one more host for l saves more waiting than the move
+// costs.
+func (p MoveParams) worth(l PoolLoad) bool {
+	short := p.short(l)
+	return short >= p.Hysteresis && short > 0 && p.Share*min(short, 1) > p.Moves*p.MoveCost
+}
+
+// neediest returns the index of the pool to serve next, passing over kinds of
+// hosts that no pool can give, or -1.
+func (p MoveParams) neediest(loads []PoolLoad, without map[fleet.HostKind]bool) int {
+	best := -1
+	for i, l := range loads {
+		if l.Spare || without[l.Kind] || !p.worth(l) {
+			continue
+		}
+		if best < 0 || p.urgency(l) > p.urgency(loads[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (p MoveParams) urgency(l PoolLoad) float64 { return p.short(l) / max(l.Demand, 1) }
+
+func (p MoveParams) donor(loads []PoolLoad, to PoolLoad) int {
+	best := -1
+	for i, l := range loads {
+		if l.Kind != to.Kind || l.Pool == to.Pool || l.Hosts == 0 {
+			continue
+		}
+		if -p.short(l) < p.reserve(l) {
+			continue
+		}
+		if best < 0 || p.givesBefore(l, loads[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// reserve is the surplus that a pool needs before it gives a host.
+func (p MoveParams) reserve(l PoolLoad) float64 {
+	if l.Spare {
+		return 1
+	}
+	return 1 + p.Hysteresis
+}
+
+func (p MoveParams) givesBefore(a, b PoolLoad) bool {
+	if a.Spare != b.Spare {
+		return a.Spare
+	}
+	return cmp.Compare(p.short(a), p.short(b)) < 0
+}
--- /dev/null
+++ b/decision/wave/wave_test.go
@@ -0,0 +1,186 @@
+package wave
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/decision/budget"
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const hostTime = 60 * time.Second
+
+var pace = Pace{Weights: Weights{RollOut: 1, Buffer: 1}, HostTime: hostTime, Reference: 10 * time.Second, SlowFactor: 2}
+
+// cluster has n hosts in one pool, four to a rack, in three zones.
+func cluster(n int, pool document.Pool) budget.Basis {
+	pool.Name, pool.Kind = "a", fleet.KindWorker
+	b := budget.Basis{
+		Document:    &document.Document{Sections: map[string]document.Section{"s": {Pools: []document.Pool{pool}}}},
+		Assignments: budget.Assignments{}, Ledger: &budget.Ledger{Waves: map[string]budget.Wave{}},
+		Hosts: &fleet.HostList{AsOf: start}, Now: start,
+	}
+	for i := range n {
+		h := fleet.Host{Name: fmt.Sprintf("w%04d", i), Kind: pool.Kind, Phase: fleet.PhaseLive,
+			Zone: fleet.AvailabilityZone(fmt.Sprint("z", i/4%3)), Rack: fmt.Sprint("r", i/4)}
+		b.Hosts.Hosts = append(b.Hosts.Hosts, h)
+		b.Assignments[h.Name] = "a"
+	}
+	return b
+}
+
+func withWave(b budget.Basis, w budget.Wave) budget.Basis {
+	w.ID, w.Pool, w.Pending = "v", "a", Order(b.Hosts.Hosts)
+	b.Ledger.Waves["v"] = w
+	return b
+}
+
+// TestOrderKeepsRacksTogether guards against an order that opens several
+// racks at once or exhausts one zone first.
+func TestOrderKeepsRacksTogether(t *testing.T) {
+	got := Order(cluster(24, document.Pool{}).Hosts.Hosts)
+	for i := 0; i < len(got); i += 4 {
+		rack := slices.Clone(got[i : i+4])
+		slices.Sort(rack)
+		var first int
+		_, err := fmt.Sscanf(rack[0], "w%d", &first)
+		assert.NilError(t, err)
+		assert.Equal(t, first, i, "racks alternate between zones")
+		assert.Equal(t, rack[3], fmt.Sprintf("w%04d", first+3))
+	}
+}
+
+// TestParallel guards against a wave that ignores demand, measured times,
+// failures or its own bounds.
+func TestParallel(t *testing.T) {
+	names := func(n int) []string { return make([]string, n) }
+	cases := []struct {
+		name              string
+		wave              budget.Wave
+		inService, needed int
+		spare             int
+		want              int
+		reason            string
+	}{
+		{"square root of 50*6", budget.Wave{Pending: names(25), Done: names(25)}, 50, 0, 0, 17, "pace"},
+		{"hosts take four times as long", budget.Wave{Pending: names(10), Done: names(40), MeanOut: 240 * time.Second, BestOut: 200 * time.Second}, 50, 0, 0, 35, "pace"},
+		{"slowed down by parallel steps", budget.Wave{Pending: names(10), Done: names(40), MeanOut: 240 * time.Second, BestOut: 60 * time.Second}, 50, 0, 0, 17, "pace"},
+		{"one failure", budget.Wave{Pending: names(9), Done: names(40), Failed: names(1), MaxFailed: 3}, 50, 0, 0, 9, "pace"},
+		{"bounded by the operator", budget.Wave{Pending: names(25), Done: names(25), MaxParallel: 5}, 50, 0, 0, 5, "maxParallel"},
+		{"first hosts", budget.Wave{Pending: names(50), MaxFailed: 3}, 50, 0, 0, 3, "first hosts not back yet"},
+		{"demand", budget.Wave{Pending: names(25), Done: names(25)}, 50, 40, 2, 8, "demand"},
+		{"demand counts hosts of the wave once", budget.Wave{Pending: names(20), Done: names(25)}, 45, 40, 2, 8, "demand"},
+		{"demand takes every host", budget.Wave{Pending: names(25), Done: names(25)}, 50, 50, 2, 0, "demand"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := pace
+			p.Spare = c.spare
+			out := 50 - c.inService
+			n, reason := Parallel(c.wave, out, c.inService, c.needed, p)
+			assert.Equal(t, n, c.want)
+			assert.Equal(t, reason, c.reason)
+		})
+	}
+}
+
+// rollOut runs a wave to its end. Every round starts from the encoded ledger
+// alone, as after a restart. Each host is out for hostTime; hosts in fail do
+// not come back. It returns the time taken and the most hosts out at once.
+func rollOut(t testing.TB, b budget.Basis, needed int, p Pace, fail map[string]bool) (time.Duration, int, budget.Wave) {
+	most := 0
+	for {
+		data, err := json.Marshal(b.Ledger)
+		assert.NilError(t, err)
+		b.Ledger = &budget.Ledger{}
+		assert.NilError(t, json.Unmarshal(data, b.Ledger))
+		b.Hosts.AsOf = b.Now
+		d := budget.NewDraft(b)
+		for _, o := range b.Ledger.Out {
+			if b.Now.Sub(o.Granted) < hostTime || o.Cause == budget.CauseFailed {
+				continue
+			}
+			d.Advance(o.Host)
+			d.Advance(o.Host)
+			if fail[o.Host] {
+				d.Fail(o.Host)
+				continue
+			}
+			d.Finish(o.Host)
+		}
+		Next(d, "v", needed, p)
+		out := d.WaveOut("v")
+		most = max(most, out)
+		if l := d.Outcome().Ledger; l != nil {
+			b.Ledger = l
+		}
+		if w := b.Ledger.Waves["v"]; w.Ended() && out == 0 {
+			return b.Now.Sub(start), most, w
+		}
+		b.Now = b.Now.Add(time.Second)
+		assert.Assert(t, b.Now.Sub(start) < 1000*hostTime, "wave does not end: %v", b.Ledger.Waves)
+	}
+}
+
+// TestRollOutAgainstOneAtATime guards against a planner that is no better
+// than taking one host at a time, or that buys speed with hosts that demand
+// or the budget need.
+func TestRollOutAgainstOneAtATime(t *testing.T) {
+	cases := []struct {
+		name         string
+		pool         document.Pool
+		needed       int
+		most, atMost int
+	}{
+		{"budget of 8, 3 a zone", document.Pool{MaxUnavailable: 8, MaxUnavailablePerZone: 3}, 0, 8, 8},
+		{"one rack at a time", document.Pool{MaxUnavailable: 8, MaxRacksOut: 1}, 0, 4, 15},
+		{"demand leaves 5", document.Pool{MaxUnavailable: 8}, 43, 5, 12},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := pace
+			p.Spare = 2
+			one, _, _ := rollOut(t, withWave(cluster(50, c.pool), budget.Wave{MaxParallel: 1, MaxFailed: 2}), c.needed, p, nil)
+			took, most, w := rollOut(t, withWave(cluster(50, c.pool), budget.Wave{MaxFailed: 2}), c.needed, p, nil)
+			t.Logf("one at a time %v, planned %v (%.1f times as fast), at most %d out", one, took, one.Seconds()/took.Seconds(), most)
+			assert.Equal(t, len(w.Done), 50)
+			assert.Equal(t, most, c.most)
+			assert.Assert(t, took <= time.Duration(c.atMost)*hostTime)
+		})
+	}
+}
+
+func benchmarkNext(b *testing.B, hosts int) {
+	basis := withWave(cluster(hosts, document.Pool{MaxUnavailable: hosts / 10, MaxUnavailablePerZone: hosts / 20}), budget.Wave{MaxFailed: hosts})
+	b.ReportAllocs()
+	for b.Loop() {
+		d := budget.NewDraft(basis)
+		if plan := Next(d, "v", 0, pace); len(plan.Granted) == 0 {
+			b.Fatal("nothing granted")
+		}
+	}
+}
+
+func BenchmarkNext50(b *testing.B)   { benchmarkNext(b, 50) }
+func BenchmarkNext500(b *testing.B)  { benchmarkNext(b, 500) }
+func BenchmarkNext5000(b *testing.B) { benchmarkNext(b, 5000) }
+
+// TestWaveStopsAtTolerance guards against a wave that goes on breaking hosts.
+func TestWaveStopsAtTolerance(t *testing.T) {
+	fail := map[string]bool{}
+	for i := range 50 {
+		fail[fmt.Sprintf("w%04d", i)] = true
+	}
+	_, most, w := rollOut(t, withWave(cluster(50, document.Pool{MaxUnavailable: 20}), budget.Wave{MaxFailed: 3}), 0, pace, fail)
+	assert.Equal(t, len(w.Failed), 3)
+	assert.Equal(t, most, 3)
+	assert.Equal(t, w.Stopped, "3 of its hosts failed; the tolerance is 3")
+}
