Keep the host list and merge hosts seen leaving

Change: services/hosts reads the list once a second with jitter in the duty hosts.read and merges reports in the duty hosts.list, which owns them. SetHostReadTurn lets the peers service name one reader for a zone; the others then read every 5 s.

Ruled out: reading within hosts.list, because a read that hangs for 2 s would hold up reports of leaving hosts for longer than the 3 s bound allows.

Checks seen failing, each by one mutation: a published copy changed by the merge, a returned host that stays leaving, entry hosts that read although it is not their turn (20 reads in 20 s in place of at most 4), a lost report.

Conclusion: a report takes effect while the platform does not answer.

--- /dev/null
+++ b/services/hosts/hosts.go
@@ -0,0 +1,192 @@
+// Package hosts keeps the latest copy of the platform's host list and merges
+// hosts that were seen leaving ahead of it.
+package hosts
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+const (
+	// readInterval is the interval at which the reader of a zone reads.
+	readInterval = time.Second
+	// restInterval is the interval of the other entry hosts of a zone. It is
+	// well under the 30 s after which a list permits no grants.
+	restInterval = 5 * time.Second
+	// readTimeout bounds one read.
+	readTimeout = 2 * time.Second
+	// jitter is the largest part of an interval that is added at random, so
+	// that entry hosts do not read at the same instant.
+	jitter = 0.1
+	// leavingHold is how long a report of a leaving host outweighs a list
+	// that shows the host as live. The list lags behind, and peers repeat
+	// their reports far more often than this.
+	leavingHold = 30 * time.Second
+	// ringCapacity holds the reports of a whole pool that starts to leave.
+	ringCapacity = 64
+
+	stepList = "hosts.list"
+)
+
+// Service is the service services.NameHosts. Its methods may be used
+// concurrently.
+type Service struct {
+	clock    services.Clock
+	platform services.HostLister
+	log      zerolog.Logger
+	scope    tally.Scope
+	events   *ring.Ring[event]
+	latest   atomic.Pointer[fleet.HostList]
+	resting  atomic.Bool
+}
+
+var (
+	_ services.Hosts        = (*Service)(nil)
+	_ services.HostReadTurn = (*Service)(nil)
+)
+
+// event is a message to the duty hosts.list: a list that was read, or the
+// name of a host seen leaving.
+type event struct {
+	read    *fleet.HostList
+	leaving string
+}
+
+// New returns the service. clock must have a monotonic reading.
+func New(clock services.Clock) *Service {
+	s := &Service{clock: clock}
+	s.latest.Store(&fleet.HostList{})
+	return s
+}
+
+// Provision looks up the platform and registers the duties. Reading is a duty
+// of its own, because a read may take 2 s and reports of leaving hosts have to
+// take effect meanwhile.
+func (s *Service) Provision(c *kernel.Context) error {
+	platform, err := kernel.Lookup[services.HostLister](c, services.NamePlatform)
+	if err != nil {
+		return err
+	}
+	s.platform = platform
+	s.log = c.Log
+	s.scope = c.Scope
+	s.events = ring.New[event](stepList, ringCapacity, c.Scope)
+	c.Duty("hosts.read", s.read)
+	c.Duty(stepList, s.list)
+	return nil
+}
+
+// Hosts returns the latest copy. It must not be modified.
+func (s *Service) Hosts() *fleet.HostList { return s.latest.Load() }
+
+// ReportLeaving records that a host was seen leaving. It never waits.
+func (s *Service) ReportLeaving(host string) { s.events.OfferLatest(event{leaving: host}) }
+
+// SetHostReadTurn sets whether this entry host is the reader of its zone. It
+// is, until told otherwise.
+func (s *Service) SetHostReadTurn(turn bool) { s.resting.Store(!turn) }
+
+// read reads the list at intervals and hands each to the duty hosts.list.
+func (s *Service) read(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		s.readOnce(ctx)
+		timer.Reset(s.interval())
+	}
+}
+
+func (s *Service) interval() time.Duration {
+	d := readInterval
+	if s.resting.Load() {
+		d = restInterval
+	}
+	return d + time.Duration(rand.Float64()*jitter*float64(d))
+}
+
+func (s *Service) readOnce(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	asOf := s.clock()
+	read, err := s.platform.ListHosts(callCtx)
+	if err != nil {
+		reason := fault.ReasonOf(err)
+		s.scope.Tagged(map[string]string{"step": stepList, "reason": string(reason)}).Counter("retried_total").Inc(1)
+		s.log.Warn().Err(err).Str("step", stepList).Str("reason", string(reason)).Msg("host list not read")
+		return
+	}
+	s.events.OfferLatest(event{read: &fleet.HostList{Hosts: read, AsOf: asOf}})
+}
+
+// list owns the last list read and the reports of leaving hosts.
+func (s *Service) list(ctx context.Context) {
+	m := merger{leaving: make(map[string]time.Time)}
+	for {
+		e, err := s.events.Take(ctx)
+		if err != nil {
+			return
+		}
+		now := s.clock()
+		if e.read != nil {
+			m.read = e.read
+		} else {
+			m.leaving[e.leaving] = now
+		}
+		s.latest.Store(m.merge(now))
+	}
+}
+
+// merger combines the list with the reports of leaving hosts.
+type merger struct {
+	read    *fleet.HostList
+	leaving map[string]time.Time
+}
+
+// merge returns a new copy of the list in which reported hosts are leaving. A
+// report is dropped when the list itself shows the host as not live, and after
+// leavingHold.
+func (m *merger) merge(now time.Time) *fleet.HostList {
+	if m.read == nil {
+		return &fleet.HostList{}
+	}
+	merged := &fleet.HostList{Hosts: make([]fleet.Host, len(m.read.Hosts)), AsOf: m.read.AsOf}
+	copy(merged.Hosts, m.read.Hosts)
+	for i := range merged.Hosts {
+		h := &merged.Hosts[i]
+		reported, ok := m.leaving[h.Name]
+		switch {
+		case !ok:
+		case h.Phase != fleet.PhaseLive || now.Sub(reported) > leavingHold:
+			delete(m.leaving, h.Name)
+		default:
+			h.Phase = fleet.PhaseLeaving
+		}
+	}
+	m.expire(now)
+	return merged
+}
+
+// expire drops reports of hosts that are not in the list.
+func (m *merger) expire(now time.Time) {
+	for host, reported := range m.leaving {
+		if now.Sub(reported) > leavingHold {
+			delete(m.leaving, host)
+		}
+	}
+}
--- /dev/null
+++ b/services/hosts/hosts_test.go
@@ -0,0 +1,117 @@
+package hosts
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+// lister is the platform's list; while down it answers only at the deadline.
+type lister struct {
+	mu    sync.Mutex
+	hosts []fleet.Host
+	down  bool
+	reads int
+}
+
+func (l *lister) Provision(*kernel.Context) error { return nil }
+
+func (l *lister) ListHosts(ctx context.Context) ([]fleet.Host, error) {
+	l.mu.Lock()
+	l.reads++
+	down, hosts := l.down, append([]fleet.Host(nil), l.hosts...)
+	l.mu.Unlock()
+	if down {
+		<-ctx.Done()
+		return nil, fault.New(&fault.NotRun, fault.ReasonPlatformDown, "list hosts", "platform", "%w", ctx.Err())
+	}
+	return hosts, nil
+}
+
+func (l *lister) set(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
+func (l *lister) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads
+}
+
+// run starts the service in a bubble of virtual time.
+func run(t *testing.T, f func(*Service, *lister)) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &lister{hosts: []fleet.Host{{Name: "s1", Phase: fleet.PhaseLive}, {Name: "s2", Phase: fleet.PhaseLive}}}
+		s := New(time.Now)
+		k := kernel.New(zerolog.Nop(), nil)
+		k.Register(services.NamePlatform, l)
+		k.Register(services.NameHosts, s)
+		assert.NilError(t, k.Start(t.Context()))
+		f(s, l)
+		assert.NilError(t, k.Stop(t.Context()))
+	})
+}
+
+// TestListIsReadOnceASecond guards against a list that ages, and against
+// entry hosts that all read as often as the reader of the zone.
+func TestListIsReadOnceASecond(t *testing.T) {
+	run(t, func(s *Service, l *lister) {
+		time.Sleep(22 * time.Second)
+		assert.Assert(t, l.count() >= 20 && l.count() <= 23, "%d reads", l.count())
+		assert.Assert(t, time.Since(s.Hosts().AsOf) <= 1100*time.Millisecond)
+		s.SetHostReadTurn(false)
+		time.Sleep(2 * time.Second)
+		before := l.count()
+		time.Sleep(20 * time.Second)
+		assert.Assert(t, l.count()-before <= 4, "%d reads while resting", l.count()-before)
+	})
+}
+
+// TestLeavingTakesEffectWhileReadHangs guards against a leaving host that is
+// shown as live until the platform answers.
+func TestLeavingTakesEffectWhileReadHangs(t *testing.T) {
+	run(t, func(s *Service, l *lister) {
+		time.Sleep(time.Second / 2)
+		l.set(func() { l.down = true })
+		time.Sleep(time.Second)
+		before := s.Hosts()
+		s.ReportLeaving("s1")
+		synctest.Wait()
+		assert.Equal(t, s.Hosts().Hosts[0].Phase, fleet.PhaseLeaving)
+		assert.Equal(t, s.Hosts().Hosts[1].Phase, fleet.PhaseLive)
+		assert.Equal(t, before.Hosts[0].Phase, fleet.PhaseLive, "a published copy changed")
+		assert.Equal(t, s.Hosts().AsOf, before.AsOf, "a failed read made the list newer")
+	})
+}
+
+// TestLeavingReportEnds guards against a returned host that stays leaving,
+// and against a lagging list that cancels a report at once.
+func TestLeavingReportEnds(t *testing.T) {
+	run(t, func(s *Service, l *lister) {
+		time.Sleep(time.Second)
+		s.ReportLeaving("s1")
+		s.ReportLeaving("s2")
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, s.Hosts().Hosts[0].Phase, fleet.PhaseLeaving)
+		l.set(func() { l.hosts[0].Phase = fleet.PhaseLeaving })
+		time.Sleep(2 * time.Second)
+		l.set(func() { l.hosts[0].Phase = fleet.PhaseLive })
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, s.Hosts().Hosts[0].Phase, fleet.PhaseLive, "the list has shown it leaving and back")
+		assert.Equal(t, s.Hosts().Hosts[1].Phase, fleet.PhaseLeaving)
+		time.Sleep(leavingHold)
+		assert.Equal(t, s.Hosts().Hosts[1].Phase, fleet.PhaseLive)
+	})
+}
