Add the decisions on rights to run

A write that gives rights away reserves them first; the reservation ends only when a later version of the row is seen, because a write with unknown outcome may still land.

A transfer to a superseded incarnation is not caught; it loses rights until they are reclaimed and does not exceed the limit.

--- /dev/null
+++ b/decision/rights/balance.go
@@ -0,0 +1,265 @@
+package rights
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// lowWaterDivisor sets the low-water mark: a host takes rights when fewer than
+// a sixteenth of its need are left idle, before its first refusal.
+const lowWaterDivisor = 16
+
+// Peer is another entry host and the work it last reported as running or
+// waiting.
+type Peer struct {
+	Holder
+	Need int
+}
+
+// Survey is what a host knows of one team when it balances its rights.
+type Survey struct {
+	Team    string
+	Version uint64
+	Row     Row
+	// ReadStart is when the call that returned Row started.
+	ReadStart time.Time
+	Limit     Limit
+	// Hosts is the number of entry hosts, this one included.
+	Hosts int
+	Peers []Peer
+	// Abandoned holders have ended; Reclaimed holders, live or stranded,
+	// cannot have a request running any more.
+	Abandoned []Holder
+	Reclaimed []Holder
+}
+
+// Cause tells why a plan writes the row.
+type Cause string
+
+// Causes of a write, most important first.
+const (
+	CauseNone      Cause = ""
+	CauseStranded  Cause = "stranded"
+	CauseReclaimed Cause = "reclaimed"
+	CauseLimit     Cause = "limit"
+	CauseShrink    Cause = "shrink"
+	CauseDoubt     Cause = "resolve-doubt"
+	CauseDemand    Cause = "demand"
+	CauseIdle      Cause = "idle"
+	CausePeer      Cause = "peer-demand"
+)
+
+// Plan is a new row to commit on the condition that the row has Version.
+type Plan struct {
+	Team    string
+	Version uint64
+	Row     Row
+	// Cause is CauseNone when nothing is to be written.
+	Cause              Cause
+	Taken, Given, Sent int
+}
+
+func (p *Plan) because(c Cause) {
+	if p.Cause == CauseNone {
+		p.Cause = c
+	}
+}
+
+// Prepare records the row that s shows, decides the next one, and reserves the
+// rights that the write would give away, so that they are not used while its
+// outcome is open. Settle must be called with the outcome unless the plan's
+// cause is CauseNone.
+func (l *Ledger) Prepare(now time.Time, s Survey) Plan {
+	l.Tick(now)
+	l.Observe(s.Team, s.Version, s.Row, s.ReadStart)
+	l.SetLimit(s.Team, s.Limit)
+	a := l.account(s.Team)
+	a.note(now, 0)
+	a.withheld = 0
+	p := Plan{Team: s.Team, Version: s.Version, Row: s.Row.UnderLimit(a.limit)}
+	if s.Version < a.version {
+		return p
+	}
+	l.clear(&p, s)
+	if s.Version > 0 && p.Row.Limit.Rights != s.Row.Limit.Rights {
+		p.because(CauseLimit)
+	}
+	inDoubt := a.reserved > 0
+	if inDoubt {
+		p.because(CauseDoubt)
+	}
+	switch {
+	case p.Row.Excess() > 0:
+		l.shrink(&p, a, inDoubt)
+	default:
+		l.spread(&p, a, s, inDoubt)
+	}
+	return p
+}
+
+// clear strands and reclaims the rights of holders that ended.
+func (l *Ledger) clear(p *Plan, s Survey) {
+	for _, h := range s.Row.Holdings {
+		if h.Host == l.self.Host && h.Holder != l.self {
+			p.strand(h.Holder)
+		}
+	}
+	for _, h := range s.Abandoned {
+		p.strand(h)
+	}
+	for _, h := range s.Reclaimed {
+		p.strand(h)
+		next, n := p.Row.Reclaim(h)
+		if n > 0 {
+			p.Row = next
+			p.because(CauseReclaimed)
+		}
+	}
+}
+
+func (p *Plan) strand(h Holder) {
+	next, ok := p.Row.Strand(h)
+	if ok {
+		p.Row = next
+		p.because(CauseStranded)
+	}
+}
+
+// shrink gives back idle rights at once while the sum is over the limit.
+func (l *Ledger) shrink(p *Plan, a *account, inDoubt bool) {
+	if inDoubt {
+		return
+	}
+	idle := a.held - a.reserved - a.used
+	l.give(p, a, min(idle, p.Row.Excess()), CauseShrink)
+}
+
+// spread takes what this host lacks, or gives away what it does not need.
+func (l *Ledger) spread(p *Plan, a *account, s Survey, inDoubt bool) {
+	floor := Floor(p.Row.Limit.Rights, s.Hosts)
+	held := a.held - a.reserved
+	keep := a.keep(floor)
+	low := a.need() + (a.need()+lowWaterDivisor-1)/lowWaterDivisor
+	if held < floor || held < low || a.refused {
+		next, n := p.Row.Take(l.self, keep-held)
+		if n > 0 {
+			p.Row, p.Taken = next, n
+			p.because(CauseDemand)
+			return
+		}
+	}
+	if inDoubt {
+		return
+	}
+	l.send(p, a, s, floor)
+	if p.Sent == 0 {
+		l.give(p, a, min(held-keep, held-a.used), CauseIdle)
+	}
+}
+
+func (l *Ledger) give(p *Plan, a *account, n int, cause Cause) {
+	next, given := p.Row.GiveBack(l.self, n)
+	if given == 0 {
+		return
+	}
+	p.Row, p.Given = next, given
+	a.reserved, a.reservedAt = given, p.Version
+	p.because(cause)
+}
+
+// send moves idle rights straight to peers with unmet demand that the free
+// rights cannot meet, largest first.
+func (l *Ledger) send(p *Plan, a *account, s Survey, floor int) {
+	unmet := unmetPeers(p.Row, s.Peers)
+	total := 0
+	for _, u := range unmet {
+		total += u.Need
+	}
+	total -= p.Row.Free()
+	if total <= 0 {
+		return
+	}
+	a.withheld = l.yield(p.Row, s, unmet)
+	spare := a.held - max(floor, withHeadroom(a.need()))
+	spare = max(spare, min(a.withheld, a.held-a.used))
+	spare = min(spare, total)
+	for _, u := range unmet {
+		next, n := p.Row.Move(l.self, u.Holder, min(spare, u.Need))
+		p.Row = next
+		p.Sent += n
+		spare -= n
+	}
+	if p.Sent > 0 {
+		a.reserved, a.reservedAt = p.Sent, p.Version
+		a.withheld = max(0, a.withheld-p.Sent)
+		p.because(CausePeer)
+	}
+}
+
+// unmetPeers returns the peers that need more than the row gives them, with
+// Need set to what they lack.
+func unmetPeers(row Row, peers []Peer) []Peer {
+	var unmet []Peer
+	for _, peer := range peers {
+		peer.Need -= row.Of(peer.Holder).Requests
+		if peer.Need > 0 {
+			unmet = append(unmet, peer)
+		}
+	}
+	slices.SortStableFunc(unmet, func(a, b Peer) int { return cmp.Compare(b.Need, a.Need) })
+	return unmet
+}
+
+// yield returns how many of this host's rights go to peers as their work ends,
+// although this host has work for them. A host above the equal part of the
+// limit yields, in proportion to its excess, to peers below theirs; without
+// this a host that starts while the team is saturated would never get a right.
+func (l *Ledger) yield(row Row, s Survey, unmet []Peer) int {
+	if s.Hosts < 1 {
+		return 0
+	}
+	equal := row.Limit.Rights / s.Hosts
+	lacking := 0
+	for _, u := range unmet {
+		lacking += max(0, min(u.Need, equal-row.Of(u.Holder).Requests))
+	}
+	above := 0
+	for _, h := range row.Holdings {
+		above += max(0, h.Requests-equal)
+	}
+	mine := max(0, row.Of(l.self).Requests-equal)
+	if above == 0 {
+		return 0
+	}
+	return min(mine, (lacking*mine+above-1)/above)
+}
+
+// Outcome is what became of a plan's transaction.
+type Outcome int
+
+// Outcomes of a transaction.
+const (
+	// Committed means that the new row is in force.
+	Committed Outcome = iota
+	// Refused means that the write had no effect and will have none.
+	Refused
+	// InDoubt means that the write may have taken effect, now or later.
+	InDoubt
+)
+
+// Settle records the outcome of the plan's transaction, which was sent at
+// start. version is the version that the row got when it was committed.
+func (l *Ledger) Settle(p Plan, o Outcome, version uint64, start time.Time) {
+	a := l.account(p.Team)
+	switch o {
+	case Committed:
+		l.Observe(p.Team, version, p.Row, start)
+	case Refused:
+		if p.Given+p.Sent > 0 && a.reservedAt == p.Version {
+			a.reserved = 0
+		}
+	case InDoubt:
+		// The reservation stays until a later version of the row is seen.
+	}
+}
--- /dev/null
+++ b/decision/rights/ledger.go
@@ -0,0 +1,226 @@
+package rights
+
+import (
+	"slices"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/fault"
+)
+
+// pauseBound is the gap in this host's own events beyond which it counts as
+// paused. Holdings are then used again only after they were read again, since
+// other hosts may have reclaimed them in the meantime.
+const pauseBound = time.Second
+
+// Ledger is what one entry host knows of the rights that it holds and uses.
+// One duty owns it.
+type Ledger struct {
+	self     Holder
+	accounts map[string]*account
+	last     time.Time
+	// lapsed is the latest time at which the holdings became unconfirmed.
+	lapsed time.Time
+}
+
+type account struct {
+	demand
+	version uint64
+	// confirmed is the start of the read that showed held.
+	confirmed time.Time
+	held      int
+	jobs      int
+	sum       int
+	limit     Limit
+	// reserved rights may be given away by a write conditional on version
+	// reservedAt that is under way or whose outcome is not known. They are
+	// not used until a later version of the row shows whose they are.
+	reserved   int
+	reservedAt uint64
+	// withheld rights go to peers below their equal part as work ends.
+	withheld int
+	refused  bool
+}
+
+// NewLedger returns the empty ledger of a process that starts at now.
+func NewLedger(self Holder, now time.Time) *Ledger {
+	return &Ledger{self: self, accounts: make(map[string]*account), last: now, lapsed: now}
+}
+
+func (l *Ledger) account(team string) *account {
+	a, ok := l.accounts[team]
+	if !ok {
+		a = &account{}
+		l.accounts[team] = a
+	}
+	return a
+}
+
+func (a *account) excess() int { return max(0, a.sum-a.limit.Rights) }
+
+// free returns the rights with which work may start. While the sum is known to
+// be over the limit, that much is withheld here too, so that rights in use are
+// given back as their work ends.
+func (a *account) free() int {
+	return max(0, a.held-a.reserved-a.used-a.withheld-a.excess())
+}
+
+// Tick records that the host runs at now and reports whether it was paused.
+func (l *Ledger) Tick(now time.Time) (paused bool) {
+	paused = now.Sub(l.last) > pauseBound
+	l.last = now
+	if paused {
+		l.Lapse(now)
+	}
+	return paused
+}
+
+// Lapse marks all holdings as unconfirmed: only a read of the row that starts
+// at or after now permits their use again.
+func (l *Ledger) Lapse(now time.Time) { l.lapsed = now }
+
+// Acquire takes n free rights of team, all or none. It returns the reason of a
+// refusal, and the empty reason when the rights were taken.
+func (l *Ledger) Acquire(now time.Time, team string, n int) fault.Reason {
+	l.Tick(now)
+	a := l.account(team)
+	if a.confirmed.Before(l.lapsed) && a.version > 0 {
+		a.refuse(now, n)
+		return fault.ReasonPaused
+	}
+	if n > a.free() || a.version == 0 {
+		a.refuse(now, n)
+		return fault.ReasonLimit
+	}
+	a.used += n
+	a.note(now, 0)
+	return ""
+}
+
+func (a *account) refuse(now time.Time, n int) {
+	a.refused = true
+	a.note(now, n)
+}
+
+// Release returns n rights of team after their work ended.
+func (l *Ledger) Release(now time.Time, team string, n int) {
+	l.Tick(now)
+	a := l.account(team)
+	a.used = max(0, a.used-n)
+	a.note(now, 0)
+}
+
+// SetWaiting records how much work of team waits for a right.
+func (l *Ledger) SetWaiting(now time.Time, team string, n int) {
+	l.Tick(now)
+	a := l.account(team)
+	a.waiting = n
+	a.note(now, 0)
+}
+
+// TakeFreed reports whether team has a free right after a refusal, once for
+// each time.
+func (l *Ledger) TakeFreed(team string) bool {
+	a := l.account(team)
+	if !a.refused || a.free() == 0 || a.confirmed.Before(l.lapsed) {
+		return false
+	}
+	a.refused = false
+	return true
+}
+
+// Hungry reports whether team needs more rights than it holds here, or has to
+// give some back under a lowered limit.
+func (l *Ledger) Hungry(team string) bool {
+	a := l.account(team)
+	held := a.held - a.reserved
+	if a.excess() > 0 {
+		return held > a.used
+	}
+	return a.need() > held || (a.refused && int(a.peak) > held)
+}
+
+// Unsettled reports whether a write that may give rights of team away has an
+// unknown outcome, or the holding is not confirmed.
+func (l *Ledger) Unsettled(team string) bool {
+	a := l.account(team)
+	return a.reserved > 0 || (a.version > 0 && a.confirmed.Before(l.lapsed))
+}
+
+// Observe records a row of team that was read, or written, by a call that
+// started at start. Versions older than the newest one seen change nothing.
+func (l *Ledger) Observe(team string, version uint64, row Row, start time.Time) {
+	a := l.account(team)
+	if version < a.version || version == 0 {
+		return
+	}
+	mine := row.Of(l.self)
+	a.version = version
+	a.held = mine.Requests
+	a.jobs = mine.Jobs
+	a.sum = row.Sum()
+	a.limit = a.limit.Newer(row.Limit)
+	if start.After(a.confirmed) {
+		a.confirmed = start
+	}
+	if version > a.reservedAt {
+		a.reserved = 0
+	}
+}
+
+// SetLimit records the limit of team in this host's replica.
+func (l *Ledger) SetLimit(team string, limit Limit) {
+	a := l.account(team)
+	a.limit = a.limit.Newer(limit)
+}
+
+// BindJob turns one right in use into the right of a job, ahead of a
+// transaction that is conditional on version of the row and applies
+// Row.PlaceJob. It reports false when the newest known row has another version
+// or another write is open; nothing is changed then.
+func (l *Ledger) BindJob(team string, version uint64) bool {
+	a := l.account(team)
+	if a.version != version || a.reserved > 0 || a.used < 1 {
+		return false
+	}
+	a.used--
+	a.reserved, a.reservedAt = 1, version
+	return true
+}
+
+// UnbindJob takes BindJob back after the transaction surely had no effect. A
+// transaction that committed, or whose outcome is unknown, needs no call: a
+// later version of the row settles it.
+func (l *Ledger) UnbindJob(team string, version uint64) {
+	a := l.account(team)
+	a.used++
+	if a.reservedAt == version {
+		a.reserved = 0
+	}
+}
+
+// Position is a snapshot of one team's rights on this host.
+type Position struct {
+	Team                        string
+	Limit                       int
+	Held, Jobs, Used, Waiting   int
+	FleetHeld, Unmet, Available int
+}
+
+// Positions returns the snapshot of every team, by name.
+func (l *Ledger) Positions() []Position {
+	list := make([]Position, 0, len(l.accounts))
+	for team, a := range l.accounts {
+		list = append(list, Position{
+			Team: team, Limit: a.limit.Rights,
+			Held: a.held, Jobs: a.jobs, Used: a.used, Waiting: a.waiting,
+			FleetHeld: a.sum, Unmet: max(0, a.need()-a.held), Available: a.free(),
+		})
+	}
+	slices.SortFunc(list, func(a, b Position) int {
+		if a.Team < b.Team {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
--- /dev/null
+++ b/decision/rights/row.go
@@ -0,0 +1,234 @@
+// Package rights decides how a team's rights to run are spread over the entry
+// hosts, so that no team has more work running than its upper limit over the
+// whole fleet.
+//
+// Row is the shared row of one team; Ledger is what one entry host knows of its
+// own rights. Both are free of I/O, and time is passed in.
+package rights
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Holder is one process of an entry host.
+type Holder struct {
+	Host        string `json:"host"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Holding is the rights of one holder. Requests may be used for any number of
+// requests in turn; each of Jobs is bound to one job until its row ends.
+type Holding struct {
+	Holder
+	Requests int `json:"requests,omitempty"`
+	Jobs     int `json:"jobs,omitempty"`
+}
+
+// Total returns all rights of the holding.
+func (h Holding) Total() int { return h.Requests + h.Jobs }
+
+// Limit is a team's upper limit at one revision of the shared state.
+type Limit struct {
+	Rights   int    `json:"rights"`
+	Revision uint64 `json:"revision"`
+}
+
+// Newer returns the limit of the higher revision. A host whose replica lags
+// behind therefore never grants more than a later limit allows.
+func (l Limit) Newer(o Limit) Limit {
+	if o.Revision > l.Revision {
+		return o
+	}
+	return l
+}
+
+// Row is the shared record of one team's rights. Methods return changed copies
+// and leave the receiver as it is.
+type Row struct {
+	// Limit is the one that the row was last written under.
+	Limit Limit `json:"limit"`
+	// Holdings are sorted by host; a host has at most one.
+	Holdings []Holding `json:"holdings,omitempty"`
+	// Stranded are the rights of holders that ended or disappeared. They
+	// count against the limit until they are reclaimed.
+	Stranded []Holding `json:"stranded,omitempty"`
+}
+
+// Sum returns all rights that count against the limit.
+func (r Row) Sum() int {
+	sum := 0
+	for _, h := range r.Holdings {
+		sum += h.Total()
+	}
+	for _, h := range r.Stranded {
+		sum += h.Total()
+	}
+	return sum
+}
+
+// Free returns the rights that nobody holds; zero when the sum is over a
+// lowered limit.
+func (r Row) Free() int { return max(0, r.Limit.Rights-r.Sum()) }
+
+// Excess returns by how much the sum is over a lowered limit.
+func (r Row) Excess() int { return max(0, r.Sum()-r.Limit.Rights) }
+
+// Of returns the live holding of h; it is empty when h holds nothing, or when
+// its rights were stranded.
+func (r Row) Of(h Holder) Holding {
+	i, ok := findHost(r.Holdings, h.Host)
+	if ok && r.Holdings[i].Holder == h {
+		return r.Holdings[i]
+	}
+	return Holding{Holder: h}
+}
+
+// UnderLimit returns the row under the newer of its own limit and l.
+func (r Row) UnderLimit(l Limit) Row {
+	r.Limit = r.Limit.Newer(l)
+	return r
+}
+
+// Take gives h up to n of the free rights and returns how many it got.
+func (r Row) Take(h Holder, n int) (Row, int) {
+	n = min(n, r.Free())
+	if n <= 0 || r.superseded(h) {
+		return r, 0
+	}
+	return r.add(h, n, 0), n
+}
+
+// GiveBack frees up to n request rights of h and returns how many.
+func (r Row) GiveBack(h Holder, n int) (Row, int) {
+	n = min(n, r.Of(h).Requests)
+	if n <= 0 {
+		return r, 0
+	}
+	return r.add(h, -n, 0), n
+}
+
+// Move gives up to n request rights of from to another holder and returns how
+// many. While the sum is over the limit nothing moves, because rights are then
+// only given back.
+func (r Row) Move(from, to Holder, n int) (Row, int) {
+	n = min(n, r.Of(from).Requests)
+	if n <= 0 || from == to || r.Excess() > 0 || r.superseded(to) {
+		return r, 0
+	}
+	return r.add(from, -n, 0).add(to, n, 0), n
+}
+
+// superseded reports whether another incarnation of h's host has a holding.
+func (r Row) superseded(h Holder) bool {
+	i, ok := findHost(r.Holdings, h.Host)
+	return ok && r.Holdings[i].Holder != h
+}
+
+// Strand marks the holding of h as stranded and reports whether there was one.
+func (r Row) Strand(h Holder) (Row, bool) {
+	i, ok := findHost(r.Holdings, h.Host)
+	if !ok || r.Holdings[i].Holder != h {
+		return r, false
+	}
+	lost := r.Holdings[i]
+	r.Holdings = slices.Delete(slices.Clone(r.Holdings), i, i+1)
+	r.Stranded = slices.Clone(r.Stranded)
+	if j := slices.IndexFunc(r.Stranded, isHolder(h)); j >= 0 {
+		r.Stranded[j].Requests += lost.Requests
+		r.Stranded[j].Jobs += lost.Jobs
+		return r, true
+	}
+	r.Stranded = append(r.Stranded, lost)
+	return r, true
+}
+
+// Reclaim frees the request rights of the stranded holder h. Its jobs keep
+// their rights until their rows end or another scheduler adopts them. The
+// caller has made sure that no request of h can still run.
+func (r Row) Reclaim(h Holder) (Row, int) {
+	i := slices.IndexFunc(r.Stranded, isHolder(h))
+	if i < 0 || r.Stranded[i].Requests == 0 {
+		return r, 0
+	}
+	n := r.Stranded[i].Requests
+	r.Stranded = slices.Clone(r.Stranded)
+	r.Stranded[i].Requests = 0
+	r.Stranded = slices.DeleteFunc(r.Stranded, isEmpty)
+	return r, n
+}
+
+// PlaceJob binds one request right of h to a job.
+func (r Row) PlaceJob(h Holder) (Row, bool) {
+	if r.Of(h).Requests < 1 {
+		return r, false
+	}
+	return r.add(h, -1, 1), true
+}
+
+// EndJob frees the right of a job that h scheduled. The right stays with a
+// live holder for its next request unless the sum is over the limit.
+func (r Row) EndJob(h Holder) (Row, bool) {
+	if r.Of(h).Jobs >= 1 {
+		keep := 1
+		if r.Excess() > 0 {
+			keep = 0
+		}
+		return r.add(h, keep, -1), true
+	}
+	return r.endStrandedJob(h)
+}
+
+func (r Row) endStrandedJob(h Holder) (Row, bool) {
+	i := slices.IndexFunc(r.Stranded, isHolder(h))
+	if i < 0 || r.Stranded[i].Jobs == 0 {
+		return r, false
+	}
+	r.Stranded = slices.Clone(r.Stranded)
+	r.Stranded[i].Jobs--
+	r.Stranded = slices.DeleteFunc(r.Stranded, isEmpty)
+	return r, true
+}
+
+// AdoptJob moves the right of one job from the scheduler that had it, live or
+// stranded, to the one that adopts it. The sum does not change.
+func (r Row) AdoptJob(from, to Holder) (Row, bool) {
+	if r.superseded(to) {
+		return r, false
+	}
+	if r.Of(from).Jobs >= 1 {
+		return r.add(from, 0, -1).add(to, 0, 1), true
+	}
+	next, ok := r.endStrandedJob(from)
+	if !ok {
+		return r, false
+	}
+	return next.add(to, 0, 1), true
+}
+
+// add changes the holding of h and drops it when it becomes empty.
+func (r Row) add(h Holder, requests, jobs int) Row {
+	r.Holdings = slices.Clone(r.Holdings)
+	i, ok := findHost(r.Holdings, h.Host)
+	if !ok {
+		r.Holdings = slices.Insert(r.Holdings, i, Holding{Holder: h})
+	}
+	r.Holdings[i].Requests += requests
+	r.Holdings[i].Jobs += jobs
+	if isEmpty(r.Holdings[i]) {
+		r.Holdings = slices.Delete(r.Holdings, i, i+1)
+	}
+	return r
+}
+
+func findHost(list []Holding, host string) (int, bool) {
+	return slices.BinarySearchFunc(list, host, func(h Holding, name string) int {
+		return cmp.Compare(h.Host, name)
+	})
+}
+
+func isHolder(h Holder) func(Holding) bool {
+	return func(x Holding) bool { return x.Holder == h }
+}
+
+func isEmpty(h Holding) bool { return h.Requests == 0 && h.Jobs == 0 }
