Add the service claims

Change: services/claims groups up to 64 claims and ends of claims into one conditional transaction, submits the rest again when some conditions fail, withdraws claims whose commit has an unknown outcome or whose requester left, and retries ends until the platform has them. Answers over 16 KiB go to the object store; after 60 s without it the claim becomes done without an answer. Records are deleted 24 h after their last change by one host at a time.

ClaimRecord gets Sequence, which tells apart the claims of one process, and ChangedAt, from which the age of a record is taken. New reasons: answer-lost and claim-lost.

64 pairs of claims for the same 64 rows, one of them taken, need at most 4 transactions. Seen failing by mutation: claim in doubt not withdrawn, requester that left not released, rest of a batch not submitted again, two claims of one host for one row, large answers kept for 10 s, records deleted after 12 h, "not run" during an outage, batches of one (64 transactions). A withdrawal without the read first is not caught: the failed condition of its write returns the row as well.

--- a/decision/claim/claim.go
+++ b/decision/claim/claim.go
@@ -39,7 +39,8 @@
 	By    Claimant
 	// Attempt counts the claims of the request.
 	Attempt int
-	// BodyHash tells a repeat from another request under the identifier.
+	// BodyHash tells a repeat from another request under the identifier; it
+	// is empty in an absent or unreadable record.
 	BodyHash string
 }
 
@@ -78,7 +79,7 @@
 
 // Decide decides on a request with bodyHash whose record is r.
 func Decide(r Record, by Claimant, bodyHash string) Decision {
-	if r.State != None && r.BodyHash != bodyHash {
+	if r.BodyHash != "" && r.BodyHash != bodyHash {
 		return Decision{Say: Statement{OutcomeInvalid, fault.ReasonConflict}}
 	}
 	switch r.State {
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -57,6 +57,8 @@
 	ReasonConflict          Reason = "conflict"
 	ReasonClaimed           Reason = "claimed"
 	ReasonClaimInDoubt      Reason = "claim-in-doubt"
+	ReasonAnswerLost        Reason = "answer-lost"
+	ReasonClaimLost         Reason = "claim-lost"
 	ReasonNotPermitted      Reason = "not-permitted"
 	ReasonCancelled         Reason = "cancelled"
 	ReasonNoRoom            Reason = "no-room"
--- /dev/null
+++ b/services/claims/claims_test.go
@@ -0,0 +1,273 @@
+package claims_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/services/claims"
+)
+
+func request(id string) *services.Request {
+	return &services.Request{
+		ID: id, CallerID: true, Team: "t", Queue: document.Queue{Name: "q"},
+		Body: []byte("body"), Deadline: time.Now().Add(30 * time.Second),
+	}
+}
+
+func state(t *testing.T, s *claims.Service, id string) services.ClaimState {
+	t.Helper()
+	r, err := s.Lookup(t.Context(), "t", id)
+	assert.NilError(t, err)
+	return r.State
+}
+
+func assertUnknown(t *testing.T, err error, reason fault.Reason) {
+	t.Helper()
+	assert.Assert(t, err != nil && !fault.IsNotRun(err), "%v", err)
+	assert.Equal(t, fault.ReasonOf(err), reason)
+}
+
+// Guards against a second start of a request on another host, against a lost
+// answer, and against another body under the identifier.
+func TestClaimOnTwoHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		a, b := start(t, p, "a"), start(t, p, "b")
+		r, err := a.Claim(t.Context(), request("1"))
+		assert.NilError(t, err)
+		assert.Equal(t, r.State, services.ClaimHeld)
+		_, err = b.Claim(t.Context(), request("1"))
+		assertUnknown(t, err, fault.ReasonClaimed)
+		_, err = a.Claim(t.Context(), request("1"))
+		assertUnknown(t, err, fault.ReasonClaimed)
+
+		a.Outcome(request("1"), &services.Reply{Status: 200, Body: []byte("answer")}, nil)
+		synctest.Wait()
+		r, err = b.Claim(t.Context(), request("1"))
+		assert.NilError(t, err)
+		assert.Equal(t, r.State, services.ClaimDone)
+		assert.Equal(t, string(r.Body), "answer")
+
+		other := request("1")
+		other.Body = []byte("other")
+		_, err = b.Claim(t.Context(), other)
+		assert.Equal(t, fault.ReasonOf(err), fault.ReasonConflict)
+	})
+}
+
+// Guards against a request that stays blocked after its attempt was not run,
+// and against one that can be claimed again after an unknown outcome.
+func TestOutcomeDecidesRepeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		a, b := start(t, p, "a"), start(t, p, "b")
+		for _, id := range []string{"released", "unknown"} {
+			_, err := a.Claim(t.Context(), request(id))
+			assert.NilError(t, err)
+		}
+		a.Outcome(request("released"), nil, fault.New(&fault.NotRun, fault.ReasonNoSlots, "send", "s", "full"))
+		a.Outcome(request("unknown"), nil, fault.New(&fault.Unknown, fault.ReasonConnectionLost, "send", "s", "reset"))
+		synctest.Wait()
+		r, err := b.Claim(t.Context(), request("released"))
+		assert.NilError(t, err)
+		assert.Equal(t, r.Attempt, 2)
+		_, err = b.Claim(t.Context(), request("unknown"))
+		assertUnknown(t, err, fault.ReasonClaimInDoubt)
+	})
+}
+
+// Guards against "not run" for a request whose row cannot be read, and against
+// a claim that waits for the end of an outage.
+func TestClaimWhilePlatformDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		a := start(t, p, "a")
+		p.set(down)
+		began := time.Now()
+		_, err := a.Claim(t.Context(), request("1"))
+		assertUnknown(t, err, fault.ReasonPlatformDown)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
+
+// Guards against a claim that is used, or stays in the row, after the reply of
+// its commit was lost; "not run" is said only once the row shows the release.
+func TestCommitReplyLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		a, b := start(t, p, "a"), start(t, p, "b")
+		p.set(lostReply)
+		var err error
+		var wg sync.WaitGroup
+		wg.Go(func() { _, err = a.Claim(t.Context(), request("1")) })
+		synctest.Wait()
+		p.set(works)
+		wg.Wait()
+		assert.Assert(t, fault.IsNotRun(err), "%v", err)
+		assert.Equal(t, state(t, a, "1"), services.ClaimReleased)
+		_, err = b.Claim(t.Context(), request("1"))
+		assert.NilError(t, err)
+	})
+}
+
+// Guards against "not run" while a commit may still land, and against a late
+// claim that blocks the request.
+func TestLateCommitIsFenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		a := start(t, p, "a")
+		p.set(late)
+		var err error
+		var wg sync.WaitGroup
+		wg.Go(func() { _, err = a.Claim(t.Context(), request("1")) })
+		synctest.Wait()
+		p.set(works)
+		wg.Wait()
+		assert.Assert(t, fault.IsNotRun(err), "%v", err)
+		p.deliver()
+		assert.Equal(t, state(t, a, "1"), services.ClaimReleased)
+	})
+}
+
+// Guards against an answer that waits for the platform after a commit with
+// unknown outcome, and against a withdrawal that is given up.
+func TestCommitInDoubtThenDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		a := start(t, p, "a")
+		p.set(lostReply)
+		var err error
+		var wg sync.WaitGroup
+		wg.Go(func() { _, err = a.Claim(t.Context(), request("1")) })
+		synctest.Wait()
+		p.set(down)
+		wg.Wait()
+		assertUnknown(t, err, fault.ReasonClaimInDoubt)
+		time.Sleep(time.Minute)
+		p.set(works)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, state(t, a, "1"), services.ClaimReleased)
+	})
+}
+
+// Guards against a claim that stays in the row after its requester left while
+// the platform was slow.
+func TestRequesterLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		p.delay = time.Second
+		a := start(t, p, "a")
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		_, err := a.Claim(ctx, request("1"))
+		assertUnknown(t, err, fault.ReasonDeadline)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, state(t, a, "1"), services.ClaimReleased)
+	})
+}
+
+// Guards against an outcome that is lost in an outage or with a lost reply.
+func TestOutcomeIsRetried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, m := range []mode{down, lostReply, late} {
+			p := newPlatform()
+			a := start(t, p, "a")
+			_, err := a.Claim(t.Context(), request("1"))
+			assert.NilError(t, err)
+			p.set(m)
+			a.Outcome(request("1"), &services.Reply{Status: 200, Body: []byte("answer")}, nil)
+			time.Sleep(10 * time.Minute)
+			p.set(works)
+			time.Sleep(3 * time.Second)
+			p.deliver()
+			r, err := a.Lookup(t.Context(), "t", "1")
+			assert.NilError(t, err)
+			assert.Equal(t, r.State, services.ClaimDone)
+			assert.Equal(t, string(r.Body), "answer")
+		}
+	})
+}
+
+// Guards against large answers in the row, and against an outage of the object
+// store that hides that the request ran.
+func TestLargeAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		a := start(t, p, "a")
+		body := bytes.Repeat([]byte("x"), 20<<10)
+		for _, id := range []string{"kept", "lost"} {
+			_, err := a.Claim(t.Context(), request(id))
+			assert.NilError(t, err)
+		}
+		a.Outcome(request("kept"), &services.Reply{Status: 200, Body: body}, nil)
+		synctest.Wait()
+		assert.Assert(t, len(p.rows["claim/t/kept"].Value) < 1<<10)
+		r, err := a.Claim(t.Context(), request("kept"))
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(r.Body, body))
+
+		p.noStore = true
+		a.Outcome(request("lost"), &services.Reply{Status: 200, Body: body}, nil)
+		time.Sleep(50 * time.Second)
+		assert.Equal(t, state(t, a, "lost"), services.ClaimHeld)
+		time.Sleep(15 * time.Second)
+		r, err = a.Claim(t.Context(), request("lost"))
+		assert.NilError(t, err)
+		assert.Assert(t, r.AnswerLost())
+	})
+}
+
+// Guards against a transaction for each claim, and against one failed
+// condition that fails the other claims of its batch, and against two requests
+// of one host that both get the claim.
+func TestClaimsShareTransactions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		a, b := start(t, p, "a"), start(t, p, "b")
+		_, err := b.Claim(t.Context(), request("10"))
+		assert.NilError(t, err)
+		p.delay = 10 * time.Millisecond
+		p.commits = 0
+		var wg sync.WaitGroup
+		errs := make([]error, 64)
+		twin := make([]error, 64)
+		for i := range errs {
+			wg.Go(func() { _, errs[i] = a.Claim(t.Context(), request(fmt.Sprint(i))) })
+			wg.Go(func() { _, twin[i] = a.Claim(t.Context(), request(fmt.Sprint(i))) })
+		}
+		wg.Wait()
+		for i := range errs {
+			granted := errs[i] == nil || twin[i] == nil
+			assert.Equal(t, granted, i != 10, "%d: %v, %v", i, errs[i], twin[i])
+			assert.Assert(t, errs[i] != nil || twin[i] != nil, "%d was granted twice", i)
+		}
+		assert.Assert(t, p.commits <= 4, "%d commits", p.commits)
+	})
+}
+
+// Guards against records that are never deleted, and against the deletion of
+// one that changed less than a day ago.
+func TestRecordsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		a := start(t, p, "a")
+		_, err := a.Claim(t.Context(), request("1"))
+		assert.NilError(t, err)
+		time.Sleep(23 * time.Hour)
+		a.Outcome(request("1"), &services.Reply{Status: 200}, nil)
+		time.Sleep(23 * time.Hour)
+		assert.Equal(t, state(t, a, "1"), services.ClaimDone)
+		time.Sleep(2 * time.Hour)
+		assert.Equal(t, state(t, a, "1"), services.ClaimNone)
+	})
+}
--- /dev/null
+++ b/services/claims/expire.go
@@ -0,0 +1,88 @@
+package claims
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+const (
+	// keepRecords is how long a record stays after its last change.
+	keepRecords = 24 * time.Hour
+	// expirePeriod is the pause between two pages of the scan, and
+	// expireRows the number of rows in one.
+	expirePeriod = 5 * time.Second
+	expireRows   = 256
+	// turnLength is for how long one host does the scan.
+	turnLength = 10 * time.Minute
+)
+
+// expire is the duty claims.expire. Two hosts at once do no harm, because each
+// deletion is conditional on the version of its row.
+func (s *Service) expire(ctx context.Context) {
+	after := ""
+	for pause(ctx, expirePeriod) {
+		if !s.hasExpireTurn(time.Now()) {
+			continue
+		}
+		next, err := s.expirePage(ctx, after)
+		if err != nil {
+			s.count("retried_total", stepExpire, fault.ReasonOf(err))
+			continue
+		}
+		after = next
+	}
+}
+
+// hasExpireTurn reports whether this host does the scan now: the listed member
+// with the highest hash for the current period (rendezvous hashing, Thaler and
+// Ravishankar, 1998).
+func (s *Service) hasExpireTurn(now time.Time) bool {
+	period := now.Truncate(turnLength).Format(time.RFC3339)
+	self := s.membership.Self().Name
+	mine := xxhash.Sum64String(period + self)
+	return !slices.ContainsFunc(s.membership.Members(), func(m services.Identity) bool {
+		return m.Name != self && xxhash.Sum64String(period+m.Name) > mine
+	})
+}
+
+// expirePage deletes the old records of one page and returns the key after
+// which the next page starts; it is empty after the last one.
+func (s *Service) expirePage(ctx context.Context, after string) (string, error) {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, more, err := s.platform.Scan(call, rowPrefix, after, expireRows)
+	if err != nil {
+		return after, err
+	}
+	if err := s.deleteOld(call, rows); err != nil {
+		return after, err
+	}
+	if !more || len(rows) == 0 {
+		return "", nil
+	}
+	return rows[len(rows)-1].Key, nil
+}
+
+func (s *Service) deleteOld(ctx context.Context, rows []services.Row) error {
+	var tx services.Transaction
+	for _, row := range rows {
+		changed := decode(row).ChangedAt
+		if changed.IsZero() || time.Since(changed) < keepRecords {
+			continue
+		}
+		tx.Conditions = append(tx.Conditions, services.Condition{Key: row.Key, Version: row.Version})
+		tx.Writes = append(tx.Writes, services.Write{Key: row.Key, Delete: true})
+	}
+	if len(tx.Writes) == 0 {
+		return nil
+	}
+	// A failed condition means that a row changed; the next scan sees it.
+	_, err := s.platform.Commit(ctx, tx)
+	return err
+}
--- a/services/work.go
+++ b/services/work.go
@@ -151,7 +151,12 @@
 	State       ClaimState `json:"state"`
 	Host        string     `json:"host"`
 	Incarnation uint64     `json:"incarnation"`
-	Attempt     int        `json:"attempt"`
+	// Sequence tells apart the claims of one process.
+	Sequence uint64 `json:"sequence"`
+	Attempt  int    `json:"attempt"`
+	// ChangedAt is the writer's wall-clock time; it is used only to delete
+	// the record long after its last change.
+	ChangedAt time.Time `json:"changedAt"`
 	// BodyHash tells apart a repeat of a request and another request under
 	// the same identifier.
 	BodyHash string `json:"bodyHash"`
@@ -163,11 +168,16 @@
 	Object      string `json:"object,omitempty"`
 }
 
+// AnswerLost reports whether the request ran and its answer was not kept.
+func (r ClaimRecord) AnswerLost() bool { return r.State == ClaimDone && r.Status == 0 }
+
 // Claims records which requests with a caller's identifier were started.
 type Claims interface {
 	// Claim commits the claim for req. It returns a done record when the
 	// request ran before; the request may be started only when the record's
-	// state is ClaimHeld and err is nil.
+	// state is ClaimHeld and err is nil. With any error this attempt was not
+	// run and will not be; the class of the error tells what is known of
+	// earlier attempts.
 	Claim(ctx context.Context, req *Request) (ClaimRecord, error)
 	// Outcome records the outcome of a request that this process claimed.
 	// It returns once the record is queued, and retries until the platform
