Add the service rights

A write with unknown outcome is read back before its rights are used.

The model of the property test had hosts that only checked their hold term when a request came. A holder cut off over its term and then renewed used rights that others had reclaimed; the model found it once the hosts checked only then (case 1). The ledger therefore checks on a timer, and says so. A stranded holding now records the version it was stranded from: a holder that came back and was stranded again would otherwise be freed at once.

Seen failing by mutation in services/rights: no wake on unmet demand, unknown outcome taken as refused (50 rights used of 40), lapse ignored, ended holder not stranded, stranded rights not reclaimed, nothing yielded to a new host, no give-back on drain, released rights reused over a lowered limit, changed limit not noticed, surplus not noticed, floors not taken.

--- a/decision/rights/balance.go
+++ b/decision/rights/balance.go
@@ -28,6 +28,8 @@
 	// Hosts is the number of entry hosts, this one included.
 	Hosts int
 	Peers []Peer
+	// Leaving gives back all rights that are not in use.
+	Leaving bool
 	// Abandoned holders have ended; Reclaimed holders, live or stranded,
 	// cannot have a request running any more.
 	Abandoned []Holder
@@ -90,6 +92,10 @@
 		p.because(CauseDoubt)
 	}
 	switch {
+	case s.Leaving:
+		if !inDoubt {
+			l.give(&p, a, a.held-a.used, CauseIdle)
+		}
 	case p.Row.Excess() > 0:
 		l.shrink(&p, a, inDoubt)
 	default:
@@ -119,7 +125,7 @@
 }
 
 func (p *Plan) strand(h Holder) {
-	next, ok := p.Row.Strand(h)
+	next, ok := p.Row.Strand(h, p.Version)
 	if ok {
 		p.Row = next
 		p.because(CauseStranded)
--- a/decision/rights/ledger.go
+++ b/decision/rights/ledger.go
@@ -1,6 +1,7 @@
 package rights
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -75,7 +76,10 @@
 }
 
 // Lapse marks all holdings as unconfirmed: only a read of the row that starts
-// at or after now permits their use again.
+// at or after now permits their use again. It is called whenever the hold term
+// is over, which is checked on a timer too: a term that ended and was renewed
+// between two requests would otherwise go unnoticed, although other hosts may
+// have reclaimed the rights meanwhile.
 func (l *Ledger) Lapse(now time.Time) { l.lapsed = now }
 
 // Acquire takes n free rights of team, all or none. It returns the reason of a
@@ -204,6 +208,8 @@
 	Limit                       int
 	Held, Jobs, Used, Waiting   int
 	FleetHeld, Unmet, Available int
+	// Hungry, Unsettled and Surplus tell why the row is worth a read.
+	Hungry, Unsettled, Surplus bool
 }
 
 // Positions returns the snapshot of every team, by name.
@@ -214,13 +220,10 @@
 			Team: team, Limit: a.limit.Rights,
 			Held: a.held, Jobs: a.jobs, Used: a.used, Waiting: a.waiting,
 			FleetHeld: a.sum, Unmet: max(0, a.need()-a.held), Available: a.free(),
+			Hungry: l.Hungry(team), Unsettled: l.Unsettled(team),
+			Surplus: a.held > withHeadroom(a.need()) && a.held > a.used,
 		})
 	}
-	slices.SortFunc(list, func(a, b Position) int {
-		if a.Team < b.Team {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, func(a, b Position) int { return cmp.Compare(a.Team, b.Team) })
 	return list
 }
--- a/decision/rights/rights_test.go
+++ b/decision/rights/rights_test.go
@@ -103,6 +103,7 @@
 				continue
 			}
 			h.ledger.Tick(w.now)
+			h.mayUse(w.now)
 			if !h.cut && w.now.Sub(h.renewed) > time.Second {
 				w.renew(h)
 			}
@@ -181,7 +182,7 @@
 		}
 	}
 	for _, x := range w.row.Stranded {
-		if h.watch.Stranded(x.Holder, w.now, w.now) == rights.Free {
+		if h.watch.Stranded(team, x, w.now, w.now) == rights.Free {
 			s.Reclaimed = append(s.Reclaimed, x.Holder)
 		}
 	}
@@ -309,6 +310,22 @@
 			w.resume(h)
 			w.burst(t, h)
 		},
+		"cut over the hold term": func(t *rapid.T) {
+			h := w.pick(t)
+			h.cut = true
+			w.balanceAll(t)
+			w.advance(holdTerm + longestRequest)
+			w.balanceAll(t)
+			w.balanceAll(t)
+			w.burst(t, w.pick(t))
+			w.balanceAll(t)
+			w.burst(t, w.pick(t))
+			h.cut = false
+			if h.runs() {
+				w.renew(h)
+			}
+			w.burst(t, h)
+		},
 		"cut to the end of the hold term": func(t *rapid.T) {
 			h := w.pick(t)
 			h.cut = true
@@ -453,7 +470,7 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, lowered.Sum(), 1)
 
-	row, _ = row.Strand(a)
+	row, _ = row.Strand(a, 7)
 	row, freed := row.Reclaim(a)
 	assert.Equal(t, freed, 1)
 	assert.Equal(t, row.Sum(), 1)
--- a/decision/rights/row.go
+++ b/decision/rights/row.go
@@ -23,6 +23,9 @@
 	Holder
 	Requests int `json:"requests,omitempty"`
 	Jobs     int `json:"jobs,omitempty"`
+	// StrandedAt is the version of the row that the holding was last stranded
+	// from. It tells apart two times at which the same holder was stranded.
+	StrandedAt uint64 `json:"strandedAt,omitempty"`
 }
 
 // Total returns all rights of the holding.
@@ -126,17 +129,20 @@
 }
 
 // Strand marks the holding of h as stranded and reports whether there was one.
-func (r Row) Strand(h Holder) (Row, bool) {
+// version is the version of r.
+func (r Row) Strand(h Holder, version uint64) (Row, bool) {
 	i, ok := findHost(r.Holdings, h.Host)
 	if !ok || r.Holdings[i].Holder != h {
 		return r, false
 	}
 	lost := r.Holdings[i]
+	lost.StrandedAt = version
 	r.Holdings = slices.Delete(slices.Clone(r.Holdings), i, i+1)
 	r.Stranded = slices.Clone(r.Stranded)
 	if j := slices.IndexFunc(r.Stranded, isHolder(h)); j >= 0 {
 		r.Stranded[j].Requests += lost.Requests
 		r.Stranded[j].Jobs += lost.Jobs
+		r.Stranded[j].StrandedAt = version
 		return r, true
 	}
 	r.Stranded = append(r.Stranded, lost)
--- a/decision/rights/watch.go
+++ b/decision/rights/watch.go
@@ -1,6 +1,9 @@
 package rights
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Member is what a read of a holder's member row showed. Version zero means
 // that the row does not exist, which states that the host has ended: it was
@@ -27,22 +30,33 @@
 // life. One duty owns it. Times are on this host's clock only.
 type Watch struct {
 	holdTerm, longestRequest time.Duration
-	seen                     map[Holder]sighting
+	live                     map[Holder]sighting
+	// stranded is when a holding was first seen stranded.
+	stranded map[strandedKey]time.Time
 }
 
 type sighting struct {
 	version uint64
 	// unchanged is when the member row was first seen at version.
 	unchanged time.Time
-	// stranded is when the holding was first seen stranded; zero while it
-	// is not.
-	stranded time.Time
+}
+
+// strandedKey names one time at which a holding was stranded. Without the
+// version, a holder that came back and was stranded again would be freed too
+// early.
+type strandedKey struct {
+	team    string
+	holder  Holder
+	version uint64
 }
 
 // NewWatch returns a watch that frees the rights of a holder whose member row
 // did not change for holdTerm plus longestRequest.
 func NewWatch(holdTerm, longestRequest time.Duration) *Watch {
-	return &Watch{holdTerm: holdTerm, longestRequest: longestRequest, seen: make(map[Holder]sighting)}
+	return &Watch{
+		holdTerm: holdTerm, longestRequest: longestRequest,
+		live: make(map[Holder]sighting), stranded: make(map[strandedKey]time.Time),
+	}
 }
 
 // Live decides on a holding that is not stranded. readStart and readEnd bound
@@ -52,9 +66,9 @@
 	if m.Version == 0 {
 		return Abandon
 	}
-	s, known := w.seen[h]
+	s, known := w.live[h]
 	if !known || s.version != m.Version {
-		w.seen[h] = sighting{version: m.Version, unchanged: readEnd}
+		w.live[h] = sighting{version: m.Version, unchanged: readEnd}
 		return Keep
 	}
 	if readStart.Sub(s.unchanged) >= w.holdTerm+w.longestRequest {
@@ -65,14 +79,14 @@
 
 // Stranded decides on a stranded holding. Its holder ended before it was
 // stranded, so its last request ends within longestRequest of the first sight.
-func (w *Watch) Stranded(h Holder, readStart, readEnd time.Time) Fate {
-	s := w.seen[h]
-	if s.stranded.IsZero() {
-		s.stranded = readEnd
-		w.seen[h] = s
+func (w *Watch) Stranded(team string, h Holding, readStart, readEnd time.Time) Fate {
+	key := strandedKey{team, h.Holder, h.StrandedAt}
+	since, known := w.stranded[key]
+	if !known {
+		w.stranded[key] = readEnd
 		return Keep
 	}
-	if readStart.Sub(s.stranded) >= w.longestRequest {
+	if readStart.Sub(since) >= w.longestRequest {
 		return Free
 	}
 	return Keep
@@ -80,9 +94,6 @@
 
 // Retain forgets the holders for which keep reports false.
 func (w *Watch) Retain(keep func(Holder) bool) {
-	for h := range w.seen {
-		if !keep(h) {
-			delete(w.seen, h)
-		}
-	}
+	maps.DeleteFunc(w.live, func(h Holder, _ sighting) bool { return !keep(h) })
+	maps.DeleteFunc(w.stranded, func(k strandedKey, _ time.Time) bool { return !keep(k.holder) })
 }
--- a/services/claims/claims_test.go
+++ b/services/claims/claims_test.go
@@ -165,7 +165,7 @@
 func TestRequesterLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPlatform()
-		p.delay = time.Second
+		p.slow(time.Second)
 		a := start(t, p, "a")
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 		defer cancel()
@@ -236,7 +236,7 @@
 		a, b := start(t, p, "a"), start(t, p, "b")
 		_, err := b.Claim(t.Context(), request("10"))
 		assert.NilError(t, err)
-		p.delay = 10 * time.Millisecond
+		p.slow(10 * time.Millisecond)
 		p.commits = 0
 		var wg sync.WaitGroup
 		errs := make([]error, 64)
--- a/services/claims/fake_test.go
+++ b/services/claims/fake_test.go
@@ -56,6 +56,13 @@
 	p.mode = m
 }
 
+// slow sets how long a commit takes.
+func (p *platform) slow(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
 func errDown(kind string) error {
 	if kind == "unknown" {
 		return fault.New(&fault.Unknown, fault.ReasonPlatformDown, "commit", "platform", "reply lost")
@@ -91,8 +98,11 @@
 }
 
 func (p *platform) Commit(ctx context.Context, tx services.Transaction) (services.CommitResult, error) {
+	p.mu.Lock()
+	delay := p.delay
+	p.mu.Unlock()
 	select {
-	case <-time.After(p.delay):
+	case <-time.After(delay):
 	case <-ctx.Done():
 		return services.CommitResult{}, ctx.Err()
 	}
--- /dev/null
+++ b/services/rights/fake_test.go
@@ -0,0 +1,325 @@
+package rights_test
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/decision/revision"
+	decision "fuchsiafront.example/fuchsiafront/decision/rights"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/services/rights"
+)
+
+// mode is how the fake platform treats a call.
+type mode int
+
+const (
+	works mode = iota
+	down
+	// lostReply applies a commit and loses the reply.
+	lostReply
+	// late loses the reply and applies the commit only on deliver.
+	late
+)
+
+// platform is an in-memory table and object store with faults.
+type platform struct {
+	mu      sync.Mutex
+	rows    map[string]services.Row
+	version uint64
+	commits int
+	mode    mode
+	delay   time.Duration
+	pending []services.Transaction
+}
+
+func newPlatform() *platform {
+	return &platform{rows: map[string]services.Row{}}
+}
+
+func (p *platform) Provision(*kernel.Context) error { return nil }
+
+func (p *platform) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+}
+
+// slow sets how long a commit takes.
+func (p *platform) slow(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
+func errDown(kind string) error {
+	if kind == "unknown" {
+		return fault.New(&fault.Unknown, fault.ReasonPlatformDown, "commit", "platform", "reply lost")
+	}
+	return fault.New(&fault.NotRun, fault.ReasonPlatformDown, "call", "platform", "down")
+}
+
+func (p *platform) Get(_ context.Context, keys ...string) ([]services.Row, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.mode == down {
+		return nil, errDown("")
+	}
+	var rows []services.Row
+	for _, key := range keys {
+		row := p.rows[key]
+		row.Key = key
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+func (p *platform) Scan(context.Context, string, string, int) ([]services.Row, bool, error) {
+	return nil, false, nil
+}
+
+func (p *platform) Commit(ctx context.Context, tx services.Transaction) (services.CommitResult, error) {
+	p.mu.Lock()
+	delay := p.delay
+	p.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return services.CommitResult{}, ctx.Err()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.commits++
+	switch p.mode {
+	case down:
+		return services.CommitResult{}, errDown("")
+	case lostReply:
+		p.apply(tx)
+		return services.CommitResult{}, errDown("unknown")
+	case late:
+		p.pending = append(p.pending, tx)
+		return services.CommitResult{}, errDown("unknown")
+	default:
+		return p.apply(tx), nil
+	}
+}
+
+func (p *platform) apply(tx services.Transaction) services.CommitResult {
+	var failed []services.Row
+	for _, c := range tx.Conditions {
+		if row := p.rows[c.Key]; row.Version != c.Version {
+			row.Key = c.Key
+			failed = append(failed, row)
+		}
+	}
+	if len(failed) > 0 {
+		return services.CommitResult{Current: failed}
+	}
+	p.version++
+	for _, w := range tx.Writes {
+		if w.Delete {
+			delete(p.rows, w.Key)
+			continue
+		}
+		p.rows[w.Key] = services.Row{Key: w.Key, Value: w.Value, Version: p.version}
+	}
+	return services.CommitResult{Committed: true, Version: p.version}
+}
+
+// deliver applies the late commits.
+func (p *platform) deliver() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, tx := range p.pending {
+		p.apply(tx)
+	}
+	p.pending = nil
+}
+
+func (p *platform) PutObject(context.Context, string, []byte) error { return nil }
+
+func (p *platform) GetObject(context.Context, string) ([]byte, bool, error) { return nil, false, nil }
+
+func (p *platform) ListHosts(context.Context) ([]fleet.Host, error) { return nil, nil }
+
+// beat changes the member rows of hosts, as their renewals do.
+func (p *platform) beat(hosts ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version++
+	for _, host := range hosts {
+		p.rows["member/"+host] = services.Row{Key: "member/" + host, Version: p.version}
+	}
+}
+
+// end deletes the member row of a host.
+func (p *platform) end(host string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.rows, "member/"+host)
+}
+
+// cluster is what the hosts of a test share.
+type cluster struct {
+	platform *platform
+	mu       sync.Mutex
+	limit    int
+	revision uint64
+	members  []services.Identity
+	loads    map[string][]services.TeamLoad
+}
+
+func newCluster(limit int) *cluster {
+	return &cluster{platform: newPlatform(), limit: limit, revision: 1, loads: map[string][]services.TeamLoad{}}
+}
+
+func (c *cluster) setLimit(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limit = n
+	c.revision++
+}
+
+// node is one entry host: its state, peers and membership.
+type node struct {
+	*cluster
+	self   services.Identity
+	barred atomic.Bool
+}
+
+func (n *node) Provision(*kernel.Context) error { return nil }
+
+func (n *node) View() *services.View {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	section := document.Section{Teams: []document.Team{{Name: "t", Limit: n.limit}}}
+	return &services.View{
+		Revision: n.revision,
+		Document: &document.Document{Sections: map[string]document.Section{"s": section}},
+	}
+}
+
+func (n *node) Watch(string) *ring.Ring[*services.View] { return nil }
+func (n *node) CurrentSince() time.Time                 { return time.Now() }
+func (n *node) Change(context.Context, revision.Change) (services.ChangeResult, error) {
+	return services.ChangeResult{}, nil
+}
+
+func (n *node) Self() services.Identity { return n.self }
+func (n *node) MayAcceptChanges() error { return nil }
+func (n *node) MayUseRights(time.Time) error {
+	if n.barred.Load() {
+		return fault.New(&fault.NotRun, fault.ReasonPaused, "membership", "", "not confirmed")
+	}
+	return nil
+}
+
+func (n *node) Members() []services.Identity {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.members)
+}
+
+func (n *node) Push(revision.Head, []revision.Part)              {}
+func (n *node) SetLeavingHosts([]string)                         {}
+func (n *node) Confirm(context.Context, services.Identity) error { return nil }
+
+func (n *node) Status() []services.PeerStatus {
+	var list []services.PeerStatus
+	for _, m := range n.Members() {
+		if m != n.self {
+			list = append(list, services.PeerStatus{Identity: m, HeardAt: time.Now()})
+		}
+	}
+	return list
+}
+
+func (n *node) SetLoads(loads []services.TeamLoad) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.loads[n.self.Name] = loads
+}
+
+func (n *node) Loads() []services.TeamLoad {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var all []services.TeamLoad
+	for host, loads := range n.loads {
+		if host != n.self.Name {
+			all = append(all, loads...)
+		}
+	}
+	return all
+}
+
+// host is one running service.
+type host struct {
+	*rights.Service
+	node   *node
+	kernel *kernel.Kernel
+	freed  services.FreedRing
+}
+
+// start runs the service on one host of c until the test ends.
+func (c *cluster) start(t *testing.T, name string, incarnation uint64) *host {
+	t.Helper()
+	id := services.Identity{Name: name, Incarnation: incarnation}
+	c.mu.Lock()
+	c.members = append(slices.DeleteFunc(c.members, func(m services.Identity) bool { return m.Name == name }), id)
+	c.mu.Unlock()
+	c.platform.beat(name)
+	n := &node{cluster: c, self: id}
+	h := &host{Service: rights.New(rights.Settings{HoldTerm: holdTerm, LongestRequest: longestRequest}), node: n}
+	h.kernel = kernel.New(zerolog.Nop(), nil)
+	h.kernel.Register(services.NamePlatform, c.platform)
+	h.kernel.Register(services.NameState, n)
+	h.kernel.Register(services.NamePeers, n)
+	h.kernel.Register(services.NameMembership, n)
+	h.kernel.Register(services.NameRights, h.Service)
+	assert.NilError(t, h.kernel.Provision())
+	h.freed = h.Freed("freed")
+	assert.NilError(t, h.kernel.Start(t.Context()))
+	t.Cleanup(func() { h.stop(t) })
+	return h
+}
+
+func (h *host) stop(t *testing.T) { assert.NilError(t, h.kernel.Stop(context.Background())) }
+
+// acquire takes rights one by one until it is refused, at most n.
+func (h *host) acquire(t *testing.T, n int) int {
+	for got := range n {
+		if err := h.Acquire(t.Context(), "t", 1); err != nil {
+			return got
+		}
+	}
+	return n
+}
+
+// row returns the row of the team.
+func (c *cluster) row(t *testing.T) decision.Row {
+	t.Helper()
+	rows, err := c.platform.Get(t.Context(), "rights/t")
+	assert.NilError(t, err)
+	var r decision.Row
+	if rows[0].Version > 0 {
+		assert.NilError(t, json.Unmarshal(rows[0].Value, &r))
+	}
+	return r
+}
+
+func holder(name string, incarnation uint64) decision.Holder {
+	return decision.Holder{Host: name, Incarnation: incarnation}
+}
--- /dev/null
+++ b/services/rights/rights.go
@@ -0,0 +1,184 @@
+// Package rights implements the service services.NameRights: it grants the
+// rights to run that bound each team to its limit.
+//
+// The duty rights.ledger owns the rights held and used by this host and answers
+// at once. The duty rights.balance reads and writes the rows of the teams and
+// never holds up the ledger.
+package rights
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"fuchsiafront.example/fuchsiafront/decision/rights"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+const (
+	ledgerCapacity = 1024
+	// freedCapacity is above the number of teams, and a team is announced
+	// once for each refusal, so that no announcement is dropped.
+	freedCapacity   = 1024
+	balanceCapacity = 16
+
+	stepAcquire = "acquire right"
+	stepBalance = "balance rights"
+	peer        = "platform"
+)
+
+// Settings of the service. All are durations on this host's clock.
+type Settings struct {
+	// HoldTerm is how long a holder uses its rights after its last confirmed
+	// renewal.
+	HoldTerm time.Duration
+	// LongestRequest bounds how long a request runs after its start.
+	LongestRequest time.Duration
+}
+
+// Service implements services.Rights.
+type Service struct {
+	settings   Settings
+	log        zerolog.Logger
+	scope      tally.Scope
+	platform   services.Platform
+	state      services.State
+	peers      services.Peers
+	membership services.Membership
+	ledger     *ring.Ring[message]
+	balance    *ring.Ring[event]
+	freed      []*ring.Ring[string]
+	life       context.Context
+	end        context.CancelFunc
+}
+
+// New returns the service, to be registered with the kernel.
+func New(settings Settings) *Service { return &Service{settings: settings} }
+
+// Provision looks up the services that the duties use and registers them.
+func (s *Service) Provision(c *kernel.Context) error {
+	var err error
+	if s.platform, err = kernel.Lookup[services.Platform](c, services.NamePlatform); err != nil {
+		return err
+	}
+	if s.state, err = kernel.Lookup[services.State](c, services.NameState); err != nil {
+		return err
+	}
+	if s.peers, err = kernel.Lookup[services.Peers](c, services.NamePeers); err != nil {
+		return err
+	}
+	if s.membership, err = kernel.Lookup[services.Membership](c, services.NameMembership); err != nil {
+		return err
+	}
+	s.log, s.scope = c.Log, c.Scope
+	s.ledger = ring.New[message]("rights.ledger", ledgerCapacity, c.Scope)
+	s.balance = ring.New[event]("rights.balance", balanceCapacity, c.Scope)
+	s.life, s.end = context.WithCancel(context.Background())
+	c.Duty("rights.ledger", newKeeper(s).run)
+	c.Duty("rights.balance", newBalancer(s).run)
+	return nil
+}
+
+// Drain gives back the rights that are not in use. It returns after one
+// attempt for each team, or when ctx ends.
+func (s *Service) Drain(ctx context.Context) error {
+	e := event{leave: ring.Reply[struct{}]()}
+	if err := s.balance.Put(ctx, e); err != nil {
+		return err
+	}
+	_, err := e.leave.Take(ctx)
+	return err
+}
+
+// Stop releases callers that wait.
+func (s *Service) Stop(context.Context) error {
+	s.end()
+	return nil
+}
+
+// Acquire implements services.Rights.
+func (s *Service) Acquire(ctx context.Context, team string, n int) error {
+	m := acquire{team: team, n: n, reply: ring.Reply[error]()}
+	if !s.ledger.Offer(m) {
+		return s.refuse(fault.New(&fault.NotRun, fault.ReasonRingFull, stepAcquire, "", "rights busy"))
+	}
+	select {
+	case err := <-m.reply.C():
+		return s.refuse(err)
+	case <-s.life.Done():
+		return s.refuse(fault.New(&fault.NotRun, fault.ReasonDraining, stepAcquire, "", "stopped"))
+	case <-ctx.Done():
+		s.returnUnused(m)
+		return s.refuse(fault.New(&fault.NotRun, fault.ReasonDeadline, stepAcquire, "", "%v", ctx.Err()))
+	}
+}
+
+// returnUnused gives back what an abandoned request still gets. The ledger
+// answers every message, and messages are answered in order, so that the
+// release comes after the grant.
+func (s *Service) returnUnused(m acquire) {
+	s.post(giveUp(m))
+}
+
+func (s *Service) refuse(err error) error {
+	if err != nil {
+		s.count("refused_total", stepAcquire, fault.ReasonOf(err))
+	}
+	return err
+}
+
+// Release implements services.Rights. It waits while the ring is full.
+func (s *Service) Release(team string, n int) { s.post(release{team: team, n: n}) }
+
+// Waiting implements services.Rights. It waits while the ring is full.
+func (s *Service) Waiting(team string, n int) { s.post(waiting{team: team, n: n}) }
+
+// post waits for room; the ledger never waits for anyone, so room comes.
+func (s *Service) post(m message) {
+	// An error means that the service has stopped and its state is gone.
+	_ = s.ledger.Put(s.life, m)
+}
+
+// Freed implements services.Rights.
+func (s *Service) Freed(name string) services.FreedRing {
+	r := ring.New[string](name, freedCapacity, s.scope)
+	s.freed = append(s.freed, r)
+	return r
+}
+
+// Use implements services.Rights.
+func (s *Service) Use() []services.RightsUse {
+	positions := s.positions(s.life)
+	list := make([]services.RightsUse, 0, len(positions))
+	for _, p := range positions {
+		list = append(list, services.RightsUse{
+			Team: p.Team, Limit: p.Limit, Held: p.Held + p.Jobs, Used: p.Used + p.Jobs,
+			Waiting: p.Waiting, FleetHeld: p.FleetHeld,
+		})
+	}
+	return list
+}
+
+// positions asks the ledger; it returns nil when ctx ends first.
+func (s *Service) positions(ctx context.Context) []rights.Position {
+	m := query{reply: ring.Reply[[]rights.Position]()}
+	if s.ledger.Put(ctx, m) != nil {
+		return nil
+	}
+	list, _ := m.reply.Take(ctx)
+	return list
+}
+
+func (s *Service) count(name, step string, reason fault.Reason) {
+	s.scope.Tagged(map[string]string{"step": step, "reason": string(reason)}).Counter(name).Inc(1)
+}
+
+func (s *Service) self() rights.Holder {
+	id := s.membership.Self()
+	return rights.Holder{Host: id.Name, Incarnation: id.Incarnation}
+}
--- /dev/null
+++ b/services/rights/rights_test.go
@@ -0,0 +1,231 @@
+package rights_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/fault"
+)
+
+const (
+	holdTerm       = time.Minute
+	longestRequest = 10 * time.Second
+)
+
+// settle lets the hosts take their floors.
+func settle() { time.Sleep(3 * time.Second) }
+
+// Guards against a burst that waits for the next period although rights are
+// free, and against refused work that is not told when they came.
+func TestBurstGetsFreeRights(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(40)
+		a, b := c.start(t, "a", 1), c.start(t, "b", 2)
+		settle()
+		assert.Equal(t, a.acquire(t, 40), 10)
+		a.Waiting("t", 20)
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, <-a.freed.C(), "t")
+		assert.Equal(t, a.acquire(t, 20), 20)
+		assert.Equal(t, b.acquire(t, 40), 10)
+		assert.Equal(t, c.row(t).Sum(), 40)
+	})
+}
+
+// Guards against idle rights that stay where a burst has ended while a peer
+// has unmet demand.
+func TestRightsFollowDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(40)
+		a, b := c.start(t, "a", 1), c.start(t, "b", 2)
+		settle()
+		a.acquire(t, 10)
+		a.Waiting("t", 20)
+		time.Sleep(100 * time.Millisecond)
+		got := 10 + a.acquire(t, 20)
+		a.Waiting("t", 0)
+		a.Release("t", got)
+		b.Waiting("t", 30)
+		time.Sleep(1500 * time.Millisecond)
+		assert.Assert(t, b.acquire(t, 40) >= 30)
+	})
+}
+
+// Guards against a host that never gets a right because others keep theirs in
+// use without a pause.
+func TestNewHostGetsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(40)
+		a := c.start(t, "a", 1)
+		settle()
+		a.acquire(t, 20)
+		a.Waiting("t", 100)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, a.acquire(t, 40), 20)
+		b := c.start(t, "b", 2)
+		b.Waiting("t", 100)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			a.Release("t", 1)
+			a.acquire(t, 1)
+		}
+		assert.Equal(t, b.acquire(t, 40), 20)
+	})
+}
+
+// Guards against the use of rights whose taking is not confirmed, and against
+// rights that are given away and used at once, when replies are lost.
+func TestWriteReplyLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, m := range []mode{lostReply, late} {
+			c := newCluster(40)
+			a, b := c.start(t, "a", 1), c.start(t, "b", 2)
+			settle()
+			a.Waiting("t", 30)
+			time.Sleep(100 * time.Millisecond)
+			a.Waiting("t", 0)
+			c.platform.set(m)
+			b.Waiting("t", 30)
+			// The peer moves rights, or gives them back, with unknown outcome.
+			time.Sleep(4 * time.Second)
+			used := a.acquire(t, 40) + b.acquire(t, 40)
+			assert.Assert(t, used <= 40, "%d in use", used)
+			c.platform.deliver()
+			c.platform.set(works)
+			time.Sleep(2 * time.Second)
+			used += a.acquire(t, 40) + b.acquire(t, 40)
+			assert.Equal(t, used, 40)
+		}
+	})
+}
+
+// Guards against an outage that stops work within held rights, and against a
+// host that starts work without rights in an outage.
+func TestPlatformDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(40)
+		a := c.start(t, "a", 1)
+		settle()
+		c.platform.set(down)
+		time.Sleep(10 * time.Minute)
+		assert.Equal(t, a.acquire(t, 40), 20)
+		b := c.start(t, "b", 2)
+		time.Sleep(time.Minute)
+		err := b.Acquire(t.Context(), "t", 1)
+		assert.Equal(t, fault.ReasonOf(err), fault.ReasonLimit)
+		assert.Assert(t, fault.IsNotRun(err))
+	})
+}
+
+// Guards against a slow platform that holds up the answer to a request.
+func TestSlowPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(40)
+		a := c.start(t, "a", 1)
+		settle()
+		c.platform.slow(1900 * time.Millisecond)
+		a.Waiting("t", 40)
+		time.Sleep(time.Second)
+		began := time.Now()
+		assert.Equal(t, a.acquire(t, 40), 20)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
+
+// Guards against a holder that was frozen or cut off over its hold term and
+// then uses rights that were reclaimed meanwhile.
+func TestFrozenHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(40)
+		a, b := c.start(t, "a", 1), c.start(t, "b", 2)
+		settle()
+		a.node.barred.Store(true)
+		for range 12 {
+			c.platform.beat("b")
+			time.Sleep(10 * time.Second)
+		}
+		assert.Equal(t, c.row(t).Of(holder("a", 1)).Requests, 0)
+		b.Waiting("t", 40)
+		time.Sleep(time.Second)
+		assert.Equal(t, b.acquire(t, 40), 40)
+		c.platform.set(down)
+		a.node.barred.Store(false)
+		err := a.Acquire(t.Context(), "t", 1)
+		assert.Equal(t, fault.ReasonOf(err), fault.ReasonPaused)
+		c.platform.set(works)
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, a.acquire(t, 40), 0)
+	})
+}
+
+// Guards against rights of an ended process that come back too early, or
+// never, when its host is started again.
+func TestRestartUnderSameName(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(40)
+		a, b := c.start(t, "a", 1), c.start(t, "b", 2)
+		settle()
+		a.acquire(t, 10)
+		a.stop(t)
+		a = c.start(t, "a", 3)
+		b.Waiting("t", 40)
+		time.Sleep(longestRequest - time.Second)
+		assert.Assert(t, a.acquire(t, 40)+b.acquire(t, 40) <= 30)
+		time.Sleep(2*longestRequest + 5*time.Second)
+		assert.Equal(t, c.row(t).Stranded == nil, true)
+	})
+}
+
+// Guards against rights of a host that an operator stated as ended, or that
+// deleted its member row, which stay counted for the whole hold term.
+func TestEndedHostIsReclaimed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(40)
+		a, b := c.start(t, "a", 1), c.start(t, "b", 2)
+		settle()
+		a.stop(t)
+		c.platform.end("a")
+		b.Waiting("t", 40)
+		time.Sleep(longestRequest - time.Second)
+		assert.Equal(t, b.acquire(t, 40), 30)
+		time.Sleep(longestRequest + 2*longestRequest)
+		assert.Equal(t, b.acquire(t, 40), 10)
+	})
+}
+
+// Guards against idle rights that stay held over a lowered limit, and against
+// rights in use that are reused instead of given back.
+func TestLimitLowered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(40)
+		a, b := c.start(t, "a", 1), c.start(t, "b", 2)
+		settle()
+		a.acquire(t, 10)
+		b.acquire(t, 10)
+		c.setLimit(15)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, a.acquire(t, 5), 0)
+		assert.Equal(t, c.row(t).Sum(), 20)
+		a.Release("t", 8)
+		got := a.acquire(t, 40) + b.acquire(t, 40)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, c.row(t).Sum() <= 15)
+		got += a.acquire(t, 40) + b.acquire(t, 40)
+		assert.Equal(t, got, 3)
+	})
+}
+
+// Guards against rights that stay with a host after its graceful stop.
+func TestDrainGivesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(40)
+		a := c.start(t, "a", 1)
+		settle()
+		assert.Equal(t, c.row(t).Sum(), 20)
+		assert.NilError(t, a.kernel.Drain(t.Context()))
+		assert.Equal(t, c.row(t).Sum(), 0)
+	})
+}
--- /dev/null
+++ b/services/rights/survey.go
@@ -0,0 +1,176 @@
+package rights
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/decision/rights"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+const (
+	rowPrefix    = "rights/"
+	memberPrefix = "member/"
+	// heardBound is the age of a peer's report beyond which its demand is
+	// not taken into account.
+	heardBound = 5 * time.Second
+)
+
+func decodeRow(row services.Row) (rights.Row, error) {
+	var r rights.Row
+	if row.Version == 0 {
+		return r, nil
+	}
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return r, fault.New(&fault.Invalid, fault.ReasonInternal, stepBalance, peer, "row %s: %v", row.Key, err)
+	}
+	return r, nil
+}
+
+func encodeRow(r rights.Row) ([]byte, error) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return nil, fault.New(&fault.Invalid, fault.ReasonInternal, stepBalance, "", "%v", err)
+	}
+	return data, nil
+}
+
+// teams returns the teams of the document by name.
+func teams(d *document.Document) map[string]document.Team {
+	all := make(map[string]document.Team)
+	if d == nil {
+		return all
+	}
+	for _, section := range d.Sections {
+		for _, team := range section.Teams {
+			all[team.Name] = team
+		}
+	}
+	return all
+}
+
+// fleetView is what this host knows of the others at one time.
+type fleetView struct {
+	revision uint64
+	teams    map[string]document.Team
+	hosts    int
+	needs    map[string][]rights.Peer
+	leaving  bool
+}
+
+func (s *Service) fleetView(now time.Time, leaving bool) (fleetView, bool) {
+	view := s.state.View()
+	if view == nil {
+		return fleetView{}, false
+	}
+	return fleetView{
+		revision: view.Revision,
+		teams:    teams(view.Document),
+		hosts:    max(1, len(s.membership.Members())),
+		needs:    s.peerNeeds(now),
+		leaving:  leaving,
+	}, true
+}
+
+// peerNeeds returns the work that each peer reported lately, by team.
+func (s *Service) peerNeeds(now time.Time) map[string][]rights.Peer {
+	heard := make(map[string]rights.Holder)
+	for _, p := range s.peers.Status() {
+		if !p.Leaving && now.Sub(p.HeardAt) < heardBound {
+			heard[p.Identity.Name] = rights.Holder{Host: p.Identity.Name, Incarnation: p.Identity.Incarnation}
+		}
+	}
+	needs := make(map[string][]rights.Peer)
+	for _, load := range s.peers.Loads() {
+		if h, ok := heard[load.Host]; ok {
+			needs[load.Team] = append(needs[load.Team], rights.Peer{Holder: h, Need: load.Running + load.Waiting})
+		}
+	}
+	return needs
+}
+
+// survey combines a row that was read with what this host knows. A team that
+// is not in the document has the limit zero.
+func (v fleetView) survey(team string, version uint64, row rights.Row, readStart time.Time) rights.Survey {
+	return rights.Survey{
+		Team: team, Version: version, Row: row, ReadStart: readStart,
+		Limit: rights.Limit{Rights: v.teams[team].Limit, Revision: v.revision},
+		Hosts: v.hosts, Peers: v.needs[team], Leaving: v.leaving,
+	}
+}
+
+// inspect looks for holders that ended or disappeared, and returns the versions
+// of the member rows on which the surveys then rely.
+func (b *balancer) inspect(ctx context.Context, surveys []rights.Survey) map[string]uint64 {
+	members, start, end, err := b.readMembers(ctx, surveys)
+	if err != nil {
+		b.s.count("retried_total", stepBalance, fault.ReasonOf(err))
+		return nil
+	}
+	for i := range surveys {
+		b.judge(&surveys[i], members, start, end)
+	}
+	return members
+}
+
+func (b *balancer) judge(s *rights.Survey, members map[string]uint64, start, end time.Time) {
+	self := b.s.self()
+	for _, h := range s.Row.Holdings {
+		if h.Host == self.Host {
+			continue
+		}
+		switch b.watch.Live(h.Holder, rights.Member{Version: members[h.Host]}, start, end) {
+		case rights.Abandon:
+			s.Abandoned = append(s.Abandoned, h.Holder)
+		case rights.Free:
+			s.Reclaimed = append(s.Reclaimed, h.Holder)
+		}
+	}
+	for _, h := range s.Row.Stranded {
+		if b.watch.Stranded(s.Team, h, start, end) == rights.Free {
+			s.Reclaimed = append(s.Reclaimed, h.Holder)
+		}
+	}
+}
+
+// readMembers reads the versions of the member rows of all holders.
+func (b *balancer) readMembers(ctx context.Context, surveys []rights.Survey) (map[string]uint64, time.Time, time.Time, error) {
+	members := make(map[string]uint64)
+	for _, s := range surveys {
+		for _, h := range slices.Concat(s.Row.Holdings, s.Row.Stranded) {
+			members[h.Host] = 0
+		}
+	}
+	start := time.Now()
+	if len(members) == 0 {
+		return members, start, start, nil
+	}
+	var keys []string
+	for host := range members {
+		keys = append(keys, memberPrefix+host)
+	}
+	rows, err := b.get(ctx, keys)
+	if err != nil {
+		return nil, start, start, err
+	}
+	for _, row := range rows {
+		members[row.Key[len(memberPrefix):]] = row.Version
+	}
+	return members, start, time.Now(), nil
+}
+
+// retain forgets holders that are in none of the surveyed rows. It is called
+// with the rows of all teams.
+func (b *balancer) retain(surveys []rights.Survey) {
+	present := make(map[rights.Holder]bool)
+	for _, s := range surveys {
+		for _, h := range slices.Concat(s.Row.Holdings, s.Row.Stranded) {
+			present[h.Holder] = true
+		}
+	}
+	b.watch.Retain(func(h rights.Holder) bool { return present[h] })
+}
