Look up host operations and peers' messages to membership apart

Change: services.Platform leaves out HostOperations, and services.Membership leaves out what only peers call.

--- a/services/membership/membership.go
+++ b/services/membership/membership.go
@@ -99,9 +99,3 @@
 	}
 	return nil
 }
-
-// ReceiveConfirmation implements services.Membership.
-func (s *Service) ReceiveConfirmation(services.Identity) {}
-
-// ReceiveMembers implements services.Membership.
-func (s *Service) ReceiveMembers([]services.Identity) {}
--- a/services/platform.go
+++ b/services/platform.go
@@ -83,12 +83,12 @@
 	ReturnHost(ctx context.Context, host string) error
 }
 
-// Platform is what the service NamePlatform offers.
+// Platform is what the service NamePlatform offers besides HostOperations,
+// which is looked up by itself.
 type Platform interface {
 	Table
 	Objects
 	HostLister
-	HostOperations
 }
 
 // HostReadTurn is implemented by the service NameHosts. The reader of a zone
--- a/services/work.go
+++ b/services/work.go
@@ -30,10 +30,6 @@
 	MayAcceptChanges() error
 	// Members returns the identities listed at the platform when last read.
 	Members() []Identity
-	// ReceiveConfirmation records that a member knows this host.
-	ReceiveConfirmation(member Identity)
-	// ReceiveMembers records members that a peer named.
-	ReceiveMembers(members []Identity)
 }
 
 // Request is one caller's request on its way to a backend server. Body is not
