Retire a failed host that is gone from the host list

Cause: a host that is replaced under another name stays missing for ever and would use up its pool's budget for ever.

Change: Return retires a failed host that a fresh host list does not name. It loses its entry and its pool in one change.

Ruled out: retiring by age, because the hosts of a zone that is cut off are missing too, and because an assignment that a move made would be lost.

--- a/decision/budget/budget_test.go
+++ b/decision/budget/budget_test.go
@@ -149,6 +149,23 @@
 	_, out := d.Out("w1")
 	assert.Assert(t, !out)
 	assert.Equal(t, d.Unavailable("a"), 1)
+	_, refusal := d.Return("w5")
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, d.Unavailable("a"), 0, "a retired host uses up no budget")
+	assert.DeepEqual(t, d.Outcome().Assigned, Assignments{"w5": NoPool})
+}
+
+// TestWaveRecords guards against two waves over one pool, and against a
+// stopped wave that takes more hosts.
+func TestWaveRecords(t *testing.T) {
+	d := NewDraft(basis())
+	assert.Equal(t, d.StartWave(Wave{ID: "x", Pool: "none"}).Reason, fault.ReasonUnknownPool)
+	assert.Assert(t, d.StartWave(Wave{ID: "x", Pool: "a", Pending: []string{"w0"}}) == nil)
+	assert.Equal(t, d.StartWave(Wave{ID: "y", Pool: "a"}).Reason, fault.ReasonPoolHasWave)
+	assert.Equal(t, d.StopWave("y", "").Reason, fault.ReasonUnknownWave)
+	assert.Assert(t, d.StopWave("x", "by an operator") == nil)
+	w, _ := d.Wave("x")
+	assert.Assert(t, w.Ended() && len(w.Pending) == 0 && w.Stopped == "by an operator")
 }
 
 // TestNextStep guards against a step taken before the platform confirmed it,
--- a/decision/budget/draft.go
+++ b/decision/budget/draft.go
@@ -48,11 +48,15 @@
 	hosts    map[string]bool
 }
 
+// NoPool in Outcome.Assigned means that a host is retired.
+const NoPool = ""
+
 // Outcome is what a draft changes.
 type Outcome struct {
 	// Ledger is the new content, nil when it is unchanged.
 	Ledger *Ledger
-	// Assigned are the hosts that get a pool or another one.
+	// Assigned are the hosts that get a pool or another one, or that lose
+	// theirs (NoPool).
 	Assigned Assignments
 	// Sections are the document sections that the decisions rest on.
 	Sections []string
@@ -154,7 +158,7 @@
 // Pool returns the pool of host in the draft; ok is false when it has none.
 func (d *Draft) Pool(host string) (pool string, ok bool) {
 	if pool, ok = d.assigned[host]; ok {
-		return pool, true
+		return pool, pool != NoPool
 	}
 	pool, ok = d.basis.Assignments[host]
 	return pool, ok
@@ -166,6 +170,12 @@
 	return o, ok
 }
 
+// OutHosts returns the hosts in the ledger in alphabetical order.
+func (d *Draft) OutHosts() []string { return slices.Sorted(maps.Keys(d.ledger.Out)) }
+
+// WaveIDs returns the identifiers of the waves in alphabetical order.
+func (d *Draft) WaveIDs() []string { return slices.Sorted(maps.Keys(d.ledger.Waves)) }
+
 // WaveOut returns the number of hosts of a wave that are out and have not
 // failed.
 func (d *Draft) WaveOut(id string) int {
--- a/decision/budget/steps.go
+++ b/decision/budget/steps.go
@@ -117,12 +117,23 @@
 }
 
 // Return sends a host back into service from any step, on an operator's
-// request. A move that has not ended is abandoned.
+// request. A move that has not ended is abandoned. A failed host that is
+// missing from the host list is retired instead: it loses its entry and its
+// pool, and no longer counts against the budget. This is never done without a
+// request, because hosts of a zone that is cut off are missing too.
 func (d *Draft) Return(host string) (Out, *Refusal) {
 	o, ok := d.ledger.Out[host]
 	if !ok {
 		return Out{}, refuse(fault.ReasonHostInService, host, "not out of service")
 	}
+	if _, listed := d.listed[host]; !listed && o.Cause == CauseFailed {
+		if d.stale() {
+			return Out{}, refuse(fault.ReasonStaleHostList, host, "the host list is older than %v", MaxHostListAge)
+		}
+		d.assigned[host] = NoPool
+		d.remove(o)
+		return o, nil
+	}
 	if o.Step == StepReturning {
 		return o, nil
 	}
@@ -207,7 +218,7 @@
 	d.failInWaves(host)
 }
 
-// remove deletes the entry of a host that the list shows as live.
+// remove deletes the entry of a host that is live or retired.
 func (d *Draft) remove(o Out) {
 	delete(d.ledger.Out, o.Host)
 	d.changed = true
--- a/services/work.go
+++ b/services/work.go
@@ -214,6 +214,8 @@
 // bound that it would break.
 type Maintenance interface {
 	Drain(ctx context.Context, changeID, host string, cause budget.Cause) (budget.Out, error)
+	// Return brings a host back into service. A failed host that is missing
+	// from the host list is retired: it loses its pool.
 	Return(ctx context.Context, changeID, host string) error
 	Move(ctx context.Context, changeID, host, toPool string) (budget.Out, error)
 	StartWave(ctx context.Context, w budget.Wave) (budget.Wave, error)
