Run host operations and waves from the ledger

Cause: grants, steps and waves were decided but not committed or carried out.

Change: services/maintenance serves Drain, Return, Move, StartWave and StopWave in the duty maintenance.plan, and once a second takes this entry host's part of the work, chosen by rendezvous hash: failures, first assignments, steps, waves. All of it goes into one conditional change, decided again from a fresh view after a conflict. Four duties maintenance.call make the platform's calls, so that a hanging call holds up no other host. A call is made only for an entry that the replica shows, and repeated until the host list shows its effect.

Ruled out: one owner for a wave or a step with a lease; the conditions on the ledger make two owners harmless.

Checks seen failing, each by one mutation: part revisions not compared or Requires not filled (the paused planner's grant is committed), budget not checked, a wave tied to its first entry host (6 of 10 hosts done), repeated requests applied again, a late drain not undone, a move that drops the other hosts of its bucket. The test of the wave runs with every third reply of the platform lost.

--- /dev/null
+++ b/services/maintenance/maintenance_test.go
@@ -0,0 +1,358 @@
+package maintenance
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/decision/budget"
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/decision/revision"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+// cluster is the platform and the shared state that all entry hosts use.
+type cluster struct {
+	mu      sync.Mutex
+	t       testing.TB
+	hosts   map[string]*fleet.Host
+	reboots map[string]int
+	// lost makes every third call fail after it took effect.
+	lost  bool
+	calls int
+	most  int
+	head  revision.Head
+	parts map[string]revision.Part
+	nodes []*node
+}
+
+// node is one entry host with a fake for each service that it looks up.
+type node struct {
+	*cluster
+	services.Peers
+	services.Dispatcher
+	name    string
+	kernel  *kernel.Kernel
+	service *Service
+	// gate, when set, pauses the node in the middle of a change.
+	gate chan struct{}
+	gone bool
+}
+
+func newCluster(t testing.TB, hosts, maxUnavailable int) *cluster {
+	c := &cluster{t: t, hosts: map[string]*fleet.Host{}, reboots: map[string]int{}, parts: map[string]revision.Part{}, head: revision.Head{Parts: map[string]uint64{}}}
+	for i := range hosts {
+		h := fleet.Host{Name: fmt.Sprint("w", i), Kind: fleet.KindWorker, Phase: fleet.PhaseLive,
+			Zone: fleet.AvailabilityZone(fmt.Sprint("z", i%3)), Rack: fmt.Sprint("r", i/4)}
+		c.hosts[h.Name] = &h
+	}
+	c.setBound(maxUnavailable)
+	return c
+}
+
+func (c *cluster) setBound(maxUnavailable int) {
+	data, err := json.Marshal(document.Section{Name: "pools", Pools: []document.Pool{
+		{Name: "a", Kind: fleet.KindWorker, Adopt: []string{"w*"}, MaxUnavailable: maxUnavailable},
+		{Name: "office", Kind: fleet.KindWorker, Spare: true, MaxUnavailable: maxUnavailable}}})
+	assert.NilError(c.t, err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	part := services.PartSectionPrefix + "pools"
+	p := revision.Propose(c.head, c.parts, revision.Change{ID: fmt.Sprint("bound", c.head.Revision),
+		Updates: []revision.Update{{Part: part, IfRevision: c.head.Parts[part], Data: data}}})
+	c.apply(p)
+}
+
+func (c *cluster) apply(p revision.Proposal) {
+	c.head = p.Head
+	for _, part := range p.Parts {
+		c.parts[part.Name] = part
+	}
+}
+
+func (c *cluster) addNode(name string) *node {
+	n := &node{cluster: c, name: name}
+	n.service = New(time.Now, DefaultSettings())
+	n.kernel = kernel.New(zerolog.Nop(), nil)
+	for _, fake := range []string{services.NameState, services.NameHosts, services.NamePlatform, services.NameMembership, services.NamePeers, services.NameDispatch} {
+		n.kernel.Register(fake, n)
+	}
+	n.kernel.Register(services.NameMaintenance, n.service)
+	c.nodes = append(c.nodes, n)
+	assert.NilError(c.t, n.kernel.Start(c.t.Context()))
+	return n
+}
+
+func (n *node) stop() {
+	n.mu.Lock()
+	n.gone = true
+	n.mu.Unlock()
+	assert.NilError(n.t, n.kernel.Stop(context.Background()))
+}
+
+func (n *node) Provision(*kernel.Context) error { return nil }
+
+// The shared state.
+
+func (n *node) View() *services.View {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	v := &services.View{Revision: n.head.Revision, State: &revision.State{Revision: n.head.Revision, Parts: maps.Clone(n.parts)},
+		Document: &document.Document{Sections: map[string]document.Section{}}, Assignments: budget.Assignments{}, Ledger: &budget.Ledger{}}
+	for name, p := range n.parts {
+		switch name {
+		case services.PartLedger:
+			assert.NilError(n.t, json.Unmarshal(p.Data, v.Ledger))
+		case services.PartSectionPrefix + "pools":
+			var s document.Section
+			assert.NilError(n.t, json.Unmarshal(p.Data, &s))
+			v.Document.Sections["pools"] = s
+		default:
+			assert.NilError(n.t, json.Unmarshal(p.Data, &v.Assignments))
+		}
+	}
+	return v
+}
+
+func (n *node) Change(ctx context.Context, c revision.Change) (services.ChangeResult, error) {
+	if n.gate != nil {
+		<-n.gate
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := revision.Propose(n.head, n.parts, c)
+	if p.Verdict == revision.Conflict {
+		return services.ChangeResult{}, fault.New(&fault.NotRun, fault.ReasonConflict, "commit", "platform", "part %s", p.ConflictPart)
+	}
+	if p.Verdict == revision.Accept {
+		n.apply(p)
+	}
+	return services.ChangeResult{Revision: p.Revision, Repeated: p.Verdict == revision.Repeated}, nil
+}
+
+// The host list and the platform's operations.
+
+func (n *node) Hosts() *fleet.HostList {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	list := &fleet.HostList{AsOf: time.Now()}
+	for _, name := range slices.Sorted(maps.Keys(n.hosts)) {
+		list.Hosts = append(list.Hosts, *n.hosts[name])
+	}
+	return list
+}
+
+func (n *node) ReportLeaving(string) {}
+
+func (n *node) operate(f func()) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+	out := 0
+	for _, h := range n.hosts {
+		if h.Phase != fleet.PhaseLive {
+			out++
+		}
+	}
+	n.most = max(n.most, out)
+	n.calls++
+	if n.lost && n.calls%3 == 0 {
+		return fault.New(&fault.Unknown, fault.ReasonConnectionLost, "operate", "platform", "reply lost")
+	}
+	return nil
+}
+
+func (n *node) DrainHost(_ context.Context, host string) error {
+	return n.operate(func() { n.hosts[host].Phase = fleet.PhaseLeaving })
+}
+
+func (n *node) RebootHost(_ context.Context, host string) error {
+	return n.operate(func() {
+		assert.Check(n.t, n.hosts[host].Phase != fleet.PhaseLive, "%s is rebooted while live", host)
+		n.reboots[host]++
+	})
+}
+
+func (n *node) ReturnHost(_ context.Context, host string) error {
+	return n.operate(func() { n.hosts[host].Phase = fleet.PhaseLive })
+}
+
+// Members, peers and load.
+
+func (n *node) Self() services.Identity { return services.Identity{Name: n.name} }
+
+func (n *node) Status() []services.PeerStatus {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list []services.PeerStatus
+	for _, other := range n.nodes {
+		if other != n && !other.gone {
+			list = append(list, services.PeerStatus{Identity: services.Identity{Name: other.name}, HeardAt: time.Now()})
+		}
+	}
+	return list
+}
+
+func (n *node) Loads() []services.TeamLoad              { return nil }
+func (n *node) Queues() []services.QueueStatus          { return nil }
+func (n *node) Members() []services.Identity            { return nil }
+func (n *node) MayUseRights(time.Time) error            { return nil }
+func (n *node) MayAcceptChanges() error                 { return nil }
+func (n *node) CurrentSince() time.Time                 { return time.Now() }
+func (n *node) Watch(string) *ring.Ring[*services.View] { return nil }
+
+// TestPausedPlannerCannotSpendTheBudgetTwice guards against a grant that is
+// committed from a view that another entry host's grant, or a lower bound, has
+// made old.
+func TestPausedPlannerCannotSpendTheBudgetTwice(t *testing.T) {
+	cases := []struct {
+		name    string
+		between func(c *cluster, other *node)
+	}{
+		{"other grant", func(c *cluster, other *node) {
+			_, err := other.service.Drain(c.t.Context(), "b", "w1", budget.CauseDrain)
+			assert.NilError(c.t, err)
+		}},
+		{"lower bound", func(c *cluster, _ *node) { c.setBound(0) }},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 4, 1)
+				paused, other := c.addNode("e1"), c.addNode("e2")
+				defer paused.stop()
+				defer other.stop()
+				time.Sleep(5 * time.Second)
+				assert.Equal(t, len(other.View().Assignments), 4)
+				paused.gate = make(chan struct{})
+				answers := make(chan error, 1)
+				go func() {
+					_, err := paused.service.Drain(t.Context(), "a", "w0", budget.CauseDrain)
+					answers <- err
+				}()
+				synctest.Wait()
+				test.between(c, other)
+				close(paused.gate)
+				err := <-answers
+				assert.Equal(t, fault.ReasonOf(err), fault.ReasonBudget, "%v", err)
+				assert.Assert(t, fault.IsNotRun(err))
+				_, out := other.View().Ledger.Out["w0"]
+				assert.Assert(t, !out, "granted twice: %v", other.View().Ledger.Out)
+			})
+		})
+	}
+}
+
+// TestWaveSurvivesLossOfItsEntryHost guards against a wave that ends with its
+// entry host, a step that is not idempotent when replies are lost, and more
+// hosts out than the budget allows.
+func TestWaveSurvivesLossOfItsEntryHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 10, 3)
+		c.lost = true
+		a, b := c.addNode("e1"), c.addNode("e2")
+		defer b.stop()
+		time.Sleep(3 * time.Second)
+		_, err := a.service.StartWave(t.Context(), budget.Wave{ID: "v", Pool: "a", MaxFailed: 3})
+		assert.NilError(t, err)
+		time.Sleep(30 * time.Second)
+		started := len(b.View().Ledger.Waves["v"].Done) + len(b.View().Ledger.Out)
+		assert.Assert(t, started > 0 && started < 10, "%d hosts started", started)
+		a.stop()
+		time.Sleep(10 * time.Minute)
+		w := b.View().Ledger.Waves["v"]
+		assert.Equal(t, len(w.Done), 10, "%+v, out %v", w, b.View().Ledger.Out)
+		assert.Equal(t, len(c.reboots), 10)
+		assert.Assert(t, c.most <= 3, "%d hosts out", c.most)
+		_, err = b.service.StartWave(t.Context(), budget.Wave{ID: "v", Pool: "a", MaxFailed: 3})
+		assert.NilError(t, err)
+		assert.Assert(t, b.View().Ledger.Waves["v"].Ended(), "a repeat started the wave again")
+	})
+}
+
+// TestMoveAndLateDrain guards against a move without its new assignment, and
+// against a host left draining by a call that was made after its grant ended.
+func TestMoveAndLateDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 4, 1)
+		n := c.addNode("e1")
+		defer n.stop()
+		time.Sleep(3 * time.Second)
+		_, err := n.service.Move(t.Context(), "m", "w0", "office")
+		assert.NilError(t, err)
+		assert.Equal(t, n.View().Assignments["w0"], "a")
+		time.Sleep(time.Minute)
+		assert.Equal(t, n.View().Assignments["w0"], "office")
+		assert.Equal(t, len(n.View().Ledger.Out), 0)
+		_, err = n.service.Move(t.Context(), "m", "w0", "office")
+		assert.NilError(t, err, "a repeated request is answered, not refused")
+		n.service.calls.Offer(call{host: "w1", step: budget.StepDraining, granted: time.Now()})
+		time.Sleep(5 * time.Second)
+		phase := n.Hosts().Hosts[1].Phase
+		assert.Equal(t, phase, fleet.PhaseLive)
+	})
+}
+
+// TestBucketKeepsItsOtherHosts guards against a move that drops the
+// assignments of hosts in the same bucket.
+func TestBucketKeepsItsOtherHosts(t *testing.T) {
+	view := &services.View{State: &revision.State{}, Assignments: budget.Assignments{}}
+	neighbour := ""
+	for i := 1; neighbour == ""; i++ {
+		name := fmt.Sprint("w", i)
+		view.Assignments[name] = "a"
+		if budget.Bucket(name) == budget.Bucket("w0") {
+			neighbour = name
+		}
+	}
+	c, err := encode(view, "id", budget.Outcome{Assigned: budget.Assignments{"w0": "b"}})
+	assert.NilError(t, err)
+	var got budget.Assignments
+	assert.NilError(t, json.Unmarshal(c.Updates[0].Data, &got))
+	assert.DeepEqual(t, got, budget.Assignments{"w0": "b", neighbour: "a"})
+}
+
+// fixed is an entry host with an unchanging state and list.
+type fixed struct {
+	*node
+	view *services.View
+	list *fleet.HostList
+}
+
+func (f *fixed) View() *services.View   { return f.view }
+func (f *fixed) Hosts() *fleet.HostList { return f.list }
+
+func benchmarkRound(b *testing.B, hosts int) {
+	c := newCluster(b, hosts, hosts)
+	n := &node{cluster: c, name: "e1"}
+	f := &fixed{node: n, list: n.Hosts(), view: n.View()}
+	for _, h := range f.list.Hosts {
+		f.view.Assignments[h.Name] = "a"
+	}
+	s := New(func() time.Time { return f.list.AsOf }, DefaultSettings())
+	s.state, s.hosts, s.membership, s.peers, s.dispatch, s.scope = f, f, f, f, f, tally.NoopScope
+	p := newPlanner(s)
+	b.ReportAllocs()
+	for b.Loop() {
+		p.list = nil
+		p.round(b.Context())
+	}
+}
+
+func BenchmarkRound50(b *testing.B)   { benchmarkRound(b, 50) }
+func BenchmarkRound500(b *testing.B)  { benchmarkRound(b, 500) }
+func BenchmarkRound5000(b *testing.B) { benchmarkRound(b, 5000) }
--- /dev/null
+++ b/services/maintenance/service.go
@@ -0,0 +1,219 @@
+// Package maintenance takes hosts out of service and back, within the
+// availability budget, and runs maintenance waves.
+//
+// Every step is driven by the ledger in the shared state and is idempotent, so
+// any entry host may take it. Entry hosts spread the work by rendezvous hash;
+// two that take the same step do no harm.
+package maintenance
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"fuchsiafront.example/fuchsiafront/decision/budget"
+	"fuchsiafront.example/fuchsiafront/decision/wave"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+const (
+	stepPlan = "maintenance.plan"
+	stepCall = "maintenance.call"
+
+	planCapacity = 64
+	callCapacity = 64
+	// callDuties is the number of calls to the platform at once. A hanging
+	// call must not hold up the steps of other hosts.
+	callDuties = 4
+	// callTimeout bounds one call to the platform.
+	callTimeout = 2 * time.Second
+	// jitter is the largest part of an interval that is added at random, so
+	// that entry hosts do not commit at the same instant.
+	jitter = 0.2
+)
+
+// Settings are the parameters of the service.
+type Settings struct {
+	// Interval is the time between rounds.
+	Interval time.Duration
+	Times    budget.StepTimes
+	Pace     wave.Pace
+	// DemandHalfLife smooths the demand that holds back waves.
+	DemandHalfLife time.Duration
+}
+
+// DefaultSettings weigh roll-out time and buffer cost alike.
+func DefaultSettings() Settings {
+	return Settings{
+		Interval: time.Second,
+		Times:    budget.StepTimes{Drain: 10 * time.Second, Settle: 5 * time.Second, Deadline: 10 * time.Minute},
+		Pace: wave.Pace{
+			Weights: wave.Weights{Share: 1, Moves: 1, RollOut: 1, Buffer: 1},
+			Spare:   1, HostTime: time.Minute, Reference: 10 * time.Second, SlowFactor: 2,
+		},
+		DemandHalfLife: time.Minute,
+	}
+}
+
+// Service is the service services.NameMaintenance. Its methods may be used
+// concurrently.
+type Service struct {
+	clock      services.Clock
+	settings   Settings
+	log        zerolog.Logger
+	scope      tally.Scope
+	state      services.State
+	hosts      services.Hosts
+	platform   services.HostOperations
+	membership services.Membership
+	peers      services.Peers
+	dispatch   services.Dispatcher
+	messages   *ring.Ring[message]
+	calls      *ring.Ring[call]
+}
+
+var _ services.Maintenance = (*Service)(nil)
+
+// New returns the service. clock must have a monotonic reading.
+func New(clock services.Clock, settings Settings) *Service {
+	return &Service{clock: clock, settings: settings}
+}
+
+// Provision looks up the services it depends on and registers the duties.
+func (s *Service) Provision(c *kernel.Context) error {
+	var err error
+	if s.state, err = kernel.Lookup[services.State](c, services.NameState); err != nil {
+		return err
+	}
+	if s.hosts, err = kernel.Lookup[services.Hosts](c, services.NameHosts); err != nil {
+		return err
+	}
+	if s.platform, err = kernel.Lookup[services.HostOperations](c, services.NamePlatform); err != nil {
+		return err
+	}
+	if s.membership, err = kernel.Lookup[services.Membership](c, services.NameMembership); err != nil {
+		return err
+	}
+	if s.peers, err = kernel.Lookup[services.Peers](c, services.NamePeers); err != nil {
+		return err
+	}
+	if s.dispatch, err = kernel.Lookup[services.Dispatcher](c, services.NameDispatch); err != nil {
+		return err
+	}
+	s.log = c.Log
+	s.scope = c.Scope
+	s.messages = ring.New[message](stepPlan, planCapacity, c.Scope)
+	s.calls = ring.New[call](stepCall, callCapacity, c.Scope)
+	c.Duty(stepPlan, s.plan)
+	for range callDuties {
+		c.Duty(stepCall, s.call)
+	}
+	return nil
+}
+
+// plan is the duty that serves operators' requests and runs the rounds. It
+// alone submits changes of this service.
+func (s *Service) plan(ctx context.Context) {
+	p := newPlanner(s)
+	timer := time.NewTimer(s.interval())
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.refuseWaiting()
+			return
+		case m := <-s.messages.C():
+			p.receive(ctx, m)
+		case <-timer.C:
+			p.round(ctx)
+			timer.Reset(s.interval())
+		}
+	}
+}
+
+// refuseWaiting answers the requests that still wait when the duty ends.
+func (s *Service) refuseWaiting() {
+	for {
+		select {
+		case m := <-s.messages.C():
+			if m.request == nil {
+				continue
+			}
+			s.refused(fault.ReasonDraining)
+			m.request.reply.Offer(answer{err: fault.New(&fault.NotRun, fault.ReasonDraining, stepPlan, "", "this entry host stops")})
+		default:
+			return
+		}
+	}
+}
+
+func (s *Service) interval() time.Duration {
+	d := s.settings.Interval
+	return d + time.Duration(rand.Float64()*jitter*float64(d))
+}
+
+// Drain takes host out of service until it is returned, or for a reboot.
+func (s *Service) Drain(ctx context.Context, changeID, host string, cause budget.Cause) (budget.Out, error) {
+	if cause != budget.CauseDrain && cause != budget.CauseReboot {
+		return budget.Out{}, fault.New(&fault.Invalid, fault.ReasonMalformed, stepPlan, "", "cause %q is not a drain or a reboot", cause)
+	}
+	a := s.ask(ctx, &request{operation: operationGrant, changeID: changeID, host: host, cause: cause})
+	return a.out, a.err
+}
+
+// Return brings host back into service.
+func (s *Service) Return(ctx context.Context, changeID, host string) error {
+	return s.ask(ctx, &request{operation: operationReturn, changeID: changeID, host: host}).err
+}
+
+// Move drains host and assigns it to toPool when it returns.
+func (s *Service) Move(ctx context.Context, changeID, host, toPool string) (budget.Out, error) {
+	a := s.ask(ctx, &request{operation: operationGrant, changeID: changeID, host: host, cause: budget.CauseMove, toPool: toPool})
+	return a.out, a.err
+}
+
+// StartWave records a wave over the hosts that are in w.Pool now; the rounds
+// of any entry host run it. w.ID makes a repeat harmless.
+func (s *Service) StartWave(ctx context.Context, w budget.Wave) (budget.Wave, error) {
+	a := s.ask(ctx, &request{operation: operationStartWave, changeID: "wave/" + w.ID, wave: w})
+	return a.wave, a.err
+}
+
+// StopWave stops the wave id. Its hosts that are out go on to return.
+func (s *Service) StopWave(ctx context.Context, changeID, id, reason string) error {
+	w := budget.Wave{ID: id, Stopped: reason}
+	return s.ask(ctx, &request{operation: operationStopWave, changeID: changeID, wave: w}).err
+}
+
+// ask posts r and waits for the answer. When ctx ends first the outcome is
+// unknown and the request may be repeated under its identifier.
+func (s *Service) ask(ctx context.Context, r *request) answer {
+	if r.changeID == "" || r.changeID == "wave/" {
+		return answer{err: fault.New(&fault.Invalid, fault.ReasonMalformed, stepPlan, "", "no identifier")}
+	}
+	r.ctx = ctx
+	r.reply = ring.Reply[answer]()
+	if !s.messages.Offer(message{request: r}) {
+		s.refused(fault.ReasonRingFull)
+		return answer{err: fault.New(&fault.NotRun, fault.ReasonRingFull, stepPlan, "", "too many requests wait")}
+	}
+	a, err := r.reply.Take(ctx)
+	if err != nil {
+		return answer{err: fault.New(&fault.Unknown, fault.ReasonDeadline, stepPlan, "", "no answer in time: %w", err)}
+	}
+	return a
+}
+
+func (s *Service) refused(reason fault.Reason) { s.count("refused_total", stepPlan, reason) }
+
+func (s *Service) retried(step string, reason fault.Reason) { s.count("retried_total", step, reason) }
+
+func (s *Service) count(counter, step string, reason fault.Reason) {
+	s.scope.Tagged(map[string]string{"step": step, "reason": string(reason)}).Counter(counter).Inc(1)
+}
--- /dev/null
+++ b/services/maintenance/steps.go
@@ -0,0 +1,201 @@
+package maintenance
+
+import (
+	"context"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/budget"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+// callInterval is the time between two calls for the same step. A call is
+// repeated until the host list shows its effect, because another process may
+// have undone it.
+const callInterval = 5 * time.Second
+
+// lateDrainWatch is how long after a drain call this process checks that the
+// grant still holds. It covers the time that a paused process needs to learn
+// of changes.
+const lateDrainWatch = 10 * time.Second
+
+// call asks the duties maintenance.call for one operation of the platform.
+type call struct {
+	host  string
+	step  budget.Step
+	since time.Time
+	// granted identifies the grant that the call belongs to.
+	granted time.Time
+}
+
+// called reports the end of a call to the duty maintenance.plan.
+type called struct {
+	call call
+	err  error
+}
+
+// progress is what this process knows of one host in its present step.
+type progress struct {
+	step     budget.Step
+	since    time.Time
+	seenAt   time.Time
+	called   bool
+	inFlight bool
+	lastCall time.Time
+}
+
+// lateDrain is a drain call that ended; the grant behind it may have ended
+// before.
+type lateDrain struct {
+	granted time.Time
+	at      time.Time
+}
+
+// call is the duty that makes calls to the platform. Its reports are dropped
+// when the plan duty is behind; the call is then repeated.
+func (s *Service) call(ctx context.Context) {
+	for {
+		c, err := s.calls.Take(ctx)
+		if err != nil {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err = s.operate(callCtx, c)
+		cancel()
+		if err != nil {
+			s.retried(stepCall, fault.ReasonOf(err))
+			s.log.Warn().Err(err).Str("step", stepCall).Str("host", c.host).Str("hostStep", string(c.step)).Msg("platform call failed")
+		}
+		s.messages.Offer(message{called: &called{call: c, err: err}})
+	}
+}
+
+func (s *Service) operate(ctx context.Context, c call) error {
+	switch c.step {
+	case budget.StepDraining:
+		return s.platform.DrainHost(ctx, c.host)
+	case budget.StepMaintenance:
+		return s.platform.RebootHost(ctx, c.host)
+	default:
+		return s.platform.ReturnHost(ctx, c.host)
+	}
+}
+
+// callPlatform posts the calls that the hosts of this entry host need. It
+// rests on the view alone: a grant that is not committed causes no call.
+func (p *planner) callPlatform(view *services.View, members []string) {
+	for host := range p.progress {
+		if _, out := view.Ledger.Out[host]; !out {
+			delete(p.progress, host)
+		}
+	}
+	now := p.s.clock()
+	for host, o := range view.Ledger.Out {
+		at := p.progressOf(o, now)
+		if !p.owns(host, members) || !needsCall(o) || !at.due(o, p.phases[host], now) {
+			continue
+		}
+		if p.s.calls.Offer(call{host: host, step: o.Step, since: o.Since, granted: o.Granted}) {
+			at.inFlight = true
+			at.lastCall = now
+		}
+	}
+}
+
+// progressOf returns the progress of o's step, started anew when the step has
+// changed.
+func (p *planner) progressOf(o budget.Out, now time.Time) *progress {
+	at, ok := p.progress[o.Host]
+	if !ok || at.step != o.Step || !at.since.Equal(o.Since) {
+		at = &progress{step: o.Step, since: o.Since, seenAt: now}
+		p.progress[o.Host] = at
+	}
+	return at
+}
+
+func needsCall(o budget.Out) bool {
+	switch o.Step {
+	case budget.StepDraining, budget.StepReturning:
+		return true
+	default:
+		return o.Cause == budget.CauseReboot
+	}
+}
+
+// due reports whether the step's call has to be made now. A reboot that
+// succeeded is not repeated.
+func (a *progress) due(o budget.Out, phase fleet.HostPhase, now time.Time) bool {
+	if a.inFlight && now.Sub(a.lastCall) < callInterval+callTimeout {
+		return false
+	}
+	if !a.called {
+		return a.lastCall.IsZero() || now.Sub(a.lastCall) >= time.Second
+	}
+	if now.Sub(a.lastCall) < callInterval {
+		return false
+	}
+	switch o.Step {
+	case budget.StepDraining:
+		return phase == fleet.PhaseLive
+	case budget.StepReturning:
+		return phase != fleet.PhaseLive
+	}
+	return false
+}
+
+// recordCall notes the end of a call.
+func (p *planner) recordCall(c called) {
+	now := p.s.clock()
+	if c.call.step == budget.StepDraining {
+		p.drained[c.call.host] = lateDrain{granted: c.call.granted, at: now}
+	}
+	at, ok := p.progress[c.call.host]
+	if !ok || at.step != c.call.step || !at.since.Equal(c.call.since) {
+		return
+	}
+	at.inFlight = false
+	at.called = at.called || c.err == nil
+}
+
+// undoLateDrains returns hosts that this process drained after their grant had
+// ended, as it can happen when the process is paused before the call.
+func (p *planner) undoLateDrains(view *services.View) {
+	now := p.s.clock()
+	for host, late := range p.drained {
+		o, out := view.Ledger.Out[host]
+		switch {
+		case now.Sub(late.at) > lateDrainWatch:
+			delete(p.drained, host)
+		case out:
+			// A later step or a later grant makes its own calls.
+		case p.s.calls.Offer(call{host: host, step: budget.StepReturning, granted: o.Granted}):
+			delete(p.drained, host)
+		}
+	}
+}
+
+// step decides the next step of host from the ledger and what was seen of it.
+func (p *planner) step(d *budget.Draft, host string) {
+	o, ok := d.Out(host)
+	if !ok {
+		return
+	}
+	now := p.s.clock()
+	at := p.progressOf(o, now)
+	seen := budget.Observation{Phase: p.phases[host], InStep: now.Sub(at.seenAt), Called: at.called}
+	action, why := budget.Next(o, seen, p.s.settings.Times)
+	switch action {
+	case budget.ActionAdvance:
+		d.Advance(host)
+	case budget.ActionFinish:
+		d.Finish(host)
+	case budget.ActionFail:
+		d.Fail(host)
+		p.s.refused(fault.ReasonDeadline)
+	default:
+		return
+	}
+	p.s.log.Info().Str("step", stepPlan).Str("host", host).Str("hostStep", string(o.Step)).
+		Str("cause", string(o.Cause)).Str("action", string(action)).Str("reason", why).Msg("host goes on")
+}
