--- a/decision/budget/draft.go
+++ b/decision/budget/draft.go
@@ -45,7 +45,6 @@
 	changed  bool
 	assigned Assignments
 	sections map[string]bool
-	hosts    map[string]bool
 }
 
 // NoPool in Outcome.Assigned means that a host is retired.
@@ -60,8 +59,6 @@
 	Assigned Assignments
 	// Sections are the document sections that the decisions rest on.
 	Sections []string
-	// Hosts are the hosts whose assignments the decisions rest on.
-	Hosts []string
 }
 
 // Empty reports whether there is nothing to commit.
@@ -85,7 +82,6 @@
 		ledger:   b.Ledger.clone(),
 		assigned: make(Assignments),
 		sections: make(map[string]bool),
-		hosts:    make(map[string]bool),
 	}
 	for _, p := range d.order {
 		d.pools[p.Name] = p
@@ -241,7 +237,6 @@
 	o := Outcome{
 		Assigned: d.assigned,
 		Sections: slices.Sorted(maps.Keys(d.sections)),
-		Hosts:    slices.Sorted(maps.Keys(d.hosts)),
 	}
 	if d.changed {
 		o.Ledger = &d.ledger
--- a/decision/budget/grant.go
+++ b/decision/budget/grant.go
@@ -73,7 +73,6 @@
 		Since: d.basis.Now, Granted: d.basis.Now,
 	}
 	d.put(o)
-	d.hosts[r.Host] = true
 	d.sections[p.section] = true
 	return o, nil
 }
--- a/services/maintenance/change.go
+++ b/services/maintenance/change.go
@@ -22,7 +22,7 @@
 	maxAttempts = 5
 	// conflictBackoff is the least wait after a conflict, times the attempt.
 	conflictBackoff = 50 * time.Millisecond
-	// commitTimeout bounds one commit of the service's own changes.
+	// commitTimeout bounds one change with its attempts.
 	commitTimeout = 5 * time.Second
 )
 
@@ -79,7 +79,9 @@
 }
 
 // encode turns an outcome into a change that holds only if the parts that it
-// was decided from are as they are in view.
+// was decided from are as they are in view. The assignment of a host with a
+// pool changes only together with the ledger, so that a grant needs no
+// condition on its bucket.
 func encode(view *services.View, id string, o budget.Outcome) (revision.Change, error) {
 	c := revision.Change{ID: id}
 	written := make(map[string]bool)
@@ -103,7 +105,10 @@
 			return c, err
 		}
 	}
-	c.Requires = requires(view, o, written)
+	for _, section := range o.Sections {
+		part := services.PartSectionPrefix + section
+		c.Requires = append(c.Requires, revision.Requirement{Part: part, Revision: view.State.Parts[part].Revision})
+	}
 	return c, nil
 }
 
@@ -124,23 +129,6 @@
 	return content
 }
 
-func requires(view *services.View, o budget.Outcome, written map[string]bool) []revision.Requirement {
-	var list []revision.Requirement
-	add := func(part string) {
-		if !written[part] {
-			written[part] = true
-			list = append(list, revision.Requirement{Part: part, Revision: view.State.Parts[part].Revision})
-		}
-	}
-	for _, section := range o.Sections {
-		add(services.PartSectionPrefix + section)
-	}
-	for _, host := range o.Hosts {
-		add(services.HostsPart(host))
-	}
-	return list
-}
-
 // nextID returns an identifier for a change that this process decided itself.
 func (p *planner) nextID() string {
 	p.changes++
--- a/services/maintenance/request.go
+++ b/services/maintenance/request.go
@@ -61,7 +61,9 @@
 // after each conflict.
 func (p *planner) serve(ctx context.Context, r *request) answer {
 	var a answer
-	err := p.change(ctx, r.ctx, r.changeID, func(d *budget.Draft) error {
+	limited, cancel := context.WithTimeout(r.ctx, commitTimeout)
+	defer cancel()
+	err := p.change(ctx, limited, r.changeID, func(d *budget.Draft) error {
 		a = answer{}
 		if !d.Remember(r.changeID) {
 			a = repeated(d, r)
