Carry out the platform's operations on hosts

Cause: the maintenance service drains, reboots and returns hosts through the platform client, which did not offer these operations.

Change: DrainHost, RebootHost and ReturnHost on the platform client; answers not-found and failed-precondition count as not run.

--- a/services/platform/platform.go
+++ b/services/platform/platform.go
@@ -149,7 +149,8 @@
 		return true
 	}
 	switch connect.CodeOf(err) {
-	case connect.CodeInvalidArgument, connect.CodeResourceExhausted, connect.CodeUnimplemented:
+	case connect.CodeInvalidArgument, connect.CodeResourceExhausted, connect.CodeUnimplemented,
+		connect.CodeNotFound, connect.CodeFailedPrecondition:
 		return connect.IsWireError(err)
 	}
 	return false
@@ -235,3 +236,33 @@
 		return hostsFromWire(resp.Msg.Hosts), nil
 	})
 }
+
+// operate carries out one operation on a host.
+func operate[Resp any](ctx context.Context, s *Service, step string, do func(context.Context) (*connect.Response[Resp], error)) error {
+	_, err := submit(ctx, s, step, true, func(ctx context.Context) (struct{}, error) {
+		_, err := do(ctx)
+		return struct{}{}, err
+	})
+	return err
+}
+
+// DrainHost implements services.HostOperations.
+func (s *Service) DrainHost(ctx context.Context, host string) error {
+	return operate(ctx, s, "platform drain host", func(ctx context.Context) (*connect.Response[wirev1.DrainHostResponse], error) {
+		return s.hosts.DrainHost(ctx, connect.NewRequest(&wirev1.DrainHostRequest{Host: host}))
+	})
+}
+
+// RebootHost implements services.HostOperations.
+func (s *Service) RebootHost(ctx context.Context, host string) error {
+	return operate(ctx, s, "platform reboot host", func(ctx context.Context) (*connect.Response[wirev1.RebootHostResponse], error) {
+		return s.hosts.RebootHost(ctx, connect.NewRequest(&wirev1.RebootHostRequest{Host: host}))
+	})
+}
+
+// ReturnHost implements services.HostOperations.
+func (s *Service) ReturnHost(ctx context.Context, host string) error {
+	return operate(ctx, s, "platform return host", func(ctx context.Context) (*connect.Response[wirev1.ReturnHostResponse], error) {
+		return s.hosts.ReturnHost(ctx, connect.NewRequest(&wirev1.ReturnHostRequest{Host: host}))
+	})
+}
