Tell silent connections from long requests

Cause: a connection without progress for 1 s may be silent for ever or carry a request that runs for 30 s; closing the latter loses its answer.

Change: decision/connwatch closes a busy connection only when the backend server reports no slot in use from after the request's arrival and over a grace of 250 ms in which an answer under way would have come. Reports come with replies and with a probe on a new connection while there is a suspect. An idle connection is asked before it carries a request, so that silence is found before a byte of the request is written.

Ruled out: closing on lack of progress while others progress (loses long answers); learned run times (the first long request of a queue loses its answer); pipelining a question behind the request (answered only after it).

Limit: a suspect on a server that always has other slots in use is kept until its deadline.

The model finds a silent connection after 1.5 s.

--- /dev/null
+++ b/decision/connwatch/connwatch.go
@@ -0,0 +1,112 @@
+// Package connwatch decides which connections to a backend server are silent:
+// open, without an error, and never to answer again.
+//
+// A connection without progress while others work is only a suspect, because
+// a request that runs for 30 s makes no progress either, and closing its
+// connection would lose its answer. Three rules tell the two apart:
+//
+//   - A connection that was idle is asked first (HEAD / on the same
+//     connection) and closed when it does not answer within the stall bound.
+//     No byte of a request was written by then, so the request is not run and
+//     goes to another connection.
+//   - While a suspect exists, a new connection is opened that sends HEAD /.
+//     Replies, also that one, carry the slots in use at the backend server. A
+//     running request holds a slot. When the server reports that no slot is in
+//     use, over a grace period in which an answer under way would have
+//     arrived, no suspect is running, and all of them are closed.
+//   - Connections whose peer host no longer acknowledges are closed by TCP
+//     keep-alive and TCP_USER_TIMEOUT, which a running request passes.
+//
+// A suspect on a server whose slots other work always uses cannot be told from
+// a long request by any means of the protocol. It is kept until the deadline of
+// its request.
+package connwatch
+
+import "time"
+
+const (
+	// StallBound is the time without progress after which a busy connection
+	// is a suspect, and the time that an idle one has to answer.
+	StallBound = time.Second
+	// AskAfter is the idle time after which a connection is asked before it
+	// carries a request. Connections in steady use pay nothing.
+	AskAfter = 100 * time.Millisecond
+	// grace covers the way of a request to the server and of its answer
+	// back.
+	grace = 250 * time.Millisecond
+	// ProbePeriod is the time between probes while there is a suspect.
+	ProbePeriod = 500 * time.Millisecond
+)
+
+// Connection is the state of one connection.
+type Connection struct {
+	// Busy is set while a request is written or its answer awaited.
+	Busy bool
+	// Progress is the last time at which a byte was written or read.
+	Progress time.Time
+}
+
+// Watch holds what one backend server reported of itself. The zero value is
+// ready for use. It has one owner.
+type Watch struct {
+	idleSince  time.Time
+	lastReport time.Time
+	lastProbe  time.Time
+	suspected  time.Time
+}
+
+// Report records that a reply which arrived at now carried the number of slots
+// in use.
+func (w *Watch) Report(used int, now time.Time) {
+	w.lastReport = now
+	if used > 0 {
+		w.idleSince = time.Time{}
+	} else if w.idleSince.IsZero() {
+		w.idleSince = now
+	}
+}
+
+// Silent reports whether c will never answer.
+func (w *Watch) Silent(c Connection, now time.Time) bool {
+	if !suspect(c, now) {
+		return false
+	}
+	// The request had reached the server when the server was first idle, and
+	// its answer would have arrived before the last report. A zero idleSince
+	// is before any progress.
+	reached := !w.idleSince.Before(c.Progress.Add(grace))
+	answered := !w.lastReport.Before(w.idleSince.Add(grace))
+	return reached && answered
+}
+
+// ProbeDue reports whether a probe on a new connection is due, and if so
+// counts it as sent.
+func (w *Watch) ProbeDue(connections []Connection, now time.Time) bool {
+	found := false
+	for _, c := range connections {
+		found = found || suspect(c, now)
+	}
+	if !found {
+		return false
+	}
+	w.suspected = now
+	if now.Sub(w.lastProbe) < ProbePeriod {
+		return false
+	}
+	w.lastProbe = now
+	return true
+}
+
+// AskFirst reports whether a connection is asked before it carries a request:
+// after AskAfter without use, or when there was a suspect at the same server
+// since its last progress.
+func AskFirst(progress, suspected, now time.Time) bool {
+	return now.Sub(progress) >= AskAfter || progress.Before(suspected)
+}
+
+// Suspected returns the last time at which there was a suspect.
+func (w *Watch) Suspected() time.Time { return w.suspected }
+
+func suspect(c Connection, now time.Time) bool {
+	return c.Busy && now.Sub(c.Progress) >= StallBound
+}
--- /dev/null
+++ b/decision/connwatch/connwatch_test.go
@@ -0,0 +1,74 @@
+package connwatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// Guards against closing the connection of a long request: while it runs, it
+// holds a slot, so no report shows the server idle between its arrival and its
+// answer. Other requests and probes come and go at any times.
+func TestLongRequestIsNeverSilent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var w Watch
+		transit := rapid.IntRange(0, 200).Draw(t, "transit")
+		runs := rapid.IntRange(0, 30000).Draw(t, "runs")
+		c := Connection{Busy: true, Progress: start}
+		arrival, answer := transit, 2*transit+runs
+		for now := rapid.IntRange(0, 1000).Draw(t, "first"); now < answer; now += rapid.IntRange(1, 400).Draw(t, "step") {
+			sent := now - rapid.IntRange(0, transit).Draw(t, "reportTransit")
+			holds := sent >= arrival && sent < arrival+runs
+			others := rapid.IntRange(0, 1).Draw(t, "others")
+			used := others
+			if holds {
+				used++
+			}
+			w.Report(used, at(now))
+			assert.Assert(t, !w.Silent(c, at(now)), "closed at %d ms, answer due at %d ms", now, answer)
+		}
+	})
+}
+
+// Guards against a silent connection that is kept although its server says
+// that nothing runs.
+func TestSilentConnectionIsFoundByProbes(t *testing.T) {
+	var w Watch
+	c := []Connection{{Busy: true, Progress: start}, {Busy: false, Progress: start}}
+	found := 0
+	for now := 0; now <= 3000 && found == 0; now += 50 {
+		if w.ProbeDue(c, at(now)) {
+			w.Report(0, at(now))
+		}
+		if w.Silent(c[0], at(now)) {
+			found = now
+		}
+		assert.Assert(t, !w.Silent(c[1], at(now)), "an idle connection is no suspect")
+	}
+	assert.Equal(t, found, 1500)
+}
+
+// Guards against closing connections of a server that is slow as a whole and
+// answers nothing.
+func TestSlowServerAloneIsNotSilent(t *testing.T) {
+	var w Watch
+	c := Connection{Busy: true, Progress: start}
+	w.Report(0, at(-100))
+	w.Report(0, at(100))
+	assert.Assert(t, !w.Silent(c, at(60000)))
+}
+
+// Guards against writing a request to a connection that may have gone silent
+// while it was idle.
+func TestIdleConnectionIsAskedFirst(t *testing.T) {
+	assert.Assert(t, !AskFirst(at(0), time.Time{}, at(99)))
+	assert.Assert(t, AskFirst(at(0), time.Time{}, at(100)))
+	assert.Assert(t, AskFirst(at(0), at(1), at(10)))
+	assert.Assert(t, !AskFirst(at(2), at(1), at(10)))
+}
