Order waiting requests by class, share and use

Cause: requests waited in one list per host; a team at its limit, a burst or a long deadline held up all others.

Change: decision/fairqueue keeps a line for each pool, class and team, a bound for each queue, and the deadlines in a heap. Urgent work goes first and has a reserve (5%, at least one slot, none in a pool of one slot or without an urgent queue). Batch work waits while interactive work can start, but gets one start in 16. In a class the team with the least fleet-wide use for its share is next; ties go by virtual start time, so that shares hold also when use is near zero. A request is refused early when the measured starts per second of its line mean that it would start after its deadline.

Ruled out: one line per queue with a bound on the wait alone, because a burst of one team then sets the wait of all; refusing by run time as well, because the mean of mixed run times refuses short requests.

--- /dev/null
+++ b/decision/fairqueue/fairqueue_test.go
@@ -0,0 +1,310 @@
+package fairqueue
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+var (
+	start   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	classOf = []fleet.Class{fleet.ClassUrgent, fleet.ClassInteractive, fleet.ClassBatch}
+)
+
+// model is a plain list of the waiting entries, oldest first, against which
+// the set is compared.
+type model struct {
+	waiting []*Entry
+	blocked map[string]bool
+	running map[string]int
+}
+
+func (m *model) remove(e *Entry) {
+	for i, other := range m.waiting {
+		if other == e {
+			m.waiting = append(m.waiting[:i:i], m.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+func (m *model) count(queue string) (n int) {
+	for _, e := range m.waiting {
+		if e.Queue == queue {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) startable(class fleet.Class) bool {
+	for _, e := range m.waiting {
+		if e.Class == class && !m.blocked[e.Team] {
+			return true
+		}
+	}
+	return false
+}
+
+// check requires the order of classes, teams and arrivals for the entry that
+// the set would start.
+func (m *model) check(t *rapid.T, e *Entry, p Pool, sinceBatch int) {
+	if e == nil {
+		free := p.Free > 0
+		assert.Assert(t, !free || !m.startable(fleet.ClassUrgent), "urgent work waits with a free slot")
+		if p.Free > reserved(p) {
+			assert.Assert(t, !m.startable(fleet.ClassInteractive) && !m.startable(fleet.ClassBatch), "work waits with a free slot")
+		}
+		return
+	}
+	assert.Assert(t, !m.blocked[e.Team], "team %s is at its limit", e.Team)
+	assert.Assert(t, e.Class == fleet.ClassUrgent || p.Free > reserved(p), "takes a reserved slot")
+	assert.Assert(t, e.Class == fleet.ClassUrgent || !m.startable(fleet.ClassUrgent), "goes before urgent work")
+	if e.Class == fleet.ClassBatch && m.startable(fleet.ClassInteractive) {
+		assert.Assert(t, sinceBatch >= batchTurn-1, "batch goes before interactive out of turn")
+	}
+	for _, o := range m.waiting {
+		if o.Team == e.Team && o.Class == e.Class {
+			assert.Assert(t, o == e, "a later request of the line goes first")
+			break
+		}
+	}
+	for _, o := range m.waiting {
+		if o.Class == e.Class && !m.blocked[o.Team] {
+			assert.Assert(t, m.use(e) <= m.use(o)+1e-9, "%s goes before %s", e.Team, o.Team)
+		}
+	}
+}
+
+func (m *model) use(e *Entry) float64 { return float64(m.running[e.Team]) / e.Share }
+
+// Guards against a wrong order, overfull queues, lost or doubled entries and
+// teams at their limit that block others, over random histories.
+func TestSetAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, m, now := New(), &model{blocked: map[string]bool{}, running: map[string]int{}}, start
+		var started []*Entry
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 0, 1, 2:
+				admitDrawn(t, s, m, now)
+			case 3:
+				if len(m.waiting) > 0 {
+					e := m.waiting[rapid.IntRange(0, len(m.waiting)-1).Draw(t, "cancel")]
+					s.Remove(e, now)
+					s.Remove(e, now)
+					m.remove(e)
+				}
+			case 4:
+				team := fmt.Sprintf("t%d", rapid.IntRange(0, 2).Draw(t, "team"))
+				if m.blocked[team] = !m.blocked[team]; m.blocked[team] {
+					s.Block(team)
+				} else {
+					s.Unblock(team)
+				}
+			case 5:
+				if len(started) > 0 {
+					e := started[0]
+					started = started[1:]
+					s.Ended(e.Team)
+					m.running[e.Team]--
+					if now.Before(e.Deadline) {
+						s.PutBack(e, now)
+						m.waiting = append([]*Entry{e}, m.waiting...)
+					}
+				}
+			default:
+				slots := rapid.IntRange(1, 40).Draw(t, "slots")
+				p := Pool{Name: "p", Slots: slots, Free: rapid.IntRange(0, min(slots, 4)).Draw(t, "free"), Urgent: rapid.Bool().Draw(t, "reserve")}
+				e := s.Next(p)
+				var since int
+				if c := s.pools["p"]; c != nil {
+					since = c.sinceBatch
+				}
+				m.check(t, e, p, since)
+				if e != nil {
+					s.Start(e, now)
+					m.remove(e)
+					m.running[e.Team]++
+					started = append(started, e)
+				}
+			}
+			for _, e := range s.Expire(now) {
+				assert.Assert(t, !now.Before(e.Deadline))
+				m.remove(e)
+			}
+			for _, e := range m.waiting {
+				assert.Assert(t, now.Before(e.Deadline), "an expired entry waits")
+				assert.Equal(t, s.Waiting(e.Queue), m.count(e.Queue))
+			}
+			assert.Equal(t, len(s.deadlines), len(m.waiting))
+		}
+	})
+}
+
+func admitDrawn(t *rapid.T, s *Set, m *model, now time.Time) {
+	team := rapid.IntRange(0, 2).Draw(t, "team")
+	class := rapid.SampledFrom(classOf).Draw(t, "class")
+	item := Item{
+		Queue: fmt.Sprintf("q%d-%s", team, class), Team: fmt.Sprintf("t%d", team), Pool: "p",
+		Class: class, Share: float64(team + 1), MaxWaiting: 5,
+		Deadline: now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "deadline")) * time.Millisecond),
+	}
+	full := m.count(item.Queue) >= item.MaxWaiting
+	e, reason := s.Admit(item, nil, now)
+	if e != nil {
+		assert.Assert(t, !full, "more than MaxWaiting")
+		m.waiting = append(m.waiting, e)
+		return
+	}
+	assert.Assert(t, full || !now.Before(item.Deadline) || reason == fault.ReasonWouldMissDeadline, "refused for %s", reason)
+}
+
+// Guards against shares that are not kept when all slots are taken, and
+// against a team that never starts.
+func TestUseIsNearSharesWhenFull(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		teams := rapid.IntRange(2, 6).Draw(t, "teams")
+		slots := rapid.IntRange(1, 64).Draw(t, "slots")
+		shares, sum := make([]float64, teams), 0.0
+		for i := range shares {
+			shares[i] = float64(rapid.IntRange(1, 5).Draw(t, "share"))
+			sum += shares[i]
+		}
+		random := rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed")))
+		s, now := New(), start
+		var running []*Entry
+		total, last := make([]float64, teams), make([]int, teams)
+		const rounds = 3000
+		for round := range rounds {
+			now = now.Add(time.Millisecond)
+			if len(running) == slots {
+				i := random.IntN(slots)
+				s.Ended(running[i].Team)
+				running[i] = running[slots-1]
+				running = running[:slots-1]
+			}
+			for i := range teams {
+				if name := fmt.Sprintf("t%d", i); s.Waiting(name) == 0 {
+					s.Admit(Item{Queue: name, Team: name, Pool: "p", Share: shares[i], Deadline: now.Add(time.Hour)}, i, now)
+				}
+			}
+			e := s.Next(Pool{Name: "p", Slots: slots, Free: slots - len(running)})
+			s.Start(e, now)
+			running = append(running, e)
+			last[e.Value.(int)] = round
+			for i := range teams {
+				total[i] += float64(s.Running(fmt.Sprintf("t%d", i)))
+				assert.Assert(t, round-last[i] <= 20*(slots+int(sum)), "team %d with share %v has not started for %d starts", i, shares[i], round-last[i])
+			}
+		}
+		for i := range teams {
+			mean, fair := total[i]/rounds, float64(slots)*shares[i]/sum
+			assert.Assert(t, mean > fair-1.5 && mean < fair+1.5, "team %d of share %v runs %v, fair is %v", i, shares[i], mean, fair)
+		}
+	})
+}
+
+// Guards against a queue that grows past its bound.
+func TestQueueIsBounded(t *testing.T) {
+	s := New()
+	for _, bound := range []int{0, 3} {
+		item := Item{Queue: fmt.Sprintf("q%d", bound), Team: "t", Pool: "p", Share: 1, MaxWaiting: bound, Deadline: start.Add(time.Hour)}
+		for range maxWaiting(item) {
+			_, reason := s.Admit(item, nil, start)
+			assert.Equal(t, reason, fault.Reason(""))
+		}
+		_, reason := s.Admit(item, nil, start)
+		assert.Equal(t, reason, fault.ReasonQueueFull)
+	}
+}
+
+// Guards against a host that ignores what its peers run for a team.
+func TestPeerUseCounts(t *testing.T) {
+	s := New()
+	for _, team := range []string{"a", "b"} {
+		s.Admit(Item{Queue: team, Team: team, Pool: "p", Share: 1, Deadline: start.Add(time.Hour)}, nil, start)
+	}
+	s.SetPeerUse(map[string]int{"a": 3})
+	assert.Equal(t, s.Next(Pool{Name: "p", Slots: 8, Free: 1}).Team, "b")
+}
+
+// Guards against batch work that is starved by interactive work for ever.
+func TestBatchGetsATurn(t *testing.T) {
+	s, now := New(), start
+	admit := func(class fleet.Class) {
+		item := Item{Queue: string(class), Team: string(class), Pool: "p", Class: class, Share: 1, Deadline: now.Add(time.Hour)}
+		_, reason := s.Admit(item, nil, now)
+		assert.Equal(t, reason, fault.Reason(""))
+	}
+	batch := 0
+	for range 10 * batchTurn {
+		admit(fleet.ClassInteractive)
+		if s.Waiting(string(fleet.ClassBatch)) == 0 {
+			admit(fleet.ClassBatch)
+		}
+		e := s.Next(Pool{Name: "p", Slots: 8, Free: 1})
+		if e.Class == fleet.ClassBatch {
+			batch++
+		}
+		s.Start(e, now)
+	}
+	assert.Equal(t, batch, 10)
+}
+
+// Guards against queueing a request past its deadline when the line is too
+// slow for it.
+func TestEarlyRefusal(t *testing.T) {
+	s, now := New(), start
+	item := Item{Queue: "q", Team: "t", Pool: "p", Share: 1, Deadline: now.Add(time.Hour)}
+	for range 100 {
+		s.Admit(item, nil, now)
+	}
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		s.Start(s.Next(Pool{Name: "p", Slots: 8, Free: 1}), now)
+	}
+	item.Deadline = now.Add(5 * time.Second)
+	_, reason := s.Admit(item, nil, now)
+	assert.Equal(t, reason, fault.ReasonWouldMissDeadline)
+	item.Deadline = now.Add(15 * time.Second)
+	_, reason = s.Admit(item, nil, now)
+	assert.Equal(t, reason, fault.Reason(""))
+}
+
+// BenchmarkAdmitAndStart measures one admission and one start at 1, 10 and 100
+// times today's 6 teams and 5 queues (pools), with 50 waiting in each line.
+func BenchmarkAdmitAndStart(b *testing.B) {
+	for _, scale := range []int{1, 10, 100} {
+		b.Run(fmt.Sprintf("scale=%d", scale), func(b *testing.B) {
+			s, teams, pools := New(), 6*scale, 5*scale
+			item := func(i int) Item {
+				team := i % teams
+				return Item{Queue: fmt.Sprintf("q%d", team), Team: fmt.Sprintf("t%d", team), Pool: fmt.Sprintf("p%d", team%pools),
+					MaxWaiting: 1000, Share: 1, Deadline: start.Add(time.Hour + time.Duration(i)*time.Millisecond)}
+			}
+			items := make([]Item, teams)
+			for i := range 50 * teams {
+				items[i%teams] = item(i)
+				s.Admit(items[i%teams], nil, start)
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i = (i + 1) % teams
+				s.Admit(items[i], nil, start)
+				e := s.Next(Pool{Name: items[i].Pool, Slots: 80, Free: 8})
+				s.Start(e, start)
+				s.Ended(e.Team)
+			}
+		})
+	}
+}
