Decide the life of a job

Ruled out: safety from the schedule lease, because a paused scheduler does not notice that its lease ended. Safety comes from the row's version and from the worker, which never starts a token that it answered "never" for.

Change: decision/job with transitions and reasons; an unknown job is resolved by a later answer of its worker. The reasons are constants in package fault.

It assumes that a worker remembers tokens for good.

--- /dev/null
+++ b/decision/job/job.go
@@ -0,0 +1,289 @@
+// Package job decides the life of a job: which state follows an event, and
+// what may be said about whether its body ran.
+//
+// A transition takes the record as last read and returns the next one. The
+// caller commits the next record on condition that the row still has the
+// version that it read; safety rests on that condition and on the worker,
+// which starts a token at most once and never after it answered AnswerNever.
+// Which process takes the decision does not matter.
+package job
+
+import (
+	"slices"
+
+	"fuchsiafront.example/fuchsiafront/fault"
+)
+
+// State is the position of a job in its life.
+type State string
+
+// States of a job.
+const (
+	Queued State = "queued"
+	// Placed means that a worker and a token are chosen; the body may run.
+	Placed   State = "placed"
+	Running  State = "running"
+	Done     State = "done"
+	Failed   State = "failed"
+	Canceled State = "cancelled"
+	// SetAside jobs wait for an operator.
+	SetAside State = "set aside"
+	// Unknown means that the worker of a non-idempotent job has not answered
+	// past the end of the task lease. A later answer resolves it.
+	Unknown State = "unknown"
+)
+
+// MaxFailedWorkers is the number of different workers on which a job may
+// fail before it is set aside.
+const MaxFailedWorkers = 3
+
+// MaxFailures bounds failures on any workers, because a small pool may not
+// have MaxFailedWorkers of them.
+const MaxFailures = 6
+
+// Holder is the entry host whose right to run covers an active job.
+type Holder struct {
+	Host        string `json:"host"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Record is what is kept of a job.
+type Record struct {
+	Team       string       `json:"team"`
+	ID         string       `json:"id"`
+	Queue      string       `json:"queue"`
+	Idempotent bool         `json:"idempotent"`
+	SpecHash   string       `json:"specHash"`
+	State      State        `json:"state"`
+	Reason     fault.Reason `json:"reason,omitempty"`
+	Attempt    int          `json:"attempt"`
+	Worker     string       `json:"worker,omitempty"`
+	Token      string       `json:"token,omitempty"`
+	Holder     Holder       `json:"holder"`
+	// CancelRequested is set while a cancelled job may still be running.
+	CancelRequested bool `json:"cancelRequested,omitempty"`
+	// RanBefore is set when an attempt whose outcome is settled ran, or may
+	// have run, at least in part.
+	RanBefore  bool     `json:"ranBefore,omitempty"`
+	FailedOn   []string `json:"failedOn,omitempty"`
+	Failures   int      `json:"failures,omitempty"`
+	Checkpoint string   `json:"checkpoint,omitempty"`
+}
+
+// Active reports whether the body may be running now, so that a right to run
+// is needed.
+func (r Record) Active() bool { return r.State == Placed || r.State == Running }
+
+// Ended reports whether r is in an end state.
+func (r Record) Ended() bool {
+	return r.State == Done || r.State == Failed || r.State == Canceled || r.State == SetAside
+}
+
+// NotRun reports whether it is certain that the body has not run and never
+// will.
+func (r Record) NotRun() bool { return r.Ended() && !r.RanBefore }
+
+// Verdict tells what became of an event. Changed is false when the record
+// stays as it is, and Reason then says why.
+type Verdict struct {
+	Changed bool
+	Reason  fault.Reason
+}
+
+func unchanged(reason fault.Reason) Verdict { return Verdict{Reason: reason} }
+
+func changed(reason fault.Reason) Verdict { return Verdict{Changed: true, Reason: reason} }
+
+// Submit returns the record of a new job.
+func Submit(team, id, queue, specHash string, idempotent bool) Record {
+	return Record{Team: team, ID: id, Queue: queue, SpecHash: specHash, Idempotent: idempotent, State: Queued}
+}
+
+// Repeats reports whether a submission with the given hash repeats r; if not,
+// the identifier is taken by another job.
+func Repeats(r Record, specHash string) bool { return r.SpecHash == specHash }
+
+// Place chooses a worker for a queued job. The token must be new for every
+// call and is sent to the worker only after the record is committed.
+func Place(r Record, worker, token string, holder Holder) (Record, Verdict) {
+	if r.State != Queued {
+		return r, unchanged(fault.ReasonStaleCopy)
+	}
+	r.State = Placed
+	r.Reason = ""
+	r.Attempt++
+	r.Worker = worker
+	r.Token = token
+	r.Holder = holder
+	return r, changed("")
+}
+
+// Answer is what a worker says about a token.
+type Answer int
+
+// Answers of a worker.
+const (
+	// AnswerNever means that the token was not started and never will be,
+	// either because the start was refused or because it was forbidden.
+	AnswerNever Answer = iota
+	AnswerRunning
+	AnswerSucceeded
+	AnswerFailed
+	AnswerStopped
+	AnswerLeaseExpired
+)
+
+// Report is a worker's statement about one token. Reason refines AnswerNever
+// and AnswerStopped and may be empty.
+type Report struct {
+	Token      string
+	Answer     Answer
+	Reason     fault.Reason
+	Checkpoint string
+}
+
+// Worker applies a worker's statement.
+func Worker(r Record, rep Report) (Record, Verdict) {
+	if rep.Token != r.Token || r.Token == "" {
+		return r, unchanged(fault.ReasonStaleCopy)
+	}
+	if !r.Active() && r.State != Unknown {
+		return r, unchanged(fault.ReasonStaleCopy)
+	}
+	switch rep.Answer {
+	case AnswerNever:
+		return requeue(r, orElse(rep.Reason, fault.ReasonNeverStarted))
+	case AnswerRunning:
+		return running(r)
+	case AnswerSucceeded:
+		return end(ran(r), Done, "")
+	case AnswerFailed:
+		return failed(ran(r))
+	case AnswerStopped:
+		return stopped(ran(r), rep)
+	default:
+		return interrupted(ran(r), fault.ReasonLeaseExpired)
+	}
+}
+
+// LeaseLost applies that the worker could not be reached until the task lease
+// had certainly ended.
+func LeaseLost(r Record, token string) (Record, Verdict) {
+	if !r.Active() || r.Token != token {
+		return r, unchanged(fault.ReasonStaleCopy)
+	}
+	if r.Idempotent {
+		return requeue(ran(r), fault.ReasonWorkerUnreachable)
+	}
+	r.State = Unknown
+	r.Reason = fault.ReasonWorkerUnreachable
+	r.Holder = Holder{}
+	return r, changed(r.Reason)
+}
+
+// Cancel ends a job that certainly does not run, and marks one that may run so
+// that its scheduler stops it.
+func Cancel(r Record) (Record, Verdict) {
+	if r.Ended() {
+		return r, unchanged(fault.ReasonJobEnded)
+	}
+	if r.CancelRequested {
+		return r, unchanged(fault.ReasonCancelled)
+	}
+	r.CancelRequested = true
+	if r.State == Queued {
+		return end(r, Canceled, fault.ReasonCancelled)
+	}
+	return r, changed(fault.ReasonCancelled)
+}
+
+// Adopt moves an active job to the right of another holder.
+func Adopt(r Record, holder Holder) (Record, Verdict) {
+	if !r.Active() || r.Holder == holder {
+		return r, unchanged(fault.ReasonStaleCopy)
+	}
+	r.Holder = holder
+	return r, changed("")
+}
+
+// PutAside sets a queued job aside, such as one that can never run.
+func PutAside(r Record, reason fault.Reason) (Record, Verdict) {
+	if r.State != Queued {
+		return r, unchanged(fault.ReasonStaleCopy)
+	}
+	return end(r, SetAside, reason)
+}
+
+func ran(r Record) Record {
+	r.RanBefore = true
+	return r
+}
+
+func running(r Record) (Record, Verdict) {
+	if r.State == Running {
+		return r, unchanged("")
+	}
+	r.State = Running
+	r.Reason = ""
+	return r, changed("")
+}
+
+func failed(r Record) (Record, Verdict) {
+	if r.CancelRequested {
+		return end(r, Canceled, fault.ReasonCancelled)
+	}
+	r.Failures++
+	if !slices.Contains(r.FailedOn, r.Worker) {
+		r.FailedOn = append(slices.Clone(r.FailedOn), r.Worker)
+	}
+	if !r.Idempotent {
+		return end(r, Failed, fault.ReasonTaskFailed)
+	}
+	if len(r.FailedOn) >= MaxFailedWorkers || r.Failures >= MaxFailures {
+		return end(r, SetAside, fault.ReasonFailedOnWorkers)
+	}
+	return requeue(r, fault.ReasonTaskFailed)
+}
+
+func stopped(r Record, rep Report) (Record, Verdict) {
+	if rep.Checkpoint != "" {
+		r.Checkpoint = rep.Checkpoint
+	}
+	return interrupted(r, orElse(rep.Reason, fault.ReasonTaskStopped))
+}
+
+// interrupted ends an attempt that ran in part.
+func interrupted(r Record, reason fault.Reason) (Record, Verdict) {
+	if r.Idempotent || r.CancelRequested {
+		return requeue(r, reason)
+	}
+	return end(r, Failed, reason)
+}
+
+// requeue ends an attempt and lets another follow, unless the job is
+// cancelled.
+func requeue(r Record, reason fault.Reason) (Record, Verdict) {
+	if r.CancelRequested {
+		return end(r, Canceled, fault.ReasonCancelled)
+	}
+	r.State = Queued
+	r.Reason = reason
+	r.Worker = ""
+	r.Token = ""
+	r.Holder = Holder{}
+	return r, changed(reason)
+}
+
+func end(r Record, s State, reason fault.Reason) (Record, Verdict) {
+	r.State = s
+	r.Reason = reason
+	r.Holder = Holder{}
+	return r, changed(reason)
+}
+
+func orElse(reason, other fault.Reason) fault.Reason {
+	if reason == "" {
+		return other
+	}
+	return reason
+}
--- /dev/null
+++ b/fault/job.go
@@ -0,0 +1,17 @@
+package fault
+
+// Reasons that belong to jobs and to the workers that run them.
+const (
+	ReasonStaleCopy         Reason = "stale-copy"
+	ReasonJobEnded          Reason = "job-ended"
+	ReasonStartRefused      Reason = "start-refused"
+	ReasonNeverStarted      Reason = "never-started"
+	ReasonWorkerUnreachable Reason = "worker-unreachable"
+	ReasonLeaseExpired      Reason = "lease-expired"
+	ReasonTaskFailed        Reason = "task-failed"
+	ReasonTaskStopped       Reason = "task-stopped"
+	ReasonPreempted         Reason = "preempted"
+	ReasonFailedOnWorkers   Reason = "failed-on-workers"
+	ReasonCannotRun         Reason = "cannot-run"
+	ReasonWorkerExcluded    Reason = "worker-excluded"
+)
