Serve every operation of the operators' API

Cause: only reading and applying sections was served. An applied section was checked by itself, a repeat was checked against the present document, and two changes of different sections could together leave a queue without its pool.

Change: services/admin serves every operation, one file for each subject. A change is recognised as a repeat first, then compared with the present text and revisions, then the whole document that results is validated and the change is committed together with the new part document, which orders changes of different sections. Every error carries an AdminRefusal with outcome, reason and all problems with section, field, line, value and what is allowed. An operator's change needs proof that the keys are current; reading and the statement that an entry host has ended do not.

Services that have no implementation here yet are registered as absent, so that an entry host starts; each is replaced when its implementation lands.

Ruled out: a condition on every other section's part, which would rewrite all of them; an answer that waits for the replica, which would need a second ring for the duty.

--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -36,7 +36,11 @@
 	k.Register(services.NameState, statesync.New(clock))
 	k.Register(services.NameBackend, backend.New(backend.Settings{MaxEntryHosts: s.MaxEntryHosts, SourceIP: s.SourceIP}, clock))
 	k.Register(services.NameDispatch, dispatch.New(clock))
-	k.Register(services.NameAdmin, admin.New(s.admin()))
+	k.Register(services.NameAdmin, admin.New(s.admin(), clock))
+	k.Register(services.NamePeers, absentPeers{})
+	k.Register(services.NameRights, absentRights{})
+	k.Register(services.NameJobs, absentJobs{})
+	k.Register(services.NameMaintenance, absentMaintenance{})
 	k.Register(services.NameFront, front.New(s.front(), clock))
 	return k
 }
@@ -57,7 +61,7 @@
 	if s.BootstrapKey != "" {
 		bootstrap, _ = s.bootstrap()
 	}
-	return admin.Settings{Address: s.AdminAddress, Bootstrap: bootstrap}
+	return admin.Settings{Address: s.AdminAddress, Bootstrap: bootstrap, KeyCurrency: s.KeyCurrency}
 }
 
 func (s *Settings) front() front.Settings {
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -63,6 +63,8 @@
 	ReasonBudget            Reason = "availability-budget"
 	ReasonStaleHostList     Reason = "stale-host-list"
 	ReasonMemberUnconfirmed Reason = "member-unconfirmed"
+	ReasonBehind            Reason = "replica-behind"
+	ReasonUnsupported       Reason = "unsupported"
 	ReasonInternal          Reason = "internal"
 )
 
--- /dev/null
+++ b/services/admin/access.go
@@ -0,0 +1,97 @@
+package admin
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/decision/keyring"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1/fuchsiafrontv1connect"
+)
+
+// handler implements the operators' API.
+type handler struct {
+	fuchsiafrontv1connect.UnimplementedAdminServiceHandler
+	service *Service
+}
+
+// reader authenticates the operator of a call that changes nothing. Such
+// calls are answered without proof that the keys are current, so that
+// operators can look into a host that is cut off.
+func (h *handler) reader(header http.Header) (document.Operator, *services.View, error) {
+	const step = "check operator key"
+	view := h.service.state.View()
+	if view == nil {
+		return document.Operator{}, nil, fault.New(&fault.NotRun, fault.ReasonNoState, step, "", "this host has no configuration yet")
+	}
+	key, _ := strings.CutPrefix(header.Get("Authorization"), "Bearer ")
+	o, reason := keyring.Operator(h.service.operators(view), key)
+	if reason != "" {
+		return document.Operator{}, nil, fault.New(&fault.NotRun, reason, step, "operator", "the operator key is not accepted")
+	}
+	return o, view, nil
+}
+
+// operators returns the operators of the document, or the bootstrap operator
+// while the document declares none.
+func (s *Service) operators(view *services.View) []document.Operator {
+	if declared := view.Document.Operators(); len(declared) > 0 {
+		return declared
+	}
+	if s.settings.Bootstrap.Name == "" {
+		return nil
+	}
+	return []document.Operator{s.settings.Bootstrap}
+}
+
+// changer authenticates the operator of a call that changes something. A
+// withdrawn operator key must not change anything on a host that has not
+// heard of the withdrawal.
+func (h *handler) changer(header http.Header) (document.Operator, *services.View, error) {
+	o, view, err := h.reader(header)
+	if err != nil {
+		return o, nil, err
+	}
+	if age := h.service.currencyAge(); age > h.service.settings.KeyCurrency {
+		return o, nil, fault.New(&fault.NotRun, fault.ReasonKeysNotCurrent, "check operator key", "",
+			"no proof for %v that the keys are current; want at most %v", age.Round(time.Millisecond), h.service.settings.KeyCurrency)
+	}
+	return o, view, nil
+}
+
+// currencyAge returns the age of the proof that the replica is current, and
+// the time since the start when there never was one.
+func (s *Service) currencyAge() time.Duration {
+	since := s.state.CurrentSince()
+	if since.IsZero() {
+		return s.clock().Sub(s.started) + s.settings.KeyCurrency
+	}
+	return s.clock().Sub(since)
+}
+
+// hostChanger authenticates the operator of a host operation.
+func (h *handler) hostChanger(header http.Header, step, host string) (document.Operator, *services.View, error) {
+	o, view, err := h.changer(header)
+	if err != nil {
+		return o, nil, err
+	}
+	return o, view, mayChangeHosts(o, step, host)
+}
+
+func mayChangeHosts(o document.Operator, step, host string) error {
+	if o.Hosts {
+		return nil
+	}
+	return fault.New(&fault.NotRun, fault.ReasonNotPermitted, step, host, "operator %q may not change hosts; want an operator with hosts: true", o.Name)
+}
+
+func mayChangeSection(o document.Operator, step, section string) error {
+	if keyring.MayChange(o, section) {
+		return nil
+	}
+	return fault.New(&fault.NotRun, fault.ReasonNotPermitted, step, section, "operator %q may not change this section; its patterns are %s",
+		o.Name, strings.Join(o.Sections, " "))
+}
--- a/services/admin/admin.go
+++ b/services/admin/admin.go
@@ -10,14 +10,21 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/decision/rollout"
 	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
 	"fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1/fuchsiafrontv1connect"
 )
 
+// maxCallBytes bounds one call; a document of the design size has about 1 MB.
+const maxCallBytes = 8 << 20
+
 // Settings of the service.
 type Settings struct {
 	// Address to listen on, IP:port.
@@ -25,36 +32,56 @@
 	// Bootstrap is the operator that may change everything while the
 	// document declares no operators.
 	Bootstrap document.Operator
+	// KeyCurrency is the longest time without proof that the keys are
+	// current for which an operator may change anything.
+	KeyCurrency time.Duration
 }
 
 // Service is the operators' listener.
 type Service struct {
 	settings Settings
+	clock    services.Clock
+	started  time.Time
 	log      zerolog.Logger
+	scope    tally.Scope
+
+	state       services.State
+	metrics     services.Metrics
+	membership  services.Membership
+	peers       services.Peers
+	rights      services.Rights
+	jobs        services.Jobs
+	maintenance services.Maintenance
+	dispatcher  services.Dispatcher
+	hosts       services.Hosts
 
-	state   services.State
-	metrics services.Metrics
+	views *ring.Ring[*services.View]
+	// history is published by the duty admin.views.
+	history atomic.Pointer[rollout.History]
 
 	ready    atomic.Bool
 	server   *http.Server
 	listener net.Listener
 }
 
-// New returns the service.
-func New(s Settings) *Service { return &Service{settings: s} }
+// New returns the service. clock must be monotonic.
+func New(s Settings, clock services.Clock) *Service {
+	return &Service{settings: s, clock: clock}
+}
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(c *kernel.Context) error {
-	s.log = c.Log
-	var err error
-	if s.state, err = kernel.Lookup[services.State](c, services.NameState); err != nil {
-		return err
-	}
-	if s.metrics, err = kernel.Lookup[services.Metrics](c, services.NameMetrics); err != nil {
+	s.log, s.scope, s.started = c.Log, c.Scope, s.clock()
+	s.history.Store(&rollout.History{})
+	if err := s.lookup(c); err != nil {
 		return err
 	}
+	s.views = s.state.Watch("admin.views")
+	c.Duty("admin.views", s.runViews)
+	c.Duty("admin.gauges", s.runGauges)
+
 	mux := http.NewServeMux()
-	mux.Handle(fuchsiafrontv1connect.NewAdminServiceHandler(&handler{service: s}))
+	mux.Handle(fuchsiafrontv1connect.NewAdminServiceHandler(&handler{service: s}, connect.WithReadMaxBytes(maxCallBytes)))
 	mux.Handle("GET /metrics", s.metrics.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.readyz)
@@ -62,6 +89,26 @@
 	return nil
 }
 
+func (s *Service) lookup(c *kernel.Context) error {
+	return errors.Join(
+		find(c, services.NameState, &s.state),
+		find(c, services.NameMetrics, &s.metrics),
+		find(c, services.NameMembership, &s.membership),
+		find(c, services.NamePeers, &s.peers),
+		find(c, services.NameRights, &s.rights),
+		find(c, services.NameJobs, &s.jobs),
+		find(c, services.NameMaintenance, &s.maintenance),
+		find(c, services.NameDispatch, &s.dispatcher),
+		find(c, services.NameHosts, &s.hosts),
+	)
+}
+
+func find[T any](c *kernel.Context, name string, into *T) error {
+	found, err := kernel.Lookup[T](c, name)
+	*into = found
+	return err
+}
+
 // readyz answers 200 while callers may be sent here.
 func (s *Service) readyz(w http.ResponseWriter, _ *http.Request) {
 	if !s.ready.Load() || s.state.View() == nil {
@@ -87,6 +134,14 @@
 	return nil
 }
 
+// Address returns the address that the listener has; empty before Start.
+func (s *Service) Address() string {
+	if s.listener == nil {
+		return ""
+	}
+	return s.listener.Addr().String()
+}
+
 func (s *Service) serve() {
 	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 		s.log.Error().Err(err).Msg("operators' listener failed")
--- a/services/admin/apply.go
+++ b/services/admin/apply.go
@@ -2,94 +2,254 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
 	"connectrpc.com/connect"
 
 	"fuchsiafront.example/fuchsiafront/decision/document"
-	"fuchsiafront.example/fuchsiafront/decision/keyring"
 	"fuchsiafront.example/fuchsiafront/decision/revision"
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/services"
 	wirev1 "fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1"
-	"fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1/fuchsiafrontv1connect"
 	"fuchsiafront.example/fuchsiafront/wire/yamldoc"
 )
 
-// handler implements the operators' API.
-type handler struct {
-	fuchsiafrontv1connect.UnimplementedAdminServiceHandler
-	service *Service
-}
-
-// operator authenticates the operator of a call.
-func (h *handler) operator(header interface{ Get(string) string }) (document.Operator, error) {
-	const step = "check operator key"
-	view := h.service.state.View()
-	if view == nil {
-		return document.Operator{}, fault.New(&fault.NotRun, fault.ReasonNoState, step, "", "this host has no configuration yet")
-	}
-	key, _ := strings.CutPrefix(header.Get("Authorization"), "Bearer ")
-	operators := view.Document.Operators()
-	if len(operators) == 0 {
-		operators = []document.Operator{h.service.settings.Bootstrap}
-	}
-	o, reason := keyring.Operator(operators, key)
-	if reason != "" {
-		return document.Operator{}, fault.New(&fault.NotRun, reason, step, "operator", "the operator key is not accepted")
-	}
-	return o, nil
-}
+const stepApply = "apply"
 
 // Apply changes sections, all of them or none.
 func (h *handler) Apply(ctx context.Context, r *connect.Request[wirev1.ApplyRequest]) (*connect.Response[wirev1.ApplyResponse], error) {
-	o, err := h.operator(r.Header())
+	o, view, err := h.changer(r.Header())
 	if err != nil {
-		return nil, h.refuse("apply", err)
+		return nil, h.refuse(stepApply, err)
 	}
-	change, err := changeOf(o, r.Msg)
+	p, err := planApply(o, view, r.Msg)
 	if err != nil {
-		return nil, h.refuse("apply", err)
+		return nil, h.refuse(stepApply, err)
+	}
+	if p.repeated || p.unchanged {
+		return connect.NewResponse(&wirev1.ApplyResponse{Revision: p.revision, RepeatedSubmission: p.repeated, Unchanged: p.unchanged}), nil
 	}
-	result, err := h.service.state.Change(ctx, change)
+	result, err := h.changeDocument(ctx, o, view, stepApply, p.change)
 	if err != nil {
-		return nil, h.refuse("apply", err)
+		return nil, h.refuse(stepApply, err)
 	}
 	return connect.NewResponse(&wirev1.ApplyResponse{Revision: result.Revision, RepeatedSubmission: result.Repeated}), nil
 }
 
-func changeOf(o document.Operator, msg *wirev1.ApplyRequest) (revision.Change, error) {
+// applyPlan is what a call of Apply comes to.
+type applyPlan struct {
+	// change is set unless the call was repeated or changes nothing.
+	change    revision.Change
+	repeated  bool
+	unchanged bool
+	revision  uint64
+}
+
+// planApply decides a call against a view. A repeat is recognised before
+// anything else is checked, because the document may have changed since.
+func planApply(o document.Operator, view *services.View, msg *wirev1.ApplyRequest) (applyPlan, error) {
+	if err := checkApply(o, msg); err != nil {
+		return applyPlan{}, err
+	}
+	for _, c := range msg.Changes {
+		if at, ok := appliedAs(view, services.PartSectionPrefix+c.Name, msg.ChangeId); ok {
+			return applyPlan{repeated: true, revision: at}, nil
+		}
+	}
+	changes := changesOnly(view, msg.Changes)
+	if len(changes) == 0 {
+		return applyPlan{unchanged: true, revision: view.Revision}, nil
+	}
+	if err := checkRevisions(view, changes); err != nil {
+		return applyPlan{}, err
+	}
+	if err := checkResult(view, changes); err != nil {
+		return applyPlan{}, err
+	}
 	change := revision.Change{ID: msg.ChangeId}
-	if change.ID == "" || len(msg.Changes) == 0 {
-		return change, fault.New(&fault.Invalid, fault.ReasonMalformed, "apply", "operator", "a change needs an identifier and a section")
+	for _, c := range changes {
+		change.Updates = append(change.Updates, updateOf(view, c))
+	}
+	return applyPlan{change: change}, nil
+}
+
+// checkApply checks the call by itself and the operator's permission.
+func checkApply(o document.Operator, msg *wirev1.ApplyRequest) error {
+	if msg.ChangeId == "" {
+		return malformed(stepApply, "change_id", "", "an identifier that the submitter chooses")
+	}
+	if len(msg.Changes) == 0 {
+		return malformed(stepApply, "changes", "", "at least one section")
 	}
+	named := make(map[string]bool, len(msg.Changes))
 	for _, c := range msg.Changes {
-		if !keyring.MayChange(o, c.Name) {
-			return change, fault.New(&fault.NotRun, fault.ReasonNotPermitted, "apply", c.Name, "operator %q may not change this section", o.Name)
+		if named[c.Name] {
+			return malformed(stepApply, "changes", c.Name, "each section once")
+		}
+		named[c.Name] = true
+		if err := mayChangeSection(o, stepApply, c.Name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// appliedAs returns the revision that a change of a part got.
+func appliedAs(view *services.View, part, changeID string) (uint64, bool) {
+	for _, applied := range view.State.Parts[part].Changes {
+		if applied.ChangeID == changeID {
+			return applied.Revision, true
+		}
+	}
+	return 0, false
+}
+
+// textOf returns the text of a section; empty when there is none.
+func textOf(view *services.View, section string) string {
+	return string(view.State.Parts[services.PartSectionPrefix+section].Data)
+}
+
+// changesOnly leaves out sections whose text is already in force.
+func changesOnly(view *services.View, changes []*wirev1.SectionChange) []*wirev1.SectionChange {
+	return slices.DeleteFunc(slices.Clone(changes), func(c *wirev1.SectionChange) bool {
+		present := textOf(view, c.Name)
+		if c.Delete {
+			return present == ""
+		}
+		return present == c.Yaml
+	})
+}
+
+// presentRevision returns the revision of a section that a change must name;
+// zero for a section that was never there or is deleted.
+func presentRevision(view *services.View, section string) uint64 {
+	part := view.State.Parts[services.PartSectionPrefix+section]
+	if len(part.Data) == 0 {
+		return 0
+	}
+	return part.Revision
+}
+
+func checkRevisions(view *services.View, changes []*wirev1.SectionChange) error {
+	conflict := &conflictError{}
+	for _, c := range changes {
+		present := presentRevision(view, c.Name)
+		if c.IfRevision > view.Revision {
+			return fault.New(&fault.NotRun, fault.ReasonBehind, stepApply, c.Name,
+				"the change was made from revision %d, and this host has revision %d; submit it again", c.IfRevision, view.Revision)
 		}
-		update := revision.Update{Part: services.PartSectionPrefix + c.Name, IfRevision: c.IfRevision}
-		if !c.Delete {
-			section, err := yamldoc.Decode(c.Name, []byte(c.Yaml))
-			if err != nil {
-				return change, err
-			}
-			if section.Name != c.Name {
-				return change, fault.New(&fault.Invalid, fault.ReasonMalformed, "apply", c.Name, "the text declares section %q", section.Name)
-			}
-			update.Data = []byte(c.Yaml)
+		if present == c.IfRevision {
+			continue
 		}
-		change.Updates = append(change.Updates, update)
+		conflict.present = append(conflict.present, &wirev1.SectionRevision{Name: c.Name, Revision: present})
+		conflict.text += fmt.Sprintf("section %q is at revision %d, and the change was made from revision %d; ", c.Name, present, c.IfRevision)
+	}
+	if len(conflict.present) == 0 {
+		return nil
+	}
+	conflict.text += "make the change again from the present text"
+	return fault.New(&fault.NotRun, fault.ReasonConflict, stepApply, conflict.present[0].Name, "%w", conflict)
+}
+
+// checkResult reads the texts and validates the whole document that results.
+func checkResult(view *services.View, changes []*wirev1.SectionChange) error {
+	after := &document.Document{Sections: maps.Clone(view.Document.Sections)}
+	texts := make(map[string]string, len(changes))
+	var problems []*wirev1.DocumentProblem
+	for _, c := range changes {
+		if c.Delete {
+			delete(after.Sections, c.Name)
+			continue
+		}
+		section, err := yamldoc.Decode(c.Name, []byte(c.Yaml))
+		if err != nil {
+			problems = append(problems, lineProblem(c.Name, err))
+			continue
+		}
+		after.Sections[c.Name] = section
+		texts[c.Name] = c.Yaml
+	}
+	if len(problems) > 0 {
+		return invalidDocument(problems)
+	}
+	found := append(document.Validate(after), document.CheckOwnership(view.Document, after)...)
+	for _, p := range found {
+		problems = append(problems, wireProblem(p, texts[p.Section]))
+	}
+	if len(problems) > 0 {
+		return invalidDocument(problems)
+	}
+	return nil
+}
+
+func invalidDocument(problems []*wirev1.DocumentProblem) error {
+	return fault.New(&fault.Invalid, fault.ReasonMalformed, stepApply, problems[0].Section, "%w", &documentError{problems})
+}
+
+func wireProblem(p document.Problem, text string) *wirev1.DocumentProblem {
+	return &wirev1.DocumentProblem{
+		Section: p.Section,
+		Field:   p.Field,
+		Line:    int32(yamldoc.Line([]byte(text), p.Field)),
+		Value:   p.Value,
+		Allowed: p.Allowed,
 	}
-	return change, nil
+}
+
+// updateOf returns the update of one section. A deleted section remains as a
+// part without data, so an update that creates it again names its revision.
+func updateOf(view *services.View, c *wirev1.SectionChange) revision.Update {
+	part := services.PartSectionPrefix + c.Name
+	u := revision.Update{Part: part, IfRevision: c.IfRevision}
+	if c.IfRevision == 0 {
+		u.IfRevision = view.State.Parts[part].Revision
+	}
+	if !c.Delete {
+		u.Data = []byte(c.Yaml)
+	}
+	return u
+}
+
+// changeDocument commits a change of sections that was validated against
+// view. The part PartDocument makes it conditional on every other section; it
+// comes last, so that a conflict of a section that the change names is
+// reported as such.
+func (h *handler) changeDocument(ctx context.Context, o document.Operator, view *services.View, step string, c revision.Change) (services.ChangeResult, error) {
+	c.Updates = append(c.Updates, revision.Update{
+		Part:       services.PartDocument,
+		IfRevision: view.State.Parts[services.PartDocument].Revision,
+		Data:       []byte(c.ID),
+	})
+	result, err := h.service.state.Change(ctx, c)
+	if err != nil {
+		return result, otherSectionChanged(step, err)
+	}
+	h.service.log.Info().Str("step", step).Str("operator", o.Name).Str("change", c.ID).
+		Uint64("revision", result.Revision).Bool("repeated", result.Repeated).Msg("document changed")
+	return result, nil
+}
+
+// otherSectionChanged tells apart a conflict of the sections that a change
+// names from one of the rest of the document, after which the same change
+// may be submitted again.
+func otherSectionChanged(step string, err error) error {
+	f, ok := fault.As(err)
+	if !ok || f.Reason != fault.ReasonConflict || f.Peer != services.PartDocument {
+		return err
+	}
+	return fault.New(&fault.NotRun, fault.ReasonBehind, step, f.Peer,
+		"another section changed at the same time, so the whole has to be checked again; submit the change again")
 }
 
 // GetDocument returns the sections named, or all of them.
 func (h *handler) GetDocument(_ context.Context, r *connect.Request[wirev1.GetDocumentRequest]) (*connect.Response[wirev1.GetDocumentResponse], error) {
-	if _, err := h.operator(r.Header()); err != nil {
+	_, view, err := h.reader(r.Header())
+	if err != nil {
 		return nil, h.refuse("get document", err)
 	}
-	view := h.service.state.View()
 	resp := &wirev1.GetDocumentResponse{Revision: view.Revision}
 	for name, part := range view.State.Parts {
 		section, ok := strings.CutPrefix(name, services.PartSectionPrefix)
@@ -104,32 +264,3 @@
 	slices.SortFunc(resp.Sections, func(a, b *wirev1.SectionRevision) int { return strings.Compare(a.Name, b.Name) })
 	return connect.NewResponse(resp), nil
 }
-
-// refuse counts a refusal and converts it to a connect error.
-func (h *handler) refuse(step string, err error) error {
-	reason := fault.ReasonOf(err)
-	h.service.metrics.Refused(step, reason)
-	h.service.log.Info().Err(err).Str("step", step).Msg("operator's call refused")
-	return connect.NewError(codeOf(reason, err), err)
-}
-
-func codeOf(reason fault.Reason, err error) connect.Code {
-	if !fault.IsNotRun(err) {
-		return connect.CodeUnknown
-	}
-	switch reason {
-	case fault.ReasonNoKey, fault.ReasonWrongKey, fault.ReasonWithdrawnKey:
-		return connect.CodeUnauthenticated
-	case fault.ReasonNotPermitted:
-		return connect.CodePermissionDenied
-	case fault.ReasonMalformed:
-		return connect.CodeInvalidArgument
-	case fault.ReasonConflict:
-		return connect.CodeAborted
-	case fault.ReasonUnknownHost, fault.ReasonUnknownQueue, fault.ReasonUnknownJob:
-		return connect.CodeNotFound
-	case fault.ReasonBudget:
-		return connect.CodeFailedPrecondition
-	}
-	return connect.CodeUnavailable
-}
--- /dev/null
+++ b/services/admin/refusal.go
@@ -0,0 +1,115 @@
+package admin
+
+import (
+	"errors"
+	"strings"
+
+	"connectrpc.com/connect"
+
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/fault"
+	wirev1 "fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1"
+	"fuchsiafront.example/fuchsiafront/wire/yamldoc"
+)
+
+// Outcomes of a refused call.
+const (
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+)
+
+// documentError holds the problems of a document.
+type documentError struct {
+	problems []*wirev1.DocumentProblem
+}
+
+// Error returns one line for each problem.
+func (e *documentError) Error() string {
+	lines := make([]string, len(e.problems))
+	for i, p := range e.problems {
+		lines[i] = document.Problem{Section: p.Section, Field: p.Field, Value: p.Value, Allowed: p.Allowed}.String()
+	}
+	return strings.Join(lines, "; ")
+}
+
+// conflictError names the present revision of sections that differ.
+type conflictError struct {
+	present []*wirev1.SectionRevision
+	text    string
+}
+
+// Error returns what differs.
+func (e *conflictError) Error() string { return e.text }
+
+// lineProblem returns the problem of a text that cannot be read.
+func lineProblem(section string, err error) *wirev1.DocumentProblem {
+	p := &wirev1.DocumentProblem{Section: section, Value: err.Error(), Allowed: "YAML of one section"}
+	var located *yamldoc.LineError
+	if errors.As(err, &located) {
+		p.Line, p.Value = int32(located.Line), located.Text
+	}
+	return p
+}
+
+// refuse counts a refusal and converts it to a connect error whose detail is
+// an AdminRefusal.
+func (h *handler) refuse(step string, err error) error {
+	reason := fault.ReasonOf(err)
+	h.service.metrics.Refused(step, reason)
+	h.service.log.Info().Err(err).Str("step", step).Str("reason", string(reason)).Msg("operator's call refused")
+	refused := connect.NewError(codeOf(reason, err), err)
+	if detail, detailErr := connect.NewErrorDetail(refusalOf(step, reason, err)); detailErr == nil {
+		refused.AddDetail(detail)
+	}
+	return refused
+}
+
+func refusalOf(step string, reason fault.Reason, err error) *wirev1.AdminRefusal {
+	r := &wirev1.AdminRefusal{Outcome: outcomeUnknown, Reason: string(reason), Step: step, Detail: err.Error()}
+	if f, ok := fault.As(err); ok {
+		r.Step, r.Peer, r.Detail = f.Step, f.Peer, f.Err.Error()
+	}
+	if fault.IsNotRun(err) {
+		r.Outcome = outcomeNotRun
+	}
+	var invalid *documentError
+	if errors.As(err, &invalid) {
+		r.Problems = invalid.problems
+	}
+	var conflict *conflictError
+	if errors.As(err, &conflict) {
+		r.Present = conflict.present
+	}
+	return r
+}
+
+func codeOf(reason fault.Reason, err error) connect.Code {
+	if !fault.IsNotRun(err) {
+		return connect.CodeUnknown
+	}
+	if f, _ := fault.As(err); f.Kind == &fault.Invalid {
+		return connect.CodeInvalidArgument
+	}
+	switch reason {
+	case fault.ReasonNoKey, fault.ReasonWrongKey, fault.ReasonWithdrawnKey:
+		return connect.CodeUnauthenticated
+	case fault.ReasonNotPermitted:
+		return connect.CodePermissionDenied
+	case fault.ReasonMalformed:
+		return connect.CodeInvalidArgument
+	case fault.ReasonConflict:
+		return connect.CodeAborted
+	case fault.ReasonUnknownHost, fault.ReasonUnknownQueue, fault.ReasonUnknownJob:
+		return connect.CodeNotFound
+	case fault.ReasonBudget, fault.ReasonStaleHostList:
+		return connect.CodeFailedPrecondition
+	case fault.ReasonUnsupported:
+		return connect.CodeUnimplemented
+	}
+	return connect.CodeUnavailable
+}
+
+// malformed returns the fault of a field of a call.
+func malformed(step, field, value, allowed string) error {
+	return fault.New(&fault.Invalid, fault.ReasonMalformed, step, "operator", "%s %q is not allowed; want %s", field, value, allowed)
+}
--- /dev/null
+++ b/services/admin/rollout.go
@@ -0,0 +1,85 @@
+package admin
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"fuchsiafront.example/fuchsiafront/decision/rollout"
+	"fuchsiafront.example/fuchsiafront/services"
+	wirev1 "fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1"
+)
+
+// boundMargin is added to the bound on the proof of currency, for clocks that
+// run at different rates and for work that was admitted just before.
+const boundMargin = 500 * time.Millisecond
+
+// neverHeard stands for a member that was never heard.
+const neverHeard = -1
+
+// runViews records when this host first had each revision.
+func (s *Service) runViews(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case view := <-s.views.C():
+			next := s.history.Load().Add(view.Revision, s.clock())
+			s.history.Store(&next)
+		}
+	}
+}
+
+// Rollout tells which entry hosts have a revision.
+func (h *handler) Rollout(_ context.Context, r *connect.Request[wirev1.RolloutRequest]) (*connect.Response[wirev1.RolloutResponse], error) {
+	_, view, err := h.reader(r.Header())
+	if err != nil {
+		return nil, h.refuse("roll-out", err)
+	}
+	revision := r.Msg.Revision
+	if revision == 0 {
+		revision = view.Revision
+	}
+	now := h.service.clock()
+	bound := h.service.settings.KeyCurrency + boundMargin
+	statuses, all := rollout.Decide(now, revision, *h.service.history.Load(), bound, h.service.members(now, view))
+	resp := &wirev1.RolloutResponse{Revision: revision, InForce: all}
+	for _, s := range statuses {
+		resp.Members = append(resp.Members, memberRollout(now, s))
+	}
+	return connect.NewResponse(resp), nil
+}
+
+func memberRollout(now time.Time, s rollout.Status) *wirev1.MemberRollout {
+	m := &wirev1.MemberRollout{
+		Member: s.Name, Zone: s.Zone, Revision: s.Revision,
+		InForce: s.InForce(), ByBound: s.ByBound, HeardMsAgo: neverHeard,
+	}
+	if !s.HeardAt.IsZero() {
+		m.HeardMsAgo = now.Sub(s.HeardAt).Milliseconds()
+	}
+	return m
+}
+
+// members returns this host, the members listed at the platform and the peers
+// that were heard, in alphabetical order.
+func (s *Service) members(now time.Time, view *services.View) []rollout.Member {
+	all := make(map[string]rollout.Member)
+	for _, m := range s.membership.Members() {
+		all[m.Name] = rollout.Member{Name: m.Name, Zone: string(m.Zone)}
+	}
+	for _, p := range s.peers.Status() {
+		all[p.Identity.Name] = rollout.Member{Name: p.Identity.Name, Zone: string(p.Identity.Zone), Revision: p.Revision, HeardAt: p.HeardAt}
+	}
+	self := s.membership.Self()
+	all[self.Name] = rollout.Member{Name: self.Name, Zone: string(self.Zone), Revision: view.Revision, HeardAt: now}
+	members := make([]rollout.Member, 0, len(all))
+	for _, m := range all {
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b rollout.Member) int { return cmp.Compare(a.Name, b.Name) })
+	return members
+}
--- a/services/state.go
+++ b/services/state.go
@@ -15,6 +15,10 @@
 	PartSectionPrefix = "section/"
 	PartHostsPrefix   = "hosts/"
 	PartLedger        = "ledger"
+	// PartDocument is written together with every section. It orders the
+	// changes of the document, so that two changes of different sections,
+	// each valid by itself, cannot result in an invalid document.
+	PartDocument = "document"
 	// HostBuckets is the number of parts that hold host assignments. At
 	// 4,900 hosts a bucket holds about 77, so that a move rewrites 4 KB.
 	HostBuckets = 64
--- a/services/work.go
+++ b/services/work.go
@@ -36,6 +36,13 @@
 	ReceiveMembers(members []Identity)
 }
 
+// MemberEnder is the part of the service NameMembership that takes an
+// operator's statement that an entry host has ended. It works while the
+// platform is down. A repeat has no further effect.
+type MemberEnder interface {
+	DeclareEnded(ctx context.Context, changeID, member string) error
+}
+
 // Request is one caller's request on its way to a backend server. Body is not
 // modified.
 type Request struct {
--- /dev/null
+++ b/standin/entryfakes/state.go
@@ -0,0 +1,152 @@
+// Package entryfakes holds fakes of the services of an entry host, for tests
+// of the operators' API and tool. They keep their state in memory and decide
+// changes as the real services do.
+package entryfakes
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/budget"
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/decision/revision"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/wire/yamldoc"
+)
+
+// State is a fake of services.State. Its fields are set before its first use.
+type State struct {
+	Clock services.Clock
+	// BeforeChange runs before a change is decided; nil for none.
+	BeforeChange func(revision.Change)
+
+	mu         sync.Mutex
+	state      *revision.State
+	view       *services.View
+	watches    []*ring.Ring[*services.View]
+	loseReply  bool
+	notCurrent bool
+	accepted   int
+}
+
+// NewState returns an empty state at revision zero.
+func NewState(clock services.Clock) *State {
+	s := &State{Clock: clock, state: &revision.State{Parts: map[string]revision.Part{}}}
+	s.view = decode(s.state)
+	return s
+}
+
+// Provision implements kernel.Service.
+func (s *State) Provision(*kernel.Context) error { return nil }
+
+// View implements services.State.
+func (s *State) View() *services.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view
+}
+
+// Watch implements services.State.
+func (s *State) Watch(name string) *ring.Ring[*services.View] {
+	w := ring.New[*services.View](name, 4, nil)
+	s.watches = append(s.watches, w)
+	return w
+}
+
+// CurrentSince implements services.State.
+func (s *State) CurrentSince() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.notCurrent {
+		return s.Clock().Add(-time.Hour)
+	}
+	return s.Clock()
+}
+
+// SetCurrent sets whether the replica is proved current.
+func (s *State) SetCurrent(current bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notCurrent = !current
+}
+
+// LoseNextReply lets the next change take effect and its outcome be unknown.
+func (s *State) LoseNextReply() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseReply = true
+}
+
+// Accepted returns the number of changes that took effect.
+func (s *State) Accepted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accepted
+}
+
+// Change implements services.State.
+func (s *State) Change(_ context.Context, c revision.Change) (services.ChangeResult, error) {
+	if s.BeforeChange != nil {
+		s.BeforeChange(c)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	proposal := revision.Propose(s.state.Head(), s.state.Parts, c)
+	switch proposal.Verdict {
+	case revision.Repeated:
+		return services.ChangeResult{Revision: proposal.Revision, Repeated: true}, nil
+	case revision.Conflict:
+		return services.ChangeResult{}, fault.New(&fault.NotRun, fault.ReasonConflict, "change state", proposal.ConflictPart,
+			"the part is at revision %d", proposal.ConflictRevision)
+	}
+	s.apply(proposal)
+	if s.loseReply {
+		s.loseReply = false
+		return services.ChangeResult{}, fault.New(&fault.Unknown, fault.ReasonPlatformDown, "change state", "platform", "the reply was lost")
+	}
+	return services.ChangeResult{Revision: proposal.Revision}, nil
+}
+
+func (s *State) apply(p revision.Proposal) {
+	fetched := make(map[string]revision.Part, len(p.Parts))
+	for _, part := range p.Parts {
+		fetched[part.Name] = part
+	}
+	s.state, _ = s.state.Advance(p.Head, fetched)
+	s.view = decode(s.state)
+	s.accepted++
+	for _, w := range s.watches {
+		w.OfferLatest(s.view)
+	}
+}
+
+// decode skips what cannot be read, so that a test sees what got in.
+func decode(state *revision.State) *services.View {
+	v := &services.View{
+		Revision:    state.Revision,
+		State:       state,
+		Document:    &document.Document{Sections: map[string]document.Section{}},
+		Assignments: budget.Assignments{},
+		Ledger:      &budget.Ledger{Out: map[string]budget.Out{}},
+	}
+	for name, part := range state.Parts {
+		section, isSection := strings.CutPrefix(name, services.PartSectionPrefix)
+		switch {
+		case name == services.PartLedger:
+			json.Unmarshal(part.Data, v.Ledger)
+		case strings.HasPrefix(name, services.PartHostsPrefix):
+			json.Unmarshal(part.Data, &v.Assignments)
+		case isSection && len(part.Data) > 0:
+			if decoded, err := yamldoc.Decode(section, part.Data); err == nil {
+				v.Document.Sections[section] = decoded
+			}
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/standin/entryfakes/work.go
@@ -0,0 +1,238 @@
+package entryfakes
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/budget"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+// service is the part that all fakes have.
+type service struct{}
+
+// Provision implements kernel.Service.
+func (service) Provision(*kernel.Context) error { return nil }
+
+// Membership is a fake of services.Membership.
+type Membership struct {
+	service
+	Identity services.Identity
+
+	mu     sync.Mutex
+	listed []services.Identity
+	ended  []string
+}
+
+// SetListed sets the members listed at the platform.
+func (m *Membership) SetListed(members ...services.Identity) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listed = members
+}
+
+// Self implements services.Membership.
+func (m *Membership) Self() services.Identity { return m.Identity }
+
+// MayUseRights implements services.Membership.
+func (m *Membership) MayUseRights(time.Time) error { return nil }
+
+// MayAcceptChanges implements services.Membership.
+func (m *Membership) MayAcceptChanges() error { return nil }
+
+// Members implements services.Membership.
+func (m *Membership) Members() []services.Identity {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed
+}
+
+// ReceiveConfirmation implements services.Membership.
+func (m *Membership) ReceiveConfirmation(services.Identity) {}
+
+// ReceiveMembers implements services.Membership.
+func (m *Membership) ReceiveMembers([]services.Identity) {}
+
+// DeclareEnded implements services.MemberEnder.
+func (m *Membership) DeclareEnded(_ context.Context, _, member string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ended = append(m.ended, member)
+	return nil
+}
+
+// Ended returns the members that were declared to have ended.
+func (m *Membership) Ended() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ended
+}
+
+// Peers is a fake of services.Peers.
+type Peers struct {
+	service
+	TeamLoads []services.TeamLoad
+
+	mu       sync.Mutex
+	statuses []services.PeerStatus
+}
+
+// SetStatus sets the last reports of the peers.
+func (p *Peers) SetStatus(statuses ...services.PeerStatus) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.statuses = statuses
+}
+
+// Status implements services.Peers.
+func (p *Peers) Status() []services.PeerStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.statuses
+}
+
+// Loads implements services.Peers.
+func (p *Peers) Loads() []services.TeamLoad { return p.TeamLoads }
+
+// SetLoads implements services.Peers.
+func (p *Peers) SetLoads([]services.TeamLoad) {}
+
+// SetLeavingHosts implements services.Peers.
+func (p *Peers) SetLeavingHosts([]string) {}
+
+// Rights is a fake of services.Rights that grants nothing.
+type Rights struct {
+	service
+	mu    sync.Mutex
+	inUse []services.RightsUse
+}
+
+// SetUse sets what Use returns.
+func (r *Rights) SetUse(use ...services.RightsUse) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inUse = use
+}
+
+// Acquire implements services.Rights.
+func (r *Rights) Acquire(_ context.Context, team string, _ int) error {
+	return fault.New(&fault.NotRun, fault.ReasonLimit, "acquire right", team, "the fake grants no right")
+}
+
+// Release implements services.Rights.
+func (r *Rights) Release(string, int) {}
+
+// Waiting implements services.Rights.
+func (r *Rights) Waiting(string, int) {}
+
+// Freed implements services.Rights.
+func (r *Rights) Freed(string) services.FreedRing { return nil }
+
+// Use implements services.Rights.
+func (r *Rights) Use() []services.RightsUse {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.inUse
+}
+
+// Jobs is a fake of services.Jobs that only lists.
+type Jobs struct {
+	service
+	services.Jobs
+	All []services.JobStatus
+}
+
+// List implements services.Jobs.
+func (j *Jobs) List(_ context.Context, queue string, limit int) ([]services.JobStatus, error) {
+	var found []services.JobStatus
+	for _, job := range j.All {
+		if job.Queue == queue && len(found) < limit {
+			found = append(found, job)
+		}
+	}
+	return found, nil
+}
+
+// Maintenance is a fake of services.Maintenance that records its calls.
+type Maintenance struct {
+	service
+	mu    sync.Mutex
+	calls []string
+	fail  error
+}
+
+// Calls returns the calls so far, as "operation host".
+func (m *Maintenance) Calls() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls
+}
+
+// Fail lets all later calls return err.
+func (m *Maintenance) Fail(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fail = err
+}
+
+func (m *Maintenance) record(call string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls = append(m.calls, call)
+	return m.fail
+}
+
+// Drain implements services.Maintenance.
+func (m *Maintenance) Drain(_ context.Context, _, host string, cause budget.Cause) (budget.Out, error) {
+	return budget.Out{Host: host, Cause: cause, Step: budget.StepDraining}, m.record("drain " + host)
+}
+
+// Return implements services.Maintenance.
+func (m *Maintenance) Return(_ context.Context, _, host string) error {
+	return m.record("return " + host)
+}
+
+// Move implements services.Maintenance.
+func (m *Maintenance) Move(_ context.Context, _, host, toPool string) (budget.Out, error) {
+	return budget.Out{Host: host, Cause: budget.CauseMove, MoveTo: toPool}, m.record("move " + host)
+}
+
+// StartWave implements services.Maintenance.
+func (m *Maintenance) StartWave(_ context.Context, w budget.Wave) (budget.Wave, error) {
+	return w, m.record("start " + w.ID)
+}
+
+// StopWave implements services.Maintenance.
+func (m *Maintenance) StopWave(_ context.Context, _, id, _ string) error {
+	return m.record("stop " + id)
+}
+
+// Dispatcher is a fake of services.Dispatcher that runs nothing.
+type Dispatcher struct {
+	service
+	All []services.QueueStatus
+}
+
+// Submit implements services.Dispatcher.
+func (d *Dispatcher) Submit(context.Context, *services.Request) (*services.Reply, error) {
+	return nil, fault.New(&fault.NotRun, fault.ReasonNoBackendServer, "submit", "", "the fake runs nothing")
+}
+
+// Queues implements services.Dispatcher.
+func (d *Dispatcher) Queues() []services.QueueStatus { return d.All }
+
+// Hosts is a fake of services.Hosts.
+type Hosts struct {
+	service
+	List fleet.HostList
+}
+
+// Hosts implements services.Hosts.
+func (h *Hosts) Hosts() *fleet.HostList { return &h.List }
+
+// ReportLeaving implements services.Hosts.
+func (h *Hosts) ReportLeaving(string) {}
