Add the operators' tool, the settings page and the glossary

Cause: the tool was empty, the settings of the daemon were described only in its help, and a wrong log level was noticed only after the check.

Change: package ctl holds the logic of fuchsiactl; main only passes the arguments. Every command prints a table or JSON and ends with a documented status. Entry hosts are tried in turn with the same change identifier until one gives a final answer, and an attempt whose reply was lost is told apart from one that was never sent. Shown text carries the revision of each section in a comment line, so that an edit of it is conditional; a text without it does not replace a section unless asked to. Keys are made by the tool and printed once. Package settings describes flags and environment variables from the go-arg structs; messages and docs/settings.md are both made from it. A wave stops at max-failed failures, so zero is refused.

Ruled out: taking the present revision when a text names none, which would overwrite another operator's change; a change identifier for key create, because a repeat would print a key that was never stored. An entry host now also refuses a repeated identifier whose key it does not find.

--- a/cmd/fuchsiafrontd/main.go
+++ b/cmd/fuchsiafrontd/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -36,7 +37,7 @@
 }
 
 func run(settings entryhost.Settings) error {
-	level, err := zerolog.ParseLevel(settings.LogLevel)
+	level, err := zerolog.ParseLevel(cmp.Or(settings.LogLevel, "info"))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/ctl/rollout.go
@@ -0,0 +1,112 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/settings"
+	wirev1 "fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1"
+	"fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1/fuchsiafrontv1connect"
+)
+
+// watchPeriod is the time between two looks at something that is under way.
+const watchPeriod = 250 * time.Millisecond
+
+type rolloutCommand struct {
+	Revision uint64 `arg:"--revision" default:"0" help:"revision to ask for; 0 means the one in force on the answering entry host" placeholder:"N" unit:"revision" range:"0 or more"`
+	Watch    bool   `arg:"--watch" help:"wait until the revision is in force on all entry hosts"`
+}
+
+func (*rolloutCommand) check(*settings.Checker) {}
+
+func (c *rolloutCommand) run(ctx context.Context, s *session) error {
+	resp, err := rollout(ctx, s, c.Revision)
+	if err != nil {
+		return err
+	}
+	if c.Watch && !resp.InForce {
+		if resp, err = watchRollout(ctx, s, resp.Revision); err != nil {
+			return err
+		}
+	}
+	return s.out.value(resp, func(r row) { rolloutTable(r, resp) })
+}
+
+func rollout(ctx context.Context, s *session, revision uint64) (*wirev1.RolloutResponse, error) {
+	return call(ctx, s, reads, fuchsiafrontv1connect.AdminServiceClient.Rollout, &wirev1.RolloutRequest{Revision: revision})
+}
+
+// watchRollout returns once a revision is in force on all entry hosts.
+func watchRollout(ctx context.Context, s *session, revision uint64) (*wirev1.RolloutResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.Timeout)
+	defer cancel()
+	var missing []string
+	for {
+		resp, err := rollout(ctx, s, revision)
+		if err != nil {
+			return nil, err
+		}
+		if resp.InForce {
+			return resp, nil
+		}
+		missing = missingMembers(resp)
+		s.out.progress("revision %d: in force on %d of %d entry hosts; waiting for %s", revision,
+			len(resp.Members)-len(missing), len(resp.Members), strings.Join(missing, ", "))
+		select {
+		case <-ctx.Done():
+			return nil, failure(exitFailed, "wait for roll-out", "revision %d was accepted and is not yet in force on %s after %v; \"rollout --revision %d --watch\" waits on",
+				revision, strings.Join(missing, ", "), s.settings.Timeout, revision)
+		case <-time.After(watchPeriod):
+		}
+	}
+}
+
+func missingMembers(resp *wirev1.RolloutResponse) []string {
+	var names []string
+	for _, m := range resp.Members {
+		if !m.InForce {
+			names = append(names, m.Member)
+		}
+	}
+	return names
+}
+
+// waitInForce waits for a change that was accepted and prints the progress.
+func waitInForce(ctx context.Context, s *session, revision uint64) error {
+	_, err := watchRollout(ctx, s, revision)
+	if err == nil {
+		s.out.progress("revision %d: in force on all entry hosts", revision)
+	}
+	return err
+}
+
+func rolloutTable(r row, resp *wirev1.RolloutResponse) {
+	r("ENTRY HOST", "ZONE", "REVISION", "IN FORCE", "LAST HEARD")
+	for _, m := range resp.Members {
+		r(m.Member, m.Zone, m.Revision, inForce(m), heard(m.HeardMsAgo))
+	}
+	state := "not in force everywhere"
+	if resp.InForce {
+		state = "in force"
+	}
+	r(fmt.Sprintf("revision %d: %s", resp.Revision, state))
+}
+
+func inForce(m *wirev1.MemberRollout) string {
+	switch {
+	case m.ByBound:
+		return "no keyed work"
+	case m.InForce:
+		return "yes"
+	}
+	return "no"
+}
+
+func heard(ms int64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return (time.Duration(ms) * time.Millisecond).String() + " ago"
+}
--- a/decision/document/validate.go
+++ b/decision/document/validate.go
@@ -74,6 +74,11 @@
 	return len(name) <= maxNameLength && namePattern.MatchString(name)
 }
 
+// ValidKey reports whether the stored form of a key is well formed.
+func ValidKey(k Key) bool {
+	return ValidName(k.ID) && saltPattern.MatchString(k.Salt) && hashPattern.MatchString(k.Hash)
+}
+
 // Validate returns all problems of a whole document, ordered by section and
 // by position in it.
 func Validate(d *Document) []Problem {
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -1,7 +1,6 @@
 package entryhost
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,8 +20,6 @@
 	"fuchsiafront.example/fuchsiafront/services/statesync"
 )
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
 // Assemble registers the services of an entry host with a new kernel.
 // Settings must be valid.
 func Assemble(s Settings, log zerolog.Logger, clock services.Clock) *kernel.Kernel {
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -3,34 +3,35 @@
 package entryhost
 
 import (
-	"errors"
 	"net/netip"
-	"net/url"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/document"
 	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/settings"
 )
 
 // Settings are the flags and environment variables of fuchsiafrontd.
 type Settings struct {
-	Name           string        `arg:"--name,env:FUCHSIAFRONT_NAME" help:"name of this entry host, unique in the deployment" placeholder:"NAME"`
-	Zone           string        `arg:"--zone,env:FUCHSIAFRONT_ZONE" help:"availability zone of this entry host" placeholder:"ZONE"`
-	CallerAddress  string        `arg:"--caller-address,env:FUCHSIAFRONT_CALLER_ADDRESS" default:"127.0.0.1:8080" help:"IP:port for callers" placeholder:"IP:PORT"`
-	AdminAddress   string        `arg:"--admin-address,env:FUCHSIAFRONT_ADMIN_ADDRESS" default:"127.0.0.1:8081" help:"IP:port for operators, health and metrics" placeholder:"IP:PORT"`
-	PeerAddress    string        `arg:"--peer-address,env:FUCHSIAFRONT_PEER_ADDRESS" default:"127.0.0.1:8082" help:"IP:port for other entry hosts" placeholder:"IP:PORT"`
-	SourceIP       string        `arg:"--source-ip,env:FUCHSIAFRONT_SOURCE_IP" help:"IP that outgoing connections start from" placeholder:"IP"`
-	Platform       string        `arg:"--platform,env:FUCHSIAFRONT_PLATFORM" help:"URL of the platform, http://IP:port" placeholder:"URL"`
-	BootstrapKey   string        `arg:"--bootstrap-key,env:FUCHSIAFRONT_BOOTSTRAP_KEY" help:"stored form ID:SALT:HASH of the operator key that is accepted while the document declares no operators" placeholder:"KEY"`
-	MaxEntryHosts  int           `arg:"--max-entry-hosts,env:FUCHSIAFRONT_MAX_ENTRY_HOSTS" default:"8" help:"largest number of entry hosts; divides the connections of a backend server" placeholder:"N"`
-	MaxBodyBytes   int64         `arg:"--max-body-bytes,env:FUCHSIAFRONT_MAX_BODY_BYTES" default:"4194304" help:"largest body of a request" placeholder:"BYTES"`
-	DefaultTimeout time.Duration `arg:"--default-timeout,env:FUCHSIAFRONT_DEFAULT_TIMEOUT" default:"30s" help:"timeout of requests that name none" placeholder:"DURATION"`
-	MaxTimeout     time.Duration `arg:"--max-timeout,env:FUCHSIAFRONT_MAX_TIMEOUT" default:"2m" help:"longest timeout that a request may name" placeholder:"DURATION"`
-	KeyCurrency    time.Duration `arg:"--key-currency,env:FUCHSIAFRONT_KEY_CURRENCY" default:"3s" help:"longest time without proof that keys are current" placeholder:"DURATION"`
-	ReadinessDelay time.Duration `arg:"--readiness-delay,env:FUCHSIAFRONT_READINESS_DELAY" default:"3s" help:"time between reporting not-ready and refusing new connections at a stop" placeholder:"DURATION"`
-	DrainTimeout   time.Duration `arg:"--drain-timeout,env:FUCHSIAFRONT_DRAIN_TIMEOUT" default:"2m30s" help:"longest time that a stop waits for work under way" placeholder:"DURATION"`
-	LogLevel       string        `arg:"--log-level,env:FUCHSIAFRONT_LOG_LEVEL" default:"info" help:"trace, debug, info, warn or error" placeholder:"LEVEL"`
+	Name           string        `arg:"--name,env:FUCHSIAFRONT_NAME" help:"name of this entry host, unique in the deployment" placeholder:"NAME" unit:"name" range:"letters, digits and other characters but spaces and slashes, at least 1"`
+	Zone           string        `arg:"--zone,env:FUCHSIAFRONT_ZONE" help:"availability zone of this entry host" placeholder:"ZONE" unit:"name" range:"the name of an availability zone, at least 1 character"`
+	CallerAddress  string        `arg:"--caller-address,env:FUCHSIAFRONT_CALLER_ADDRESS" default:"127.0.0.1:8080" help:"IP:port for callers" placeholder:"IP:PORT" unit:"IP:port" range:"an IP address and a port"`
+	AdminAddress   string        `arg:"--admin-address,env:FUCHSIAFRONT_ADMIN_ADDRESS" default:"127.0.0.1:8081" help:"IP:port for operators, health and metrics" placeholder:"IP:PORT" unit:"IP:port" range:"an IP address and a port"`
+	PeerAddress    string        `arg:"--peer-address,env:FUCHSIAFRONT_PEER_ADDRESS" default:"127.0.0.1:8082" help:"IP:port for other entry hosts" placeholder:"IP:PORT" unit:"IP:port" range:"an IP address and a port"`
+	SourceIP       string        `arg:"--source-ip,env:FUCHSIAFRONT_SOURCE_IP" help:"IP that outgoing connections start from" placeholder:"IP" unit:"IP address" range:"an IP address, or empty to let the system choose"`
+	Platform       string        `arg:"--platform,env:FUCHSIAFRONT_PLATFORM" help:"URL of the platform, http://IP:port" placeholder:"URL" unit:"URL" range:"http://IP:port"`
+	BootstrapKey   string        `arg:"--bootstrap-key,env:FUCHSIAFRONT_BOOTSTRAP_KEY" help:"stored form ID:SALT:HASH of the operator key that is accepted while the document declares no operators" placeholder:"KEY" unit:"stored key" range:"ID:SALT:HASH as printed by fuchsiactl operator create-key, or empty for none"`
+	MaxEntryHosts  int           `arg:"--max-entry-hosts,env:FUCHSIAFRONT_MAX_ENTRY_HOSTS" default:"8" help:"largest number of entry hosts; divides the connections of a backend server" placeholder:"N" unit:"entry hosts" range:"1 to 64"`
+	MaxBodyBytes   int64         `arg:"--max-body-bytes,env:FUCHSIAFRONT_MAX_BODY_BYTES" default:"4194304" help:"largest body of a request" placeholder:"BYTES" unit:"bytes" range:"1 to 1073741824"`
+	DefaultTimeout time.Duration `arg:"--default-timeout,env:FUCHSIAFRONT_DEFAULT_TIMEOUT" default:"30s" help:"timeout of requests that name none" placeholder:"DURATION" range:"1ms to the value of --max-timeout"`
+	MaxTimeout     time.Duration `arg:"--max-timeout,env:FUCHSIAFRONT_MAX_TIMEOUT" default:"2m" help:"longest timeout that a request may name" placeholder:"DURATION" range:"1ms to 1h"`
+	KeyCurrency    time.Duration `arg:"--key-currency,env:FUCHSIAFRONT_KEY_CURRENCY" default:"3s" help:"longest time without proof that keys are current" placeholder:"DURATION" range:"1s to 1m"`
+	ReadinessDelay time.Duration `arg:"--readiness-delay,env:FUCHSIAFRONT_READINESS_DELAY" default:"3s" help:"time between reporting not-ready and refusing new connections at a stop" placeholder:"DURATION" range:"0s to 1m"`
+	DrainTimeout   time.Duration `arg:"--drain-timeout,env:FUCHSIAFRONT_DRAIN_TIMEOUT" default:"2m30s" help:"longest time that a stop waits for work under way" placeholder:"DURATION" range:"1s to 24h"`
+	LogLevel       string        `arg:"--log-level,env:FUCHSIAFRONT_LOG_LEVEL" default:"info" help:"trace, debug, info, warn or error" placeholder:"LEVEL" unit:"name" range:"trace, debug, info, warn or error; empty means info"`
 	Check          bool          `arg:"--check" help:"check the settings and exit"`
 }
 
@@ -41,31 +42,36 @@
 
 // Validate returns all faults of the settings joined.
 func (s *Settings) Validate() error {
-	var faults []error
-	reject := func(flag, value, allowed string) {
-		faults = append(faults, fault.New(&fault.Invalid, fault.ReasonMalformed, "check settings", flag, "%q is not allowed; want %s", value, allowed))
-	}
+	c := settings.NewChecker(s)
 	if s.Name == "" || strings.ContainsAny(s.Name, "/ ") {
-		reject("--name", s.Name, "a name without spaces and slashes")
+		c.Reject("--name", s.Name)
 	}
 	if s.Zone == "" {
-		reject("--zone", s.Zone, "the name of an availability zone")
+		c.Reject("--zone", s.Zone)
 	}
-	s.validateAddresses(reject)
-	s.validateDurations(reject)
+	s.validateAddresses(c)
+	s.validateDurations(c)
 	if s.MaxEntryHosts < 1 || s.MaxEntryHosts > 64 {
-		reject("--max-entry-hosts", itoa(s.MaxEntryHosts), "1 to 64")
+		c.Reject("--max-entry-hosts", strconv.Itoa(s.MaxEntryHosts))
+	}
+	if s.MaxBodyBytes < 1 || s.MaxBodyBytes > maxBodyBytes {
+		c.Reject("--max-body-bytes", strconv.FormatInt(s.MaxBodyBytes, 10))
 	}
-	if s.MaxBodyBytes < 1 {
-		reject("--max-body-bytes", itoa(int(s.MaxBodyBytes)), "at least 1")
+	if s.BootstrapKey != "" && !s.bootstrapValid() {
+		c.Reject("--bootstrap-key", "(hidden)")
 	}
-	if _, err := s.bootstrap(); s.BootstrapKey != "" && err != nil {
-		reject("--bootstrap-key", "(hidden)", "ID:SALT:HASH as printed by fuchsiactl")
+	if s.LogLevel != "" && !slices.Contains(logLevels, s.LogLevel) {
+		c.Reject("--log-level", s.LogLevel)
 	}
-	return errors.Join(faults...)
+	return c.Err()
 }
 
-func (s *Settings) validateAddresses(reject func(flag, value, allowed string)) {
+// maxBodyBytes is the largest value of --max-body-bytes: 1 GiB.
+const maxBodyBytes = 1 << 30
+
+var logLevels = []string{"trace", "debug", "info", "warn", "error"}
+
+func (s *Settings) validateAddresses(c *settings.Checker) {
 	addresses := []struct{ flag, value string }{
 		{"--caller-address", s.CallerAddress},
 		{"--admin-address", s.AdminAddress},
@@ -73,25 +79,20 @@
 	}
 	for _, a := range addresses {
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			reject(a.flag, a.value, "IP:port")
+			c.Reject(a.flag, a.value)
 		}
 	}
 	if s.SourceIP != "" {
 		if _, err := netip.ParseAddr(s.SourceIP); err != nil {
-			reject("--source-ip", s.SourceIP, "an IP address")
+			c.Reject("--source-ip", s.SourceIP)
 		}
 	}
-	u, err := url.Parse(s.Platform)
-	if err != nil || u.Scheme != "http" {
-		reject("--platform", s.Platform, "http://IP:port")
-		return
-	}
-	if _, err := netip.ParseAddrPort(u.Host); err != nil {
-		reject("--platform", s.Platform, "http://IP:port")
+	if !settings.IsServerURL(s.Platform) {
+		c.Reject("--platform", s.Platform)
 	}
 }
 
-func (s *Settings) validateDurations(reject func(flag, value, allowed string)) {
+func (s *Settings) validateDurations(c *settings.Checker) {
 	durations := []struct {
 		flag     string
 		value    time.Duration
@@ -105,7 +106,7 @@
 	}
 	for _, d := range durations {
 		if d.value < d.min || d.value > d.max {
-			reject(d.flag, d.value.String(), d.min.String()+" to "+d.max.String())
+			c.Reject(d.flag, d.value.String())
 		}
 	}
 }
@@ -126,3 +127,10 @@
 		Hosts:    true,
 	}, nil
 }
+
+// bootstrapValid reports whether the bootstrap key is a stored key that the
+// document would allow.
+func (s *Settings) bootstrapValid() bool {
+	o, err := s.bootstrap()
+	return err == nil && document.ValidKey(o.Key)
+}
--- /dev/null
+++ b/entryhost/settings_test.go
@@ -0,0 +1,81 @@
+package entryhost_test
+
+import (
+	"io"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"fuchsiafront.example/fuchsiafront/entryhost"
+	"fuchsiafront.example/fuchsiafront/settings"
+)
+
+func parse(t *testing.T, args ...string) *entryhost.Settings {
+	t.Helper()
+	var s entryhost.Settings
+	parser, err := arg.NewParser(arg.Config{Out: io.Discard, IgnoreEnv: true}, &s)
+	assert.NilError(t, err)
+	base := []string{"--name", "entry-1", "--zone", "klang", "--platform", "http://127.0.0.1:1"}
+	assert.NilError(t, parser.Parse(append(base, args...)))
+	return &s
+}
+
+// TestAllFaultsAreReportedAtOnce guards against an operator who needs one
+// start for each mistake, and against a key in a message.
+func TestAllFaultsAreReportedAtOnce(t *testing.T) {
+	assert.NilError(t, parse(t).Validate())
+	s := parse(t, "--name", "a/b", "--zone", "", "--caller-address", "here", "--admin-address", "localhost:1", "--peer-address", "",
+		"--source-ip", "x", "--platform", "http://name:1", "--bootstrap-key", "k:zz:5ec7e7", "--max-entry-hosts", "0",
+		"--max-body-bytes", "0", "--default-timeout", "3m", "--key-currency", "0s", "--log-level", "loud")
+	err := s.Validate()
+	for _, r := range settings.Rows(s) {
+		switch r.Flag {
+		case "--max-timeout", "--readiness-delay", "--drain-timeout", "--check":
+			continue
+		}
+		assert.Check(t, is.ErrorContains(err, "("+r.Flag+")"))
+		assert.Check(t, is.ErrorContains(err, "want "+r.Range))
+	}
+	assert.Assert(t, !strings.Contains(err.Error(), "5ec7e7"))
+}
+
+// TestRangesAreAsDescribed guards against a page and messages that name other
+// bounds than those that hold.
+func TestRangesAreAsDescribed(t *testing.T) {
+	probed := 0
+	for _, r := range settings.Rows(&entryhost.Settings{}) {
+		low, high, found := strings.Cut(r.Range, " to ")
+		if !found {
+			continue
+		}
+		for _, bound := range []struct {
+			text string
+			out  int64
+		}{{low, -1}, {high, 1}} {
+			inside, outside, ok := values(bound.text, bound.out)
+			if !ok {
+				continue
+			}
+			probed++
+			assert.Check(t, parse(t, "--max-timeout", "1h", "--default-timeout", "1ms", r.Flag+"="+inside).Validate(), "%s %s", r.Flag, inside)
+			assert.Check(t, is.ErrorContains(parse(t, "--max-timeout", "1h", "--default-timeout", "1ms", r.Flag+"="+outside).Validate(), r.Flag), "%s %s", r.Flag, outside)
+		}
+	}
+	assert.Assert(t, probed >= 12, probed)
+}
+
+// values returns a bound and the value next to it outside of the range.
+func values(bound string, step int64) (inside, outside string, ok bool) {
+	if n, err := strconv.ParseInt(bound, 10, 64); err == nil {
+		return bound, strconv.FormatInt(n+step, 10), true
+	}
+	if d, err := time.ParseDuration(bound); err == nil {
+		return bound, (d + time.Duration(step)).String(), true
+	}
+	return "", "", false
+}
--- a/services/admin/admin_test.go
+++ b/services/admin/admin_test.go
@@ -353,6 +353,10 @@
 	_, err = f.client.CreateKey(t.Context(), as(joaoKey, create))
 	assert.Equal(t, connect.CodeOf(err), connect.CodeAborted, "another key has the identifier")
 
+	create.ChangeId, create.KeyId = "c", "k10"
+	_, err = f.client.CreateKey(t.Context(), as(joaoKey, create))
+	assert.Equal(t, connect.CodeOf(err), connect.CodeAborted, "the change identifier belongs to another key")
+
 	for _, id := range []string{"w1", "w2"} {
 		withdrawn, err := f.client.WithdrawKey(t.Context(), as(joaoKey, &wirev1.WithdrawKeyRequest{ChangeId: id, Team: "sales", KeyId: "k9"}))
 		assert.NilError(t, err)
@@ -414,7 +418,7 @@
 	assert.NilError(t, err)
 	_, err = f.client.Move(ctx, as(sitiKey, &wirev1.MoveRequest{ChangeId: "3", Host: "s1", ToPool: "quotes"}))
 	assert.NilError(t, err)
-	_, err = f.client.StartWave(ctx, as(sitiKey, &wirev1.StartWaveRequest{Id: "w1", Pool: "quotes", MaxParallel: 2}))
+	_, err = f.client.StartWave(ctx, as(sitiKey, &wirev1.StartWaveRequest{Id: "w1", Pool: "quotes", MaxParallel: 2, MaxFailed: 1}))
 	assert.NilError(t, err)
 	_, err = f.client.StopWave(ctx, as(sitiKey, &wirev1.StopWaveRequest{ChangeId: "4", Id: "w1"}))
 	assert.NilError(t, err)
@@ -423,7 +427,7 @@
 	assert.Check(t, is.Equal(connect.CodeOf(err), connect.CodeInvalidArgument))
 	_, err = f.client.Move(ctx, as(sitiKey, &wirev1.MoveRequest{ChangeId: "6", Host: "s1", ToPool: "nowhere"}))
 	assert.Check(t, is.Equal(connect.CodeOf(err), connect.CodeInvalidArgument))
-	_, err = f.client.StartWave(ctx, as(sitiKey, &wirev1.StartWaveRequest{Id: "w2", Pool: "quotes"}))
+	_, err = f.client.StartWave(ctx, as(sitiKey, &wirev1.StartWaveRequest{Id: "w2", Pool: "quotes", MaxFailed: 1}))
 	assert.Check(t, is.Equal(connect.CodeOf(err), connect.CodeInvalidArgument))
 	assert.DeepEqual(t, f.Maintenance.Calls(), []string{"drain s1", "return s1", "move s1", "start w1", "stop w1"})
 
--- a/services/admin/keys.go
+++ b/services/admin/keys.go
@@ -91,9 +91,26 @@
 	if fault.ReasonOf(err) == fault.ReasonConflict {
 		err = fault.New(&fault.NotRun, fault.ReasonBehind, step, section, "the section changed at the same time; submit the change again")
 	}
+	if err == nil && result.Repeated {
+		err = h.checkRepeat(step, section, c, result)
+	}
 	return result, err
 }
 
+// checkRepeat checks that a change found by its identifier is the one asked
+// for, so that nobody is told that a key works which was never stored.
+func (h *handler) checkRepeat(step, section string, c keyChange, result services.ChangeResult) error {
+	view := h.service.state.View()
+	if view.Revision < result.Revision {
+		return fault.New(&fault.NotRun, fault.ReasonBehind, step, section, "this host has revision %d, before that of the change; submit it again", view.Revision)
+	}
+	present, found := keyOf(view, c.team, c.keyID)
+	if done, err := c.done(present, found); !done || err != nil {
+		return fault.New(&fault.NotRun, fault.ReasonConflict, step, section, "the change identifier %q belongs to another change", c.changeID)
+	}
+	return nil
+}
+
 func keyOf(view *services.View, team, id string) (document.Key, bool) {
 	t, _ := view.Document.Team(team)
 	i := slices.IndexFunc(t.Keys, func(k document.Key) bool { return k.ID == id })
--- a/services/admin/waves.go
+++ b/services/admin/waves.go
@@ -45,8 +45,8 @@
 	if msg.MaxParallel < 1 {
 		return malformed(step, "max_parallel", strconv.Itoa(int(msg.MaxParallel)), "at least 1")
 	}
-	if msg.MaxFailed < 0 {
-		return malformed(step, "max_failed", strconv.Itoa(int(msg.MaxFailed)), "at least 0")
+	if msg.MaxFailed < 1 {
+		return malformed(step, "max_failed", strconv.Itoa(int(msg.MaxFailed)), "at least 1")
 	}
 	return checkPool(view, step, "pool", msg.Pool)
 }
