--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -86,7 +86,7 @@
 		peers:     freePort(t, ip),
 	}
 	h.relay = startRelay(t, ip, h.peers)
-	stored := c.operator.Store("salt")
+	stored := c.operator.Store("00a1")
 	h.args = append([]string{
 		"--name", h.name, "--zone", zone, "--platform", platform, "--source-ip", ip,
 		"--caller-address", h.callers, "--admin-address", h.operators, "--peer-address", h.peers, "--peer-advertise", h.relay.address(),
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -32,8 +32,8 @@
 			{Name: "ledger", Kind: fleet.KindBackendServer, Adopt: []string{"*-ledger-*"}, MaxUnavailable: 1},
 		},
 		Teams: []document.Team{
-			{Name: "sales", Share: 3, Limit: salesLimit, Keys: []document.Key{salesKey.Store("s1")}},
-			{Name: "ledger", Share: 1, Limit: ledgerLimit, Keys: []document.Key{ledgerKey.Store("s2")}},
+			{Name: "sales", Share: 3, Limit: salesLimit, Keys: []document.Key{salesKey.Store("00a2")}},
+			{Name: "ledger", Share: 1, Limit: ledgerLimit, Keys: []document.Key{ledgerKey.Store("00a3")}},
 		},
 		Queues: []document.Queue{
 			{Name: "quotes", Team: "sales", Pool: "quotes", Class: fleet.ClassInteractive},
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -22,8 +21,6 @@
 	"fuchsiafront.example/fuchsiafront/services/statesync"
 )
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
 // Assemble registers the services of an entry host with a new kernel.
 // Settings must be valid.
 func Assemble(s Settings, log zerolog.Logger, clock services.Clock) *kernel.Kernel {
@@ -37,7 +34,11 @@
 	k.Register(services.NameState, statesync.New(clock))
 	k.Register(services.NameBackend, backend.New(backend.Settings{MaxEntryHosts: s.MaxEntryHosts, SourceIP: s.SourceIP}, clock))
 	k.Register(services.NameDispatch, dispatch.New(clock))
-	k.Register(services.NameAdmin, admin.New(s.admin()))
+	k.Register(services.NameAdmin, admin.New(s.admin(), clock))
+	k.Register(services.NamePeers, absentPeers{})
+	k.Register(services.NameRights, absentRights{})
+	k.Register(services.NameJobs, absentJobs{})
+	k.Register(services.NameMaintenance, absentMaintenance{})
 	k.Register(services.NameFront, front.New(s.front(), clock))
 	return k
 }
@@ -58,7 +59,7 @@
 	if s.BootstrapKey != "" {
 		bootstrap, _ = s.bootstrap()
 	}
-	return admin.Settings{Address: s.AdminAddress, Bootstrap: bootstrap}
+	return admin.Settings{Address: s.AdminAddress, Bootstrap: bootstrap, KeyCurrency: s.KeyCurrency}
 }
 
 func (s *Settings) front() front.Settings {
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -72,6 +72,8 @@
 	ReasonUnknownWave       Reason = "unknown-wave"
 	ReasonPoolHasWave       Reason = "pool-has-wave"
 	ReasonMemberUnconfirmed Reason = "member-unconfirmed"
+	ReasonBehind            Reason = "replica-behind"
+	ReasonUnsupported       Reason = "unsupported"
 	ReasonInternal          Reason = "internal"
 )
 
