Find lines of problems with one parse, and refuse changes without any proof

Cause: each problem of a document parsed the section again, so a large section with many problems kept an entry host busy. An entry host that never had proof that its keys are current compared a made-up age with the bound.

Change: yamldoc.Locate parses a text once. A change is refused while there is no proof at all. Tests cover readiness, health, and that errors about wrong text do not show the stored form of a key.

--- a/ctl/document.go
+++ b/ctl/document.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/settings"
 	wirev1 "fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1"
 	"fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1/fuchsiafrontv1connect"
@@ -159,24 +160,28 @@
 	return d
 }
 
-// invalidFiles returns the error that lists all problems with file and line.
+// invalidFiles returns the error that lists all problems with their lines.
 func invalidFiles(problems []document.Problem, sections []fileSection) error {
-	refusal := &wirev1.AdminRefusal{Outcome: "not-run", Reason: "malformed"}
-	where := "files"
+	refusal := &wirev1.AdminRefusal{Outcome: "not-run", Reason: string(fault.ReasonMalformed)}
+	byName := make(map[string]fileSection, len(sections))
+	locators := make(map[string]yamldoc.Locator, len(sections))
+	var files []string
+	for _, s := range sections {
+		byName[s.Section.Name] = s
+		locators[s.Section.Name] = yamldoc.Locate(s.YAML)
+		if !slices.Contains(files, s.file) {
+			files = append(files, s.file)
+		}
+	}
 	for _, p := range problems {
 		wire := &wirev1.DocumentProblem{Section: p.Section, Field: p.Field, Value: p.Value, Allowed: p.Allowed}
-		for _, s := range sections {
-			if s.Section.Name != p.Section {
-				continue
-			}
-			where = s.file
-			if line := yamldoc.Line(s.YAML, p.Field); line > 0 {
-				wire.Line = int32(s.Line - 1 + line + s.markerLines())
-			}
+		if line := locators[p.Section].Line(p.Field); line > 0 {
+			s := byName[p.Section]
+			wire.Line = int32(s.Line - 1 + line + s.markerLines())
 		}
 		refusal.Problems = append(refusal.Problems, wire)
 	}
-	return &exitError{exitFailed, &refusedError{server: where, refusal: refusal}}
+	return &exitError{exitFailed, &refusedError{server: strings.Join(files, ", "), refusal: refusal}}
 }
 
 // markerLines returns the number of lines that takeMarker removed.
--- a/services/admin/access.go
+++ b/services/admin/access.go
@@ -55,21 +55,21 @@
 	if err != nil {
 		return o, nil, err
 	}
-	if age := h.service.currencyAge(); age > h.service.settings.KeyCurrency {
+	if age, proved := h.service.currencyAge(); !proved || age > h.service.settings.KeyCurrency {
 		return o, nil, fault.New(&fault.NotRun, fault.ReasonKeysNotCurrent, "check operator key", "",
 			"no proof for %v that the keys are current; want at most %v", age.Round(time.Millisecond), h.service.settings.KeyCurrency)
 	}
 	return o, view, nil
 }
 
-// currencyAge returns the age of the proof that the replica is current, and
-// the time since the start when there never was one.
-func (s *Service) currencyAge() time.Duration {
+// currencyAge returns the age of the proof that the replica is current. When
+// there never was one, it returns the time since the start and false.
+func (s *Service) currencyAge() (age time.Duration, proved bool) {
 	since := s.state.CurrentSince()
 	if since.IsZero() {
-		return s.clock().Sub(s.started) + s.settings.KeyCurrency
+		return s.clock().Sub(s.started), false
 	}
-	return s.clock().Sub(since)
+	return s.clock().Sub(since), true
 }
 
 // hostChanger authenticates the operator of a host operation.
--- a/services/admin/apply.go
+++ b/services/admin/apply.go
@@ -158,7 +158,7 @@
 // checkResult reads the texts and validates the whole document that results.
 func checkResult(view *services.View, changes []*wirev1.SectionChange) error {
 	after := &document.Document{Sections: maps.Clone(view.Document.Sections)}
-	texts := make(map[string]string, len(changes))
+	locators := make(map[string]yamldoc.Locator, len(changes))
 	var problems []*wirev1.DocumentProblem
 	for _, c := range changes {
 		if c.Delete {
@@ -171,14 +171,14 @@
 			continue
 		}
 		after.Sections[c.Name] = section
-		texts[c.Name] = c.Yaml
+		locators[c.Name] = yamldoc.Locate([]byte(c.Yaml))
 	}
 	if len(problems) > 0 {
 		return invalidDocument(problems)
 	}
 	found := append(document.Validate(after), document.CheckOwnership(view.Document, after)...)
 	for _, p := range found {
-		problems = append(problems, wireProblem(p, texts[p.Section]))
+		problems = append(problems, wireProblem(p, locators[p.Section]))
 	}
 	if len(problems) > 0 {
 		return invalidDocument(problems)
@@ -190,11 +190,11 @@
 	return fault.New(&fault.Invalid, fault.ReasonMalformed, stepApply, problems[0].Section, "%w", &documentError{problems})
 }
 
-func wireProblem(p document.Problem, text string) *wirev1.DocumentProblem {
+func wireProblem(p document.Problem, l yamldoc.Locator) *wirev1.DocumentProblem {
 	return &wirev1.DocumentProblem{
 		Section: p.Section,
 		Field:   p.Field,
-		Line:    int32(yamldoc.Line([]byte(text), p.Field)),
+		Line:    int32(l.Line(p.Field)),
 		Value:   p.Value,
 		Allowed: p.Allowed,
 	}
--- a/services/admin/fixture_test.go
+++ b/services/admin/fixture_test.go
@@ -44,10 +44,11 @@
 // fixture is the operators' API of one entry host with fakes behind it.
 type fixture struct {
 	*entryfakes.Set
-	clock  *clock
-	client fuchsiafrontv1connect.AdminServiceClient
-	url    string
-	log    *lockedBuffer
+	clock   *clock
+	service *admin.Service
+	client  fuchsiafrontv1connect.AdminServiceClient
+	url     string
+	log     *lockedBuffer
 }
 
 type lockedBuffer struct {
@@ -83,6 +84,7 @@
 	k.Register(services.NameAdmin, service)
 	assert.NilError(t, k.Start(t.Context()))
 	t.Cleanup(func() { k.Stop(context.Background()) })
+	f.service = service
 	f.url = "http://" + service.Address()
 	f.client = fuchsiafrontv1connect.NewAdminServiceClient(http.DefaultClient, f.url)
 	return f
--- a/services/admin/gauges.go
+++ b/services/admin/gauges.go
@@ -35,7 +35,8 @@
 
 func (g *gauges) update() {
 	s := g.service
-	s.scope.Gauge("currency_age_seconds").Update(s.currencyAge().Seconds())
+	age, _ := s.currencyAge()
+	s.scope.Gauge("currency_age_seconds").Update(age.Seconds())
 	g.updateRights()
 	view := s.state.View()
 	if view == nil {
--- a/services/admin/hosts_test.go
+++ b/services/admin/hosts_test.go
@@ -117,3 +117,22 @@
 		return poll.Success()
 	}, poll.WithTimeout(time.Minute))
 }
+
+// TestReadinessFollowsTheFront guards against callers that are sent to a host
+// that drains, and against a health check that fails meanwhile.
+func TestReadinessFollowsTheFront(t *testing.T) {
+	f := newFixture(t)
+	for _, ready := range []bool{false, true, false} {
+		f.service.SetReady(ready)
+		want := http.StatusServiceUnavailable
+		if ready {
+			want = http.StatusOK
+		}
+		for path, status := range map[string]int{"/readyz": want, "/healthz": http.StatusOK} {
+			resp, err := http.Get(f.url + path)
+			assert.NilError(t, err)
+			resp.Body.Close()
+			assert.Equal(t, resp.StatusCode, status, path)
+		}
+	}
+}
--- a/services/admin/keys_test.go
+++ b/services/admin/keys_test.go
@@ -47,9 +47,12 @@
 // still works where the withdrawal has not arrived.
 func TestStaleHostAcceptsNoChange(t *testing.T) {
 	f := started(t)
-	f.State.SetCurrent(false)
+	f.State.SetCurrencyAge(3*time.Second + 1)
 	_, err := apply(f, sitiKey, "stale", section(t, salesSection(30), 1))
 	assert.Equal(t, refusal(t, err).Reason, string(fault.ReasonKeysNotCurrent))
+	f.State.SetUnproved()
+	_, err = apply(f, sitiKey, "unproved", section(t, salesSection(30), 1))
+	assert.Equal(t, refusal(t, err).Reason, string(fault.ReasonKeysNotCurrent))
 	_, err = f.client.GetDocument(t.Context(), as(sitiKey, &wirev1.GetDocumentRequest{}))
 	assert.NilError(t, err, "operators can look into a host that is cut off")
 	_, err = f.client.ForgetHost(t.Context(), as(sitiKey, &wirev1.ForgetHostRequest{ChangeId: "f", Member: "entry-2"}))
--- a/standin/entryfakes/state.go
+++ b/standin/entryfakes/state.go
@@ -26,13 +26,14 @@
 	// BeforeChange runs before a change is decided; nil for none.
 	BeforeChange func(revision.Change)
 
-	mu         sync.Mutex
-	state      *revision.State
-	view       *services.View
-	watches    []*ring.Ring[*services.View]
-	loseReply  bool
-	notCurrent bool
-	accepted   int
+	mu        sync.Mutex
+	state     *revision.State
+	view      *services.View
+	watches   []*ring.Ring[*services.View]
+	loseReply bool
+	age       time.Duration
+	unproved  bool
+	accepted  int
 }
 
 // NewState returns an empty state at revision zero.
@@ -63,17 +64,24 @@
 func (s *State) CurrentSince() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.notCurrent {
-		return s.Clock().Add(-time.Hour)
+	if s.unproved {
+		return time.Time{}
 	}
-	return s.Clock()
+	return s.Clock().Add(-s.age)
 }
 
-// SetCurrent sets whether the replica is proved current.
-func (s *State) SetCurrent(current bool) {
+// SetCurrencyAge sets the age of the proof that the replica is current.
+func (s *State) SetCurrencyAge(age time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.notCurrent = !current
+	s.age = age
+}
+
+// SetUnproved takes back every proof that the replica is current.
+func (s *State) SetUnproved() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unproved = true
 }
 
 // LoseNextReply lets the next change take effect and its outcome be unknown.
--- a/wire/yamldoc/errors.go
+++ b/wire/yamldoc/errors.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
 	"github.com/goccy/go-yaml/parser"
 
 	"fuchsiafront.example/fuchsiafront/decision/document"
@@ -56,35 +57,40 @@
 	return line
 }
 
-// Line returns the line of a field, such as "pools[0].adopt[1]", in the text
-// of a section, and zero when the text does not have the field.
-func Line(text []byte, field string) int {
-	if field == "" {
-		return 0
-	}
-	path, err := yaml.PathString("$." + field)
+// Locator finds the lines of fields in the text of one section.
+type Locator struct {
+	file *ast.File
+}
+
+// Locate returns a locator for a text; it finds nothing in a text that cannot
+// be read.
+func Locate(text []byte) Locator {
+	file, err := parser.ParseBytes(text, 0)
 	if err != nil {
+		return Locator{}
+	}
+	return Locator{file}
+}
+
+// Line returns the line of a field, such as "pools[0].adopt[1]", or of the
+// nearest field around it that is there, and zero when there is none.
+func (l Locator) Line(field string) int {
+	if field == "" || l.file == nil {
 		return 0
 	}
-	file, err := parser.ParseBytes(text, 0)
+	path, err := yaml.PathString("$." + field)
 	if err != nil {
 		return 0
 	}
-	node, err := path.FilterFile(file)
-	if err != nil || node == nil || node.GetToken() == nil {
-		return parentLine(text, field)
+	node, err := path.FilterFile(l.file)
+	if err == nil && node != nil && node.GetToken() != nil {
+		return node.GetToken().Position.Line
 	}
-	return node.GetToken().Position.Line
-}
-
-// parentLine returns the line of the nearest enclosing field, for a field
-// that is missing.
-func parentLine(text []byte, field string) int {
 	cut := strings.LastIndexAny(field, ".[")
 	if cut <= 0 {
 		return 0
 	}
-	return Line(text, field[:cut])
+	return l.Line(field[:cut])
 }
 
 // maxSuggestionDistance is the number of edits up to which a known name is
--- a/wire/yamldoc/yamldoc_test.go
+++ b/wire/yamldoc/yamldoc_test.go
@@ -67,7 +67,21 @@
 // the wrong line.
 func TestLineOfField(t *testing.T) {
 	for field, line := range map[string]int{"teams[0].share": 5, "teams[1].limit": 15, "teams[0].keys[1].id": 12, "teams[1].keys": 13, "": 0} {
-		assert.Check(t, is.Equal(yamldoc.Line([]byte(text), field), line), field)
+		assert.Check(t, is.Equal(yamldoc.Locate([]byte(text)).Line(field), line), field)
+	}
+}
+
+// TestErrorsDoNotShowStoredKeys guards against the stored form of a key in an
+// error, and with it in the log, when the text around it is wrong.
+func TestErrorsDoNotShowStoredKeys(t *testing.T) {
+	const hash = "4a54ff00aa"
+	for _, field := range []string{
+		"keys: " + hash, "keys: [" + hash + "]", "keys: [{hash: [" + hash + "]}]", "keys: [{hash: {a: " + hash + "}}]",
+		"keys: [{hash: \"" + hash + "}]", "keys: [{withdrawn: " + hash + "}]", "keys:\n    - id: k\n     hash: " + hash,
+	} {
+		_, err := yamldoc.Decode("a", []byte("section: a\nteams:\n  - name: x\n    "+field+"\n"))
+		assert.Assert(t, err != nil, field)
+		assert.Check(t, !strings.Contains(err.Error(), hash), "%s: %v", field, err)
 	}
 }
 
@@ -166,7 +180,7 @@
 		in := strings.Join(rapid.SliceOfN(piece, 0, 30).Draw(t, "text"), "")
 		sources, err := yamldoc.DecodeAll("x", strings.NewReader(in))
 		if err == nil && len(sources) > 0 {
-			yamldoc.Line([]byte(in), "teams[0].name")
+			yamldoc.Locate([]byte(in)).Line("teams[0].name")
 		}
 	})
 }
