Quote strings that read as something else in YAML

Cause: the library writes a string such as "? !" plain, and reads it back as the beginning of a mapping.

Change: Encode quotes every string that is not a plain word, and the words that YAML reads as truth values or null. A table test holds such strings.

Ruled out: a narrower pattern in the generator, which would hide the fault.

Seen failing: without the option for strings TestStringsThatReadAsOtherThings fails.

--- a/wire/yamldoc/yamldoc.go
+++ b/wire/yamldoc/yamldoc.go
@@ -4,8 +4,11 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
+	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/goccy/go-yaml"
@@ -144,9 +147,26 @@
 
 // Encode writes one section.
 func Encode(section document.Section) ([]byte, error) {
-	data, err := yaml.Marshal(section)
+	data, err := yaml.MarshalWithOptions(section, yaml.CustomMarshaler(quote))
 	if err != nil {
 		return nil, fault.New(&fault.Invalid, fault.ReasonMalformed, "write section", section.Name, "%w", err)
 	}
 	return data, nil
 }
+
+// plainText matches the strings that are written without quotes. The encoder
+// by itself leaves some strings plain that read as something else, such as
+// "? !", which begins a mapping.
+var plainText = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9_-]*$`)
+
+// reserved are the plain words that YAML 1.1 or 1.2 reads as other types.
+var reserved = []string{"true", "false", "null", "yes", "no", "on", "off", "y", "n"}
+
+// quote writes a string; JSON strings are YAML strings (YAML 1.2.2, section
+// 1.3).
+func quote(s string) ([]byte, error) {
+	if plainText.MatchString(s) && !slices.Contains(reserved, strings.ToLower(s)) {
+		return []byte(s), nil
+	}
+	return json.Marshal(s)
+}
--- a/wire/yamldoc/yamldoc_test.go
+++ b/wire/yamldoc/yamldoc_test.go
@@ -172,6 +172,19 @@
 	})
 }
 
+// TestStringsThatReadAsOtherThings guards against strings that the library
+// writes plain and reads back as a mapping, a number or a truth value.
+func TestStringsThatReadAsOtherThings(t *testing.T) {
+	for _, s := range []string{"? !", "? x", "- x", "a: b", "a #b", "true", "No", "1e3", "0x10", "~", "", " ", "*a", "&a", "!x", "|", ">", "%", "@", "`", "{", "[", "\"", "'", "<<", "---", "a\nb", "\t", "é", "<&>"} {
+		want := document.Section{Name: "a", Operators: []document.Operator{{Name: s, Key: document.Key{ID: s, Salt: s}, Sections: []string{s}}}}
+		text, err := yamldoc.Encode(want)
+		assert.NilError(t, err)
+		got, err := yamldoc.Decode("a", text)
+		assert.NilError(t, err, "%q: %s", s, text)
+		assert.DeepEqual(t, got, want)
+	}
+}
+
 // TestArbitraryTextIsRefusedNotFatal guards against input that ends the
 // process.
 func TestArbitraryTextIsRefusedNotFatal(t *testing.T) {
