--- a/services/admin/apply.go
+++ b/services/admin/apply.go
@@ -54,8 +54,9 @@
 	if err := checkApply(o, msg); err != nil {
 		return applyPlan{}, err
 	}
+	id := applyIdentity(msg)
 	for _, c := range msg.Changes {
-		if at, ok := appliedAs(view, services.PartSectionPrefix+c.Name, msg.ChangeId); ok {
+		if at, ok := appliedAs(view, services.PartSectionPrefix+c.Name, id); ok {
 			return applyPlan{repeated: true, revision: at}, nil
 		}
 	}
@@ -69,7 +70,7 @@
 	if err := checkResult(view, changes); err != nil {
 		return applyPlan{}, err
 	}
-	change := revision.Change{ID: msg.ChangeId}
+	change := revision.Change{ID: id}
 	for _, c := range changes {
 		change.Updates = append(change.Updates, updateOf(view, c))
 	}
@@ -98,9 +99,9 @@
 }
 
 // appliedAs returns the revision that a change of a part got.
-func appliedAs(view *services.View, part, changeID string) (uint64, bool) {
+func appliedAs(view *services.View, part, id string) (uint64, bool) {
 	for _, applied := range view.State.Parts[part].Changes {
-		if applied.ChangeID == changeID {
+		if applied.ChangeID == id {
 			return applied.Revision, true
 		}
 	}
@@ -157,7 +158,7 @@
 // checkResult reads the texts and validates the whole document that results.
 func checkResult(view *services.View, changes []*wirev1.SectionChange) error {
 	after := &document.Document{Sections: maps.Clone(view.Document.Sections)}
-	texts := make(map[string]string, len(changes))
+	locators := make(map[string]yamldoc.Locator, len(changes))
 	var problems []*wirev1.DocumentProblem
 	for _, c := range changes {
 		if c.Delete {
@@ -170,14 +171,14 @@
 			continue
 		}
 		after.Sections[c.Name] = section
-		texts[c.Name] = c.Yaml
+		locators[c.Name] = yamldoc.Locate([]byte(c.Yaml))
 	}
 	if len(problems) > 0 {
 		return invalidDocument(problems)
 	}
 	found := append(document.Validate(after), document.CheckOwnership(view.Document, after)...)
 	for _, p := range found {
-		problems = append(problems, wireProblem(p, texts[p.Section]))
+		problems = append(problems, wireProblem(p, locators[p.Section]))
 	}
 	if len(problems) > 0 {
 		return invalidDocument(problems)
@@ -189,11 +190,11 @@
 	return fault.New(&fault.Invalid, fault.ReasonMalformed, stepApply, problems[0].Section, "%w", &documentError{problems})
 }
 
-func wireProblem(p document.Problem, text string) *wirev1.DocumentProblem {
+func wireProblem(p document.Problem, l yamldoc.Locator) *wirev1.DocumentProblem {
 	return &wirev1.DocumentProblem{
 		Section: p.Section,
 		Field:   p.Field,
-		Line:    int32(yamldoc.Line([]byte(text), p.Field)),
+		Line:    int32(l.Line(p.Field)),
 		Value:   p.Value,
 		Allowed: p.Allowed,
 	}
