Record unmet demand in the row, and never free a live holding early

A holder that came back after its term was over had a stranded holding, kept for a job, and a live one. When the stranded one was due, the live one was stranded and freed with it. Change: expired holders and stranded holdings are separate in the survey, and stranded holdings are freed before newer ones join them.

Cause 2: a holder with idle rights learned of unmet demand from the peers' reports only, which are 0.8 s old or more, and gave to hosts whose burst had ended. Change: a host that lacks rights says so in the row, rounded up to a power of two and corrected when it fell to a quarter. Hosts with idle rights read the row every 200 ms, and move rights only to peers heard of in the last 5 s.

--- a/decision/rights/balance.go
+++ b/decision/rights/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -10,13 +11,6 @@
 // a sixteenth of its need are left idle, before its first refusal.
 const lowWaterDivisor = 16
 
-// Peer is another entry host and the work it last reported as running or
-// waiting.
-type Peer struct {
-	Holder
-	Need int
-}
-
 // Survey is what a host knows of one team when it balances its rights.
 type Survey struct {
 	Team    string
@@ -27,12 +21,17 @@
 	Limit     Limit
 	// Hosts is the number of entry hosts, this one included.
 	Hosts int
-	Peers []Peer
+	// Peers are the other entry hosts heard of lately. Rights move only to
+	// them, since those of a host that died come back late.
+	Peers []Holder
 	// Leaving gives back all rights that are not in use.
 	Leaving bool
-	// Abandoned holders have ended; Reclaimed holders, live or stranded,
-	// cannot have a request running any more.
+	// Abandoned holders have ended. Expired holders showed no sign of life
+	// for so long that no request of theirs can still run. Reclaimed are
+	// stranded holdings of which the same holds; a holder that came back can
+	// have a live holding as well, which stays.
 	Abandoned []Holder
+	Expired   []Holder
 	Reclaimed []Holder
 }
 
@@ -50,6 +49,7 @@
 	CauseDemand    Cause = "demand"
 	CauseIdle      Cause = "idle"
 	CausePeer      Cause = "peer-demand"
+	CauseWanted    Cause = "wanted"
 )
 
 // Plan is a new row to commit on the condition that the row has Version.
@@ -104,8 +104,13 @@
 	return p
 }
 
-// clear strands and reclaims the rights of holders that ended.
+// clear strands and reclaims the rights of holders that ended. Holdings that
+// were stranded long ago come first, because a newer one of the same holder
+// joins them.
 func (l *Ledger) clear(p *Plan, s Survey) {
+	for _, h := range s.Reclaimed {
+		p.reclaim(h)
+	}
 	for _, h := range s.Row.Holdings {
 		if h.Host == l.self.Host && h.Holder != l.self {
 			p.strand(h.Holder)
@@ -114,13 +119,17 @@
 	for _, h := range s.Abandoned {
 		p.strand(h)
 	}
-	for _, h := range s.Reclaimed {
+	for _, h := range s.Expired {
 		p.strand(h)
-		next, n := p.Row.Reclaim(h)
-		if n > 0 {
-			p.Row = next
-			p.because(CauseReclaimed)
-		}
+		p.reclaim(h)
+	}
+}
+
+func (p *Plan) reclaim(h Holder) {
+	next, n := p.Row.Reclaim(h)
+	if n > 0 {
+		p.Row = next
+		p.because(CauseReclaimed)
 	}
 }
 
@@ -144,6 +153,7 @@
 // spread takes what this host lacks, or gives away what it does not need.
 func (l *Ledger) spread(p *Plan, a *account, s Survey, inDoubt bool) {
 	floor := Floor(p.Row.Limit.Rights, s.Hosts)
+	a.floor = floor
 	held := a.held - a.reserved
 	keep := a.keep(floor)
 	low := a.need() + (a.need()+lowWaterDivisor-1)/lowWaterDivisor
@@ -152,9 +162,12 @@
 		if n > 0 {
 			p.Row, p.Taken = next, n
 			p.because(CauseDemand)
-			return
 		}
 	}
+	p.want(l.self, a, held+p.Taken)
+	if p.Taken > 0 {
+		return
+	}
 	if inDoubt {
 		return
 	}
@@ -164,6 +177,26 @@
 	}
 }
 
+// want records in the row what this host lacks, so that hosts with idle rights
+// see it at their next read. It is rounded up to a power of two, and written
+// anew only when it doubled or fell to a quarter, to keep the number of writes
+// small.
+func (p *Plan) want(self Holder, a *account, held int) {
+	recorded := p.Row.Of(self).Wanted
+	lack := max(0, a.need()-held)
+	if lack > recorded || overstated(recorded, lack) {
+		if lack > 0 {
+			lack = 1 << bits.Len(uint(lack-1))
+		}
+		p.Row = p.Row.Want(self, lack)
+		p.because(CauseWanted)
+	}
+}
+
+// overstated reports whether the recorded lack would draw rights that are not
+// needed any more.
+func overstated(recorded, lack int) bool { return recorded > 0 && lack <= recorded/4 }
+
 func (l *Ledger) give(p *Plan, a *account, n int, cause Cause) {
 	next, given := p.Row.GiveBack(l.self, n)
 	if given == 0 {
@@ -180,7 +213,7 @@
 	unmet := unmetPeers(p.Row, s.Peers)
 	total := 0
 	for _, u := range unmet {
-		total += u.Need
+		total += u.Wanted
 	}
 	total -= p.Row.Free()
 	if total <= 0 {
@@ -191,7 +224,7 @@
 	spare = max(spare, min(a.withheld, a.held-a.used))
 	spare = min(spare, total)
 	for _, u := range unmet {
-		next, n := p.Row.Move(l.self, u.Holder, min(spare, u.Need))
+		next, n := p.Row.Move(l.self, u.Holder, min(spare, u.Wanted))
 		p.Row = next
 		p.Sent += n
 		spare -= n
@@ -203,17 +236,15 @@
 	}
 }
 
-// unmetPeers returns the peers that need more than the row gives them, with
-// Need set to what they lack.
-func unmetPeers(row Row, peers []Peer) []Peer {
-	var unmet []Peer
+// unmetPeers returns the holdings of the peers that lack rights.
+func unmetPeers(row Row, peers []Holder) []Holding {
+	var unmet []Holding
 	for _, peer := range peers {
-		peer.Need -= row.Of(peer.Holder).Requests
-		if peer.Need > 0 {
-			unmet = append(unmet, peer)
+		if h := row.Of(peer); h.Wanted > 0 {
+			unmet = append(unmet, h)
 		}
 	}
-	slices.SortStableFunc(unmet, func(a, b Peer) int { return cmp.Compare(b.Need, a.Need) })
+	slices.SortStableFunc(unmet, func(a, b Holding) int { return cmp.Compare(b.Wanted, a.Wanted) })
 	return unmet
 }
 
@@ -221,14 +252,14 @@
 // although this host has work for them. A host above the equal part of the
 // limit yields, in proportion to its excess, to peers below theirs; without
 // this a host that starts while the team is saturated would never get a right.
-func (l *Ledger) yield(row Row, s Survey, unmet []Peer) int {
+func (l *Ledger) yield(row Row, s Survey, unmet []Holding) int {
 	if s.Hosts < 1 {
 		return 0
 	}
 	equal := row.Limit.Rights / s.Hosts
 	lacking := 0
 	for _, u := range unmet {
-		lacking += max(0, min(u.Need, equal-row.Of(u.Holder).Requests))
+		lacking += max(0, min(u.Wanted, equal-u.Requests))
 	}
 	above := 0
 	for _, h := range row.Holdings {
--- a/decision/rights/ledger.go
+++ b/decision/rights/ledger.go
@@ -40,6 +40,9 @@
 	// withheld rights go to peers below their equal part as work ends.
 	withheld int
 	refused  bool
+	floor    int
+	// wanted is what the row says that this host lacks.
+	wanted int
 }
 
 // NewLedger returns the empty ledger of a process that starts at now.
@@ -140,6 +143,9 @@
 	if a.excess() > 0 {
 		return held > a.used
 	}
+	if overstated(a.wanted, max(0, a.need()-held)) {
+		return true
+	}
 	return a.need() > held || (a.refused && int(a.peak) > held)
 }
 
@@ -161,6 +167,7 @@
 	a.version = version
 	a.held = mine.Requests
 	a.jobs = mine.Jobs
+	a.wanted = mine.Wanted
 	a.sum = row.Sum()
 	a.limit = a.limit.Newer(row.Limit)
 	if start.After(a.confirmed) {
@@ -221,7 +228,7 @@
 			Held: a.held, Jobs: a.jobs, Used: a.used, Waiting: a.waiting,
 			FleetHeld: a.sum, Unmet: max(0, a.need()-a.held), Available: a.free(),
 			Hungry: l.Hungry(team), Unsettled: l.Unsettled(team),
-			Surplus: a.held > withHeadroom(a.need()) && a.held > a.used,
+			Surplus: a.held > max(a.floor, withHeadroom(a.need())) && a.held > a.used,
 		})
 	}
 	slices.SortFunc(list, func(a, b Position) int { return cmp.Compare(a.Team, b.Team) })
--- a/decision/rights/row.go
+++ b/decision/rights/row.go
@@ -23,6 +23,9 @@
 	Holder
 	Requests int `json:"requests,omitempty"`
 	Jobs     int `json:"jobs,omitempty"`
+	// Wanted are rights that the holder lacks for work that waits; it does
+	// not count against the limit.
+	Wanted int `json:"wanted,omitempty"`
 	// StrandedAt is the version of the row that the holding was last stranded
 	// from. It tells apart two times at which the same holder was stranded.
 	StrandedAt uint64 `json:"strandedAt,omitempty"`
@@ -99,7 +102,7 @@
 	if n <= 0 || r.superseded(h) {
 		return r, 0
 	}
-	return r.add(h, n, 0), n
+	return r.add(h, n, 0).met(h, n), n
 }
 
 // GiveBack frees up to n request rights of h and returns how many.
@@ -119,7 +122,30 @@
 	if n <= 0 || from == to || r.Excess() > 0 || r.superseded(to) {
 		return r, 0
 	}
-	return r.add(from, -n, 0).add(to, n, 0), n
+	return r.add(from, -n, 0).add(to, n, 0).met(to, n), n
+}
+
+// Want records how many rights h lacks.
+func (r Row) Want(h Holder, n int) Row {
+	if r.superseded(h) {
+		return r
+	}
+	r = r.add(h, 0, 0)
+	i, ok := findHost(r.Holdings, h.Host)
+	if !ok {
+		r.Holdings = slices.Insert(r.Holdings, i, Holding{Holder: h})
+	}
+	r.Holdings[i].Wanted = n
+	return r.add(h, 0, 0)
+}
+
+// met lowers what h lacks by n.
+func (r Row) met(h Holder, n int) Row {
+	wanted := r.Of(h).Wanted
+	if wanted == 0 {
+		return r
+	}
+	return r.Want(h, max(0, wanted-n))
 }
 
 // superseded reports whether another incarnation of h's host has a holding.
@@ -136,8 +162,11 @@
 		return r, false
 	}
 	lost := r.Holdings[i]
-	lost.StrandedAt = version
+	lost.StrandedAt, lost.Wanted = version, 0
 	r.Holdings = slices.Delete(slices.Clone(r.Holdings), i, i+1)
+	if isEmpty(lost) {
+		return r, true
+	}
 	r.Stranded = slices.Clone(r.Stranded)
 	if j := slices.IndexFunc(r.Stranded, isHolder(h)); j >= 0 {
 		r.Stranded[j].Requests += lost.Requests
@@ -237,4 +266,4 @@
 	return func(x Holding) bool { return x.Holder == h }
 }
 
-func isEmpty(h Holding) bool { return h.Requests == 0 && h.Jobs == 0 }
+func isEmpty(h Holding) bool { return h.Requests == 0 && h.Jobs == 0 && h.Wanted == 0 }
--- a/services/rights/balance.go
+++ b/services/rights/balance.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// period is how often the teams with work or idle rights are looked at,
-	// and fullPeriod all teams and the signs of life of their holders.
-	period     = time.Second
+	// period is how often the rows of teams with idle rights are read, so that
+	// the unmet demand of other hosts is seen, and fullPeriod that of all teams
+	// and the signs of life of their holders.
+	period     = 200 * time.Millisecond
 	fullPeriod = 10 * time.Second
 	// maxTeams is the number of rows in one round of reads and one write.
 	maxTeams = 32
@@ -237,14 +238,11 @@
 }
 
 // relied returns for each team the member rows whose versions a write relies
-// on: those of live holders whose rights it reclaims.
+// on: those of the holders whose rights it takes away.
 func relied(surveys []rights.Survey, members map[string]uint64) map[string][]services.Condition {
 	conditions := make(map[string][]services.Condition)
 	for _, s := range surveys {
-		for _, h := range s.Reclaimed {
-			if s.Row.Of(h).Total() == 0 {
-				continue
-			}
+		for _, h := range s.Expired {
 			conditions[s.Team] = append(conditions[s.Team], services.Condition{Key: memberPrefix + h.Host, Version: members[h.Host]})
 		}
 	}
--- a/services/rights/survey.go
+++ b/services/rights/survey.go
@@ -15,8 +15,8 @@
 const (
 	rowPrefix    = "rights/"
 	memberPrefix = "member/"
-	// heardBound is the age of a peer's report beyond which its demand is
-	// not taken into account.
+	// heardBound is the age of a peer's report beyond which no rights are
+	// moved to it.
 	heardBound = 5 * time.Second
 )
 
@@ -58,7 +58,7 @@
 	revision uint64
 	teams    map[string]document.Team
 	hosts    int
-	needs    map[string][]rights.Peer
+	peers    []rights.Holder
 	leaving  bool
 }
 
@@ -71,26 +71,20 @@
 		revision: view.Revision,
 		teams:    teams(view.Document),
 		hosts:    max(1, len(s.membership.Members())),
-		needs:    s.peerNeeds(now),
+		peers:    s.heardPeers(now),
 		leaving:  leaving,
 	}, true
 }
 
-// peerNeeds returns the work that each peer reported lately, by team.
-func (s *Service) peerNeeds(now time.Time) map[string][]rights.Peer {
-	heard := make(map[string]rights.Holder)
+// heardPeers returns the peers that reported lately and stay.
+func (s *Service) heardPeers(now time.Time) []rights.Holder {
+	var heard []rights.Holder
 	for _, p := range s.peers.Status() {
 		if !p.Leaving && now.Sub(p.HeardAt) < heardBound {
-			heard[p.Identity.Name] = rights.Holder{Host: p.Identity.Name, Incarnation: p.Identity.Incarnation}
+			heard = append(heard, rights.Holder{Host: p.Identity.Name, Incarnation: p.Identity.Incarnation})
 		}
 	}
-	needs := make(map[string][]rights.Peer)
-	for _, load := range s.peers.Loads() {
-		if h, ok := heard[load.Host]; ok {
-			needs[load.Team] = append(needs[load.Team], rights.Peer{Holder: h, Need: load.Running + load.Waiting})
-		}
-	}
-	return needs
+	return heard
 }
 
 // survey combines a row that was read with what this host knows. A team that
@@ -99,7 +93,7 @@
 	return rights.Survey{
 		Team: team, Version: version, Row: row, ReadStart: readStart,
 		Limit: rights.Limit{Rights: v.teams[team].Limit, Revision: v.revision},
-		Hosts: v.hosts, Peers: v.needs[team], Leaving: v.leaving,
+		Hosts: v.hosts, Peers: v.peers, Leaving: v.leaving,
 	}
 }
 
@@ -127,7 +121,7 @@
 		case rights.Abandon:
 			s.Abandoned = append(s.Abandoned, h.Holder)
 		case rights.Free:
-			s.Reclaimed = append(s.Reclaimed, h.Holder)
+			s.Expired = append(s.Expired, h.Holder)
 		}
 	}
 	for _, h := range s.Row.Stranded {
