Account for the rights of jobs

Change: services.JobRights, implemented by the service rights, returns the condition and the write that a job's transaction adds when the job is placed, adopted or ended. A placed job's right is set aside in the ledger before the transaction is sent and stays so while its outcome is unknown.

The test now places when the balance has no reason to write.

Seen failing by mutation: right not set aside, right not restored after a placement without effect, unknown outcome taken as without effect, rights of jobs freed with those of requests.

--- /dev/null
+++ b/services/rights/jobs.go
@@ -0,0 +1,134 @@
+package rights
+
+import (
+	"context"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/rights"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+const stepJob = "account for job"
+
+// rowRead is a row of one team as it was read.
+type rowRead struct {
+	team    string
+	version uint64
+	row     rights.Row
+	start   time.Time
+}
+
+// PlaceJob implements services.JobRights.
+func (s *Service) PlaceJob(ctx context.Context, team string) (services.RightsChange, error) {
+	read, err := s.readRow(ctx, team)
+	if err != nil {
+		return services.RightsChange{}, err
+	}
+	next, ok := read.row.PlaceJob(s.self())
+	if !ok || !s.bind(ctx, read) {
+		return services.RightsChange{}, fault.New(&fault.NotRun, fault.ReasonConflict, stepJob, peer, "the rights of team %s changed", team)
+	}
+	return s.change(read, next, true)
+}
+
+// AdoptJob implements services.JobRights.
+func (s *Service) AdoptJob(ctx context.Context, team string, scheduler services.Identity) (services.RightsChange, error) {
+	read, err := s.readRow(ctx, team)
+	if err != nil {
+		return services.RightsChange{}, err
+	}
+	next, ok := read.row.AdoptJob(holderOf(scheduler), s.self())
+	if !ok {
+		return services.RightsChange{}, noJobRight(team, scheduler)
+	}
+	return s.change(read, next, false)
+}
+
+// EndJob implements services.JobRights.
+func (s *Service) EndJob(ctx context.Context, team string, scheduler services.Identity) (services.RightsChange, error) {
+	read, err := s.readRow(ctx, team)
+	if err != nil {
+		return services.RightsChange{}, err
+	}
+	next, ok := read.row.EndJob(holderOf(scheduler))
+	if !ok {
+		return services.RightsChange{}, noJobRight(team, scheduler)
+	}
+	return s.change(read, next, false)
+}
+
+func holderOf(id services.Identity) rights.Holder {
+	return rights.Holder{Host: id.Name, Incarnation: id.Incarnation}
+}
+
+func noJobRight(team string, scheduler services.Identity) error {
+	return fault.New(&fault.NotRun, fault.ReasonConflict, stepJob, scheduler.Name, "no right of a job of team %s", team)
+}
+
+func (s *Service) readRow(ctx context.Context, team string) (rowRead, error) {
+	start := time.Now()
+	rows, err := s.platform.Get(ctx, rowPrefix+team)
+	if err != nil {
+		return rowRead{}, err
+	}
+	row, err := decodeRow(rows[0])
+	return rowRead{team: team, version: rows[0].Version, row: row, start: start}, err
+}
+
+// bind sets one right in use aside for the job. It reports false when another
+// write of the row is open or the row read is out of date.
+func (s *Service) bind(ctx context.Context, read rowRead) bool {
+	m := bindJob{rowRead: read, reply: ring.Reply[bool]()}
+	if s.ledger.Put(ctx, m) != nil {
+		return false
+	}
+	// The answer is awaited without ctx: a right that was set aside has to be
+	// settled. The ledger never waits, so that the answer comes at once.
+	ok, err := m.reply.Take(s.life)
+	return ok && err == nil
+}
+
+func (s *Service) change(read rowRead, next rights.Row, bound bool) (services.RightsChange, error) {
+	key := rowPrefix + read.team
+	value, err := encodeRow(next)
+	if err != nil {
+		return services.RightsChange{}, err
+	}
+	return services.RightsChange{
+		Condition: services.Condition{Key: key, Version: read.version},
+		Write:     services.Write{Key: key, Value: value},
+		Settle: func(result services.CommitResult, err error) {
+			s.post(jobSettled{rowRead: read, next: next, bound: bound, result: result, err: err})
+		},
+	}, nil
+}
+
+type bindJob struct {
+	rowRead
+	reply *ring.Ring[bool]
+}
+
+func (m bindJob) receive(k *keeper, _ time.Time) {
+	k.ledger.Observe(m.team, m.version, m.row, m.start)
+	m.reply.Offer(k.ledger.BindJob(m.team, m.version))
+}
+
+type jobSettled struct {
+	rowRead
+	next   rights.Row
+	bound  bool
+	result services.CommitResult
+	err    error
+}
+
+func (m jobSettled) receive(k *keeper, _ time.Time) {
+	switch {
+	case m.err == nil && m.result.Committed:
+		k.ledger.Observe(m.team, m.result.Version, m.next, m.start)
+	case m.bound && (m.err == nil || fault.IsNotRun(m.err)):
+		k.ledger.UnbindJob(m.team, m.version)
+	}
+	k.changed(m.team)
+}
--- /dev/null
+++ b/services/rights/jobs_test.go
@@ -0,0 +1,93 @@
+package rights_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+// commit sends change as the transaction of a job's row would.
+func (c *cluster) commit(t *testing.T, change services.RightsChange) error {
+	t.Helper()
+	result, err := c.platform.Commit(t.Context(), services.Transaction{
+		Conditions: []services.Condition{change.Condition},
+		Writes:     []services.Write{change.Write},
+	})
+	change.Settle(result, err)
+	return err
+}
+
+// Guards against the right of a job that is used for a request too, is freed
+// with the requests of a host that ended, or does not follow the job.
+func TestJobKeepsRight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(4)
+		a, b := c.start(t, "a", 1), c.start(t, "b", 2)
+		settle()
+		assert.Equal(t, a.acquire(t, 1), 1)
+		placed, err := a.PlaceJob(t.Context(), "t")
+		assert.NilError(t, err)
+		assert.NilError(t, c.commit(t, placed))
+		assert.Equal(t, c.row(t).Of(holder("a", 1)).Jobs, 1)
+
+		a.Waiting("t", 1)
+		time.Sleep(time.Second)
+		assert.Equal(t, c.row(t).Of(holder("a", 1)).Requests > 0, true)
+		a.stop(t)
+		c.platform.end("a")
+		time.Sleep(4 * longestRequest)
+		b.Waiting("t", 4)
+		time.Sleep(time.Second)
+		assert.Equal(t, b.acquire(t, 4), 3)
+
+		adopted, err := b.AdoptJob(t.Context(), "t", a.node.self)
+		assert.NilError(t, err)
+		assert.NilError(t, c.commit(t, adopted))
+		ended, err := b.EndJob(t.Context(), "t", b.node.self)
+		assert.NilError(t, err)
+		assert.NilError(t, c.commit(t, ended))
+		time.Sleep(time.Second)
+		assert.Equal(t, b.acquire(t, 4), 1)
+	})
+}
+
+// Guards against a right that both a request and a job use, or that is lost,
+// when the outcome of a placement is unknown or it had no effect.
+func TestPlacementOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, m := range []mode{lostReply, late, down} {
+			c := newCluster(4)
+			a := c.start(t, "a", 1)
+			settle()
+			a.Waiting("t", 4)
+			time.Sleep(time.Second)
+			a.Waiting("t", 0)
+			// The balance has no reason to write now, which would make the
+			// placement conflict.
+			time.Sleep(500 * time.Millisecond)
+			assert.Equal(t, a.acquire(t, 1), 1)
+			placed, err := a.PlaceJob(t.Context(), "t")
+			assert.NilError(t, err)
+			c.platform.set(m)
+			assert.Assert(t, c.commit(t, placed) != nil)
+			c.platform.set(works)
+			free := a.acquire(t, 4)
+			assert.Equal(t, free, 3)
+			c.platform.deliver()
+			time.Sleep(time.Second)
+			free += a.acquire(t, 4)
+			bound := c.row(t).Of(holder("a", 1)).Jobs
+			if m == down {
+				// The request still has the right that it acquired.
+				bound++
+			}
+			assert.Equal(t, free+bound, 4)
+			a.Release("t", free)
+			assert.Equal(t, a.acquire(t, 4), 4-bound)
+		}
+	})
+}
--- a/services/work.go
+++ b/services/work.go
@@ -131,6 +131,29 @@
 	Use() []RightsUse
 }
 
+// JobRights accounts for jobs in the rows of rights. It is implemented by the
+// service NameRights. Each method reads the team's row; the caller adds the
+// change to the transaction that changes the job's row, so that a job and its
+// right change together. All methods block until the row was read.
+type JobRights interface {
+	// PlaceJob turns a right that Acquire granted into the right of a job.
+	// After a transaction that committed, or whose outcome is unknown, the
+	// right belongs to the job and Release is not called for it.
+	PlaceJob(ctx context.Context, team string) (RightsChange, error)
+	// AdoptJob moves the right of a job from its scheduler to this host.
+	AdoptJob(ctx context.Context, team string, scheduler Identity) (RightsChange, error)
+	// EndJob frees the right of a job that scheduler placed or adopted.
+	EndJob(ctx context.Context, team string, scheduler Identity) (RightsChange, error)
+}
+
+// RightsChange is the part of a job's transaction that accounts for its right.
+type RightsChange struct {
+	Condition Condition
+	Write     Write
+	// Settle is called once with the result of the transaction.
+	Settle func(CommitResult, error)
+}
+
 // FreedRing is the part of a ring that the waiting duty reads.
 type FreedRing interface{ C() <-chan string }
 
