Run jobs on workers

Cause: a job has to be recorded before it is acknowledged, run under a right of its team, at most once when it is not idempotent, and survive the end of its scheduler, outages of the platform and workers that do not answer.

Ruled out: stopping task renewals when the schedule lease cannot be renewed, because a platform outage would then stop every job. A right is therefore returned only when another host's right covers the same task, the worker said that the task ended, or its lease has surely ended. Also ruled out: writing the state running at once, which costs one write for each short job.

Change: services/jobs. Callers' methods write rows; jobs.schedule owns the state and performs no I/O; 16 equal jobs.tasks duties carry out calls; jobs.freed passes on returned rights. Rows are job/<team>/<id>, an index openjob/<queue>/<team>/<id> that ends with the job, and schedule/<queue>. A worker is called once for all of its tasks, 1 s after a start and then at doubling intervals up to 10 s.

Transfer of a right in the transaction of the adoption needs a change of services.Rights and is not done: the adopter takes a right of its own, so that a dead host's right stays counted until its term ends.

--- /dev/null
+++ b/services/jobs/callers.go
@@ -0,0 +1,229 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/decision/job"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+var _ services.Jobs = (*Service)(nil)
+
+// listPage is the largest number of index rows read by one scan.
+const listPage = 500
+
+// maxCancelTries bounds the attempts to cancel a job whose row keeps changing.
+const maxCancelTries = 8
+
+// Submit implements services.Jobs.
+func (s *Service) Submit(ctx context.Context, team, id string, spec services.JobSpec) (services.JobStatus, error) {
+	status, err := s.submit(ctx, team, id, spec)
+	if err != nil {
+		s.countRefused("submit-job", fault.ReasonOf(err))
+	}
+	return status, err
+}
+
+func (s *Service) submit(ctx context.Context, team, id string, spec services.JobSpec) (services.JobStatus, error) {
+	const step = "submit-job"
+	if err := s.checkQueue(step, team, spec); err != nil {
+		return services.JobStatus{}, err
+	}
+	hash := specHash(spec)
+	r := &row{
+		Record:      job.Submit(team, id, spec.Queue, hash, spec.Idempotent),
+		Declared:    spec.Resources,
+		DeclaredRun: spec.DeclaredRun,
+		Payload:     spec.Payload,
+		Submitted:   s.config.Clock(),
+	}
+	if len(spec.Payload) > maxRowPayload {
+		r.Payload = nil
+		r.PayloadObject = payloadPrefix + r.name() + "/" + hash
+		if err := s.platform.PutObject(ctx, r.PayloadObject, spec.Payload); err != nil {
+			// The row is not written, whatever became of the object.
+			return services.JobStatus{}, fault.New(&fault.NotRun, fault.ReasonOf(err), step, "platform", "store payload: %w", err)
+		}
+	}
+	key := jobKey(r.name())
+	result, err := s.platform.Commit(ctx, services.Transaction{
+		Conditions: []services.Condition{{Key: key}},
+		Writes: []services.Write{
+			{Key: key, Value: encode(r)},
+			{Key: openKey(r.Queue, r.name()), Value: encode(openRow{})},
+		},
+	})
+	if err != nil {
+		return services.JobStatus{}, err
+	}
+	if !result.Committed {
+		return repeated(result, hash, step)
+	}
+	s.nudge(r.Queue)
+	return r.status(), nil
+}
+
+func repeated(result services.CommitResult, hash, step string) (services.JobStatus, error) {
+	if len(result.Current) == 0 {
+		return services.JobStatus{}, fault.New(&fault.Unknown, fault.ReasonInternal, step, "platform", "refused commit names no row")
+	}
+	r, err := decodeRow(result.Current[0], step)
+	if err != nil {
+		return services.JobStatus{}, err
+	}
+	if !job.Repeats(r.Record, hash) {
+		return services.JobStatus{}, fault.New(&fault.NotRun, fault.ReasonConflict, step, "", "identifier %q belongs to another job", r.ID)
+	}
+	return r.status(), nil
+}
+
+// checkQueue refuses work for a queue that is unknown, belongs to another team
+// or does not lead to workers.
+func (s *Service) checkQueue(step, team string, spec services.JobSpec) error {
+	view := s.state.View()
+	if view == nil || view.Document == nil {
+		return fault.New(&fault.NotRun, fault.ReasonNoState, step, "", "no state yet")
+	}
+	q, pool, ok := findQueue(view.Document, spec.Queue)
+	if !ok || pool.Kind != fleet.KindWorker {
+		return fault.New(&fault.Invalid, fault.ReasonUnknownQueue, step, "", "no queue %q of a pool of workers", spec.Queue)
+	}
+	if q.Team != team {
+		return fault.New(&fault.NotRun, fault.ReasonWrongTeam, step, "", "queue %q is not of team %q", spec.Queue, team)
+	}
+	if r := spec.Resources; r.MilliCPU < 0 || r.MemoryBytes < 0 || r.Accelerators < 0 {
+		return fault.New(&fault.Invalid, fault.ReasonMalformed, step, "", "negative resources")
+	}
+	return nil
+}
+
+func findQueue(d *document.Document, name string) (document.Queue, document.Pool, bool) {
+	for _, section := range d.Sections {
+		for _, q := range section.Queues {
+			if q.Name == name {
+				pool, ok := findPool(d, q.Pool)
+				return q, pool, ok
+			}
+		}
+	}
+	return document.Queue{}, document.Pool{}, false
+}
+
+func findPool(d *document.Document, name string) (document.Pool, bool) {
+	for _, section := range d.Sections {
+		for _, p := range section.Pools {
+			if p.Name == name {
+				return p, true
+			}
+		}
+	}
+	return document.Pool{}, false
+}
+
+func decodeRow(r services.Row, step string) (*row, error) {
+	out := &row{}
+	if err := json.Unmarshal(r.Value, out); err != nil {
+		return nil, fault.New(&fault.Unknown, fault.ReasonInternal, step, "platform", "row %s: %w", r.Key, err)
+	}
+	return out, nil
+}
+
+func (s *Service) read(ctx context.Context, team, id, step string) (*row, uint64, error) {
+	rows, err := s.platform.Get(ctx, jobKey(jobName(team, id)))
+	if err != nil {
+		return nil, 0, err
+	}
+	if len(rows) == 0 || rows[0].Version == 0 {
+		return nil, 0, fault.New(&fault.NotRun, fault.ReasonUnknownJob, step, "", "no job %q", id)
+	}
+	r, err := decodeRow(rows[0], step)
+	return r, rows[0].Version, err
+}
+
+// Status implements services.Jobs.
+func (s *Service) Status(ctx context.Context, team, id string) (services.JobStatus, error) {
+	r, _, err := s.read(ctx, team, id, "job-status")
+	if err != nil {
+		return services.JobStatus{}, err
+	}
+	return r.status(), nil
+}
+
+// Result implements services.Jobs.
+func (s *Service) Result(ctx context.Context, team, id string) ([]byte, bool, error) {
+	r, _, err := s.read(ctx, team, id, "job-result")
+	if err != nil || r.State != job.Done {
+		return nil, false, err
+	}
+	if r.ResultObject == "" {
+		return nil, true, nil
+	}
+	return s.platform.GetObject(ctx, r.ResultObject)
+}
+
+// Cancel implements services.Jobs. A queued job ends at once; one that may run
+// is stopped by its scheduler.
+func (s *Service) Cancel(ctx context.Context, team, id string) (services.JobStatus, error) {
+	const step = "cancel-job"
+	for range maxCancelTries {
+		r, version, err := s.read(ctx, team, id, step)
+		if err != nil {
+			return services.JobStatus{}, err
+		}
+		next := *r
+		var verdict job.Verdict
+		next.Record, verdict = job.Cancel(r.Record)
+		if !verdict.Changed {
+			return r.status(), nil
+		}
+		result, err := s.platform.Commit(ctx, update(r, &next, version))
+		if err != nil {
+			return services.JobStatus{}, err
+		}
+		if result.Committed {
+			s.nudge(r.Queue)
+			return next.status(), nil
+		}
+		s.countRetried(step, fault.ReasonConflict)
+	}
+	return services.JobStatus{}, fault.New(&fault.NotRun, fault.ReasonConflict, step, "platform", "job %q keeps changing", id)
+}
+
+// List implements services.Jobs. It returns jobs that have not ended.
+func (s *Service) List(ctx context.Context, queue string, limit int) ([]services.JobStatus, error) {
+	prefix := openQueuePrefix(queue)
+	index, _, err := s.platform.Scan(ctx, prefix, "", min(max(limit, 1), listPage))
+	if err != nil {
+		return nil, err
+	}
+	keys := make([]string, len(index))
+	for i, open := range index {
+		keys[i] = jobKey(open.Key[len(prefix):])
+	}
+	if len(keys) == 0 {
+		return nil, nil
+	}
+	rows, err := s.platform.Get(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	var out []services.JobStatus
+	var failed []error
+	for _, raw := range rows {
+		if raw.Version == 0 {
+			continue
+		}
+		r, err := decodeRow(raw, "list-jobs")
+		if err != nil {
+			failed = append(failed, err)
+			continue
+		}
+		out = append(out, r.status())
+	}
+	return out, errors.Join(failed...)
+}
--- /dev/null
+++ b/services/jobs/index.go
@@ -0,0 +1,137 @@
+package jobs
+
+import (
+	"context"
+
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+// readBatch is the largest number of rows in one read.
+const readBatch = 64
+
+// scan reads the index of open jobs of each queue of this host that is due.
+func (s *scheduler) scan() {
+	for _, q := range s.queues {
+		if q.mine && !q.scanning && !s.now.Before(q.nextScan) {
+			q.scanning = true
+			q.nextScan = s.now.Add(s.svc.config.IndexEvery)
+			s.post(scanIndex{q.name})
+		}
+	}
+}
+
+// scanIndex reads all open jobs of a queue.
+type scanIndex struct{ queue string }
+
+func (c scanIndex) run(ctx context.Context, s *Service) event {
+	out := indexSeen{queue: c.queue, open: make(map[string]uint64)}
+	prefix, after := openQueuePrefix(c.queue), ""
+	for more := true; more && out.err == nil; {
+		var rows []services.Row
+		rows, more, out.err = s.platform.Scan(ctx, prefix, after, listPage)
+		for _, r := range rows {
+			out.open[r.Key[len(prefix):]] = r.Version
+			after = r.Key
+		}
+		more = more && len(rows) > 0
+	}
+	return out
+}
+
+// indexSeen is the outcome of scanIndex: the open jobs and the versions of
+// their index rows.
+type indexSeen struct {
+	queue string
+	open  map[string]uint64
+	err   error
+}
+
+func (i indexSeen) handle(s *scheduler) {
+	q := s.queues[i.queue]
+	if q == nil {
+		return
+	}
+	q.scanning = false
+	if i.err != nil || !q.mine {
+		return
+	}
+	var read []string
+	for name, version := range i.open {
+		if e := s.jobs[name]; e == nil || e.indexVersion != version {
+			read = append(read, name)
+		}
+	}
+	for name, e := range s.jobs {
+		if _, open := i.open[name]; !open && e.row.Queue == i.queue && !e.busy {
+			read = append(read, name)
+		}
+	}
+	s.read(read, i.open)
+}
+
+func (s *scheduler) read(names []string, index map[string]uint64) {
+	for len(names) > 0 {
+		n := min(len(names), readBatch)
+		s.post(readJobs{names[:n], index})
+		names = names[n:]
+	}
+}
+
+// readJobs reads the rows of jobs.
+type readJobs struct {
+	names []string
+	index map[string]uint64
+}
+
+func (r readJobs) run(ctx context.Context, s *Service) event {
+	keys := make([]string, len(r.names))
+	for i, name := range r.names {
+		keys[i] = jobKey(name)
+	}
+	rows, err := s.platform.Get(ctx, keys...)
+	if err != nil {
+		return nil
+	}
+	return jobsSeen{r, rows}
+}
+
+// jobsSeen is the outcome of readJobs.
+type jobsSeen struct {
+	call readJobs
+	rows []services.Row
+}
+
+func (j jobsSeen) handle(s *scheduler) {
+	for i, name := range j.call.names {
+		s.see(name, j.rows[i], j.call.index[name])
+	}
+	s.place()
+}
+
+// see takes a row as read. Rows of jobs that this host neither schedules nor
+// holds a right for are dropped.
+func (s *scheduler) see(name string, raw services.Row, indexVersion uint64) {
+	e := s.jobs[name]
+	if raw.Version == 0 {
+		if e != nil && !e.busy {
+			s.drop(e)
+		}
+		return
+	}
+	r, err := decodeRow(raw, "schedule-job")
+	if err != nil {
+		s.svc.log.Error().Err(err).Str("step", "schedule-job").Msg("row cannot be read")
+		return
+	}
+	if e == nil {
+		e = &entry{name: name, leaseFrom: s.now, size: r.Declared}
+		s.jobs[name] = e
+	}
+	if indexVersion != 0 {
+		e.indexVersion = indexVersion
+	}
+	if !e.busy && raw.Version >= e.version {
+		s.setRow(e, *r, raw.Version)
+		s.settle(e)
+	}
+}
--- /dev/null
+++ b/services/jobs/place.go
@@ -0,0 +1,218 @@
+package jobs
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/job"
+	"fuchsiafront.example/fuchsiafront/decision/placement"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+// placePause bounds how often decisions are taken when events come in quick
+// succession; the next tick makes up for one that is left out.
+const placePause = 50 * time.Millisecond
+
+// place decides each pool that has waiting jobs or work to move.
+func (s *scheduler) place() {
+	view := s.svc.state.View()
+	list := s.svc.hosts.Hosts()
+	if s.draining || view == nil || list == nil || s.now.Before(s.nextPlace) {
+		return
+	}
+	s.nextPlace = s.now.Add(placePause)
+	inputs := s.inputs(view, list)
+	for _, in := range inputs {
+		s.moveOff(in.closed)
+		if len(in.Waiting) == 0 && !in.throttled {
+			continue
+		}
+		s.carryOut(placement.Decide(in.Input))
+	}
+}
+
+// poolInput is the input of one decision. Closed are the workers whose tasks
+// move elsewhere.
+type poolInput struct {
+	placement.Input
+	closed    map[string]bool
+	throttled bool
+}
+
+func (s *scheduler) inputs(view *services.View, list *fleet.HostList) map[string]*poolInput {
+	out := make(map[string]*poolInput)
+	for _, q := range s.queues {
+		if q.mine && out[q.pool] == nil {
+			out[q.pool] = &poolInput{Input: placement.Input{Teams: make(map[string]placement.Team)}, closed: make(map[string]bool)}
+		}
+	}
+	largest := make(map[string]fleet.Resources)
+	for i := range list.Hosts {
+		h := &list.Hosts[i]
+		in := out[view.Assignments[h.Name]]
+		if in == nil || h.Kind != fleet.KindWorker {
+			continue
+		}
+		w := placement.Worker{Name: h.Name, Zone: h.Zone, Rack: h.Rack, Capacity: h.Capacity, Slots: h.Slots}
+		w.Closed, in.closed[h.Name] = s.closed(view, h)
+		in.Workers = append(in.Workers, w)
+		pool := view.Assignments[h.Name]
+		largest[pool] = atLeast(largest[pool], h.Capacity)
+	}
+	for _, e := range s.jobs {
+		if q := s.queues[e.row.Queue]; q != nil && out[q.pool] != nil {
+			s.addJob(out[q.pool], q, e, largest[q.pool])
+		}
+	}
+	for _, in := range out {
+		slices.SortFunc(in.Workers, func(a, b placement.Worker) int { return cmp.Compare(a.Name, b.Name) })
+		slices.SortFunc(in.Waiting, s.byArrival)
+	}
+	return out
+}
+
+func (s *scheduler) byArrival(a, b placement.Job) int {
+	return cmp.Or(s.jobs[a.ID].row.Submitted.Compare(s.jobs[b.ID].row.Submitted), cmp.Compare(a.ID, b.ID))
+}
+
+// closed returns why a worker gets no new work, and whether its running work
+// moves elsewhere.
+func (s *scheduler) closed(view *services.View, h *fleet.Host) (reason fault.Reason, move bool) {
+	if view.Ledger != nil {
+		if _, out := view.Ledger.Out[h.Name]; out {
+			return fault.ReasonDraining, true
+		}
+	}
+	switch {
+	case h.Phase == fleet.PhaseLeaving:
+		return fault.ReasonLeaving, true
+	case h.Phase != fleet.PhaseLive:
+		return fault.ReasonWorkerUnreachable, false
+	case s.health.Bad(h.Name):
+		return fault.ReasonWorkerExcluded, false
+	}
+	if w := s.workers[h.Name]; w != nil && s.now.Before(w.shunUntil) {
+		return w.shunned, false
+	}
+	return "", false
+}
+
+func (s *scheduler) addJob(in *poolInput, q *queue, e *entry, largest fleet.Resources) {
+	r := &e.row
+	j := placement.Job{ID: e.name, Team: r.Team, Queue: r.Queue, Class: q.class, Idempotent: r.Idempotent, Avoid: r.FailedOn}
+	in.Teams[r.Team] = placement.Team{Share: q.share, Blocked: s.isBlocked(r.Team)}
+	switch {
+	case e.planned != "" || r.Active():
+		j.Size = atLeast(e.size, e.peak)
+		worker := r.Worker
+		if e.planned != "" {
+			worker = e.planned
+		}
+		in.Running = append(in.Running, placement.Running{Job: j, Worker: worker, ThrottlePercent: e.throttle, Yielding: e.yielding || e.stopping})
+		in.throttled = in.throttled || e.throttle > 0
+	case r.State == job.Queued && q.mine && !e.busy && len(e.todo) == 0 && !e.right && !s.now.Before(e.retryAt):
+		j.Size = s.sizes.Size(r.Queue, r.Declared, largest)
+		e.size = j.Size
+		in.Waiting = append(in.Waiting, j)
+	}
+}
+
+func (s *scheduler) isBlocked(team string) bool {
+	since, blocked := s.blocked[team]
+	return blocked && s.now.Sub(since) < retryBlocked
+}
+
+func (s *scheduler) carryOut(d placement.Decision) {
+	for _, never := range d.Never {
+		e := s.jobs[never.Job]
+		s.svc.countRefused("place-job", never.Reason)
+		s.apply(e, func(r job.Record) (job.Record, job.Verdict) { return job.PutAside(r, never.Reason) })
+	}
+	waiting := make(map[string]int)
+	for _, start := range d.Starts {
+		e := s.jobs[start.Job]
+		if s.isBlocked(e.row.Team) || !s.acquire(e.row.Team) {
+			waiting[e.row.Team]++
+			continue
+		}
+		s.placeOn(e, start.Worker)
+	}
+	for team, n := range waiting {
+		s.svc.rights.Waiting(team, n)
+	}
+	for _, y := range d.Yields {
+		s.yield(y)
+	}
+}
+
+// acquire takes a right without waiting; a team that gets none is left out
+// until one is freed.
+func (s *scheduler) acquire(team string) bool {
+	if err := s.svc.membership.MayUseRights(s.now); err != nil {
+		s.svc.countRefused("place-job", fault.ReasonOf(err))
+		return false
+	}
+	if err := s.svc.rights.Acquire(context.Background(), team, 1); err != nil {
+		s.svc.countRefused("place-job", fault.ReasonOf(err))
+		s.blocked[team] = s.now
+		return false
+	}
+	delete(s.blocked, team)
+	return true
+}
+
+// placeOn commits a placement; the task is started once the row says so. The
+// token names the process and a sequence number, so that it is new even when
+// another scheduler places the same attempt.
+func (s *scheduler) placeOn(e *entry, worker string) {
+	s.sequence++
+	token := fmt.Sprintf("%s/%d/%s.%d.%d", e.name, e.row.Attempt+1, s.self.Host, s.self.Incarnation, s.sequence)
+	e.right = true
+	e.token = token
+	e.sent = false
+	e.ended = false
+	e.confirmed = false
+	e.stopping = false
+	e.planned = worker
+	e.placedAt = s.now
+	e.leaseFrom = s.now
+	e.peak = fleet.Resources{}
+	e.result = ""
+	s.apply(e, func(r job.Record) (job.Record, job.Verdict) { return job.Place(r, worker, token, s.self) })
+}
+
+func (s *scheduler) yield(y placement.Yield) {
+	e := s.jobs[y.Job]
+	h, known := s.host(y.Worker)
+	if !known || e == nil || !e.confirmed || e.stopping || e.yielding {
+		return
+	}
+	switch y.Kind {
+	case placement.YieldCheckpoint:
+		e.yielding = true
+		s.stop(e, job.Report{Token: e.row.Token, Reason: fault.ReasonPreempted}, true)
+	case placement.YieldThrottle:
+		e.yielding = true
+		s.post(throttleTask{e.name, h, e.row.Token, placement.ThrottledPercent})
+	case placement.YieldRestore:
+		s.post(throttleTask{e.name, h, e.row.Token, fullPercent})
+	}
+}
+
+// moveOff checkpoints and stops idempotent jobs on workers that leave; others
+// are allowed to end, because they must not be started a second time.
+func (s *scheduler) moveOff(closed map[string]bool) {
+	for _, e := range s.jobs {
+		if !closed[e.row.Worker] || !e.row.Active() || !e.row.Idempotent {
+			continue
+		}
+		if e.confirmed && !e.stopping && !e.starting && !e.ended {
+			s.stop(e, job.Report{Token: e.row.Token, Reason: fault.ReasonPreempted}, true)
+		}
+	}
+}
--- /dev/null
+++ b/services/jobs/scheduler.go
@@ -0,0 +1,209 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/job"
+	"fuchsiafront.example/fuchsiafront/decision/placement"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/ring"
+)
+
+// scheduler is the state of the duty jobs.schedule. It performs no I/O and
+// never waits for jobs.tasks.
+type scheduler struct {
+	svc     *Service
+	now     time.Time
+	self    job.Holder
+	queues  map[string]*queue
+	jobs    map[string]*entry
+	workers map[string]*workerState
+	// blocked teams had no right to run; they are tried again when one is
+	// freed, and with every retryBlocked in case that message was lost.
+	blocked  map[string]time.Time
+	health   *placement.Health
+	sizes    *placement.Sizes
+	backlog  []call
+	sequence uint64
+	// readingLeases is set while a read of the schedule rows is under way.
+	readingLeases bool
+	leasesRead    time.Time
+	// nextFollow is when rows of jobs are read that another host schedules
+	// while this one still holds a right for them.
+	nextFollow time.Time
+	nextPlace  time.Time
+	// hostsOf is the host list that hostIndex was made from.
+	hostsOf    *fleet.HostList
+	hostIndex  map[string]int
+	drained    *ring.Ring[struct{}]
+	draining   bool
+	drainBegan time.Time
+}
+
+// retryBlocked is the time after which a team without a right is tried again.
+const retryBlocked = 2 * time.Second
+
+// retryCommit is the pause after a commit that failed or whose outcome is not
+// known.
+const retryCommit = 500 * time.Millisecond
+
+// workerState is what the scheduler remembers of a worker between polls.
+type workerState struct {
+	polling  bool
+	nextPoll time.Time
+	interval time.Duration
+	// shunUntil keeps new work off a worker that refused or did not answer.
+	shunUntil time.Time
+	shunned   fault.Reason
+}
+
+// firstPoll is the time from a start to the first poll; the interval then
+// doubles, so that the end of a short job is noticed soon.
+const firstPoll = time.Second
+
+// shunFor keeps work off a worker that refused a start or did not answer.
+const shunFor = 2 * time.Second
+
+// handOver bounds the wait of a drain for other hosts to take over the rights
+// of running jobs; without another host they stay counted for this one.
+const handOver = 10 * time.Second
+
+func newScheduler(s *Service) *scheduler {
+	self := s.membership.Self()
+	return &scheduler{
+		svc:     s,
+		self:    job.Holder{Host: self.Name, Incarnation: self.Incarnation},
+		queues:  make(map[string]*queue),
+		jobs:    make(map[string]*entry),
+		workers: make(map[string]*workerState),
+		blocked: make(map[string]time.Time),
+		health:  placement.NewHealth(),
+		sizes:   placement.NewSizes(),
+	}
+}
+
+func (s *scheduler) run(ctx context.Context) {
+	ticker := time.NewTicker(s.svc.config.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-s.svc.events.C():
+			s.now = s.svc.config.Clock()
+			e.handle(s)
+		case <-ticker.C:
+			s.now = s.svc.config.Clock()
+			s.tick()
+		}
+		s.flush()
+	}
+}
+
+func (s *scheduler) tick() {
+	s.lease()
+	s.scan()
+	s.retry()
+	s.poll()
+	s.loseLeases()
+	s.place()
+	s.finishDrain()
+}
+
+// post hands a call to jobs.tasks. Calls that find the ring full wait here.
+func (s *scheduler) post(c call) { s.backlog = append(s.backlog, c) }
+
+func (s *scheduler) flush() {
+	for len(s.backlog) > 0 && s.svc.calls.Offer(s.backlog[0]) {
+		s.backlog[0] = nil
+		s.backlog = s.backlog[1:]
+	}
+}
+
+func (s *scheduler) worker(name string) *workerState {
+	w := s.workers[name]
+	if w == nil {
+		w = &workerState{}
+		s.workers[name] = w
+	}
+	return w
+}
+
+func (s *scheduler) shun(worker string, reason fault.Reason) {
+	w := s.worker(worker)
+	w.shunUntil = s.now.Add(shunFor)
+	w.shunned = reason
+}
+
+// host returns the entry of the host list for a worker.
+func (s *scheduler) host(name string) (fleet.Host, bool) {
+	list := s.svc.hosts.Hosts()
+	if list == nil {
+		return fleet.Host{}, false
+	}
+	if list != s.hostsOf {
+		s.hostsOf = list
+		s.hostIndex = make(map[string]int, len(list.Hosts))
+		for i := range list.Hosts {
+			s.hostIndex[list.Hosts[i].Name] = i
+		}
+	}
+	i, known := s.hostIndex[name]
+	if !known {
+		return fleet.Host{}, false
+	}
+	return list.Hosts[i], true
+}
+
+// nudged says that a queue has news.
+type nudged struct{ queue string }
+
+func (n nudged) handle(s *scheduler) {
+	if q := s.queues[n.queue]; q != nil {
+		q.nextScan = s.now
+		s.scan()
+	}
+}
+
+// teamFreed says that a team got a right back.
+type teamFreed struct{ team string }
+
+func (f teamFreed) handle(s *scheduler) {
+	delete(s.blocked, f.team)
+	s.place()
+}
+
+// drainRequest stops starts and gives up the schedules of this host.
+type drainRequest struct{ done *ring.Ring[struct{}] }
+
+func (d drainRequest) handle(s *scheduler) {
+	s.draining = true
+	s.drainBegan = s.now
+	s.drained = d.done
+	for _, q := range s.queues {
+		if q.mine {
+			s.post(commitLease{queue: q.name, version: q.version, give: true})
+			q.mine = false
+		}
+	}
+}
+
+func (s *scheduler) finishDrain() {
+	if s.drained == nil {
+		return
+	}
+	handedOver := true
+	for _, e := range s.jobs {
+		if e.busy || e.starting {
+			return
+		}
+		handedOver = handedOver && !e.right
+	}
+	if !handedOver && s.now.Before(s.drainBegan.Add(handOver)) {
+		return
+	}
+	s.drained.Offer(struct{}{})
+	s.drained = nil
+}
--- /dev/null
+++ b/services/jobs/service.go
@@ -0,0 +1,216 @@
+// Package jobs is the service that records, schedules and ends jobs on
+// workers.
+//
+// Callers' methods read and write rows themselves. The duty jobs.schedule owns
+// all scheduling state and performs no I/O; the equal duties jobs.tasks carry
+// out its calls to the platform and to workers and post the outcomes back.
+package jobs
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"fuchsiafront.example/fuchsiafront/decision/budget"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+// Config holds the settings of the service; zero values take the defaults.
+type Config struct {
+	Clock      services.Clock
+	HTTPClient connect.HTTPClient
+	// TaskLease is how long a worker runs a task without a renewal.
+	TaskLease time.Duration
+	// RenewEvery is the longest time between two calls to a worker that
+	// runs tasks.
+	RenewEvery time.Duration
+	// ScheduleLease is how long a schedule row must stay unchanged before
+	// another host takes the queue.
+	ScheduleLease time.Duration
+	ScheduleRenew time.Duration
+	// IndexEvery is the time between two scans of a queue's open jobs.
+	IndexEvery time.Duration
+	// Tick is the time between two decisions.
+	Tick time.Duration
+	// WorkerTimeout bounds one call to a worker.
+	WorkerTimeout time.Duration
+	// TaskDuties is the number of equal duties that carry out calls.
+	TaskDuties int
+}
+
+// Defaults of Config.
+const (
+	defaultTaskLease     = 30 * time.Second
+	defaultRenewEvery    = 10 * time.Second
+	defaultScheduleLease = 15 * time.Second
+	defaultScheduleRenew = 5 * time.Second
+	defaultIndexEvery    = 2 * time.Second
+	defaultTick          = 250 * time.Millisecond
+	defaultWorkerTimeout = 3 * time.Second
+	defaultTaskDuties    = 16
+)
+
+// leaseMargin covers the difference between two clocks' rates over one lease.
+const leaseMargin = 5 * time.Second
+
+// Capacities of the rings.
+const (
+	scheduleRing = 512
+	tasksRing    = 256
+)
+
+func (c Config) withDefaults() Config {
+	if c.Clock == nil {
+		c.Clock = time.Now
+	}
+	if c.HTTPClient == nil {
+		c.HTTPClient = http.DefaultClient
+	}
+	for _, d := range []struct {
+		value *time.Duration
+		other time.Duration
+	}{
+		{&c.TaskLease, defaultTaskLease},
+		{&c.RenewEvery, defaultRenewEvery},
+		{&c.ScheduleLease, defaultScheduleLease},
+		{&c.ScheduleRenew, defaultScheduleRenew},
+		{&c.IndexEvery, defaultIndexEvery},
+		{&c.Tick, defaultTick},
+		{&c.WorkerTimeout, defaultWorkerTimeout},
+	} {
+		if *d.value == 0 {
+			*d.value = d.other
+		}
+	}
+	if c.TaskDuties == 0 {
+		c.TaskDuties = defaultTaskDuties
+	}
+	return c
+}
+
+// Service implements services.Jobs.
+type Service struct {
+	config      Config
+	log         zerolog.Logger
+	scope       tally.Scope
+	platform    services.Platform
+	state       services.State
+	hosts       services.Hosts
+	membership  services.Membership
+	rights      services.Rights
+	maintenance services.Maintenance
+	freed       services.FreedRing
+	events      *ring.Ring[event]
+	calls       *ring.Ring[call]
+}
+
+// event is a message to jobs.schedule.
+type event interface{ handle(*scheduler) }
+
+// call is a message to jobs.tasks; its outcome is posted to jobs.schedule.
+type call interface {
+	run(context.Context, *Service) event
+}
+
+// New returns the service.
+func New(config Config) *Service { return &Service{config: config.withDefaults()} }
+
+// Provision looks up the services that jobs depends on and registers duties.
+func (s *Service) Provision(c *kernel.Context) error {
+	s.log, s.scope = c.Log, c.Scope
+	var err error
+	if s.platform, err = kernel.Lookup[services.Platform](c, services.NamePlatform); err != nil {
+		return err
+	}
+	if s.state, err = kernel.Lookup[services.State](c, services.NameState); err != nil {
+		return err
+	}
+	if s.hosts, err = kernel.Lookup[services.Hosts](c, services.NameHosts); err != nil {
+		return err
+	}
+	if s.membership, err = kernel.Lookup[services.Membership](c, services.NameMembership); err != nil {
+		return err
+	}
+	if s.rights, err = kernel.Lookup[services.Rights](c, services.NameRights); err != nil {
+		return err
+	}
+	if s.maintenance, err = kernel.Lookup[services.Maintenance](c, services.NameMaintenance); err != nil {
+		return err
+	}
+	s.freed = s.rights.Freed("jobs.freed")
+	s.events = ring.New[event]("jobs.schedule", scheduleRing, c.Scope)
+	s.calls = ring.New[call]("jobs.tasks", tasksRing, c.Scope)
+	c.Duty("jobs.schedule", func(ctx context.Context) { newScheduler(s).run(ctx) })
+	c.Duty("jobs.freed", s.runFreed)
+	for range s.config.TaskDuties {
+		c.Duty("jobs.tasks", s.runTasks)
+	}
+	return nil
+}
+
+// Drain gives the schedules of this host to others: it starts nothing more
+// and waits until commits under way are settled.
+func (s *Service) Drain(ctx context.Context) error {
+	done := ring.Reply[struct{}]()
+	if err := s.events.Put(ctx, drainRequest{done}); err != nil {
+		return err
+	}
+	_, err := done.Take(ctx)
+	return err
+}
+
+// runTasks carries out calls. Putting an outcome may wait, because
+// jobs.schedule never waits for jobs.tasks.
+func (s *Service) runTasks(ctx context.Context) {
+	for {
+		c, err := s.calls.Take(ctx)
+		if err != nil {
+			return
+		}
+		if e := c.run(ctx, s); e != nil {
+			_ = s.events.Put(ctx, e)
+		}
+	}
+}
+
+// runFreed passes on which teams got a right back.
+func (s *Service) runFreed(ctx context.Context) {
+	for {
+		select {
+		case team := <-s.freed.C():
+			_ = s.events.Put(ctx, teamFreed{team})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// nudge asks for an early look at a queue; a lost one is made up for by the
+// next scan.
+func (s *Service) nudge(queue string) { s.events.Offer(nudged{queue}) }
+
+func (s *Service) countRefused(step string, reason fault.Reason) {
+	s.scope.Tagged(map[string]string{"step": step, "reason": string(reason)}).Counter("refused_total").Inc(1)
+}
+
+func (s *Service) countRetried(step string, reason fault.Reason) {
+	s.scope.Tagged(map[string]string{"step": step, "reason": string(reason)}).Counter("retried_total").Inc(1)
+}
+
+// reportBad asks maintenance to take a worker out of service.
+type reportBad struct{ worker string }
+
+func (r reportBad) run(ctx context.Context, s *Service) event {
+	id := "jobs-bad-worker-" + r.worker
+	if _, err := s.maintenance.Drain(ctx, id, r.worker, budget.CauseFailed); err != nil {
+		s.log.Warn().Err(err).Str("step", "report-bad-worker").Str("peer", r.worker).Msg("worker not drained")
+	}
+	return nil
+}
