Number zones and racks once for each placement decision

Cause: at 5,000 workers one decision took 77 to 90 ms, most of it in maps keyed by zone and rack names, which each start looked up for every worker.

Ruled out: sampling workers, which would give up best fit.

Change: zones and racks are numbered once and counted in slices.

Seen failing by mutation: without the weight of zones the spread test fails.

--- a/decision/placement/room.go
+++ b/decision/placement/room.go
@@ -21,7 +21,11 @@
 type room struct {
 	workers []Worker
 	index   map[string]int
-	free    []fleet.Resources
+	// zones and racks number each worker's zone and rack, because a start
+	// looks at every worker and string maps dominate its cost.
+	zones numbering
+	racks numbering
+	free  []fleet.Resources
 	// reserve is the part of each worker's free room kept for urgent work.
 	reserve []fleet.Resources
 	// holds keep workers clear for blocked work in this decision.
@@ -50,8 +54,30 @@
 // spread counts a queue's jobs by zone and rack.
 type spread struct {
 	all   int
-	zones map[fleet.AvailabilityZone]int
-	racks map[string]int
+	zones []int
+	racks []int
+}
+
+// numbering numbers names in order of appearance.
+type numbering struct {
+	of    []int
+	count int
+}
+
+func number(workers []Worker, name func(*Worker) string) numbering {
+	n := numbering{of: make([]int, len(workers))}
+	known := make(map[string]int)
+	for i := range workers {
+		key := name(&workers[i])
+		id, ok := known[key]
+		if !ok {
+			id = len(known)
+			known[key] = id
+		}
+		n.of[i] = id
+	}
+	n.count = len(known)
+	return n
 }
 
 func newRoom(workers []Worker, running []Running) *room {
@@ -70,6 +96,8 @@
 		r.addLargest(workers[i].Capacity)
 	}
 	r.reserve = reserves(workers, r.total)
+	r.zones = number(workers, func(w *Worker) string { return string(w.Zone) })
+	r.racks = number(workers, func(w *Worker) string { return w.Rack })
 	for i := range running {
 		if w, ok := r.index[running[i].Worker]; ok {
 			r.take(w, running[i].Job, running[i].occupies())
@@ -170,14 +198,14 @@
 	}
 	s := r.spreadOf(j.Queue)
 	s.all++
-	s.zones[r.workers[w].Zone]++
-	s.racks[r.workers[w].Rack]++
+	s.zones[r.zones.of[w]]++
+	s.racks[r.racks.of[w]]++
 }
 
 func (r *room) spreadOf(queue string) *spread {
 	s := r.spread[queue]
 	if s == nil {
-		s = &spread{zones: make(map[fleet.AvailabilityZone]int), racks: make(map[string]int)}
+		s = &spread{zones: make([]int, r.zones.count), racks: make([]int, r.racks.count)}
 		r.spread[queue] = s
 	}
 	return s
@@ -256,13 +284,12 @@
 // cost is the part of the worker that stays free (best fit) plus the
 // concentration of the queue's jobs in the worker's zone and rack.
 func (r *room) cost(i int, j Job, s *spread) float64 {
-	w := &r.workers[i]
-	cost := r.free[i].Sub(j.Size).DominantShare(w.Capacity)
+	cost := r.free[i].Sub(j.Size).DominantShare(r.workers[i].Capacity)
 	if s.all == 0 {
 		return cost
 	}
-	cost += zoneWeight * float64(s.zones[w.Zone]) / float64(s.all)
-	return cost + rackWeight*float64(s.racks[w.Rack])/float64(s.all)
+	cost += zoneWeight * float64(s.zones[r.zones.of[i]]) / float64(s.all)
+	return cost + rackWeight*float64(s.racks[r.racks.of[i]])/float64(s.all)
 }
 
 // holdFor keeps the suitable worker with the most free room clear of less
