Let one duty own the backend servers and find silent connections

Cause: the set of servers was a map under a mutex; an attempt handed over while its server was dropped could stay in a ring that nobody reads; silent connections were kept until the deadline; a closed idle connection made the outcome of the next request unknown; the deadline told to the server did not count the time of dialling.

Change: duty backend.servers owns the set, hands attempts on, and watches. A connection is checked for closure and stray bytes before use, and asked with HEAD / after 100 ms of idleness or after a suspect, before any byte of the request is written. Silent busy connections are interrupted by the rule of decision/connwatch; probes use one connection of this host's part, so requests have 7 of 8. A failed exchange closes its socket and discards unsent bytes. A request whose caller has gone (BackendSend.Gone) is not written. Servers that are not retained keep their connections until the answers are there. A stop interrupts what a drain left. The stand-in answers HEAD / and GET /healthz with its load.

The rule of decision/connwatch needed a correction, found by TestBusySilentConnectionIsClosed: an unbroken run of idle reports that began before the request never counted. It now takes the latest idle report that was confirmed 250 ms later.

Interface: BackendSend.Gone, Backends.Connections.

Ruled out: the probe on one of the request connections, because all of them may be busy and silent.

Seen failing by mutation: a failed socket reused (TestLateAnswerReachesNobody); no check of identifier, digest or written bytes (TestFaultyReplies); no question on idle connections (TestIdleSilentConnectionLosesNoRequest); no check for closure (TestServerDownBeforeTheWrite); Gone ignored (TestGoneCallerIsNotRun); no interrupt (TestBusySilentConnectionIsClosed); interrupt after 1 s without progress (TestLongRequestKeepsItsConnection); interrupt on Retain (TestRetainWaitsForTheAnswer); in decision/connwatch: no confirmation, no reset, a fixed candidate, and reports before the arrival accepted.

--- a/decision/connwatch/connwatch.go
+++ b/decision/connwatch/connwatch.go
@@ -49,34 +49,32 @@
 // Watch holds what one backend server reported of itself. The zero value is
 // ready for use. It has one owner.
 type Watch struct {
-	idleSince  time.Time
-	lastReport time.Time
-	lastProbe  time.Time
-	suspected  time.Time
+	// candidate is the time of a report that no slot was in use. It becomes
+	// settled when reports have shown the same until grace later.
+	candidate time.Time
+	settled   time.Time
+	lastProbe time.Time
+	suspected time.Time
 }
 
 // Report records that a reply which arrived at now carried the number of slots
 // in use.
 func (w *Watch) Report(used int, now time.Time) {
-	w.lastReport = now
-	if used > 0 {
-		w.idleSince = time.Time{}
-	} else if w.idleSince.IsZero() {
-		w.idleSince = now
+	switch {
+	case used > 0:
+		w.candidate, w.settled = time.Time{}, time.Time{}
+	case w.candidate.IsZero():
+		w.candidate = now
+	case now.Sub(w.candidate) >= grace:
+		w.settled, w.candidate = w.candidate, now
 	}
 }
 
-// Silent reports whether c will never answer.
+// Silent reports whether c will never answer: when the server sent the settled
+// report, the request had reached it, and an answer that was under way then
+// would have arrived by now.
 func (w *Watch) Silent(c Connection, now time.Time) bool {
-	if !suspect(c, now) {
-		return false
-	}
-	// The request had reached the server when the server was first idle, and
-	// its answer would have arrived before the last report. A zero idleSince
-	// is before any progress.
-	reached := !w.idleSince.Before(c.Progress.Add(grace))
-	answered := !w.lastReport.Before(w.idleSince.Add(grace))
-	return reached && answered
+	return suspect(c, now) && !w.settled.Before(c.Progress.Add(2*grace))
 }
 
 // ProbeDue reports whether a probe on a new connection is due, and if so
--- a/decision/connwatch/connwatch_test.go
+++ b/decision/connwatch/connwatch_test.go
@@ -22,7 +22,7 @@
 		runs := rapid.IntRange(0, 30000).Draw(t, "runs")
 		c := Connection{Busy: true, Progress: start}
 		arrival, answer := transit, 2*transit+runs
-		for now := rapid.IntRange(0, 1000).Draw(t, "first"); now < answer; now += rapid.IntRange(1, 400).Draw(t, "step") {
+		for now := rapid.IntRange(-500, 1000).Draw(t, "first"); now < answer; now += rapid.IntRange(1, 1500).Draw(t, "step") {
 			sent := now - rapid.IntRange(0, transit).Draw(t, "reportTransit")
 			holds := sent >= arrival && sent < arrival+runs
 			others := rapid.IntRange(0, 1).Draw(t, "others")
@@ -37,21 +37,34 @@
 }
 
 // Guards against a silent connection that is kept although its server says
-// that nothing runs.
-func TestSilentConnectionIsFoundByProbes(t *testing.T) {
-	var w Watch
-	c := []Connection{{Busy: true, Progress: start}, {Busy: false, Progress: start}}
-	found := 0
-	for now := 0; now <= 3000 && found == 0; now += 50 {
-		if w.ProbeDue(c, at(now)) {
-			w.Report(0, at(now))
-		}
-		if w.Silent(c[0], at(now)) {
-			found = now
+// that nothing runs, with probes alone and with frequent other replies, which
+// show the server idle also before the request.
+func TestSilentConnectionIsFound(t *testing.T) {
+	for _, c := range []struct{ reportEvery, found int }{{0, 1500}, {50, 1000}} {
+		var w Watch
+		conns := []Connection{{Busy: true, Progress: start}, {Busy: false, Progress: start}}
+		found := -1
+		for now := -500; now <= 3000 && found < 0; now += 50 {
+			probe := w.ProbeDue(conns, at(now))
+			if probe || c.reportEvery > 0 && now%c.reportEvery == 0 {
+				w.Report(0, at(now))
+			}
+			if w.Silent(conns[0], at(now)) {
+				found = now
+			}
+			assert.Assert(t, !w.Silent(conns[1], at(now)), "an idle connection is no suspect")
 		}
-		assert.Assert(t, !w.Silent(c[1], at(now)), "an idle connection is no suspect")
+		assert.Equal(t, found, c.found)
 	}
-	assert.Equal(t, found, 1500)
+}
+
+// Guards against reports that the server sent before the request arrived.
+func TestReportBeforeArrivalProvesNothing(t *testing.T) {
+	var w Watch
+	c := Connection{Busy: true, Progress: start}
+	w.Report(0, at(10))
+	w.Report(0, at(270))
+	assert.Assert(t, !w.Silent(c, at(1100)))
 }
 
 // Guards against closing connections of a server that is slow as a whole and
--- a/services/backend/backend.go
+++ b/services/backend/backend.go
@@ -3,12 +3,14 @@
 // Each connection is one duty that owns its socket and carries one request at
 // a time, so that an answer can only belong to the request that was written
 // last. Attempts for one backend server wait in one bounded ring that all its
-// connection duties read.
+// connection duties read. The duty backend.servers owns the set of servers,
+// hands attempts on, and looks for silent connections.
 package backend
 
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
@@ -25,6 +27,9 @@
 	// accepts from all entry hosts together.
 	serverConnections = 64
 	sendCapacity      = 64
+	messageCapacity   = 2048
+
+	stepSend = "send to backend server"
 )
 
 // Settings of the service.
@@ -44,82 +49,60 @@
 	log      zerolog.Logger
 	scope    tally.Scope
 
-	ctx     context.Context
-	cancel  context.CancelFunc
+	messages *ring.Ring[message]
+	// running counts the connection duties and probes.
 	running sync.WaitGroup
-
-	mu      sync.Mutex
-	servers map[string]*server
+	// stopping is published to the connections when the service stops.
+	stopping atomic.Bool
 }
 
-// server is the set of connections to one backend server.
-type server struct {
-	host   fleet.Host
-	sends  *ring.Ring[services.BackendSend]
-	cancel context.CancelFunc
+// message is what the duty backend.servers receives.
+type message interface{ message() }
+
+type sendMessage struct{ send services.BackendSend }
+
+type retainMessage struct{ servers map[string]fleet.Host }
+
+// reportMessage carries the slots in use that a reply told.
+type reportMessage struct {
+	server *server
+	used   int
 }
 
+func (sendMessage) message()   {}
+func (retainMessage) message() {}
+func (reportMessage) message() {}
+
 // New returns the service.
 func New(s Settings, clock services.Clock) *Service {
-	return &Service{settings: s, clock: clock, servers: make(map[string]*server)}
+	return &Service{settings: s, clock: clock}
 }
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(c *kernel.Context) error {
 	s.log = c.Log
 	s.scope = c.Scope
-	s.ctx, s.cancel = context.WithCancel(context.Background())
-	return nil
-}
-
-// Stop closes all connections.
-func (s *Service) Stop(context.Context) error {
-	s.cancel()
-	s.running.Wait()
+	s.messages = ring.New[message]("backend.servers", messageCapacity, c.Scope)
+	c.Duty("backend.servers", s.runServers)
 	return nil
 }
 
 // Send implements services.Backends.
 func (s *Service) Send(_ context.Context, send services.BackendSend) error {
-	s.mu.Lock()
-	srv, ok := s.servers[send.Server.Name]
-	if !ok {
-		srv = s.open(send.Server)
-	}
-	s.mu.Unlock()
-	if !srv.sends.Offer(send) {
-		return fault.New(&fault.NotRun, fault.ReasonRingFull, "send to backend server", send.Server.Name, "%d attempts are waiting", sendCapacity)
+	if !s.messages.Offer(sendMessage{send}) {
+		return fault.New(&fault.NotRun, fault.ReasonRingFull, stepSend, send.Server.Name, "%d messages are waiting", messageCapacity)
 	}
 	return nil
 }
 
-// Retain implements services.Backends. A connection that carries a request
-// ends after its answer.
+// Retain implements services.Backends. A call that finds the ring full is
+// dropped; the next one makes up for it.
 func (s *Service) Retain(servers map[string]fleet.Host) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for name, srv := range s.servers {
-		if host, ok := servers[name]; ok && host.Address == srv.host.Address {
-			continue
-		}
-		srv.cancel()
-		delete(s.servers, name)
-	}
+	s.messages.Offer(retainMessage{servers})
 }
 
-// open starts the connection duties of one backend server. s.mu is held.
-func (s *Service) open(host fleet.Host) *server {
-	ctx, cancel := context.WithCancel(s.ctx)
-	srv := &server{
-		host:   host,
-		sends:  ring.New[services.BackendSend]("backend."+host.Name, sendCapacity, s.scope),
-		cancel: cancel,
-	}
-	s.servers[host.Name] = srv
-	count := max(1, serverConnections/max(1, s.settings.MaxEntryHosts))
-	for range count {
-		c := &connection{host: host, sourceIP: s.settings.SourceIP, clock: s.clock, log: s.log}
-		s.running.Go(func() { c.run(ctx, srv.sends) })
-	}
-	return srv
+// Connections implements services.Backends. One of this host's connections to
+// each server is kept for probes.
+func (s *Service) Connections() int {
+	return max(1, serverConnections/max(1, s.settings.MaxEntryHosts)-1)
 }
--- /dev/null
+++ b/services/backend/backend_test.go
@@ -0,0 +1,261 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/standin"
+	"fuchsiafront.example/fuchsiafront/standin/backendserver"
+	"fuchsiafront.example/fuchsiafront/standin/faults"
+)
+
+// startService runs the service; with one connection to each server when
+// single is set.
+func startService(t *testing.T, single bool) *Service {
+	entryHosts := 8
+	if single {
+		entryHosts = serverConnections
+	}
+	s := New(Settings{MaxEntryHosts: entryHosts}, time.Now)
+	k := kernel.New(zerolog.Nop(), nil)
+	k.Register(services.NameBackend, s)
+	assert.NilError(t, k.Start(t.Context()))
+	t.Cleanup(func() { k.Stop(context.Background()) })
+	return s
+}
+
+func post(s *Service, host fleet.Host, id, body string, timeout time.Duration) <-chan services.BackendResult {
+	done := make(chan services.BackendResult, 1)
+	req := &services.Request{ID: id, Body: []byte(body), Deadline: time.Now().Add(timeout)}
+	send := services.BackendSend{Server: host, Request: req, Done: func(r services.BackendResult) { done <- r }}
+	if err := s.Send(context.Background(), send); err != nil {
+		done <- services.BackendResult{Err: err}
+	}
+	return done
+}
+
+// rawServer answers the n-th request, counted from zero, as answer says, and
+// returns the server's host and the number of requests that it read.
+func rawServer(t *testing.T, answer func(n int64, r *http.Request, conn net.Conn) (keep bool)) (fleet.Host, *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	var count atomic.Int64
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					if r.Method == http.MethodHead {
+						io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+						continue
+					}
+					if !answer(count.Add(1)-1, r, conn) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return fleet.Host{Name: "raw", Address: l.Addr().String(), Slots: 8}, &count
+}
+
+func reply(id, body, more string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%sContent-Digest: %s\r\nContent-Length: %d\r\n\r\n%s",
+		id, more, contentDigest([]byte(body)), len(body), body)
+}
+
+// Guards against answers of another request, partial answers, and refusals
+// that say "not run" without being sure (G5, G6).
+func TestFaultyReplies(t *testing.T) {
+	const refusal = "HTTP/1.1 %d X\r\nRequest-Id: %s\r\nNot-Run: slots\r\nContent-Length: 0\r\n\r\n"
+	cases := []struct {
+		name, text string
+		notRun     bool
+		reason     fault.Reason
+	}{
+		{"whole", reply("id", "body", ""), false, ""},
+		{"after 100 Continue", "HTTP/1.1 100 Continue\r\n\r\n" + reply("id", "body", ""), false, ""},
+		{"crossed", reply("other", "body", ""), false, fault.ReasonWrongReply},
+		{"truncated", reply("id", "body", "")[:len(reply("id", "body", ""))-1], false, fault.ReasonTruncated},
+		{"wrong digest", reply("id", "body", "")[:len(reply("id", "body", ""))-1] + "x", false, fault.ReasonTruncated},
+		{"no length", "HTTP/1.1 200 OK\r\nRequest-Id: id\r\n\r\nbody", false, fault.ReasonTruncated},
+		{"no answer", "", false, fault.ReasonConnectionLost},
+		{"refused", fmt.Sprintf(refusal, 503, "id"), true, fault.ReasonNoSlots},
+		{"refused for another", fmt.Sprintf(refusal, 503, "other"), false, fault.ReasonWrongReply},
+		{"refused with another status", fmt.Sprintf(refusal, 200, "id"), false, fault.ReasonWrongReply},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			host, _ := rawServer(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
+				io.WriteString(conn, c.text)
+				return false
+			})
+			r := <-post(startService(t, true), host, "id", "x", 10*time.Second)
+			if c.reason == "" {
+				assert.NilError(t, r.Err)
+				assert.Equal(t, string(r.Reply.Body), "body")
+				return
+			}
+			assert.Equal(t, fault.ReasonOf(r.Err), c.reason)
+			assert.Equal(t, fault.IsNotRun(r.Err), c.notRun)
+		})
+	}
+}
+
+// Guards against a late answer, or bytes behind an answer, that reach the next
+// request on the connection (G5).
+func TestLateAnswerReachesNobody(t *testing.T) {
+	host, _ := rawServer(t, func(n int64, r *http.Request, conn net.Conn) bool {
+		id := r.Header.Get("Request-Id")
+		if n == 0 {
+			time.Sleep(300 * time.Millisecond)
+		}
+		answer := reply(id, id, "")
+		if n == 1 {
+			answer += answer
+		}
+		io.WriteString(conn, answer)
+		return true
+	})
+	s := startService(t, true)
+	late := <-post(s, host, "late", "x", 100*time.Millisecond)
+	assert.Equal(t, fault.ReasonOf(late.Err), fault.ReasonDeadline)
+	assert.Assert(t, !fault.IsNotRun(late.Err))
+	for _, id := range []string{"second", "third", "fourth"} {
+		r := <-post(s, host, id, "x", 10*time.Second)
+		assert.NilError(t, r.Err)
+		assert.Equal(t, string(r.Reply.Body), id)
+	}
+}
+
+// Guards against an unknown outcome for a request of which no byte was written:
+// the server is down, or closed the idle connection.
+func TestServerDownBeforeTheWrite(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	down := fleet.Host{Name: "down", Address: l.Addr().String()}
+	l.Close()
+	s := startService(t, true)
+	r := <-post(s, down, "id", "x", 10*time.Second)
+	assert.Equal(t, fault.ReasonOf(r.Err), fault.ReasonConnect)
+	assert.Assert(t, fault.IsNotRun(r.Err))
+
+	host, _ := rawServer(t, func(_ int64, r *http.Request, conn net.Conn) bool {
+		io.WriteString(conn, reply(r.Header.Get("Request-Id"), "body", ""))
+		return false
+	})
+	assert.NilError(t, (<-post(s, host, "first", "x", 10*time.Second)).Err)
+	time.Sleep(20 * time.Millisecond)
+	assert.NilError(t, (<-post(s, host, "second", "x", 10*time.Second)).Err)
+}
+
+// Guards against running a request whose caller has gone before the write.
+func TestGoneCallerIsNotRun(t *testing.T) {
+	host, count := rawServer(t, func(int64, *http.Request, net.Conn) bool { return false })
+	s := startService(t, true)
+	gone, done := make(chan struct{}), make(chan services.BackendResult, 1)
+	close(gone)
+	send := services.BackendSend{Server: host, Gone: gone, Done: func(r services.BackendResult) { done <- r },
+		Request: &services.Request{ID: "id", Deadline: time.Now().Add(10 * time.Second)}}
+	assert.NilError(t, s.Send(t.Context(), send))
+	r := <-done
+	assert.Equal(t, fault.ReasonOf(r.Err), fault.ReasonCancelled)
+	assert.Assert(t, fault.IsNotRun(r.Err))
+	assert.Equal(t, count.Load(), int64(0))
+}
+
+type nullRecorder struct{}
+
+func (nullRecorder) Started(standin.Execution) int { return 0 }
+func (nullRecorder) Ended(int)                     {}
+
+func openStandin(t *testing.T) (*backendserver.Server, fleet.Host) {
+	host := fleet.Host{Name: "s", Address: "127.0.0.1:0", Slots: 8}
+	server, err := backendserver.Open(host, time.Millisecond, nullRecorder{}, nil)
+	assert.NilError(t, err)
+	t.Cleanup(func() { server.Close() })
+	return server, server.Host()
+}
+
+// Guards against writing a request to a connection that went silent while it
+// was idle, which would lose a non-idempotent request.
+func TestIdleSilentConnectionLosesNoRequest(t *testing.T) {
+	server, host := openStandin(t)
+	s := startService(t, true)
+	assert.NilError(t, (<-post(s, host, "first", "{}", 10*time.Second)).Err)
+	server.Injector().Apply(faults.Set{SilenceOpenConns: true})
+	time.Sleep(150 * time.Millisecond)
+	assert.NilError(t, (<-post(s, host, "second", "{}", 10*time.Second)).Err)
+}
+
+// Guards against keeping a busy silent connection until its deadline.
+func TestBusySilentConnectionIsClosed(t *testing.T) {
+	server, host := openStandin(t)
+	s := startService(t, true)
+	assert.NilError(t, (<-post(s, host, "first", "{}", 10*time.Second)).Err)
+	server.Injector().Apply(faults.Set{SilenceOpenConns: true})
+	r := <-post(s, host, "second", "{}", 20*time.Second)
+	assert.Equal(t, fault.ReasonOf(r.Err), fault.ReasonStalled)
+	assert.Assert(t, !fault.IsNotRun(r.Err), "its bytes were written")
+}
+
+// Guards against closing the connection of a request that runs for longer than
+// the stall bound while others on the same server are answered.
+func TestLongRequestKeepsItsConnection(t *testing.T) {
+	_, host := openStandin(t)
+	s := startService(t, false)
+	long := post(s, host, "long", `{"workMs":2600}`, 30*time.Second)
+	for {
+		select {
+		case r := <-long:
+			assert.NilError(t, r.Err)
+			return
+		case <-time.After(20 * time.Millisecond):
+			assert.NilError(t, (<-post(s, host, "short", `{"workMs":1}`, 10*time.Second)).Err)
+		}
+	}
+}
+
+// Guards against cutting off a request on a connection that is closed because
+// its server leaves.
+func TestRetainWaitsForTheAnswer(t *testing.T) {
+	started := make(chan struct{})
+	host, _ := rawServer(t, func(_ int64, r *http.Request, conn net.Conn) bool {
+		close(started)
+		time.Sleep(200 * time.Millisecond)
+		io.WriteString(conn, reply(r.Header.Get("Request-Id"), "body", "Leaving: true\r\n"))
+		return true
+	})
+	s := startService(t, true)
+	answer := post(s, host, "id", "x", 10*time.Second)
+	<-started
+	s.Retain(nil)
+	r := <-answer
+	assert.NilError(t, r.Err)
+	assert.Assert(t, r.Leaving)
+}
--- a/services/backend/connection.go
+++ b/services/backend/connection.go
@@ -2,76 +2,92 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/base64"
-	"io"
 	"net"
-	"net/http"
-	"strconv"
+	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
-
+	"fuchsiafront.example/fuchsiafront/decision/connwatch"
 	"fuchsiafront.example/fuchsiafront/fault"
-	"fuchsiafront.example/fuchsiafront/fleet"
-	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
 )
 
-// Headers of the backend server protocol (docs/design.md, section 4.6).
-const (
-	headerRequestID = "Request-Id"
-	headerDeadline  = "Request-Deadline-Ms"
-	headerDigest    = "Content-Digest"
-	headerSlotsFree = "Slots-Free"
-	headerLeaving   = "Leaving"
-	headerNotRun    = "Not-Run"
-	headerTeam      = "Team"
-	headerQueue     = "Queue"
-)
-
-const (
-	dialTimeout = time.Second
-	// maxReplyBytes bounds the answer kept in memory for one request.
-	maxReplyBytes = 16 << 20
-)
-
 // connection is one duty that owns one socket to a backend server.
 type connection struct {
-	host     fleet.Host
-	sourceIP string
-	clock    services.Clock
-	log      zerolog.Logger
+	service *Service
+	server  *server
 
 	conn   net.Conn
 	reader *bufio.Reader
-	// written counts the bytes of the current request that were handed to
-	// the socket.
-	written int64
+	// used is the time of the last progress on the socket.
+	used time.Time
+	// current is the exchange under way, published to the watch.
+	current atomic.Pointer[exchange]
+}
+
+// exchange is one request on one socket, from its first byte to the whole
+// answer. The watch may interrupt it until it has ended.
+type exchange struct {
+	conn     net.Conn
+	clock    services.Clock
+	written  int64
+	received bool
+	progress atomic.Int64
+	phase    atomic.Int32
+}
+
+// Phases of an exchange.
+const (
+	phaseActive int32 = iota
+	phaseInterrupted
+	phaseEnded
+)
+
+// interrupt makes reads and writes fail at once, unless the exchange ended.
+func (x *exchange) interrupt() {
+	if x.phase.CompareAndSwap(phaseActive, phaseInterrupted) {
+		x.conn.SetDeadline(time.Unix(1, 0))
+	}
 }
 
-func (c *connection) run(ctx context.Context, sends *ring.Ring[services.BackendSend]) {
+// end reports whether the exchange ended without being interrupted.
+func (x *exchange) end() bool { return x.phase.CompareAndSwap(phaseActive, phaseEnded) }
+
+func (x *exchange) interrupted() bool { return x.phase.Load() == phaseInterrupted }
+
+// Write implements io.Writer and counts the bytes that may have left.
+func (x *exchange) Write(p []byte) (int, error) {
+	n, err := x.conn.Write(p)
+	x.written += int64(n)
+	x.advance(n)
+	return n, err
+}
+
+func (x *exchange) advance(n int) {
+	if n > 0 {
+		x.progress.Store(x.clock().UnixNano())
+	}
+}
+
+func (c *connection) run(ctx context.Context) {
 	defer c.close()
 	for {
 		select {
 		case <-ctx.Done():
-			c.refuseWaiting(sends)
+			c.refuseWaiting()
 			return
-		case send := <-sends.C():
+		case send := <-c.server.sends.C():
 			send.Done(c.attempt(send))
 		}
 	}
 }
 
 // refuseWaiting answers the attempts that no connection will take any more.
-func (c *connection) refuseWaiting(sends *ring.Ring[services.BackendSend]) {
+func (c *connection) refuseWaiting() {
 	for {
 		select {
-		case send := <-sends.C():
-			err := fault.New(&fault.NotRun, fault.ReasonLeaving, "send to backend server", c.host.Name, "connections are closing")
-			send.Done(services.BackendResult{Send: send, Err: err, SlotsFree: -1})
+		case send := <-c.server.sends.C():
+			refuse(send, fault.ReasonLeaving, "connections are closing")
 		default:
 			return
 		}
@@ -82,168 +98,112 @@
 // fault.NotRun only when no byte was written or the backend server said that
 // it did not run the request.
 func (c *connection) attempt(send services.BackendSend) services.BackendResult {
-	started := c.clock()
+	started := c.service.clock()
 	result := services.BackendResult{Send: send, SlotsFree: -1}
-	resp, body, err := c.exchange(send.Request, started)
-	result.Elapsed = c.clock().Sub(started)
-	if err != nil {
-		c.close()
-		result.Err = err
-		return result
-	}
-	readLoad(resp.Header, &result)
-	if reason := resp.Header.Get(headerNotRun); reason != "" {
-		result.Err = notRun(reason, c.host.Name)
-		return result
-	}
-	result.Reply = &services.Reply{
-		Status:      resp.StatusCode,
-		ContentType: resp.Header.Get("Content-Type"),
-		Body:        body,
-		Server:      c.host.Name,
-	}
+	reply, load, err := c.carry(send)
+	result.Elapsed = c.service.clock().Sub(started)
+	result.Reply, result.Err = reply, err
+	result.SlotsFree, result.Leaving = load.slotsFree, load.leaving
+	c.service.report(c.server, load)
 	return result
 }
 
-func readLoad(h http.Header, result *services.BackendResult) {
-	if free, err := strconv.Atoi(h.Get(headerSlotsFree)); err == nil {
-		result.SlotsFree = free
-	}
-	result.Leaving = h.Get(headerLeaving) == "true"
-}
-
-func notRun(reason, peer string) error {
-	const step = "run on backend server"
-	switch reason {
-	case "slots":
-		return fault.New(&fault.NotRun, fault.ReasonNoSlots, step, peer, "all slots are taken")
-	case "leaving":
-		return fault.New(&fault.NotRun, fault.ReasonLeaving, step, peer, "the server is leaving")
-	case "deadline":
-		return fault.New(&fault.NotRun, fault.ReasonDeadline, step, peer, "the deadline had passed on arrival")
+// carry readies the socket, writes the request and reads the answer.
+func (c *connection) carry(send services.BackendSend) (*services.Reply, load, error) {
+	req := send.Request
+	if err := c.mayStart(send); err != nil {
+		return nil, noLoad, err
 	}
-	return fault.New(&fault.NotRun, fault.ReasonInternal, step, peer, "refused with reason %q", reason)
-}
-
-func (c *connection) exchange(req *services.Request, now time.Time) (*http.Response, []byte, error) {
-	remaining := req.Deadline.Sub(now)
-	if remaining <= 0 {
-		return nil, nil, fault.New(&fault.NotRun, fault.ReasonDeadline, "send to backend server", c.host.Name, "the deadline passed before the send")
+	if err := c.ready(req.Deadline); err != nil {
+		return nil, noLoad, err
 	}
-	if err := c.ensureOpen(min(dialTimeout, remaining)); err != nil {
-		return nil, nil, fault.New(&fault.NotRun, fault.ReasonConnect, "connect", c.host.Name, "%w", err)
+	// Readying may have taken up to the stall bound and the dial timeout.
+	if err := c.mayStart(send); err != nil {
+		return nil, noLoad, err
 	}
-	c.written = 0
-	if err := c.conn.SetDeadline(time.Now().Add(remaining)); err != nil {
-		return nil, nil, c.failed("set deadline", fault.ReasonConnectionLost, err)
+	x := c.begin()
+	reply, load, keep, err := c.exchange(x, req)
+	c.current.Store(nil)
+	if !x.end() && err == nil {
+		keep = false
 	}
-	if err := c.write(req, remaining); err != nil {
-		return nil, nil, c.failed("write request", fault.ReasonConnectionLost, err)
+	c.used = c.service.clock()
+	if !keep {
+		c.abort()
 	}
-	return c.read(req)
+	return reply, load, err
 }
 
-func (c *connection) ensureOpen(timeout time.Duration) error {
-	if c.conn != nil {
-		return nil
+// mayStart refuses an attempt whose caller has gone or whose deadline has
+// passed.
+func (c *connection) mayStart(send services.BackendSend) error {
+	select {
+	case <-send.Gone:
+		return c.notRun(fault.ReasonCancelled, stepSend, "the caller has gone")
+	default:
 	}
-	dialer := &net.Dialer{Timeout: timeout}
-	if c.sourceIP != "" {
-		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(c.sourceIP)}
+	if c.service.stopping.Load() {
+		return c.notRun(fault.ReasonDraining, stepSend, "connections are closing")
 	}
-	conn, err := dialer.Dial("tcp", c.host.Address)
-	if err != nil {
-		return err
+	if !c.service.clock().Before(send.Request.Deadline) {
+		return c.notRun(fault.ReasonDeadline, stepSend, "the deadline passed before the send")
 	}
-	c.conn = conn
-	c.reader = bufio.NewReader(conn)
 	return nil
 }
 
-// Write implements io.Writer and counts the bytes that may have left.
-func (c *connection) Write(p []byte) (int, error) {
-	n, err := c.conn.Write(p)
-	c.written += int64(n)
-	return n, err
+func (c *connection) notRun(reason fault.Reason, step, format string, args ...any) error {
+	return fault.New(&fault.NotRun, reason, step, c.server.host.Name, format, args...)
 }
 
-func (c *connection) write(req *services.Request, remaining time.Duration) error {
-	r, err := http.NewRequest(http.MethodPost, "http://"+c.host.Address+"/run", bytes.NewReader(req.Body))
-	if err != nil {
-		return err
+func (c *connection) begin() *exchange {
+	x := &exchange{conn: c.conn, clock: c.service.clock}
+	x.progress.Store(c.service.clock().UnixNano())
+	c.current.Store(x)
+	if c.service.stopping.Load() {
+		x.interrupt()
 	}
-	r.Header.Set(headerRequestID, req.ID)
-	r.Header.Set(headerTeam, req.Team)
-	r.Header.Set(headerQueue, req.Queue.Name)
-	r.Header.Set(headerDeadline, strconv.FormatInt(remaining.Milliseconds(), 10))
-	if req.ContentType != "" {
-		r.Header.Set("Content-Type", req.ContentType)
-	}
-	w := bufio.NewWriter(c)
-	if err := r.Write(w); err != nil {
-		return err
-	}
-	return w.Flush()
+	return x
 }
 
-func (c *connection) read(req *services.Request) (*http.Response, []byte, error) {
-	resp, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodPost})
-	if err != nil {
-		return nil, nil, c.failed("read reply", reasonOfRead(err), err)
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-	resp.Body.Close()
-	if err != nil {
-		return nil, nil, c.failed("read reply", fault.ReasonTruncated, err)
-	}
-	if err := c.check(req, resp, body); err != nil {
-		return nil, nil, err
-	}
-	if resp.Close {
+// ready leaves the connection with an open socket that is believed to work.
+func (c *connection) ready(deadline time.Time) error {
+	if c.conn != nil && !isQuiet(c.conn, c.reader) {
 		c.close()
 	}
-	return resp, body, nil
-}
-
-func reasonOfRead(err error) fault.Reason {
-	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
-		return fault.ReasonDeadline
-	}
-	return fault.ReasonConnectionLost
-}
-
-// check requires that a reply is whole and answers req.
-func (c *connection) check(req *services.Request, resp *http.Response, body []byte) error {
-	if got := resp.Header.Get(headerRequestID); got != req.ID {
-		return fault.New(&fault.Unknown, fault.ReasonWrongReply, "read reply", c.host.Name, "the reply is for request %q", got)
+	now := c.service.clock()
+	suspected := time.Unix(0, c.server.suspected.Load())
+	if c.conn != nil && connwatch.AskFirst(c.used, suspected, now) {
+		c.ask(min(connwatch.StallBound, deadline.Sub(now)))
 	}
-	if len(body) > maxReplyBytes {
-		return fault.New(&fault.Unknown, fault.ReasonBodyTooLarge, "read reply", c.host.Name, "the reply is over %d bytes", maxReplyBytes)
-	}
-	if resp.Header.Get(headerNotRun) != "" {
+	if c.conn != nil {
 		return nil
 	}
-	if resp.ContentLength < 0 {
-		return fault.New(&fault.Unknown, fault.ReasonTruncated, "read reply", c.host.Name, "the reply has no length")
+	timeout := min(dialTimeout, deadline.Sub(c.service.clock()))
+	if timeout <= 0 {
+		return c.notRun(fault.ReasonDeadline, stepSend, "the deadline passed before the send")
 	}
-	if got := resp.Header.Get(headerDigest); got != contentDigest(body) {
-		return fault.New(&fault.Unknown, fault.ReasonTruncated, "read reply", c.host.Name, "the reply's digest is %q", got)
+	conn, err := c.service.dial(c.server.host.Address, timeout)
+	if err != nil {
+		return c.notRun(fault.ReasonConnect, "connect", "%w", err)
 	}
+	c.conn, c.reader = conn, bufio.NewReader(conn)
+	c.used = c.service.clock()
 	return nil
 }
 
-// contentDigest returns the Content-Digest field value of RFC 9530.
-func contentDigest(body []byte) string {
-	sum := sha256.Sum256(body)
-	return "sha-256=:" + base64.StdEncoding.EncodeToString(sum[:]) + ":"
-}
-
-func (c *connection) failed(step string, reason fault.Reason, err error) error {
-	kind := &fault.Unknown
-	if c.written == 0 {
-		kind = &fault.NotRun
+// ask sends HEAD / on an idle connection and closes it when there is no answer
+// in time. No byte of a request was written on it, so nothing is lost.
+func (c *connection) ask(timeout time.Duration) {
+	load, keep, err := head(c.conn, c.reader, c.server.host.Address, timeout)
+	if err != nil {
+		c.service.log.Debug().Err(err).Str("peer", c.server.host.Name).Str("step", "ask idle connection").Msg("connection closed")
+	}
+	if err != nil || !keep {
+		c.close()
+		return
 	}
-	return fault.New(kind, reason, step, c.host.Name, "%w", err)
+	c.used = c.service.clock()
+	c.service.report(c.server, load)
 }
 
 func (c *connection) close() {
@@ -251,6 +211,14 @@
 		return
 	}
 	c.conn.Close()
-	c.conn = nil
-	c.reader = nil
+	c.conn, c.reader = nil, nil
+}
+
+// abort closes the socket and discards bytes that were not sent yet, so that a
+// request whose attempt has failed does not arrive later.
+func (c *connection) abort() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.close()
 }
--- /dev/null
+++ b/services/backend/servers.go
@@ -0,0 +1,190 @@
+package backend
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/connwatch"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+// watchPeriod is how often busy connections are looked at.
+const watchPeriod = 100 * time.Millisecond
+
+// server is the set of connections to one backend server. The duty
+// backend.servers owns it; atomic fields are published to its connections.
+type server struct {
+	host        fleet.Host
+	sends       *ring.Ring[services.BackendSend]
+	connections []*connection
+	cancel      context.CancelFunc
+	watch       connwatch.Watch
+	// open counts the connection duties that have not ended.
+	open atomic.Int64
+	// suspected is the last time, in Unix nanoseconds, at which a connection
+	// was suspected to be silent.
+	suspected atomic.Int64
+	probing   atomic.Bool
+}
+
+// serverSet is the state of the duty backend.servers.
+type serverSet struct {
+	byName map[string]*server
+	// closing are servers that were not retained and still have connections
+	// that wait for an answer.
+	closing []*server
+}
+
+func (s *Service) runServers(ctx context.Context) {
+	set := &serverSet{byName: make(map[string]*server)}
+	ticker := time.NewTicker(watchPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.stop(set)
+			return
+		case m := <-s.messages.C():
+			s.handle(ctx, set, m)
+		case <-ticker.C:
+			s.watch(set)
+		}
+	}
+}
+
+// stop closes all connections, also those that a drain left waiting for an
+// answer, and refuses the attempts that were not handed on.
+func (s *Service) stop(set *serverSet) {
+	s.stopping.Store(true)
+	for _, srv := range set.byName {
+		set.drop(srv)
+	}
+	for _, srv := range set.closing {
+		for _, c := range srv.connections {
+			if x := c.current.Load(); x != nil {
+				x.interrupt()
+			}
+		}
+	}
+	s.running.Wait()
+	for {
+		select {
+		case m := <-s.messages.C():
+			if m, ok := m.(sendMessage); ok {
+				refuse(m.send, fault.ReasonDraining, "connections are closing")
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (s *Service) handle(ctx context.Context, set *serverSet, m message) {
+	switch m := m.(type) {
+	case sendMessage:
+		s.hand(ctx, set, m.send)
+	case retainMessage:
+		set.retain(m.servers)
+	case reportMessage:
+		m.server.watch.Report(m.used, s.clock())
+	}
+}
+
+func (s *Service) hand(ctx context.Context, set *serverSet, send services.BackendSend) {
+	srv, ok := set.byName[send.Server.Name]
+	if ok && srv.host.Address != send.Server.Address {
+		set.drop(srv)
+		ok = false
+	}
+	if !ok {
+		srv = s.open(ctx, send.Server)
+		set.byName[send.Server.Name] = srv
+	}
+	if !srv.sends.Offer(send) {
+		refuse(send, fault.ReasonRingFull, "the connections' ring is full")
+	}
+}
+
+func refuse(send services.BackendSend, reason fault.Reason, detail string) {
+	err := fault.New(&fault.NotRun, reason, stepSend, send.Server.Name, "%s", detail)
+	send.Done(services.BackendResult{Send: send, Err: err, SlotsFree: -1})
+}
+
+// open starts the connection duties of one backend server.
+func (s *Service) open(ctx context.Context, host fleet.Host) *server {
+	ctx, cancel := context.WithCancel(ctx)
+	srv := &server{
+		host:   host,
+		sends:  ring.New[services.BackendSend]("backend."+host.Name, sendCapacity, s.scope),
+		cancel: cancel,
+	}
+	for range s.Connections() {
+		c := &connection{service: s, server: srv}
+		srv.connections = append(srv.connections, c)
+		srv.open.Add(1)
+		s.running.Go(func() {
+			defer srv.open.Add(-1)
+			c.run(ctx)
+		})
+	}
+	return srv
+}
+
+func (set *serverSet) retain(servers map[string]fleet.Host) {
+	for name, srv := range set.byName {
+		if host, ok := servers[name]; !ok || host.Address != srv.host.Address {
+			set.drop(srv)
+		}
+	}
+}
+
+// drop ends the connection duties of a server. Nothing is offered to its ring
+// afterwards, so that the last duty to end leaves no attempt behind.
+func (set *serverSet) drop(srv *server) {
+	srv.cancel()
+	delete(set.byName, srv.host.Name)
+	set.closing = append(set.closing, srv)
+}
+
+// watch interrupts silent connections and starts probes.
+func (s *Service) watch(set *serverSet) {
+	now := s.clock()
+	for _, srv := range set.byName {
+		s.watchServer(srv, now)
+	}
+	kept := set.closing[:0]
+	for _, srv := range set.closing {
+		if srv.open.Load() > 0 {
+			s.watchServer(srv, now)
+			kept = append(kept, srv)
+		}
+	}
+	set.closing = kept
+}
+
+func (s *Service) watchServer(srv *server, now time.Time) {
+	states := make([]connwatch.Connection, 0, len(srv.connections))
+	for _, c := range srv.connections {
+		x := c.current.Load()
+		if x == nil {
+			continue
+		}
+		state := connwatch.Connection{Busy: true, Progress: time.Unix(0, x.progress.Load())}
+		states = append(states, state)
+		if srv.watch.Silent(state, now) {
+			x.interrupt()
+		}
+	}
+	due := srv.watch.ProbeDue(states, now)
+	srv.suspected.Store(srv.watch.Suspected().UnixNano())
+	if due && srv.probing.CompareAndSwap(false, true) {
+		s.running.Go(func() {
+			defer srv.probing.Store(false)
+			s.probe(srv)
+		})
+	}
+}
--- a/services/work.go
+++ b/services/work.go
@@ -85,6 +85,9 @@
 	Request *Request
 	// Attempt counts from one.
 	Attempt int
+	// Gone is closed when the caller has gone; an attempt that is not written
+	// by then is not run. It may be nil.
+	Gone <-chan struct{}
 	// Done receives the one result; it must not block.
 	Done func(BackendResult)
 }
@@ -105,8 +108,11 @@
 	// Send posts one attempt. An error is a fault of class fault.NotRun, and
 	// Done is then not called.
 	Send(ctx context.Context, s BackendSend) error
-	// Retain closes the connections to all servers that are not named.
+	// Retain closes the connections to all servers that are not named, each
+	// after the answer that it waits for. The map is not modified afterwards.
 	Retain(servers map[string]fleet.Host)
+	// Connections returns how many requests one server can carry at once.
+	Connections() int
 }
 
 // RightsUse is the state of one team's rights on this entry host.
--- a/standin/backendserver/backendserver.go
+++ b/standin/backendserver/backendserver.go
@@ -58,6 +58,8 @@
 	s.host.Address = listener.Addr().String()
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run", s.run)
+	mux.HandleFunc("GET /{$}", s.health)
+	mux.HandleFunc("GET /healthz", s.health)
 	s.http = &http.Server{Handler: s.injector.Wrap(mux), ConnContext: faults.ConnContext}
 	go s.serve(listener)
 	return s, nil
@@ -85,6 +87,12 @@
 // Close ends the server at once.
 func (s *Server) Close() error { return s.http.Close() }
 
+// health answers probes with the server's load. The mux passes HEAD to it too.
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	s.writeLoad(w.Header())
+	w.WriteHeader(http.StatusOK)
+}
+
 func (s *Server) run(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Request-Id")
 	body, err := io.ReadAll(r.Body)
