Dispatch by class, share, rights and claims

Cause: the dispatch duty held one list, started without rights or claims, and never retried.

Change: dispatch.queue uses decision/fairqueue, decision/route and decision/retry. A request takes a slot and a right, then a claim when it is non-idempotent and has the caller's identifier, and then goes to the backend service. Claims are made and their outcomes recorded by 32 dispatch.claims duties over rings, so that a slow platform holds up only claimed requests. The right of an attempt with an unknown outcome is kept until 500 ms after the deadline; a retry takes another right. A refusal after an earlier attempt of unknown outcome is told as unknown. A team without rights waits without holding up others; it is refused for team-limit at its deadline. Cancelled requests leave the queue at once, or are stopped before the first byte. Drain waits for the outcomes of claims too. Leaving servers come from the host list, the reply header and the ledger.

Rings: at most 2,048 requests are under way; dispatch.queue has room for one step and one cancellation of each, so that no answer is refused. Full means ring-full for the caller.

Seen failing by mutation: no claim, start on any claim answer, claim in doubt not released (TestClaimComesBetweenRightAndSend, TestNoStartWithoutTheClaim); right released with an unknown outcome (TestUnknownOutcomeIsNotRepeatedAndKeepsItsRight, TestOutcomesAreTrue); blocked team stops the pool, freed right ignored (TestTeamAtItsLimit); same server retried (TestIdempotentRequestIsRetriedElsewhere); put-backs uncounted (TestPutBacksAreBounded); cancellation ignored (TestGoneCallerLeavesTheQueue); list phase or header ignored (TestLeavingServerGetsNothingNew); drain without waiting or without outcomes (TestDrainWaitsForEveryOutcome).

--- a/decision/route/route.go
+++ b/decision/route/route.go
@@ -44,7 +44,10 @@
 	Zone    fleet.AvailabilityZone
 	Pool    string
 	Slots   int
-	Leaving bool
+	// MaxInFlight bounds the attempts of this entry host at once; zero means
+	// no bound but the slots.
+	MaxInFlight int
+	Leaving     bool
 }
 
 // Load is what a server reported with a reply. SlotsFree is negative when it
@@ -140,7 +143,11 @@
 	weight := decay(now.Sub(s.reportedAt), othersHalfLife)
 	mean := p.others * decay(now.Sub(p.reportedAt), meanHalfLife)
 	others := weight*s.others + (1-weight)*mean
-	return float64(s.Slots-s.inFlight) - others
+	free := float64(s.Slots-s.inFlight) - others
+	if s.MaxInFlight > 0 {
+		free = min(free, float64(s.MaxInFlight-s.inFlight))
+	}
+	return free
 }
 
 // decay returns what remains of a value after age.
@@ -276,6 +283,12 @@
 	p.reportedAt = now
 }
 
+// IsLeaving reports whether a server is leaving or gone from the table.
+func (t *Table) IsLeaving(name string, now time.Time) bool {
+	s := t.byName[name]
+	return s == nil || s.Leaving || now.Before(s.leavingUntil)
+}
+
 // InFlight returns the attempts in flight at a server.
 func (t *Table) InFlight(name string) int {
 	if s := t.byName[name]; s != nil {
--- /dev/null
+++ b/services/dispatch/claims.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"context"
+
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+// claimTask is a claim to make, or an outcome to record when ended is set.
+type claimTask struct {
+	w       *work
+	ended   bool
+	outcome outcome
+}
+
+// runClaims makes claims and records outcomes at the claims service, which
+// waits for the platform.
+func (s *Service) runClaims(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case task := <-s.claiming.C():
+			if task.ended {
+				s.claims.Outcome(task.w.req, task.outcome.reply, task.outcome.err)
+				s.retire()
+				continue
+			}
+			s.claim(ctx, task.w)
+		}
+	}
+}
+
+func (s *Service) claim(ctx context.Context, w *work) {
+	ctx, cancel := context.WithTimeout(ctx, w.req.Deadline.Sub(s.clock()))
+	defer cancel()
+	record, err := s.claims.Claim(ctx, w.req)
+	s.messages.Offer(claimed{w, record, err})
+}
+
+// needsClaim reports whether req may be started only under a claim.
+func needsClaim(req *services.Request) bool { return req.CallerID && !req.Idempotent }
+
+// claimOutcome is the answer to a request whose claim was not granted. This
+// attempt was not started; an earlier one may have run or be running.
+func claimOutcome(record services.ClaimRecord) outcome {
+	const step = "claim request"
+	switch record.State {
+	case services.ClaimDone:
+		if record.Object == "" {
+			return outcome{reply: &services.Reply{Status: record.Status, ContentType: record.ContentType, Body: record.Body}}
+		}
+		return outcome{err: fault.New(&fault.Unknown, fault.ReasonClaimed, step, record.Host, "the request has run; its answer is in the object store")}
+	case services.ClaimHeld:
+		return outcome{err: fault.New(&fault.Unknown, fault.ReasonClaimed, step, record.Host, "an earlier attempt is under way")}
+	}
+	return outcome{err: fault.New(&fault.Unknown, fault.ReasonClaimInDoubt, step, record.Host, "the claim's state is %q", record.State)}
+}
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -1,29 +1,35 @@
 // Package dispatch queues requests and routes them to backend servers with a
 // free slot.
 //
-// One duty owns the queues and the view of the backend servers' slots.
+// The duty dispatch.queue owns the queues, the view of the backend servers and
+// the retry budgets. It calls nothing that waits: claims are made and recorded
+// by the duties dispatch.claims, which answer over its ring, and attempts are
+// handed to the backend service. dispatch.freed forwards freed rights.
 package dispatch
 
 import (
 	"context"
-	"path"
+	"math/rand/v2"
 	"sync/atomic"
-	"time"
 
 	"github.com/rs/zerolog"
 
+	"fuchsiafront.example/fuchsiafront/decision/route"
 	"fuchsiafront.example/fuchsiafront/fault"
-	"fuchsiafront.example/fuchsiafront/fleet"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
 )
 
 const (
+	// queueCapacity bounds the requests that are submitted and not ended.
 	queueCapacity = 2048
-	// expirePeriod is how often waiting requests past their deadline are
-	// looked for.
-	expirePeriod = 50 * time.Millisecond
+	// messageCapacity has room for one step and one cancellation of each
+	// such request and for a freed right, so that answers to the queue duty
+	// always find room.
+	messageCapacity = 2*queueCapacity + 1
+	// claimDuties bounds the claims under way at the platform.
+	claimDuties = 32
 )
 
 // Service implements services.Dispatcher.
@@ -31,35 +37,60 @@
 	clock services.Clock
 	log   zerolog.Logger
 
-	state    services.State
-	hosts    services.Hosts
-	backends services.Backends
+	state      services.State
+	hosts      services.Hosts
+	membership services.Membership
+	backends   services.Backends
+	rights     services.Rights
+	claims     services.Claims
+	peers      services.Peers
+	metrics    services.Metrics
 
 	messages *ring.Ring[message]
-	pending  atomic.Int64
-	status   atomic.Pointer[[]services.QueueStatus]
+	claiming *ring.Ring[claimTask]
+	freed    services.FreedRing
+	// pending counts the requests that are submitted and not ended; idle
+	// receives a value when it falls to zero.
+	pending atomic.Int64
+	idle    *ring.Ring[struct{}]
+	status  atomic.Pointer[[]services.QueueStatus]
 }
 
-// message is what the queue duty receives: submission or finished.
+// message is what the queue duty receives.
 type message interface{ message() }
 
-type submission struct {
-	req   *services.Request
-	reply *ring.Ring[outcome]
-}
+type submitted struct{ w *work }
+
+type cancelled struct{ w *work }
 
 type finished struct {
-	entry  *submission
+	w      *work
 	result services.BackendResult
 }
 
+type claimed struct {
+	w      *work
+	record services.ClaimRecord
+	err    error
+}
+
+// freedRight tells that a team may have a right; ack receives a value once it
+// is handled.
+type freedRight struct {
+	team string
+	ack  *ring.Ring[struct{}]
+}
+
 type outcome struct {
 	reply *services.Reply
 	err   error
 }
 
-func (*submission) message() {}
-func (finished) message()    {}
+func (submitted) message()  {}
+func (cancelled) message()  {}
+func (finished) message()   {}
+func (claimed) message()    {}
+func (freedRight) message() {}
 
 // New returns the service.
 func New(clock services.Clock) *Service { return &Service{clock: clock} }
@@ -67,35 +98,81 @@
 // Provision implements kernel.Service.
 func (s *Service) Provision(c *kernel.Context) error {
 	s.log = c.Log
-	var err error
+	if err := s.lookup(c); err != nil {
+		return err
+	}
+	s.messages = ring.New[message]("dispatch.queue", messageCapacity, c.Scope)
+	s.claiming = ring.New[claimTask]("dispatch.claims", 2*queueCapacity, c.Scope)
+	s.idle = ring.New[struct{}]("dispatch.idle", 1, c.Scope)
+	s.freed = s.rights.Freed("dispatch")
+	c.Duty("dispatch.queue", s.runQueue)
+	c.Duty("dispatch.freed", s.runFreed)
+	for range claimDuties {
+		c.Duty("dispatch.claims", s.runClaims)
+	}
+	return nil
+}
+
+func (s *Service) lookup(c *kernel.Context) (err error) {
 	if s.state, err = kernel.Lookup[services.State](c, services.NameState); err != nil {
 		return err
 	}
 	if s.hosts, err = kernel.Lookup[services.Hosts](c, services.NameHosts); err != nil {
 		return err
 	}
+	if s.membership, err = kernel.Lookup[services.Membership](c, services.NameMembership); err != nil {
+		return err
+	}
 	if s.backends, err = kernel.Lookup[services.Backends](c, services.NameBackend); err != nil {
 		return err
 	}
-	s.messages = ring.New[message]("dispatch.queue", queueCapacity, c.Scope)
-	c.Duty("dispatch.queue", s.runQueue)
-	return nil
+	if s.rights, err = kernel.Lookup[services.Rights](c, services.NameRights); err != nil {
+		return err
+	}
+	if s.claims, err = kernel.Lookup[services.Claims](c, services.NameClaims); err != nil {
+		return err
+	}
+	if s.peers, err = kernel.Lookup[services.Peers](c, services.NamePeers); err != nil {
+		return err
+	}
+	s.metrics, err = kernel.Lookup[services.Metrics](c, services.NameMetrics)
+	return err
 }
 
-// Submit implements services.Dispatcher.
+// Submit implements services.Dispatcher. When ctx ends, a request that was not
+// written yet is not run; otherwise Submit still waits for its outcome.
 func (s *Service) Submit(ctx context.Context, req *services.Request) (*services.Reply, error) {
-	entry := &submission{req: req, reply: ring.Reply[outcome]()}
-	s.pending.Add(1)
-	defer s.pending.Add(-1)
-	if !s.messages.Offer(entry) {
-		return nil, fault.New(&fault.NotRun, fault.ReasonRingFull, "queue request", "", "%d messages are waiting", queueCapacity)
-	}
-	// The queue duty answers every submission, at the latest when its
-	// deadline has passed and no attempt is under way.
-	o := <-entry.reply.C()
+	if s.pending.Add(1) > queueCapacity {
+		s.retire()
+		return nil, fault.New(&fault.NotRun, fault.ReasonRingFull, stepQueue, "", "%d requests are under way", queueCapacity)
+	}
+	w := &work{req: req, reply: ring.Reply[outcome](), gone: make(chan struct{})}
+	w.history.Idempotent, w.history.Deadline = req.Idempotent, req.Deadline
+	s.messages.Offer(submitted{w})
+	select {
+	case o := <-w.reply.C():
+		return o.reply, o.err
+	case <-ctx.Done():
+	}
+	close(w.gone)
+	// Cancellations use only half of the ring, so that they take no room
+	// from answers. Without the message the request is cancelled when it is
+	// about to be written.
+	if s.messages.Stats().Depth < queueCapacity {
+		s.messages.Offer(cancelled{w})
+	}
+	// The queue duty answers every request, at the latest at its deadline.
+	o := <-w.reply.C()
 	return o.reply, o.err
 }
 
+// retire counts a request as ended.
+func (s *Service) retire() {
+	if s.pending.Add(-1) == 0 {
+		s.idle.OfferLatest(struct{}{})
+	}
+}
+
 // Queues implements services.Dispatcher.
 func (s *Service) Queues() []services.QueueStatus {
 	if st := s.status.Load(); st != nil {
@@ -104,128 +181,38 @@
 	return nil
 }
 
-// Drain waits until every submitted request has its outcome.
+// Drain waits until every submitted request has its outcome and the outcome is
+// handed to the claims service.
 func (s *Service) Drain(ctx context.Context) error {
-	ticker := time.NewTicker(expirePeriod)
-	defer ticker.Stop()
 	for s.pending.Load() > 0 {
-		select {
-		case <-ctx.Done():
+		if _, err := s.idle.Take(ctx); err != nil {
 			return fault.New(&fault.Unknown, fault.ReasonDeadline, "drain requests", "", "%d requests are under way", s.pending.Load())
-		case <-ticker.C:
 		}
 	}
 	return nil
 }
 
-// queueState is owned by the queue duty.
-type queueState struct {
-	waiting  []*submission
-	inFlight map[string]int
-}
-
-func (s *Service) runQueue(ctx context.Context) {
-	q := &queueState{inFlight: make(map[string]int)}
-	ticker := time.NewTicker(expirePeriod)
-	defer ticker.Stop()
+// runFreed forwards freed rights one at a time.
+func (s *Service) runFreed(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-s.messages.C():
-			s.handle(q, m)
-		case <-ticker.C:
-			s.expire(q)
-		}
-		s.start(ctx, q)
-	}
-}
-
-func (s *Service) handle(q *queueState, m message) {
-	switch m := m.(type) {
-	case *submission:
-		q.waiting = append(q.waiting, m)
-	case finished:
-		q.inFlight[m.result.Send.Server.Name]--
-		if m.result.Leaving {
-			s.hosts.ReportLeaving(m.result.Send.Server.Name)
-		}
-		m.entry.reply.Offer(outcome{m.result.Reply, m.result.Err})
-	}
-}
-
-func (s *Service) expire(q *queueState) {
-	now := s.clock()
-	kept := q.waiting[:0]
-	for _, e := range q.waiting {
-		if now.Before(e.req.Deadline) {
-			kept = append(kept, e)
-			continue
-		}
-		err := fault.New(&fault.NotRun, fault.ReasonDeadline, "wait in queue", "", "no slot became free in time")
-		e.reply.Offer(outcome{err: err})
-	}
-	q.waiting = kept
-}
-
-// start sends waiting requests while backend servers have free slots.
-func (s *Service) start(ctx context.Context, q *queueState) {
-	kept := q.waiting[:0]
-	for _, e := range q.waiting {
-		server, ok := s.choose(q, e.req)
-		if !ok || !s.send(ctx, q, e, server) {
-			kept = append(kept, e)
-		}
-	}
-	q.waiting = kept
-}
-
-func (s *Service) send(ctx context.Context, q *queueState, e *submission, server fleet.Host) bool {
-	send := services.BackendSend{Server: server, Request: e.req, Attempt: 1}
-	send.Done = func(r services.BackendResult) {
-		// The ring has room for the results of all attempts under way in
-		// practice; waiting here holds back only one connection duty.
-		s.messages.Put(context.Background(), finished{entry: e, result: r})
-	}
-	if err := s.backends.Send(ctx, send); err != nil {
-		return false
-	}
-	q.inFlight[server.Name]++
-	return true
-}
-
-// choose returns the live backend server of the queue's pool with the most
-// free slots.
-func (s *Service) choose(q *queueState, req *services.Request) (fleet.Host, bool) {
-	view := s.state.View()
-	best, bestFree := fleet.Host{}, 0
-	for _, h := range s.hosts.Hosts().Hosts {
-		if h.Kind != fleet.KindBackendServer || h.Phase != fleet.PhaseLive {
-			continue
-		}
-		if poolOf(view, h.Name) != req.Queue.Pool {
-			continue
-		}
-		if free := h.Slots - q.inFlight[h.Name]; free > bestFree {
-			best, bestFree = h, free
+		case team := <-s.freed.C():
+			m := freedRight{team, ring.Reply[struct{}]()}
+			if s.messages.Put(ctx, m) != nil {
+				return
+			}
+			if _, err := m.ack.Take(ctx); err != nil {
+				return
+			}
 		}
 	}
-	return best, bestFree > 0
 }
 
-// poolOf returns the pool that a host is assigned to or that adopts it.
-func poolOf(view *services.View, host string) string {
-	if pool, ok := view.Assignments[host]; ok {
-		return pool
-	}
-	for _, section := range view.Document.Sections {
-		for _, pool := range section.Pools {
-			for _, pattern := range pool.Adopt {
-				if ok, _ := path.Match(pattern, host); ok {
-					return pool.Name
-				}
-			}
-		}
-	}
-	return ""
+func (s *Service) runQueue(ctx context.Context) {
+	self := s.membership.Self()
+	random := rand.New(rand.NewPCG(self.Incarnation, 0))
+	q := newQueue(s, route.New(self.Zone, random))
+	q.run(ctx)
 }
--- /dev/null
+++ b/services/dispatch/view.go
@@ -0,0 +1,130 @@
+package dispatch
+
+import (
+	"path"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/route"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+// refresh rebuilds the table of servers when the host list or the shared state
+// has changed.
+func (q *queue) refresh() {
+	view, list := q.s.state.View(), q.s.hosts.Hosts()
+	if view == q.view && list == q.list || view == nil || list.AsOf.IsZero() {
+		return
+	}
+	q.view, q.list = view, list
+	q.urgent = urgentPools(view)
+	q.servers = make(map[string]fleet.Host)
+	retained := make(map[string]fleet.Host)
+	var servers []route.Server
+	for _, h := range list.Hosts {
+		if h.Kind != fleet.KindBackendServer {
+			continue
+		}
+		leaving := h.Phase != fleet.PhaseLive || isOut(view, h.Name)
+		if !leaving {
+			retained[h.Name] = h
+		}
+		q.servers[h.Name] = h
+		servers = append(servers, route.Server{
+			Name: h.Name, Address: h.Address, Zone: h.Zone, Pool: poolOf(view, h.Name),
+			Slots: h.Slots, MaxInFlight: q.s.backends.Connections(), Leaving: leaving,
+		})
+	}
+	q.table.SetServers(servers)
+	q.s.backends.Retain(retained)
+}
+
+// isOut reports whether the ledger lists a host as out of service.
+func isOut(view *services.View, host string) bool {
+	if view.Ledger == nil {
+		return false
+	}
+	_, out := view.Ledger.Out[host]
+	return out
+}
+
+func urgentPools(view *services.View) map[string]bool {
+	urgent := make(map[string]bool)
+	for _, section := range view.Document.Sections {
+		for _, queue := range section.Queues {
+			if queue.Class == fleet.ClassUrgent {
+				urgent[queue.Pool] = true
+			}
+		}
+	}
+	return urgent
+}
+
+// poolOf returns the pool that a host is assigned to or that adopts it.
+func poolOf(view *services.View, host string) string {
+	if pool, ok := view.Assignments[host]; ok {
+		return pool
+	}
+	for _, section := range view.Document.Sections {
+		for _, pool := range section.Pools {
+			for _, pattern := range pool.Adopt {
+				if ok, _ := path.Match(pattern, host); ok {
+					return pool.Name
+				}
+			}
+		}
+	}
+	return ""
+}
+
+// tick releases rights that are due, asks for refused rights again, and
+// exchanges loads with the peers.
+func (q *queue) tick(now time.Time) {
+	q.releaseDue(now)
+	q.fair.UnblockAll()
+	self := q.s.membership.Self().Name
+	use := make(map[string]int)
+	for _, load := range q.s.peers.Loads() {
+		if load.Host != self {
+			use[load.Team] += load.Running
+		}
+	}
+	q.fair.SetPeerUse(use)
+	q.report(self)
+}
+
+func (q *queue) releaseDue(now time.Time) {
+	kept := q.holds[:0]
+	for _, h := range q.holds {
+		if now.Before(h.at) {
+			kept = append(kept, h)
+			continue
+		}
+		q.release(h.team)
+	}
+	q.holds = kept
+}
+
+// report tells the peers, the rights service and operators what waits and runs
+// here.
+func (q *queue) report(self string) {
+	loads := make([]services.TeamLoad, 0, len(q.waiting))
+	for team, waiting := range q.waiting {
+		load := services.TeamLoad{Host: self, Team: team, Running: q.fair.Running(team), Waiting: waiting}
+		q.s.rights.Waiting(team, waiting)
+		loads = append(loads, load)
+	}
+	for _, use := range q.s.rights.Use() {
+		for i := range loads {
+			if loads[i].Team == use.Team {
+				loads[i].UnmetRights = max(0, loads[i].Running+loads[i].Waiting-use.Held)
+			}
+		}
+	}
+	q.s.peers.SetLoads(loads)
+	status := make([]services.QueueStatus, 0, len(q.teams))
+	for name, team := range q.teams {
+		status = append(status, services.QueueStatus{Queue: name, Team: team, Waiting: q.fair.Waiting(name), Running: q.running[name]})
+	}
+	q.s.status.Store(&status)
+}
