Keep a right in use until the placement of its job is settled

Cause: the ledger passed the right from the request to the job before the transaction was sent. When another write moved the row on in between, the right looked free, was granted to a request, and the repeated placement used it for the job as well. The model placed jobs in one step and did not see it.

Change: the right stays in use until the outcome is known; in doubt it is reserved until a later version of the row is seen. A refused plan of the balance takes back only its own reservation. The model now decides and settles placements in separate steps, with repeats, late transactions and bursts in between.

--- a/decision/rights/balance.go
+++ b/decision/rights/balance.go
@@ -293,8 +293,8 @@
 	case Committed:
 		l.Observe(p.Team, version, p.Row, start)
 	case Refused:
-		if p.Given+p.Sent > 0 && a.reservedAt == p.Version {
-			a.reserved = 0
+		if a.reservedAt == p.Version {
+			a.reserved = max(0, a.reserved-p.Given-p.Sent)
 		}
 	case InDoubt:
 		// The reservation stays until a later version of the row is seen.
--- a/decision/rights/ledger.go
+++ b/decision/rights/ledger.go
@@ -184,28 +184,28 @@
 	a.limit = a.limit.Newer(limit)
 }
 
-// BindJob turns one right in use into the right of a job, ahead of a
-// transaction that is conditional on version of the row and applies
-// Row.PlaceJob. It reports false when the newest known row has another version
-// or another write is open; nothing is changed then.
-func (l *Ledger) BindJob(team string, version uint64) bool {
+// MayPlaceJob reports whether a right in use here may become the right of a job
+// in a transaction that is conditional on version of the row and applies
+// Row.PlaceJob. The right stays in use here until SettleJob, because another
+// write can move the row on while the transaction is under way.
+func (l *Ledger) MayPlaceJob(team string, version uint64) bool {
 	a := l.account(team)
-	if a.version != version || a.reserved > 0 || a.used < 1 {
-		return false
-	}
-	a.used--
-	a.reserved, a.reservedAt = 1, version
-	return true
+	return a.version == version && a.used >= 1 && a.used <= a.held-a.reserved
 }
 
-// UnbindJob takes BindJob back after the transaction surely had no effect. A
-// transaction that committed, or whose outcome is unknown, needs no call: a
-// later version of the row settles it.
-func (l *Ledger) UnbindJob(team string, version uint64) {
+// SettleJob records the outcome of a placement that was conditional on version.
+// Without effect the right stays in use by the caller; otherwise it belongs to
+// the job, and while that is in doubt it is reserved until a later version of
+// the row is seen.
+func (l *Ledger) SettleJob(team string, version uint64, o Outcome) {
 	a := l.account(team)
-	a.used++
-	if a.reservedAt == version {
-		a.reserved = 0
+	if o == Refused {
+		return
+	}
+	a.used = max(0, a.used-1)
+	if o == InDoubt && a.version == version {
+		a.reserved++
+		a.reservedAt = version
 	}
 }
 
--- a/decision/rights/rights_test.go
+++ b/decision/rights/rights_test.go
@@ -48,7 +48,8 @@
 	renewed time.Time
 	limit   rights.Limit
 	// read is the last row read, which may be out of date when it is used.
-	read *rights.Survey
+	read    *rights.Survey
+	placing []placement
 }
 
 type run struct {
@@ -62,6 +63,8 @@
 	version uint64
 	row     rights.Row
 	members map[string]uint64
+	// job starts when the transaction takes effect.
+	job *run
 }
 
 func newWorld(t *rapid.T) *world {
@@ -79,7 +82,7 @@
 	h.holder.Incarnation = w.nextInc
 	h.ledger = rights.NewLedger(h.holder, w.now)
 	h.watch = rights.NewWatch(holdTerm, longestRequest)
-	h.alive, h.frozen, h.cut, h.read = true, false, false, nil
+	h.alive, h.frozen, h.cut, h.read, h.placing = true, false, false, nil, nil
 	h.limit = w.limit
 	w.renew(h)
 }
@@ -142,6 +145,9 @@
 	}
 	w.row = tx.row
 	w.version++
+	if tx.job != nil {
+		tx.job.ended, tx.job.job = false, true
+	}
 	return true
 }
 
@@ -240,30 +246,59 @@
 	}
 }
 
+// placement is a job whose transaction was decided and not yet settled.
+type placement struct {
+	run *run
+	tx  transaction
+}
+
+// placeJob decides on a placement. Its job starts only once that is committed.
 func (w *world) placeJob(t *rapid.T, h *host) {
 	if !h.runs() || h.cut || !w.start(t, h, false) {
 		return
 	}
 	r := w.work[len(w.work)-1]
 	next, ok := w.row.PlaceJob(h.holder)
-	if !ok || !h.ledger.BindJob(team, w.version) {
+	h.ledger.Observe(team, w.version, w.row, w.now)
+	if !ok || !h.ledger.MayPlaceJob(team, w.version) {
 		return
 	}
-	// The job starts only after the commit, so nothing runs yet.
 	r.ended = true
-	tx := transaction{version: w.version, row: next}
-	switch rapid.IntRange(0, 2).Draw(t, "fate of the placement") {
+	h.placing = append(h.placing, placement{r, transaction{version: w.version, row: next, job: r}})
+}
+
+// settleJob sends the transaction of the oldest placement of h.
+func (w *world) settleJob(t *rapid.T, h *host) {
+	if !h.runs() || len(h.placing) == 0 {
+		return
+	}
+	p := h.placing[0]
+	h.placing = h.placing[1:]
+	outcome := rights.InDoubt
+	switch rapid.IntRange(0, 3).Draw(t, "fate of the placement") {
 	case 0:
-		h.ledger.UnbindJob(team, w.version)
-		h.ledger.Release(w.now, team, 1)
+		w.delayed = append(w.delayed, p.tx)
 	case 1:
-		w.commit(t, tx)
-		r.ended, r.job = false, true
+		w.commit(t, p.tx)
 	default:
-		w.commit(t, tx)
-		r.ended, r.job = false, true
-		h.ledger.Observe(team, w.version, w.row, w.now)
+		outcome = rights.Refused
+		if w.commit(t, p.tx) {
+			outcome = rights.Committed
+			h.ledger.Observe(team, w.version, w.row, w.now)
+		}
 	}
+	h.ledger.SettleJob(team, p.tx.version, outcome)
+	if outcome != rights.Refused {
+		return
+	}
+	// The scheduler tries again with the right that it has, or returns it.
+	next, ok := w.row.PlaceJob(h.holder)
+	h.ledger.Observe(team, w.version, w.row, w.now)
+	if ok && h.ledger.MayPlaceJob(team, w.version) {
+		h.placing = append(h.placing, placement{p.run, transaction{version: w.version, row: next, job: p.run}})
+		return
+	}
+	h.ledger.Release(w.now, team, 1)
 }
 
 func (w *world) pick(t *rapid.T) *host { return rapid.SampledFrom(w.hosts).Draw(t, "host") }
@@ -379,6 +414,19 @@
 			w.limit = rights.Limit{Rights: rapid.IntRange(0, 20).Draw(t, "limit"), Revision: w.limit.Revision + 1}
 		},
 		"place job": func(t *rapid.T) { w.placeJob(t, w.pick(t)) },
+		"placement races other work": func(t *rapid.T) {
+			h := w.pick(t)
+			w.placeJob(t, h)
+			if rapid.Bool().Draw(t, "row moves on") {
+				w.balanceAll(t)
+			}
+			w.burst(t, h)
+			w.settleJob(t, h)
+			w.burst(t, h)
+			w.settleJob(t, h)
+			w.burst(t, h)
+		},
+		"settle job": func(t *rapid.T) { w.settleJob(t, w.pick(t)) },
 		"end job": func(t *rapid.T) {
 			if r := w.pickJob(t); r != nil {
 				next, ok := w.row.EndJob(r.owner)
@@ -451,7 +499,7 @@
 		names := slices.Sorted(maps.Keys(actions))
 		// Ordinary work is more frequent than failures, so that the failures
 		// strike hosts that hold and use rights.
-		names = append(names, slices.Repeat([]string{"burst", "finish", "balance", "balance all", "time passes", "heal all"}, 5)...)
+		names = append(names, slices.Repeat([]string{"burst", "finish", "balance", "balance all", "placement races other work", "end job", "time passes", "heal all"}, 5)...)
 		for range steps {
 			actions[rapid.SampledFrom(names).Draw(t, "action")](t)
 			w.check(t)
--- a/services/rights/jobs.go
+++ b/services/rights/jobs.go
@@ -27,7 +27,7 @@
 		return services.RightsChange{}, err
 	}
 	next, ok := read.row.PlaceJob(s.self())
-	if !ok || !s.bind(ctx, read) {
+	if !ok || !s.mayPlace(ctx, read) {
 		return services.RightsChange{}, fault.New(&fault.NotRun, fault.ReasonConflict, stepJob, peer, "the rights of team %s changed", team)
 	}
 	return s.change(read, next, true)
@@ -77,20 +77,18 @@
 	return rowRead{team: team, version: rows[0].Version, row: row, start: start}, err
 }
 
-// bind sets one right in use aside for the job. It reports false when another
-// write of the row is open or the row read is out of date.
-func (s *Service) bind(ctx context.Context, read rowRead) bool {
-	m := bindJob{rowRead: read, reply: ring.Reply[bool]()}
+// mayPlace asks the ledger whether the row read is current and covers the work
+// that runs here.
+func (s *Service) mayPlace(ctx context.Context, read rowRead) bool {
+	m := mayPlaceJob{rowRead: read, reply: ring.Reply[bool]()}
 	if s.ledger.Put(ctx, m) != nil {
 		return false
 	}
-	// The answer is awaited without ctx: a right that was set aside has to be
-	// settled. The ledger never waits, so that the answer comes at once.
-	ok, err := m.reply.Take(s.life)
+	ok, err := m.reply.Take(ctx)
 	return ok && err == nil
 }
 
-func (s *Service) change(read rowRead, next rights.Row, bound bool) (services.RightsChange, error) {
+func (s *Service) change(read rowRead, next rights.Row, placed bool) (services.RightsChange, error) {
 	key := rowPrefix + read.team
 	value, err := encodeRow(next)
 	if err != nil {
@@ -100,35 +98,40 @@
 		Condition: services.Condition{Key: key, Version: read.version},
 		Write:     services.Write{Key: key, Value: value},
 		Settle: func(result services.CommitResult, err error) {
-			s.post(jobSettled{rowRead: read, next: next, bound: bound, result: result, err: err})
+			s.post(jobSettled{rowRead: read, next: next, placed: placed, result: result, err: err})
 		},
 	}, nil
 }
 
-type bindJob struct {
+type mayPlaceJob struct {
 	rowRead
 	reply *ring.Ring[bool]
 }
 
-func (m bindJob) receive(k *keeper, _ time.Time) {
+func (m mayPlaceJob) receive(k *keeper, _ time.Time) {
 	k.ledger.Observe(m.team, m.version, m.row, m.start)
-	m.reply.Offer(k.ledger.BindJob(m.team, m.version))
+	m.reply.Offer(k.ledger.MayPlaceJob(m.team, m.version))
 }
 
 type jobSettled struct {
 	rowRead
 	next   rights.Row
-	bound  bool
+	placed bool
 	result services.CommitResult
 	err    error
 }
 
 func (m jobSettled) receive(k *keeper, _ time.Time) {
+	outcome := rights.Refused
 	switch {
-	case m.err == nil && m.result.Committed:
+	case m.err != nil:
+		outcome = outcomeOf(m.err)
+	case m.result.Committed:
+		outcome = rights.Committed
 		k.ledger.Observe(m.team, m.result.Version, m.next, m.start)
-	case m.bound && (m.err == nil || fault.IsNotRun(m.err)):
-		k.ledger.UnbindJob(m.team, m.version)
+	}
+	if m.placed {
+		k.ledger.SettleJob(m.team, m.version, outcome)
 	}
 	k.changed(m.team)
 }
