Register rights, claims, jobs and maintenance; add stand-in workers

Cause: the services were merged and not part of an entry host yet, and the stand-in had no workers.

Change: the services are registered in place of stubs; the stand-in's fleet serves workers beside backend servers, refuses to reboot a host in use, and lists tasks among the executions.

--- a/e2e/checker_test.go
+++ b/e2e/checker_test.go
@@ -70,6 +70,9 @@
 }
 
 func (e *evidence) judgeExecution(x *wirev1.Execution, report func(string, ...any)) {
+	if x.Job {
+		return
+	}
 	started := time.UnixMicro(x.StartUnixUs)
 	if want := e.queueTeam[x.Queue]; x.Team != want {
 		report("queue %s ran request %s of team %s, want %s", x.Queue, x.RequestId, x.Team, want)
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -12,15 +12,21 @@
 	"fuchsiafront.example/fuchsiafront/services"
 	"fuchsiafront.example/fuchsiafront/services/admin"
 	"fuchsiafront.example/fuchsiafront/services/backend"
+	"fuchsiafront.example/fuchsiafront/services/claims"
 	"fuchsiafront.example/fuchsiafront/services/dispatch"
 	"fuchsiafront.example/fuchsiafront/services/front"
 	"fuchsiafront.example/fuchsiafront/services/hosts"
+	"fuchsiafront.example/fuchsiafront/services/jobs"
+	"fuchsiafront.example/fuchsiafront/services/maintenance"
 	"fuchsiafront.example/fuchsiafront/services/membership"
 	"fuchsiafront.example/fuchsiafront/services/metrics"
 	"fuchsiafront.example/fuchsiafront/services/platform"
+	"fuchsiafront.example/fuchsiafront/services/rights"
 	"fuchsiafront.example/fuchsiafront/services/statesync"
 )
 
+const holdTerm = 75 * time.Minute
+
 // Assemble registers the services of an entry host with a new kernel.
 // Settings must be valid.
 func Assemble(s Settings, log zerolog.Logger, clock services.Clock) *kernel.Kernel {
@@ -36,9 +42,10 @@
 	k.Register(services.NameDispatch, dispatch.New(clock))
 	k.Register(services.NameAdmin, admin.New(s.admin(), clock))
 	k.Register(services.NamePeers, absentPeers{})
-	k.Register(services.NameRights, absentRights{})
-	k.Register(services.NameJobs, absentJobs{})
-	k.Register(services.NameMaintenance, absentMaintenance{})
+	k.Register(services.NameRights, rights.New(rights.Settings{HoldTerm: holdTerm, LongestRequest: s.MaxTimeout}))
+	k.Register(services.NameClaims, claims.New())
+	k.Register(services.NameJobs, jobs.New(jobs.Config{Clock: clock}))
+	k.Register(services.NameMaintenance, maintenance.New(clock, maintenance.DefaultSettings()))
 	k.Register(services.NameFront, front.New(s.front(), clock))
 	return k
 }
--- a/standin/assembly/assembly.go
+++ b/standin/assembly/assembly.go
@@ -24,6 +24,8 @@
 	Address         string        `arg:"--address" default:"127.0.0.1:0" help:"IP:port of the platform" placeholder:"IP:PORT"`
 	Zones           []string      `arg:"--zones" help:"availability zones as name=CIDR of the addresses in them" placeholder:"ZONE"`
 	BackendServices []string      `arg:"--backend-services" help:"services as name=servers per zone" placeholder:"SERVICE"`
+	WorkersPerZone  int           `arg:"--workers-per-zone" default:"0" help:"workers in each zone"`
+	WorkerCores     int           `arg:"--worker-cores" default:"32" help:"cores of each worker; it has 2 GB of memory a core"`
 	Slots           int           `arg:"--slots" default:"8" help:"slots of each backend server"`
 	DefaultWork     time.Duration `arg:"--default-work" default:"20ms" help:"run time of requests whose body names none"`
 	HostListLag     time.Duration `arg:"--host-list-lag" default:"2s" help:"age of the host list"`
@@ -43,7 +45,12 @@
 	k := kernel.New(log, nil)
 	p := platform.New(platform.Settings{Address: s.Address, Zones: zones, HostListLag: s.HostListLag})
 	k.Register(standin.NamePlatform, p)
-	k.Register(standin.NameFleet, fleet.New(fleet.Settings{BackendServers: servers, DefaultWork: s.DefaultWork, Zones: zones}))
+	k.Register(standin.NameFleet, fleet.New(fleet.Settings{
+		BackendServers: servers,
+		Workers:        workers(s, names),
+		DefaultWork:    s.DefaultWork,
+		Zones:          zones,
+	}))
 	return k, p, nil
 }
 
@@ -90,3 +97,28 @@
 		Slots:   s.Slots,
 	}
 }
+
+const (
+	milliPerCore = 1000
+	bytesPerCore = 2 << 30
+)
+
+func workers(s Settings, zones []string) []domain.Host {
+	var hosts []domain.Host
+	for _, zone := range zones {
+		for i := range s.WorkersPerZone {
+			hosts = append(hosts, domain.Host{
+				Name:  fmt.Sprintf("%s-worker-%02d", zone, i+1),
+				Kind:  domain.KindWorker,
+				Zone:  domain.AvailabilityZone(zone),
+				Rack:  fmt.Sprintf("%s-worker-rack-%02d", zone, i/hostsPerRack+1),
+				Phase: domain.PhaseLive,
+				Capacity: domain.Resources{
+					MilliCPU:    int64(s.WorkerCores) * milliPerCore,
+					MemoryBytes: int64(s.WorkerCores) * bytesPerCore,
+				},
+			})
+		}
+	}
+	return hosts
+}
--- a/standin/backendserver/backendserver.go
+++ b/standin/backendserver/backendserver.go
@@ -84,6 +84,13 @@
 	s.leaving = leaving
 }
 
+// Running returns the number of slots in use.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
+
 // Close ends the server at once.
 func (s *Server) Close() error { return s.http.Close() }
 
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"errors"
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/fleet"
@@ -35,8 +36,14 @@
 	Server    string
 	Start     time.Time
 	End       time.Time
+	// Job is set for a task of a worker; RequestID is then the job's and
+	// Team and Queue are empty.
+	Job bool
 }
 
+// ErrBusy is returned by operations that need an idle host.
+var ErrBusy = errors.New("the host is in use")
+
 // Fleet is the set of stand-in backend servers and workers. Methods may be
 // used concurrently.
 type Fleet interface {
