Halve the rights that an idle host holds

Cause: under bursts that move from queue to queue, admitted work stayed at 0.67 to 0.77 of the limit, because every idle host kept half of its equal part.

Change: the floor is a quarter of the equal part.

--- a/decision/rights/demand.go
+++ b/decision/rights/demand.go
@@ -15,9 +15,9 @@
 	// headroomDivisor sets the headroom, one eighth of the recent peak, that a
 	// host takes ahead of need where rights are free.
 	headroomDivisor = 8
-	// floorDivisor sets the floor: the limit divided by twice the number of
+	// floorDivisor sets the floor: the limit divided by four times the number of
 	// hosts.
-	floorDivisor = 2
+	floorDivisor = 4
 )
 
 // demand is the work of one team on this host: running, waiting, and the
