Complete the callers' HTTP interface

Cause: only one route existed; refusals of requests with a caller's identifier said not-run without reading the record; unknown paths and methods got plain text; a drain could meet keep-alive connections about to carry a request.

Change: decision/admission decides on admission, identifiers, and what a refusal may say; package front decodes, posts, waits and encodes. Routes for the outcome of a request and for jobs. A refusal of a non-idempotent request with a caller's identifier reads the claim, and says not-run only when it is absent or released; callers that are not identified get unknown without a lookup. Recorded answers come from the row or the object store. Retry-After on 429 and 503. While draining, answers carry Connection: close. Dispatch tells of the attempt only: a claim that is not granted is not-run for the attempt, and front adds the outcome.

New reasons: unknown-path, wrong-method.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -34,6 +34,8 @@
 	ReasonUnknownHost       Reason = "unknown-host"
 	ReasonUnknownRequest    Reason = "unknown-request"
 	ReasonUnknownJob        Reason = "unknown-job"
+	ReasonUnknownPath       Reason = "unknown-path"
+	ReasonWrongMethod       Reason = "wrong-method"
 	ReasonBodyTooLarge      Reason = "body-too-large"
 	ReasonMalformed         Reason = "malformed"
 	ReasonQueueFull         Reason = "queue-full"
--- a/services/dispatch/claims.go
+++ b/services/dispatch/claims.go
@@ -42,18 +42,19 @@
 // needsClaim reports whether req may be started only under a claim.
 func needsClaim(req *services.Request) bool { return req.CallerID && !req.Idempotent }
 
-// claimOutcome is the answer to a request whose claim was not granted. This
-// attempt was not started; an earlier one may have run or be running.
+// claimOutcome is the answer to a request whose claim was not granted. The
+// fault tells of this attempt, which was not started; an earlier one may have
+// run or be running.
 func claimOutcome(record services.ClaimRecord) outcome {
 	const step = "claim request"
 	switch record.State {
 	case services.ClaimDone:
-		if record.Object == "" {
+		if record.Object == "" && record.Status != 0 {
 			return outcome{reply: &services.Reply{Status: record.Status, ContentType: record.ContentType, Body: record.Body}}
 		}
-		return outcome{err: fault.New(&fault.Unknown, fault.ReasonClaimed, step, record.Host, "the request has run; its answer is in the object store")}
+		return outcome{err: fault.New(&fault.NotRun, fault.ReasonClaimed, step, record.Host, "the request has run; its answer is not in the record")}
 	case services.ClaimHeld:
-		return outcome{err: fault.New(&fault.Unknown, fault.ReasonClaimed, step, record.Host, "an earlier attempt is under way")}
+		return outcome{err: fault.New(&fault.NotRun, fault.ReasonClaimed, step, record.Host, "an earlier attempt is under way")}
 	}
-	return outcome{err: fault.New(&fault.Unknown, fault.ReasonClaimInDoubt, step, record.Host, "the claim's state is %q", record.State)}
+	return outcome{err: fault.New(&fault.NotRun, fault.ReasonClaimInDoubt, step, record.Host, "the claim's state is %q", record.State)}
 }
--- a/services/front/encode.go
+++ b/services/front/encode.go
@@ -4,27 +4,23 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"strings"
 
+	"fuchsiafront.example/fuchsiafront/decision/admission"
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/services"
 )
 
-// Headers of the callers' protocol.
-const (
-	headerIdempotencyKey = "Idempotency-Key"
-	headerIdempotent     = "Idempotent"
-	headerTimeout        = "Request-Timeout-Ms"
-	headerRequestID      = "Request-Id"
-	headerOutcome        = "Outcome"
-)
-
 // Outcomes told to callers.
 const (
+	outcomeDone    = "done"
 	outcomeNotRun  = "not-run"
 	outcomeUnknown = "unknown"
 )
 
+// retryAfter is the number of seconds after which a refused caller may try
+// again; bursts last for some seconds.
+const retryAfter = "1"
+
 // refusal is the body of an answer that is not the backend server's.
 type refusal struct {
 	Outcome string       `json:"outcome"`
@@ -34,32 +30,61 @@
 	Ask     string       `json:"ask,omitempty"`
 }
 
-func bearer(r *http.Request) string {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return ""
+// told is what is known of work that is refused.
+type told struct {
+	id    string
+	team  string
+	queue string
+	// err is the outcome of this attempt.
+	err error
+	// recorded is set when attempts are recorded under the identifier, and
+	// earlier is what the record says.
+	recorded bool
+	earlier  admission.Earlier
+	// ask is the path at which the outcome can be asked for.
+	ask string
+}
+
+func outcomeText(notRun bool) string {
+	if notRun {
+		return outcomeNotRun
 	}
-	return key
+	return outcomeUnknown
 }
 
-func (s *Service) refuse(w http.ResponseWriter, req *services.Request, err error) {
-	body := refusal{Outcome: outcomeUnknown, Attempt: outcomeUnknown, Reason: fault.ReasonOf(err), Detail: err.Error()}
-	if fault.IsNotRun(err) {
-		body.Outcome, body.Attempt = outcomeNotRun, outcomeNotRun
-	} else if req.CallerID {
-		body.Ask = "/v1/requests/" + req.ID
+func (s *Service) refuse(w http.ResponseWriter, t told) {
+	attemptNotRun := fault.IsNotRun(t.err)
+	notRun := admission.NotRun(attemptNotRun, t.recorded, t.earlier)
+	body := refusal{
+		Outcome: outcomeText(notRun),
+		Attempt: outcomeText(attemptNotRun),
+		Reason:  fault.ReasonOf(t.err),
+		Detail:  t.err.Error(),
+	}
+	if !notRun {
+		body.Ask = t.ask
+	}
+	s.metrics.Refused("caller", body.Reason)
+	s.log.Debug().Err(t.err).Str("step", "answer caller").Str("team", t.team).Str("queue", t.queue).Msg("work refused")
+	status := statusOf(body.Reason, attemptNotRun)
+	if t.id != "" {
+		w.Header().Set(headerRequestID, t.id)
 	}
-	s.metrics.Refused("request", body.Reason)
-	s.log.Debug().Err(err).Str("team", req.Team).Str("queue", req.Queue.Name).Msg("request refused")
-	w.Header().Set(headerRequestID, req.ID)
 	w.Header().Set(headerOutcome, body.Outcome)
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(statusOf(body.Reason, body.Outcome))
-	json.NewEncoder(w).Encode(body)
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfter)
+	}
+	writeJSON(w, status, body)
 }
 
-func statusOf(reason fault.Reason, outcome string) int {
-	if outcome == outcomeUnknown {
+// statusOf returns the status for a reason; an attempt of unknown outcome is
+// always a time-out of the gateway.
+func statusOf(reason fault.Reason, attemptNotRun bool) int {
+	switch reason {
+	case fault.ReasonClaimed, fault.ReasonConflict:
+		return http.StatusConflict
+	}
+	if !attemptNotRun {
 		return http.StatusGatewayTimeout
 	}
 	switch reason {
@@ -67,24 +92,26 @@
 		return http.StatusUnauthorized
 	case fault.ReasonWrongTeam, fault.ReasonNotPermitted:
 		return http.StatusForbidden
-	case fault.ReasonUnknownQueue, fault.ReasonUnknownJob, fault.ReasonUnknownRequest:
+	case fault.ReasonUnknownQueue, fault.ReasonUnknownJob, fault.ReasonUnknownRequest, fault.ReasonUnknownPath:
 		return http.StatusNotFound
-	case fault.ReasonConflict, fault.ReasonClaimed:
-		return http.StatusConflict
+	case fault.ReasonWrongMethod:
+		return http.StatusMethodNotAllowed
 	case fault.ReasonBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case fault.ReasonMalformed:
 		return http.StatusBadRequest
 	case fault.ReasonLimit, fault.ReasonQueueFull:
 		return http.StatusTooManyRequests
+	case fault.ReasonDeadline:
+		return http.StatusGatewayTimeout
 	}
 	return http.StatusServiceUnavailable
 }
 
-func writeReply(w http.ResponseWriter, req *services.Request, reply *services.Reply) {
+func writeReply(w http.ResponseWriter, id string, reply *services.Reply) {
 	h := w.Header()
-	h.Set(headerRequestID, req.ID)
-	h.Set(headerOutcome, "done")
+	h.Set(headerRequestID, id)
+	h.Set(headerOutcome, outcomeDone)
 	h.Set("Content-Length", strconv.Itoa(len(reply.Body)))
 	if reply.ContentType != "" {
 		h.Set("Content-Type", reply.ContentType)
@@ -92,3 +119,9 @@
 	w.WriteHeader(reply.Status)
 	w.Write(reply.Body)
 }
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(body)
+}
--- a/services/front/front.go
+++ b/services/front/front.go
@@ -1,29 +1,33 @@
 // Package front serves callers over HTTP.
 //
 // Handlers decode, post to other services, wait, and encode; every decision is
-// made elsewhere.
+// made elsewhere: admission and what a refusal may say in decision/admission.
 package front
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"errors"
-	"io"
 	"net"
 	"net/http"
-	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"fuchsiafront.example/fuchsiafront/decision/document"
-	"fuchsiafront.example/fuchsiafront/decision/keyring"
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/services"
 )
 
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 16 << 10
+	// lookupTimeout bounds the reading of a claim, a job or an object for
+	// one answer.
+	lookupTimeout = 2 * time.Second
+)
+
 // Settings of the service.
 type Settings struct {
 	// Address to listen on, IP:port.
@@ -50,11 +54,15 @@
 
 	state      services.State
 	dispatcher services.Dispatcher
+	claims     services.Claims
+	jobs       services.Jobs
+	objects    services.Objects
 	metrics    services.Metrics
 	readiness  services.Readiness
 
 	server   *http.Server
 	listener net.Listener
+	draining atomic.Bool
 }
 
 // New returns the service.
@@ -65,23 +73,81 @@
 // Provision implements kernel.Service.
 func (s *Service) Provision(c *kernel.Context) error {
 	s.log = c.Log
-	var err error
+	if err := s.lookup(c); err != nil {
+		return err
+	}
+	s.server = &http.Server{
+		Handler:           s.handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	return nil
+}
+
+func (s *Service) lookup(c *kernel.Context) (err error) {
 	if s.state, err = kernel.Lookup[services.State](c, services.NameState); err != nil {
 		return err
 	}
 	if s.dispatcher, err = kernel.Lookup[services.Dispatcher](c, services.NameDispatch); err != nil {
 		return err
 	}
-	if s.metrics, err = kernel.Lookup[services.Metrics](c, services.NameMetrics); err != nil {
+	if s.claims, err = kernel.Lookup[services.Claims](c, services.NameClaims); err != nil {
+		return err
+	}
+	if s.jobs, err = kernel.Lookup[services.Jobs](c, services.NameJobs); err != nil {
 		return err
 	}
-	if s.readiness, err = kernel.Lookup[services.Readiness](c, services.NameAdmin); err != nil {
+	if s.objects, err = kernel.Lookup[services.Objects](c, services.NamePlatform); err != nil {
 		return err
 	}
+	if s.metrics, err = kernel.Lookup[services.Metrics](c, services.NameMetrics); err != nil {
+		return err
+	}
+	s.readiness, err = kernel.Lookup[services.Readiness](c, services.NameAdmin)
+	return err
+}
+
+// handler routes by path first, so that a wrong method is told apart from an
+// unknown path.
+func (s *Service) handler() http.Handler {
+	routes := []struct {
+		path    string
+		methods map[string]http.HandlerFunc
+	}{
+		{"/v1/queues/{queue}/requests", map[string]http.HandlerFunc{http.MethodPost: s.postRequest}},
+		{"/v1/requests/{id}", map[string]http.HandlerFunc{http.MethodGet: s.getRequest}},
+		{"/v1/queues/{queue}/jobs", map[string]http.HandlerFunc{http.MethodPost: s.postJob}},
+		{"/v1/jobs/{id}", map[string]http.HandlerFunc{http.MethodGet: s.getJob, http.MethodDelete: s.deleteJob}},
+		{"/v1/jobs/{id}/result", map[string]http.HandlerFunc{http.MethodGet: s.getResult}},
+	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/queues/{queue}/requests", s.postRequest)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	return nil
+	for _, route := range routes {
+		for method, handle := range route.methods {
+			mux.HandleFunc(method+" "+route.path, handle)
+		}
+		mux.HandleFunc(route.path, func(w http.ResponseWriter, r *http.Request) {
+			for method := range route.methods {
+				w.Header().Add("Allow", method)
+			}
+			s.refuse(w, told{err: fault.New(&fault.Invalid, fault.ReasonWrongMethod, "route", "caller", "%s is not allowed here", r.Method)})
+		})
+	}
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		s.refuse(w, told{err: fault.New(&fault.Invalid, fault.ReasonUnknownPath, "route", "caller", "there is no path %q", r.URL.Path)})
+	})
+	return s.closeWhileDraining(mux)
+}
+
+// closeWhileDraining asks callers to open their next connection elsewhere, so
+// that a drain finds no connection that is about to carry a request.
+func (s *Service) closeWhileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // Start opens the listener.
@@ -108,6 +174,7 @@
 // accepting connections and waits for the requests under way.
 func (s *Service) Drain(ctx context.Context) error {
 	s.readiness.SetReady(false)
+	s.draining.Store(true)
 	select {
 	case <-ctx.Done():
 	case <-time.After(s.settings.ReadinessDelay):
@@ -117,109 +184,3 @@
 
 // Stop closes what a drain left open.
 func (s *Service) Stop(context.Context) error { return s.server.Close() }
-
-func (s *Service) postRequest(w http.ResponseWriter, r *http.Request) {
-	req, err := s.decode(w, r)
-	if err != nil {
-		s.refuse(w, req, err)
-		return
-	}
-	reply, err := s.dispatcher.Submit(r.Context(), req)
-	if err != nil {
-		s.refuse(w, req, err)
-		return
-	}
-	writeReply(w, req, reply)
-}
-
-// decode authenticates and reads a request. The request is returned also with
-// an error, as far as it was read.
-func (s *Service) decode(w http.ResponseWriter, r *http.Request) (*services.Request, error) {
-	req := &services.Request{
-		ID:          r.Header.Get(headerIdempotencyKey),
-		Idempotent:  r.Header.Get(headerIdempotent) == "true",
-		ContentType: r.Header.Get("Content-Type"),
-	}
-	req.CallerID = req.ID != ""
-	if !req.CallerID {
-		req.ID = newRequestID()
-	}
-	if err := s.admit(r, req); err != nil {
-		return req, err
-	}
-	timeout, err := s.timeout(r)
-	if err != nil {
-		return req, err
-	}
-	req.Deadline = s.clock().Add(timeout)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes))
-	if err != nil {
-		return req, bodyError(err, s.settings.MaxBodyBytes)
-	}
-	req.Body = body
-	return req, nil
-}
-
-func bodyError(err error, limit int64) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return fault.New(&fault.NotRun, fault.ReasonBodyTooLarge, "read body", "caller", "the body is over %d bytes", limit)
-	}
-	return fault.New(&fault.NotRun, fault.ReasonMalformed, "read body", "caller", "%w", err)
-}
-
-func (s *Service) timeout(r *http.Request) (time.Duration, error) {
-	text := r.Header.Get(headerTimeout)
-	if text == "" {
-		return s.settings.DefaultTimeout, nil
-	}
-	ms, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || ms <= 0 {
-		return 0, fault.New(&fault.NotRun, fault.ReasonMalformed, "read header "+headerTimeout, "caller",
-			"%q is not a positive number of milliseconds", text)
-	}
-	return min(time.Duration(ms)*time.Millisecond, s.settings.MaxTimeout), nil
-}
-
-// admit looks up the queue and checks the key that came with the request.
-func (s *Service) admit(r *http.Request, req *services.Request) error {
-	const step = "admit request"
-	view := s.state.View()
-	if view == nil {
-		return fault.New(&fault.NotRun, fault.ReasonNoState, step, "", "this host has no configuration yet")
-	}
-	name := r.PathValue("queue")
-	queue, ok := view.Document.Queue(name)
-	if !ok {
-		return fault.New(&fault.NotRun, fault.ReasonUnknownQueue, step, "caller", "there is no queue %q", name)
-	}
-	team, ok := view.Document.Team(queue.Team)
-	if !ok {
-		return fault.New(&fault.NotRun, fault.ReasonUnknownQueue, step, "caller", "queue %q has no team", name)
-	}
-	if err := s.admitKey(team, queue, bearer(r)); err != nil {
-		return err
-	}
-	req.Team, req.Queue, req.Share, req.Limit = team.Name, queue, team.Share, team.Limit
-	return nil
-}
-
-func (s *Service) admitKey(team document.Team, queue document.Queue, key string) error {
-	const step = "check key"
-	if key != "" || !queue.Open {
-		if age := s.clock().Sub(s.state.CurrentSince()); age > s.settings.KeyCurrency {
-			return fault.New(&fault.NotRun, fault.ReasonKeysNotCurrent, step, "", "no proof for %v that the keys are current", age.Round(time.Millisecond))
-		}
-	}
-	admission := keyring.Admit(team, queue, key)
-	if admission.Refused != "" {
-		return fault.New(&fault.NotRun, admission.Refused, step, "caller", "the key does not admit work to queue %q", queue.Name)
-	}
-	return nil
-}
-
-func newRequestID() string {
-	var b [16]byte
-	rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
--- /dev/null
+++ b/services/front/requests.go
@@ -0,0 +1,157 @@
+package front
+
+import (
+	"context"
+	"net/http"
+
+	"fuchsiafront.example/fuchsiafront/decision/admission"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+func (s *Service) postRequest(w http.ResponseWriter, r *http.Request) {
+	req, identified, err := s.decodeRequest(w, r)
+	if err == nil {
+		var reply *services.Reply
+		if reply, err = s.dispatcher.Submit(r.Context(), req); err == nil {
+			writeReply(w, req.ID, reply)
+			return
+		}
+	}
+	s.refuseRequest(w, req, identified, err)
+}
+
+// decodeRequest authenticates and reads a request. The request is returned
+// also with an error, as far as it was read.
+func (s *Service) decodeRequest(w http.ResponseWriter, r *http.Request) (_ *services.Request, identified bool, _ error) {
+	req := &services.Request{
+		Idempotent:  r.Header.Get(headerIdempotent) == "true",
+		ContentType: r.Header.Get("Content-Type"),
+	}
+	var err error
+	if req.ID, req.CallerID, err = identifier(r); err != nil {
+		return req, false, err
+	}
+	d := admission.ToQueue(s.document(), r.PathValue("queue"), s.keys(r))
+	req.Team, req.Queue, req.Share, req.Limit = d.Team.Name, d.Queue, d.Team.Share, d.Team.Limit
+	if err := refusedAdmission(d); err != nil {
+		return req, d.Identified, err
+	}
+	timeout, err := s.timeout(r)
+	if err != nil {
+		return req, d.Identified, err
+	}
+	req.Deadline = s.clock().Add(timeout)
+	req.Body, err = s.body(w, r, timeout)
+	return req, d.Identified, err
+}
+
+// refuseRequest answers a request that did not get its reply, after reading
+// what is recorded of earlier attempts under its identifier.
+func (s *Service) refuseRequest(w http.ResponseWriter, req *services.Request, identified bool, err error) {
+	t := told{id: req.ID, team: req.Team, queue: req.Queue.Name, err: err}
+	if req.CallerID && !req.Idempotent {
+		t.recorded = true
+		t.ask = "/v1/requests/" + req.ID
+		var record services.ClaimRecord
+		if identified {
+			record, t.earlier = s.earlierRequest(req.Team, req.ID)
+		}
+		// The claim of a repeat that finds a done record compared the bodies.
+		if record.State == services.ClaimDone && fault.ReasonOf(err) == fault.ReasonClaimed {
+			s.writeRecord(w, req.ID, record)
+			return
+		}
+	}
+	s.refuse(w, t)
+}
+
+func (s *Service) earlierRequest(team, id string) (services.ClaimRecord, admission.Earlier) {
+	// The caller may have gone or its deadline passed; the time for the
+	// lookup is therefore its own.
+	ctx, cancel := context.WithTimeout(context.Background(), lookupTimeout)
+	defer cancel()
+	record, err := s.claims.Lookup(ctx, team, id)
+	if err != nil {
+		s.log.Debug().Err(err).Str("step", "look up claim").Str("team", team).Msg("claim not read")
+		return record, admission.EarlierUnread
+	}
+	if record.State == services.ClaimNone || record.State == services.ClaimReleased {
+		return record, admission.EarlierNone
+	}
+	return record, admission.EarlierStarted
+}
+
+// getRequest tells what is recorded of a request with a caller's identifier.
+func (s *Service) getRequest(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	t := told{id: id, recorded: true, ask: "/v1/requests/" + id}
+	d := admission.ToTeam(s.document(), s.keys(r))
+	t.team = d.Team.Name
+	if t.err = refusedAdmission(d); t.err != nil {
+		s.refuse(w, t)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), lookupTimeout)
+	defer cancel()
+	record, err := s.claims.Lookup(ctx, d.Team.Name, id)
+	if err != nil {
+		t.err = err
+		s.refuse(w, t)
+		return
+	}
+	s.tellRecord(w, t, record)
+}
+
+func (s *Service) tellRecord(w http.ResponseWriter, t told, record services.ClaimRecord) {
+	const step = "look up request"
+	switch record.State {
+	case services.ClaimDone:
+		s.writeRecord(w, t.id, record)
+		return
+	case services.ClaimNone, services.ClaimReleased:
+		t.earlier = admission.EarlierNone
+		t.err = fault.New(&fault.NotRun, fault.ReasonUnknownRequest, step, "", "no attempt under this identifier ran")
+	case services.ClaimHeld:
+		t.earlier = admission.EarlierStarted
+		t.err = fault.New(&fault.Unknown, fault.ReasonClaimed, step, record.Host, "the request is under way")
+	default:
+		t.earlier = admission.EarlierStarted
+		t.err = fault.New(&fault.Unknown, fault.ReasonClaimInDoubt, step, record.Host, "the outcome is not known")
+	}
+	s.refuse(w, t)
+}
+
+// writeRecord answers with a recorded answer.
+func (s *Service) writeRecord(w http.ResponseWriter, id string, record services.ClaimRecord) {
+	reply, err := s.recordedReply(record)
+	if err != nil {
+		s.refuse(w, told{id: id, recorded: true, earlier: admission.EarlierStarted, ask: "/v1/requests/" + id, err: err})
+		return
+	}
+	writeReply(w, id, reply)
+}
+
+// recordedReply returns the answer of a record, from the object store when it
+// is kept there. A record without a status has lost its answer.
+func (s *Service) recordedReply(record services.ClaimRecord) (*services.Reply, error) {
+	lost := fault.New(&fault.Unknown, fault.ReasonClaimed, "read answer", "platform", "the request has run; its answer is lost")
+	if record.Status == 0 {
+		return nil, lost
+	}
+	reply := &services.Reply{Status: record.Status, ContentType: record.ContentType, Body: record.Body}
+	if record.Object == "" {
+		return reply, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), lookupTimeout)
+	defer cancel()
+	data, found, err := s.objects.GetObject(ctx, record.Object)
+	if err != nil {
+		return nil, err
+	}
+	if !found {
+		return nil, lost
+	}
+	reply.Body = data
+	return reply, nil
+}
--- a/services/work.go
+++ b/services/work.go
@@ -64,8 +64,9 @@
 // Dispatcher queues requests and runs them on backend servers.
 type Dispatcher interface {
 	// Submit waits for the outcome of req, at most until its deadline. The
-	// error is a fault that tells whether the request was not run or its
-	// outcome is unknown.
+	// error is a fault that tells whether this attempt was not run or its
+	// outcome is unknown; an earlier attempt under the same identifier is
+	// told of by Claims.
 	Submit(ctx context.Context, req *Request) (*Reply, error)
 	// Queues describes the waiting and running work of this host.
 	Queues() []QueueStatus
