--- /dev/null
+++ b/ring/bench_test.go
@@ -0,0 +1,44 @@
+package ring_test
+
+import (
+	"runtime"
+	"testing"
+
+	"fuchsiafront.example/fuchsiafront/ring"
+)
+
+// BenchmarkRoundTrip compares a duty that is bound to an operating system
+// thread with one that is not, over a message and its answer.
+func BenchmarkRoundTrip(b *testing.B) {
+	for _, locked := range []bool{false, true} {
+		name := "goroutine"
+		if locked {
+			name = "locked-thread"
+		}
+		b.Run(name, func(b *testing.B) {
+			requests := ring.New[*ring.Ring[int]]("requests", 16, nil)
+			stop := make(chan struct{})
+			go func() {
+				if locked {
+					runtime.LockOSThread()
+					defer runtime.UnlockOSThread()
+				}
+				for {
+					select {
+					case <-stop:
+						return
+					case reply := <-requests.C():
+						reply.Offer(1)
+					}
+				}
+			}()
+			defer close(stop)
+			reply := ring.Reply[int]()
+			b.ReportAllocs()
+			for b.Loop() {
+				requests.Offer(reply)
+				<-reply.C()
+			}
+		})
+	}
+}
