Test the path of a request with faulty backend servers

Change: front, dispatch and backend run against stand-in servers of which one is faulty (crossed, truncated, lost, down, silent, failing, leaving, slow); a leaving server; a drain with 18 requests under way. The other services are fakes.

TestFaultyServerOnThePath does not see a missing check of the identifier, because the stand-in crosses only the header; TestFaultyReplies in package backend does.

--- /dev/null
+++ b/entryhost/path_test.go
@@ -0,0 +1,295 @@
+package entryhost_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/services/backend"
+	"fuchsiafront.example/fuchsiafront/services/dispatch"
+	"fuchsiafront.example/fuchsiafront/services/front"
+	"fuchsiafront.example/fuchsiafront/standin"
+	"fuchsiafront.example/fuchsiafront/standin/backendserver"
+	"fuchsiafront.example/fuchsiafront/standin/faults"
+)
+
+// path runs front, dispatch and backend against stand-in backend servers, with
+// fakes for the other services. Rights have no limit; claims are kept here.
+type path struct {
+	services.State
+	services.Membership
+	services.Peers
+	services.Metrics
+	services.Objects
+	kernel  *kernel.Kernel
+	servers []*backendserver.Server
+	list    fleet.HostList
+	address string
+
+	mu     sync.Mutex
+	starts map[string]int
+	on     map[string]int
+	used   int
+	claims map[string]services.ClaimState
+}
+
+type pathRights struct{ *path }
+type pathClaims struct{ *path }
+type pathJobs struct{ services.Jobs }
+
+func (pathJobs) Provision(*kernel.Context) error { return nil }
+
+func (p *path) Provision(*kernel.Context) error { return nil }
+func (p *path) Self() services.Identity         { return services.Identity{Name: "self", Zone: "klang"} }
+func (p *path) CurrentSince() time.Time         { return time.Now() }
+func (p *path) Loads() []services.TeamLoad      { return nil }
+func (p *path) SetLoads([]services.TeamLoad)    {}
+func (p *path) Refused(string, fault.Reason)    {}
+func (p *path) Retried(string, fault.Reason)    {}
+func (p *path) SetReady(bool)                   {}
+func (p *path) Hosts() *fleet.HostList          { return &p.list }
+func (p *path) ReportLeaving(string)            {}
+
+var pathView = &services.View{Document: &document.Document{Sections: map[string]document.Section{"s": {
+	Pools:  []document.Pool{{Name: "p", Adopt: []string{"*"}}},
+	Teams:  []document.Team{{Name: "t", Share: 1, Limit: 100}},
+	Queues: []document.Queue{{Name: "q", Team: "t", Pool: "p", Open: true, MaxWaiting: 1000}},
+}}}}
+
+func (p *path) View() *services.View { return pathView }
+
+// Started implements backendserver.Recorder.
+func (p *path) Started(e standin.Execution) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.starts[e.RequestID]++
+	p.on[e.Server]++
+	return 0
+}
+
+func (p *path) Ended(int) {}
+
+func (p *path) started() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.starts)
+}
+
+func (p pathRights) Acquire(context.Context, string, int) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.used++
+	return nil
+}
+
+func (p pathRights) Release(string, int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.used--
+}
+
+func (p pathRights) Waiting(string, int)             {}
+func (p pathRights) Freed(string) services.FreedRing { return ring.New[string]("freed", 1, nil) }
+func (p pathRights) Use() []services.RightsUse       { return nil }
+
+func (p pathClaims) Claim(_ context.Context, r *services.Request) (services.ClaimRecord, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state := p.claims[r.ID]; state != services.ClaimNone && state != services.ClaimReleased {
+		return services.ClaimRecord{State: services.ClaimUnknown}, nil
+	}
+	p.claims[r.ID] = services.ClaimHeld
+	return services.ClaimRecord{State: services.ClaimHeld}, nil
+}
+
+func (p pathClaims) Outcome(r *services.Request, _ *services.Reply, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case err == nil:
+		p.claims[r.ID] = services.ClaimDone
+	case fault.IsNotRun(err):
+		p.claims[r.ID] = services.ClaimReleased
+	default:
+		p.claims[r.ID] = services.ClaimUnknown
+	}
+}
+
+func (p pathClaims) Lookup(_ context.Context, _, id string) (services.ClaimRecord, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return services.ClaimRecord{State: p.claims[id]}, nil
+}
+
+func startPath(t *testing.T, servers int) *path {
+	p := &path{starts: map[string]int{}, on: map[string]int{}, claims: map[string]services.ClaimState{}}
+	p.list.AsOf = time.Now()
+	for i := range servers {
+		host := fleet.Host{Name: fmt.Sprintf("s%d", i), Address: "127.0.0.1:0", Kind: fleet.KindBackendServer, Zone: "klang", Phase: fleet.PhaseLive, Slots: 8}
+		server, err := backendserver.Open(host, 5*time.Millisecond, p, nil)
+		assert.NilError(t, err)
+		t.Cleanup(func() { server.Close() })
+		p.servers = append(p.servers, server)
+		p.list.Hosts = append(p.list.Hosts, server.Host())
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	p.address = l.Addr().String()
+	l.Close()
+	k := kernel.New(zerolog.Nop(), nil)
+	p.kernel = k
+	for _, name := range []string{services.NameState, services.NameMembership, services.NamePeers, services.NameMetrics,
+		services.NamePlatform, services.NameHosts, services.NameAdmin} {
+		k.Register(name, p)
+	}
+	k.Register(services.NameJobs, pathJobs{})
+	k.Register(services.NameRights, pathRights{p})
+	k.Register(services.NameClaims, pathClaims{p})
+	k.Register(services.NameBackend, backend.New(backend.Settings{MaxEntryHosts: 8}, time.Now))
+	k.Register(services.NameDispatch, dispatch.New(time.Now))
+	k.Register(services.NameFront, front.New(front.Settings{Address: p.address, MaxBodyBytes: 1 << 20, DefaultTimeout: 20 * time.Second,
+		MaxTimeout: time.Minute, KeyCurrency: time.Minute, ReadinessDelay: 50 * time.Millisecond}, time.Now))
+	assert.NilError(t, k.Start(context.Background()))
+	t.Cleanup(func() { k.Stop(context.Background()) })
+	return p
+}
+
+type answer struct {
+	status  int
+	outcome string
+	text    string
+}
+
+// post sends one request with the identifier id, whose answer must name it.
+func (p *path) post(id, work string, idempotent bool) answer {
+	body := strings.NewReader(fmt.Sprintf(`{"workMs":%s,"echo":"%s"}`, work, id))
+	r, _ := http.NewRequest(http.MethodPost, "http://"+p.address+"/v1/queues/q/requests", body)
+	r.Header.Set("Idempotency-Key", id)
+	if idempotent {
+		r.Header.Set("Idempotent", "true")
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{text: err.Error()}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return answer{text: err.Error()}
+	}
+	return answer{resp.StatusCode, resp.Header.Get("Outcome"), string(text)}
+}
+
+// own reports whether a is the whole answer to the request id.
+func (a answer) own(id string) bool {
+	var body struct{ RequestID, Echo string }
+	return a.status == 200 && json.Unmarshal([]byte(a.text), &body) == nil && body.RequestID == id && body.Echo == id
+}
+
+// Guards, from the callers' listener to the backend servers, against answers
+// that are not the request's own, a second run of a non-idempotent request, and
+// refusals that are not true (G5, G6, G7), while one of three servers is faulty.
+func TestFaultyServerOnThePath(t *testing.T) {
+	cases := map[string]faults.Set{
+		"crossed":     {CrossReplies: true},
+		"truncated":   {Truncate: true},
+		"lost":        {LoseReply: true},
+		"down":        {Down: true},
+		"silent":      {SilenceOpenConns: true},
+		"failing":     {FailAll: true},
+		"leaving":     {Leaving: true},
+		"no fault":    {},
+		"short delay": {Delay: 30 * time.Millisecond},
+	}
+	for name, set := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := startPath(t, 3)
+			for i := range 30 {
+				id := fmt.Sprintf("warm-%d", i)
+				assert.Assert(t, p.post(id, "1", true).own(id))
+			}
+			p.servers[0].Injector().Apply(set)
+			time.Sleep(150 * time.Millisecond)
+			var wg sync.WaitGroup
+			var answered atomic.Int64
+			for i := range 120 {
+				wg.Go(func() {
+					id, idempotent := fmt.Sprintf("r-%d", i), i%2 == 0
+					a := p.post(id, "5", idempotent)
+					p.mu.Lock()
+					starts := p.starts[id]
+					p.mu.Unlock()
+					if a.own(id) {
+						answered.Add(1)
+					} else if a.status == 200 {
+						t.Errorf("%s got another answer: %s", id, a.text)
+					}
+					if starts > 1 && !idempotent {
+						t.Errorf("%s ran %d times", id, starts)
+					}
+					if a.outcome == "not-run" && starts > 0 {
+						t.Errorf("%s ran and was told %s", id, a.text)
+					}
+				})
+			}
+			wg.Wait()
+			assert.Assert(t, answered.Load() >= 60, "only %d of 120 answered", answered.Load())
+		})
+	}
+}
+
+// Guards against work for a leaving server, and against failing the requests
+// that meet one (G8).
+func TestLeavingServerOnThePath(t *testing.T) {
+	p := startPath(t, 2)
+	p.servers[0].SetLeaving(true)
+	for i := range 60 {
+		id := fmt.Sprint(i)
+		a := p.post(id, "1", false)
+		assert.Assert(t, a.own(id), "%+v", a)
+	}
+	assert.Equal(t, p.on["s0"], 0)
+}
+
+// Guards against a planned stop that cuts off a request (G9).
+func TestDrainOnThePath(t *testing.T) {
+	p := startPath(t, 3)
+	const requests = 18
+	var wg sync.WaitGroup
+	for i := range requests {
+		wg.Go(func() {
+			id := fmt.Sprint(i)
+			if a := p.post(id, "1000", false); !a.own(id) {
+				t.Errorf("%+v", a)
+			}
+		})
+	}
+	for p.started() < requests {
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.NilError(t, p.kernel.Drain(context.Background()))
+	wg.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assert.Equal(t, p.used, 0, "rights are lost")
+	for id, state := range p.claims {
+		assert.Equal(t, state, services.ClaimDone, "claim of %s", id)
+	}
+}
