--- a/services/jobs/entries.go
+++ b/services/jobs/entries.go
@@ -19,6 +19,7 @@
 	name    string
 	row     row
 	version uint64
+	readAt  time.Time
 	// indexVersion is the version of the index row when last read.
 	indexVersion uint64
 	// todo are transitions not yet committed; busy while one is.
@@ -59,7 +60,7 @@
 // setRow takes a row that was read. About a task that another scheduler placed
 // nothing is known yet.
 func (s *scheduler) setRow(e *entry, r row, version uint64) {
-	if r.Token != e.row.Token && r.Token != e.token {
+	if r.Token != "" && r.Token != e.row.Token && r.Token != e.token {
 		e.leaseFrom = s.now
 		e.confirmed, e.ended, e.stopping, e.yielding = false, false, false, false
 		e.throttle = 0
--- a/services/jobs/index.go
+++ b/services/jobs/index.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"time"
 
+	"fuchsiafront.example/fuchsiafront/decision/job"
 	"fuchsiafront.example/fuchsiafront/services"
 )
 
+// rereadWaiting is the time between two reads of a waiting job's row.
+const rereadWaiting = 30 * time.Second
+
 // readBatch is the largest number of rows in one read.
 const readBatch = 64
 
@@ -57,7 +62,7 @@
 	}
 	var read []string
 	for name, version := range i.open {
-		if e := s.jobs[name]; e == nil || e.indexVersion != version {
+		if e := s.jobs[name]; e == nil || e.indexVersion != version || s.mayBeStale(e) {
 			read = append(read, name)
 		}
 	}
@@ -69,6 +74,13 @@
 	s.read(read, i.open)
 }
 
+// mayBeStale reports whether a waiting job's row is due to be read again. An
+// earlier scheduler may have placed the job by a commit that took effect after
+// this one had read the row; without a free right this host would not notice.
+func (s *scheduler) mayBeStale(e *entry) bool {
+	return e.row.State == job.Queued && !e.busy && !s.now.Before(e.readAt.Add(rereadWaiting))
+}
+
 func (s *scheduler) read(names []string, index map[string]uint64) {
 	for len(names) > 0 {
 		n := min(len(names), readBatch)
@@ -132,6 +144,7 @@
 	}
 	if !e.busy && raw.Version >= e.version {
 		s.setRow(e, *r, raw.Version)
+		e.readAt = s.now
 		s.settle(e)
 	}
 }
--- a/services/jobs/place.go
+++ b/services/jobs/place.go
@@ -183,7 +183,14 @@
 	e.leaseFrom = s.now
 	e.peak = fleet.Resources{}
 	e.result = ""
-	s.apply(e, func(r job.Record) (job.Record, job.Verdict) { return job.Place(r, worker, token, s.self) })
+	attempt := e.row.Attempt
+	s.apply(e, func(r job.Record) (job.Record, job.Verdict) {
+		if r.Attempt != attempt {
+			// The attempt took place, and its token must not be used again.
+			return r, job.Verdict{Reason: fault.ReasonStaleCopy}
+		}
+		return job.Place(r, worker, token, s.self)
+	})
 }
 
 func (s *scheduler) yield(y placement.Yield) {
