--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,7 +61,8 @@
 	for i, zone := range zoneNames {
 		args = append(args, fmt.Sprintf("%s=127.0.%d.0/24", zone, firstZoneOctet+i))
 	}
-	args = append(args, "--backend-services", "quotes=3", "ledger=2", "--host-list-lag", "1s")
+	args = append(args, "--backend-services", "quotes=3", "ledger=2", "--host-list-lag", "1s",
+		"--workers-per-zone", "2", "--worker-cores", "4")
 	c := &cluster{operator: keyring.Presented{Holder: "bootstrap", ID: "root", Secret: "test-secret"}}
 	c.standin = startProcess(t, "standin", "fuchsiastandin", args...)
 	url := c.standin.firstLine(t)
@@ -72,9 +75,32 @@
 	for _, h := range c.hosts {
 		eventually(t, startWithin, h.name+" ready", h.ready)
 	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			c.logCounters(t)
+		}
+	})
 	return c
 }
 
+// logCounters prints what every host refused and retried, to explain a failed
+// test.
+func (c *cluster) logCounters(t *testing.T) {
+	for _, h := range c.hosts {
+		resp, err := http.Get("http://" + h.operators + "/metrics")
+		if err != nil {
+			continue
+		}
+		text, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		for line := range strings.Lines(string(text)) {
+			if strings.Contains(line, "_refused_total{reason") || strings.Contains(line, "retried_total{") || strings.Contains(line, "rights_") {
+				t.Logf("%s: %s", h.name, strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
 func (c *cluster) startHost(t *testing.T, zone, ip string, n int, platform string, extra []string) *entryHost {
 	t.Helper()
 	h := &entryHost{
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -30,6 +30,7 @@
 		Pools: []document.Pool{
 			{Name: "quotes", Kind: fleet.KindBackendServer, Adopt: []string{"*-quotes-*"}, MaxUnavailable: 1},
 			{Name: "ledger", Kind: fleet.KindBackendServer, Adopt: []string{"*-ledger-*"}, MaxUnavailable: 1},
+			{Name: "sorting", Kind: fleet.KindWorker, Adopt: []string{"*-worker-*"}, MaxUnavailable: 1},
 		},
 		Teams: []document.Team{
 			{Name: "sales", Share: 3, Limit: salesLimit, Keys: []document.Key{salesKey.Store("00a2")}},
@@ -38,6 +39,7 @@
 		Queues: []document.Queue{
 			{Name: "quotes", Team: "sales", Pool: "quotes", Class: fleet.ClassInteractive},
 			{Name: "stock", Team: "ledger", Pool: "ledger", Class: fleet.ClassBatch},
+			{Name: "sorting", Team: "ledger", Pool: "sorting", Class: fleet.ClassBatch},
 			{Name: "prices", Team: "sales", Pool: "quotes", Class: fleet.ClassInteractive, Open: true},
 		},
 	}
