Make the connection tests independent of speed and count refusals by step

Cause: TestBusySilentConnectionIsClosed needed its second request to be written within 100 ms of the first, and TestLateAnswerReachesNobody its first one within 100 ms; on a slow machine both would fail. They are replaced by servers that wait for the test, with the same verdicts. Refusals to callers were all counted under one step.

Change: as above; tests of the socket options and of the urgent reserve; refusals carry the step of their fault.

Seen failing by mutation: a failed socket reused, no interrupt, no user timeout, nine keep-alive probes, a reserve of the whole pool or one short.

--- a/decision/fairqueue/fairqueue_test.go
+++ b/decision/fairqueue/fairqueue_test.go
@@ -227,6 +227,14 @@
 	}
 }
 
+// Guards against a reserve that is missing, or that takes a whole pool.
+func TestReserve(t *testing.T) {
+	for slots, want := range map[int]int{0: 0, 1: 0, 2: 1, 8: 1, 20: 1, 21: 2, 96: 5} {
+		assert.Equal(t, reserved(Pool{Slots: slots, Urgent: true}), want, "%d slots", slots)
+		assert.Equal(t, reserved(Pool{Slots: slots}), 0)
+	}
+}
+
 // Guards against a host that ignores what its peers run for a team.
 func TestPeerUseCounts(t *testing.T) {
 	s := New()
@@ -308,3 +316,21 @@
 		})
 	}
 }
+
+// BenchmarkNextInOnePool measures one choice among teams that all wait for the
+// same pool.
+func BenchmarkNextInOnePool(b *testing.B) {
+	for _, teams := range []int{6, 60, 600} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			s := New()
+			for i := range teams {
+				name := fmt.Sprintf("t%d", i)
+				s.Admit(Item{Queue: name, Team: name, Pool: "p", Share: 1, Deadline: start.Add(time.Hour)}, nil, start)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Next(Pool{Name: "p", Slots: 80, Free: 8})
+			}
+		})
+	}
+}
--- a/decision/route/bench_test.go
+++ b/decision/route/bench_test.go
@@ -167,3 +167,18 @@
 		})
 	}
 }
+
+// BenchmarkCapacity measures the estimate for a pool of 10, 100 and 1,000
+// servers.
+func BenchmarkCapacity(b *testing.B) {
+	for _, servers := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			table := newTable()
+			table.SetServers(testServers(servers))
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Capacity("p", start)
+			}
+		})
+	}
+}
--- a/services/backend/backend_test.go
+++ b/services/backend/backend_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -71,7 +72,7 @@
 					}
 					io.Copy(io.Discard, r.Body)
 					if r.Method == http.MethodHead {
-						io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+						io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nSlots-Free: 8\r\nContent-Length: 0\r\n\r\n")
 						continue
 					}
 					if !answer(count.Add(1)-1, r, conn) {
@@ -130,10 +131,11 @@
 // Guards against a late answer, or bytes behind an answer, that reach the next
 // request on the connection (G5).
 func TestLateAnswerReachesNobody(t *testing.T) {
+	release := make(chan struct{})
 	host, _ := rawServer(t, func(n int64, r *http.Request, conn net.Conn) bool {
 		id := r.Header.Get("Request-Id")
 		if n == 0 {
-			time.Sleep(300 * time.Millisecond)
+			<-release
 		}
 		answer := reply(id, id, "")
 		if n == 1 {
@@ -143,13 +145,17 @@
 		return true
 	})
 	s := startService(t, true)
-	late := <-post(s, host, "late", "x", 100*time.Millisecond)
+	late := <-post(s, host, "late", "x", time.Second)
 	assert.Equal(t, fault.ReasonOf(late.Err), fault.ReasonDeadline)
 	assert.Assert(t, !fault.IsNotRun(late.Err))
 	for _, id := range []string{"second", "third", "fourth"} {
-		r := <-post(s, host, id, "x", 10*time.Second)
+		r := <-post(s, host, id, "x", 5*time.Second)
 		assert.NilError(t, r.Err)
 		assert.Equal(t, string(r.Reply.Body), id)
+		if id == "second" {
+			// A socket that was kept would still wait for the late answer.
+			close(release)
+		}
 	}
 }
 
@@ -213,17 +219,40 @@
 	assert.NilError(t, (<-post(s, host, "second", "{}", 10*time.Second)).Err)
 }
 
-// Guards against keeping a busy silent connection until its deadline.
+// Guards against keeping a busy silent connection until its deadline. The
+// server answers probes on new connections and reports that nothing runs.
 func TestBusySilentConnectionIsClosed(t *testing.T) {
-	server, host := openStandin(t)
-	s := startService(t, true)
-	assert.NilError(t, (<-post(s, host, "first", "{}", 10*time.Second)).Err)
-	server.Injector().Apply(faults.Set{SilenceOpenConns: true})
-	r := <-post(s, host, "second", "{}", 20*time.Second)
+	host, _ := rawServer(t, func(int64, *http.Request, net.Conn) bool {
+		<-t.Context().Done()
+		return false
+	})
+	r := <-post(startService(t, true), host, "id", "{}", 20*time.Second)
 	assert.Equal(t, fault.ReasonOf(r.Err), fault.ReasonStalled)
 	assert.Assert(t, !fault.IsNotRun(r.Err), "its bytes were written")
 }
 
+// Guards against connections to a host that vanished which are kept for the
+// system's default of hours.
+func TestSocketOptions(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	conn, err := startService(t, true).dial(l.Addr().String(), time.Second)
+	assert.NilError(t, err)
+	defer conn.Close()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	options := map[int]int{syscall.TCP_KEEPIDLE: 1, syscall.TCP_KEEPINTVL: 1, syscall.TCP_KEEPCNT: 2, optionUserTimeout: 3000}
+	err = raw.Control(func(fd uintptr) {
+		for option, want := range options {
+			got, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, option)
+			assert.Check(t, err)
+			assert.Check(t, got == want, "option %d is %d, want %d", option, got, want)
+		}
+	})
+	assert.NilError(t, err)
+}
+
 // Guards against closing the connection of a request that runs for longer than
 // the stall bound while others on the same server are answered.
 func TestLongRequestKeepsItsConnection(t *testing.T) {
--- a/services/front/encode.go
+++ b/services/front/encode.go
@@ -64,7 +64,7 @@
 	if !notRun {
 		body.Ask = t.ask
 	}
-	s.metrics.Refused("caller", body.Reason)
+	s.metrics.Refused(stepOf(t.err), body.Reason)
 	s.log.Debug().Err(t.err).Str("step", "answer caller").Str("team", t.team).Str("queue", t.queue).Msg("work refused")
 	status := statusOf(body.Reason, attemptNotRun)
 	if t.id != "" {
@@ -77,6 +77,15 @@
 	writeJSON(w, status, body)
 }
 
+// stepOf returns the step at which work was refused. Steps are constants of the
+// code, so that they may be metric tags.
+func stepOf(err error) string {
+	if f, ok := fault.As(err); ok {
+		return f.Step
+	}
+	return "answer caller"
+}
+
 // statusOf returns the status for a reason; an attempt of unknown outcome is
 // always a time-out of the gateway.
 func statusOf(reason fault.Reason, attemptNotRun bool) int {
