Ask each open connection before it carries another request

Cause: a connection in use within the last 100 ms was not asked. Under steady load each connection that goes silent then swallows one request, and the rule of decision/connwatch finds it only when the server has no slot in use.

Change: HEAD / goes before each request on a connection that is already open. A silent connection costs its request up to 1 s and no outcome. The idle time and the time of the last suspect are gone from decision/connwatch.

Ruled out: Expect: 100-continue, because a server may omit the answer (RFC 9110, 10.1.1) and bytes of the request are written by then.

TestFaultyServerOnThePath/silent now requires all 120 answers.

Seen failing by mutation: no question (TestSilentConnectionSwallowsNoRequest, TestFaultyServerOnThePath/silent); a failed socket reused, stray bytes not looked for (TestLateAnswerReachesNobody, which replaces the wait for the late answer by the server's view of the socket); no interrupt (TestBusySilentConnectionIsClosed); interrupt after 1 s without progress (TestLongRequestKeepsItsConnection).

--- a/decision/connwatch/connwatch.go
+++ b/decision/connwatch/connwatch.go
@@ -5,10 +5,12 @@
 // a request that runs for 30 s makes no progress either, and closing its
 // connection would lose its answer. Three rules tell the two apart:
 //
-//   - A connection that was idle is asked first (HEAD / on the same
-//     connection) and closed when it does not answer within the stall bound.
-//     No byte of a request was written by then, so the request is not run and
-//     goes to another connection.
+//   - An open connection is asked first (HEAD / on the same connection) before
+//     it carries another request, and closed when it does not answer within
+//     the stall bound. No byte of a request was written by then, so the request
+//     is not run and goes to another connection. The question costs one round
+//     trip; without it, connections in steady use that go silent would each
+//     swallow a request that the next rule may not find.
 //   - While a suspect exists, a new connection is opened that sends HEAD /.
 //     Replies, also that one, carry the slots in use at the backend server. A
 //     running request holds a slot. When the server reports that no slot is in
@@ -26,11 +28,8 @@
 
 const (
 	// StallBound is the time without progress after which a busy connection
-	// is a suspect, and the time that an idle one has to answer.
+	// is a suspect, and the time that an open one has to answer.
 	StallBound = time.Second
-	// AskAfter is the idle time after which a connection is asked before it
-	// carries a request. Connections in steady use pay nothing.
-	AskAfter = 100 * time.Millisecond
 	// grace covers the way of a request to the server and of its answer
 	// back.
 	grace = 250 * time.Millisecond
@@ -54,7 +53,6 @@
 	candidate time.Time
 	settled   time.Time
 	lastProbe time.Time
-	suspected time.Time
 }
 
 // Report records that a reply which arrived at now carried the number of slots
@@ -87,7 +85,6 @@
 	if !found {
 		return false
 	}
-	w.suspected = now
 	if now.Sub(w.lastProbe) < ProbePeriod {
 		return false
 	}
@@ -95,16 +92,6 @@
 	return true
 }
 
-// AskFirst reports whether a connection is asked before it carries a request:
-// after AskAfter without use, or when there was a suspect at the same server
-// since its last progress.
-func AskFirst(progress, suspected, now time.Time) bool {
-	return now.Sub(progress) >= AskAfter || progress.Before(suspected)
-}
-
-// Suspected returns the last time at which there was a suspect.
-func (w *Watch) Suspected() time.Time { return w.suspected }
-
 func suspect(c Connection, now time.Time) bool {
 	return c.Busy && now.Sub(c.Progress) >= StallBound
 }
--- a/decision/connwatch/connwatch_test.go
+++ b/decision/connwatch/connwatch_test.go
@@ -76,12 +76,3 @@
 	w.Report(0, at(100))
 	assert.Assert(t, !w.Silent(c, at(60000)))
 }
-
-// Guards against writing a request to a connection that may have gone silent
-// while it was idle.
-func TestIdleConnectionIsAskedFirst(t *testing.T) {
-	assert.Assert(t, !AskFirst(at(0), time.Time{}, at(99)))
-	assert.Assert(t, AskFirst(at(0), time.Time{}, at(100)))
-	assert.Assert(t, AskFirst(at(0), at(1), at(10)))
-	assert.Assert(t, !AskFirst(at(2), at(1), at(10)))
-}
--- a/entryhost/path_test.go
+++ b/entryhost/path_test.go
@@ -226,7 +226,6 @@
 				assert.Assert(t, p.post(id, "1", true).own(id))
 			}
 			p.servers[0].Injector().Apply(set)
-			time.Sleep(150 * time.Millisecond)
 			var wg sync.WaitGroup
 			var answered atomic.Int64
 			for i := range 120 {
@@ -250,7 +249,11 @@
 				})
 			}
 			wg.Wait()
-			assert.Assert(t, answered.Load() >= 60, "only %d of 120 answered", answered.Load())
+			least := int64(60)
+			if name == "silent" || name == "leaving" || name == "no fault" || name == "short delay" {
+				least = 120
+			}
+			assert.Assert(t, answered.Load() >= least, "only %d of 120 answered", answered.Load())
 		})
 	}
 }
--- a/services/backend/backend_test.go
+++ b/services/backend/backend_test.go
@@ -131,31 +131,36 @@
 // Guards against a late answer, or bytes behind an answer, that reach the next
 // request on the connection (G5).
 func TestLateAnswerReachesNobody(t *testing.T) {
-	release := make(chan struct{})
+	release, closed := make(chan struct{}), make(chan error, 1)
 	host, _ := rawServer(t, func(n int64, r *http.Request, conn net.Conn) bool {
 		id := r.Header.Get("Request-Id")
 		if n == 0 {
+			_, err := conn.Read(make([]byte, 1))
+			closed <- err
 			<-release
 		}
-		answer := reply(id, id, "")
+		io.WriteString(conn, reply(id, id, ""))
 		if n == 1 {
-			answer += answer
+			time.Sleep(20 * time.Millisecond)
+			io.WriteString(conn, reply(id, id, ""))
 		}
-		io.WriteString(conn, answer)
 		return true
 	})
 	s := startService(t, true)
 	late := <-post(s, host, "late", "x", time.Second)
 	assert.Equal(t, fault.ReasonOf(late.Err), fault.ReasonDeadline)
 	assert.Assert(t, !fault.IsNotRun(late.Err))
-	for _, id := range []string{"second", "third", "fourth"} {
+	// The next request must not find the socket that waits for the answer.
+	answered := post(s, host, "second", "x", 5*time.Second)
+	assert.Assert(t, <-closed != nil, "the socket is used again")
+	assert.NilError(t, (<-answered).Err)
+	close(release)
+	// The second copy of that answer arrives on the idle connection.
+	time.Sleep(100 * time.Millisecond)
+	for _, id := range []string{"third", "fourth"} {
 		r := <-post(s, host, id, "x", 5*time.Second)
 		assert.NilError(t, r.Err)
 		assert.Equal(t, string(r.Reply.Body), id)
-		if id == "second" {
-			// A socket that was kept would still wait for the late answer.
-			close(release)
-		}
 	}
 }
 
@@ -208,15 +213,16 @@
 	return server, server.Host()
 }
 
-// Guards against writing a request to a connection that went silent while it
-// was idle, which would lose a non-idempotent request.
-func TestIdleSilentConnectionLosesNoRequest(t *testing.T) {
+// Guards against writing a request to a connection that went silent, also one
+// in steady use, which would lose a non-idempotent request.
+func TestSilentConnectionSwallowsNoRequest(t *testing.T) {
 	server, host := openStandin(t)
 	s := startService(t, true)
-	assert.NilError(t, (<-post(s, host, "first", "{}", 10*time.Second)).Err)
-	server.Injector().Apply(faults.Set{SilenceOpenConns: true})
-	time.Sleep(150 * time.Millisecond)
-	assert.NilError(t, (<-post(s, host, "second", "{}", 10*time.Second)).Err)
+	for range 3 {
+		assert.NilError(t, (<-post(s, host, "first", "{}", 10*time.Second)).Err)
+		server.Injector().Apply(faults.Set{SilenceOpenConns: true})
+		assert.NilError(t, (<-post(s, host, "second", "{}", 10*time.Second)).Err)
+	}
 }
 
 // Guards against keeping a busy silent connection until its deadline. The
--- a/services/backend/connection.go
+++ b/services/backend/connection.go
@@ -19,8 +19,6 @@
 
 	conn   net.Conn
 	reader *bufio.Reader
-	// used is the time of the last progress on the socket.
-	used time.Time
 	// current is the exchange under way, published to the watch.
 	current atomic.Pointer[exchange]
 }
@@ -124,10 +122,9 @@
 	x := c.begin()
 	reply, load, keep, err := c.exchange(x, req)
 	c.current.Store(nil)
-	if !x.end() && err == nil {
+	if !x.end() {
 		keep = false
 	}
-	c.used = c.service.clock()
 	if !keep {
 		c.abort()
 	}
@@ -170,10 +167,8 @@
 	if c.conn != nil && !isQuiet(c.conn, c.reader) {
 		c.close()
 	}
-	now := c.service.clock()
-	suspected := time.Unix(0, c.server.suspected.Load())
-	if c.conn != nil && connwatch.AskFirst(c.used, suspected, now) {
-		c.ask(min(connwatch.StallBound, deadline.Sub(now)))
+	if c.conn != nil {
+		c.ask(min(connwatch.StallBound, deadline.Sub(c.service.clock())))
 	}
 	if c.conn != nil {
 		return nil
@@ -187,22 +182,20 @@
 		return c.notRun(fault.ReasonConnect, "connect", "%w", err)
 	}
 	c.conn, c.reader = conn, bufio.NewReader(conn)
-	c.used = c.service.clock()
 	return nil
 }
 
-// ask sends HEAD / on an idle connection and closes it when there is no answer
+// ask sends HEAD / on an open connection and closes it when there is no answer
 // in time. No byte of a request was written on it, so nothing is lost.
 func (c *connection) ask(timeout time.Duration) {
 	load, keep, err := head(c.conn, c.reader, c.server.host.Address, timeout)
 	if err != nil {
-		c.service.log.Debug().Err(err).Str("peer", c.server.host.Name).Str("step", "ask idle connection").Msg("connection closed")
+		c.service.log.Debug().Err(err).Str("peer", c.server.host.Name).Str("step", "ask open connection").Msg("connection closed")
 	}
 	if err != nil || !keep {
 		c.close()
 		return
 	}
-	c.used = c.service.clock()
 	c.service.report(c.server, load)
 }
 
--- a/services/backend/servers.go
+++ b/services/backend/servers.go
@@ -25,10 +25,8 @@
 	watch       connwatch.Watch
 	// open counts the connection duties that have not ended.
 	open atomic.Int64
-	// suspected is the last time, in Unix nanoseconds, at which a connection
-	// was suspected to be silent.
-	suspected atomic.Int64
-	probing   atomic.Bool
+	// probing is set while a probe is under way.
+	probing atomic.Bool
 }
 
 // serverSet is the state of the duty backend.servers.
@@ -179,9 +177,7 @@
 			x.interrupt()
 		}
 	}
-	due := srv.watch.ProbeDue(states, now)
-	srv.suspected.Store(srv.watch.Suspected().UnixNano())
-	if due && srv.probing.CompareAndSwap(false, true) {
+	if srv.watch.ProbeDue(states, now) && srv.probing.CompareAndSwap(false, true) {
 		s.running.Go(func() {
 			defer srv.probing.Store(false)
 			s.probe(srv)
