Test the revision rules as a state machine

Cause: package revision had no tests, and a change that names a part twice lost all but its last update without a word.

Ruled out: a digest of the change beside its identifier. A planner that repeats a change computes its content anew from the state at that time, so the digest would turn true repeats into conflicts.

Verdict Malformed refuses a change without identifier or updates or with two updates of one part.

--- a/decision/revision/revision.go
+++ b/decision/revision/revision.go
@@ -65,6 +65,9 @@
 	Repeated
 	// Conflict means that a part has a revision other than the expected one.
 	Conflict
+	// Malformed means that the change has no identifier, no update, or two
+	// updates of one part.
+	Malformed
 )
 
 // Proposal is the outcome of Propose.
@@ -83,6 +86,9 @@
 // Propose decides a change against the current head and the current content
 // of the parts that the change names.
 func Propose(head Head, current map[string]Part, c Change) Proposal {
+	if c.malformed() {
+		return Proposal{Verdict: Malformed}
+	}
 	for _, u := range c.Updates {
 		for _, applied := range current[u.Part].Changes {
 			if applied.ChangeID == c.ID {
@@ -98,6 +104,14 @@
 	return accept(head, current, c)
 }
 
+func (c Change) malformed() bool {
+	names := make(map[string]bool, len(c.Updates))
+	for _, u := range c.Updates {
+		names[u.Part] = true
+	}
+	return c.ID == "" || len(c.Updates) == 0 || len(names) != len(c.Updates)
+}
+
 func accept(head Head, current map[string]Part, c Change) Proposal {
 	next := Head{Revision: head.Revision + 1, Parts: make(map[string]uint64, len(head.Parts)+1)}
 	for name, rev := range head.Parts {
--- /dev/null
+++ b/decision/revision/revision_test.go
@@ -0,0 +1,212 @@
+package revision
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// submission is one change between its read and its write.
+type submission struct {
+	change   Change
+	head     Head
+	proposal Proposal
+}
+
+// fetch is a replica's read of the head and, later, of the parts.
+type fetch struct {
+	head  Head
+	parts map[string]Part
+}
+
+// machine is a platform with conditional transactions, operators that race
+// and repeat, and replicas that read at any time.
+type machine struct {
+	t       *rapid.T
+	head    Head
+	parts   map[string]Part
+	history []*State
+	// applied is the revision that each change identifier got.
+	applied  map[string]uint64
+	known    []Change
+	open     []submission
+	replicas []*State
+	fetches  []fetch
+	serial   int
+}
+
+var partNames = []string{"ledger", "section/a", "section/b"}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{t: t, head: Head{Parts: map[string]uint64{}}, parts: map[string]Part{}, applied: map[string]uint64{}}
+	m.record()
+	for range 3 {
+		m.replicas = append(m.replicas, &State{Parts: map[string]Part{}})
+		m.fetches = append(m.fetches, fetch{})
+	}
+	return m
+}
+
+func (m *machine) record() {
+	s := &State{Revision: m.head.Revision, Parts: map[string]Part{}}
+	for name, p := range m.parts {
+		s.Parts[name] = p
+	}
+	m.history = append(m.history, s)
+}
+
+func (m *machine) replica() int { return rapid.IntRange(0, len(m.replicas)-1).Draw(m.t, "replica") }
+
+// edit has an operator add its identifier to parts as its replica shows them.
+func (m *machine) edit() {
+	base := m.replicas[m.replica()]
+	m.serial++
+	c := Change{ID: fmt.Sprintf("c%d", m.serial)}
+	first := rapid.IntRange(0, len(partNames)-1).Draw(m.t, "part")
+	for i := range rapid.IntRange(1, 2).Draw(m.t, "parts") {
+		p := base.Parts[partNames[(first+i)%len(partNames)]]
+		name := partNames[(first+i)%len(partNames)]
+		c.Updates = append(c.Updates, Update{Part: name, IfRevision: p.Revision, Data: []byte(string(p.Data) + c.ID + ";")})
+	}
+	m.known = append(m.known, c)
+	m.submit(c)
+}
+
+func (m *machine) repeat() {
+	if len(m.known) > 0 {
+		m.submit(rapid.SampledFrom(m.known).Draw(m.t, "change"))
+	}
+}
+
+func (m *machine) submit(c Change) {
+	current := map[string]Part{}
+	for _, u := range c.Updates {
+		if p, ok := m.parts[u.Part]; ok {
+			current[u.Part] = p
+		}
+	}
+	p := Propose(m.head, current, c)
+	got, applied := m.applied[c.ID]
+	if applied && m.head.Revision-got < rememberedChanges && p.Verdict != Repeated {
+		m.t.Fatalf("the repeat of %s, applied as revision %d, is not recognised at %d", c.ID, got, m.head.Revision)
+	}
+	m.open = append(m.open, submission{c, m.head, p})
+}
+
+// commit writes one open submission, conditional on the head it was read at.
+// Its reply may be lost; the operator then repeats it at any time.
+func (m *machine) commit() {
+	if len(m.open) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.open)-1).Draw(m.t, "submission")
+	s := m.open[i]
+	m.open = slices.Delete(m.open, i, i+1)
+	switch s.proposal.Verdict {
+	case Repeated:
+		if got := m.applied[s.change.ID]; got != s.proposal.Revision {
+			m.t.Fatalf("%s is reported as revision %d and got %d", s.change.ID, s.proposal.Revision, got)
+		}
+	case Accept:
+		if m.head.Revision == s.head.Revision {
+			m.apply(s)
+		}
+	}
+}
+
+func (m *machine) apply(s submission) {
+	if _, twice := m.applied[s.change.ID]; twice {
+		m.t.Fatalf("%s is applied twice", s.change.ID)
+	}
+	for _, u := range s.change.Updates {
+		lost := string(m.parts[u.Part].Data)
+		if !strings.HasPrefix(string(u.Data), lost) {
+			m.t.Fatalf("%s loses updates %q of %s", s.change.ID, lost, u.Part)
+		}
+	}
+	m.head = s.proposal.Head
+	for _, p := range s.proposal.Parts {
+		m.parts[p.Name] = p
+	}
+	m.applied[s.change.ID] = s.proposal.Revision
+	m.record()
+}
+
+// fetchHead starts a read; its parts are read one at a time, later.
+func (m *machine) fetchHead() {
+	i := m.replica()
+	m.fetches[i] = fetch{head: m.head, parts: map[string]Part{}}
+}
+
+func (m *machine) fetchPart() {
+	f := m.fetches[m.replica()]
+	name := rapid.SampledFrom(partNames).Draw(m.t, "part")
+	if p, ok := m.parts[name]; ok && f.parts != nil {
+		f.parts[name] = p
+	}
+}
+
+// advance offers a fetch, whole or not, to a replica that may have restarted
+// or advanced since.
+func (m *machine) advance() {
+	i, from := m.replica(), m.replica()
+	f := m.fetches[from]
+	before := m.replicas[i]
+	next, advanced := before.Advance(f.head, f.parts)
+	if next.Revision < before.Revision || advanced != (next != before) {
+		m.t.Fatalf("replica goes from %d to %d, advanced %v", before.Revision, next.Revision, advanced)
+	}
+	m.replicas[i] = next
+}
+
+// handOver offers the state of one replica to another one.
+func (m *machine) handOver() {
+	from, to := m.replica(), m.replica()
+	m.replicas[to], _ = m.replicas[to].Advance(m.replicas[from].Head(), m.replicas[from].Parts)
+}
+
+func (m *machine) check() {
+	for _, s := range m.replicas {
+		assert.DeepEqual(m.t, s, m.history[s.Revision])
+	}
+}
+
+// Guards against lost updates, changes that are applied twice, and replicas
+// that go back or hold parts of different revisions, whatever the order of
+// reads, writes, repeats and restarts.
+func TestStateMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		steps := map[string]func(){
+			"edit": m.edit, "repeat": m.repeat, "commit": m.commit, "fetch head": m.fetchHead,
+			"fetch part": m.fetchPart, "advance": m.advance, "hand over": m.handOver,
+			"restart": func() { m.replicas[m.replica()] = &State{Parts: map[string]Part{}} },
+			"accept":  func() { m.handOverAll(); m.edit(); m.commit() },
+		}
+		names := []string{"edit", "repeat", "commit", "commit", "fetch head", "fetch part", "fetch part", "advance", "hand over", "restart", "accept", "accept"}
+		for range rapid.IntRange(20, 200).Draw(t, "steps") {
+			steps[rapid.SampledFrom(names).Draw(t, "step")]()
+			m.check()
+		}
+	})
+}
+
+// handOverAll brings one replica to the newest state, so that an edit from it
+// is accepted.
+func (m *machine) handOverAll() {
+	i := m.replica()
+	m.replicas[i], _ = m.replicas[i].Advance(m.head, m.parts)
+}
+
+// Guards against a change that names a part twice, of which all but the last
+// update would be lost, and against one that no repeat can be recognised by.
+func TestMalformedChange(t *testing.T) {
+	twice := Change{ID: "c", Updates: []Update{{Part: "a", Data: []byte("1")}, {Part: "a", Data: []byte("2")}}}
+	for _, c := range []Change{twice, {ID: "c"}, {Updates: []Update{{Part: "a"}}}} {
+		assert.Equal(t, Propose(Head{}, nil, c).Verdict, Malformed)
+	}
+}
