Keep a change in doubt until the replica has it

Ruled out: doubt for the whole change from its first read. A slow platform would then stop keyed work on all hosts whenever an operator submits.

Change: doubt is stated just before a transaction is sent and ends when the replica has all that the platform had at a later read, or the change itself. Updates are decoded before they are committed. The replica takes revision zero from the platform only. The follow duty reads again when a commit came between, and at once when its turn begins.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -63,6 +63,9 @@
 	ReasonBudget            Reason = "availability-budget"
 	ReasonStaleHostList     Reason = "stale-host-list"
 	ReasonMemberUnconfirmed Reason = "member-unconfirmed"
+	ReasonMemberSuperseded  Reason = "member-superseded"
+	ReasonHoldTermOver      Reason = "hold-term-over"
+	ReasonPeerUnreachable   Reason = "peer-unreachable"
 	ReasonInternal          Reason = "internal"
 )
 
--- a/services/peers.go
+++ b/services/peers.go
@@ -1,6 +1,9 @@
 package services
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // PeerStatus is what this host last heard of another entry host.
 type PeerStatus struct {
@@ -35,3 +38,43 @@
 
 // Clock is the source of time for services; tests pass a virtual one.
 type Clock func() time.Time
+
+// Listing is a read of the members' rows.
+type Listing struct {
+	Members []Identity
+	// AsOf is the start of the read on this host's clock; zero before the
+	// first one.
+	AsOf time.Time
+	// SelfListed is set when the own row was in force before the read and
+	// still is.
+	SelfListed bool
+	// Term counts how often the own row went out of force. Others may have
+	// admitted members without this host's confirmation in between.
+	Term int
+}
+
+// PeerMembership is how the peers service and membership tell each other
+// about members. It is implemented by the service NameMembership.
+type PeerMembership interface {
+	Listing() Listing
+	// Ended returns the members that operators stated to have ended.
+	Ended() []Identity
+	// ReceiveConfirmation records that a member named this host in the
+	// answer to a question asked at askedAt.
+	ReceiveConfirmation(member Identity, askedAt time.Time)
+	// ReceiveMembers replaces the members that peers know.
+	ReceiveMembers(members []Identity)
+	// ListTurn sets whether this host reads the members' rows of all.
+	ListTurn(turn bool)
+	// AcceptNoMore ends this host's right to accept changes for good.
+	AcceptNoMore()
+}
+
+// MemberControl is how operators state that a host has ended. It is
+// implemented by the service NameMembership.
+type MemberControl interface {
+	// StateEnded leaves the member out at once, also during an outage of the
+	// platform. The operator answers for the member having ended and for the
+	// changes that it may have accepted last.
+	StateEnded(ctx context.Context, member Identity) error
+}
--- a/services/state.go
+++ b/services/state.go
@@ -58,11 +58,19 @@
 	// Head returns the head of the applied state and whether a change of
 	// this host is in doubt.
 	Head() (head revision.Head, inDoubt bool)
+	// Replica returns the applied state; nil before the first one.
+	Replica() *revision.State
+	// OwnRevision returns the revision of the latest change that this host
+	// committed; zero when there was none.
+	OwnRevision() uint64
 	// ReceiveParts offers a newer head and parts that came from a peer.
 	ReceiveParts(head revision.Head, parts []revision.Part)
-	// ReceiveProof offers a time as of which all members had a revision at
-	// or below revision and no change in doubt.
+	// ReceiveProof offers a time as of which no change above revision had
+	// been acknowledged.
 	ReceiveProof(revision uint64, asOf time.Time)
+	// PlatformRead returns the revision of the latest read of the head by
+	// this host and the start of that read; zero when there was none.
+	PlatformRead() (revision uint64, asOf time.Time)
 	// PlatformReadTurn sets whether this host reads the head in this zone.
 	PlatformReadTurn(turn bool)
 }
--- a/services/statesync/commit.go
+++ b/services/statesync/commit.go
@@ -57,31 +57,41 @@
 }
 
 func (s *Service) commit(ctx context.Context, req commitRequest) (services.ChangeResult, error) {
-	if err := s.membership.MayAcceptChanges(); err != nil {
+	if err := checkUpdates(req.change); err != nil {
 		return services.ChangeResult{}, err
 	}
 	for range maxCommitTries {
-		if req.ctx.Err() != nil {
-			return services.ChangeResult{}, fault.New(&fault.NotRun, fault.ReasonDeadline, "change state", "platform", "%w", req.ctx.Err())
-		}
-		result, again, err := s.tryCommit(ctx, req.change)
+		result, again, err := s.tryCommit(ctx, req)
 		if !again {
 			return result, err
 		}
+		s.metrics.Retried("change state", fault.ReasonConflict)
+	}
+	// The last try may have left the outcome open.
+	if _, _, err := s.propose(ctx, req); err != nil {
+		return services.ChangeResult{}, err
 	}
 	return services.ChangeResult{}, fault.New(&fault.NotRun, fault.ReasonConflict, "change state", "platform", "%d tries met other changes", maxCommitTries)
 }
 
 // tryCommit makes one try. again is set when another change came between the
-// read and the write.
-func (s *Service) tryCommit(ctx context.Context, c revision.Change) (result services.ChangeResult, again bool, err error) {
-	proposal, version, err := s.propose(ctx, c)
+// read and the write, or when only a new read can tell what became of a
+// transaction whose reply was lost.
+func (s *Service) tryCommit(ctx context.Context, req commitRequest) (result services.ChangeResult, again bool, err error) {
+	proposal, version, err := s.propose(ctx, req)
 	if err != nil {
 		return services.ChangeResult{}, false, err
 	}
 	switch proposal.Verdict {
 	case revision.Repeated:
+		// Peers take this host's revision as proof, so it must have the
+		// change before the operator is told that it was accepted.
+		if err := s.reach(req.ctx, proposal.Revision); err != nil {
+			return services.ChangeResult{}, false, err
+		}
 		return services.ChangeResult{Revision: proposal.Revision, Repeated: true}, false, nil
+	case revision.Malformed:
+		return services.ChangeResult{}, false, fault.New(&fault.Invalid, fault.ReasonMalformed, "change state", req.change.ID, "a change needs an identifier and one update for each of its parts")
 	case revision.Conflict:
 		return services.ChangeResult{}, false, fault.New(&fault.NotRun, fault.ReasonConflict, "change state", proposal.ConflictPart,
 			"the part is at revision %d", proposal.ConflictRevision)
@@ -90,91 +100,138 @@
 	if err != nil {
 		return services.ChangeResult{}, false, err
 	}
-	// From before the first byte is sent until the outcome is known and
-	// applied, this host reports a change in doubt, so that no peer takes its
-	// statement as proof.
+	return s.send(ctx, req, proposal, tx)
+}
+
+// send commits an accepted proposal. From before the first byte is sent until
+// the outcome is known and applied here, this host reports a change in doubt,
+// so that no peer takes its statement as proof. The right to accept changes is
+// checked after the doubt is set: a host that gives the right up and then sees
+// no doubt has sent its last change.
+func (s *Service) send(ctx context.Context, req commitRequest, proposal revision.Proposal, tx services.Transaction) (services.ChangeResult, bool, error) {
 	s.inDoubt.Store(true)
-	defer s.inDoubt.Store(false)
-	committed, err := s.commitCertainly(ctx, tx)
+	if err := s.mayStillSend(req); err != nil {
+		s.inDoubt.Store(false)
+		return services.ChangeResult{}, false, err
+	}
+	committed, lost, err := s.commitCertainly(ctx, tx)
 	if err != nil {
+		s.inDoubt.Store(!fault.IsNotRun(err))
 		return services.ChangeResult{}, false, err
 	}
 	if !committed {
+		s.inDoubt.Store(lost)
 		return services.ChangeResult{}, true, nil
 	}
-	s.applyOwn(ctx, proposal)
+	s.ownRevision.Store(proposal.Revision)
+	s.offer(ctx, advance{head: proposal.Head, parts: byName(proposal.Parts)})
+	if err := s.reach(ctx, proposal.Revision); err != nil {
+		return services.ChangeResult{}, false, err
+	}
+	s.inDoubt.Store(false)
 	return services.ChangeResult{Revision: proposal.Revision}, false, nil
 }
 
-func (s *Service) propose(ctx context.Context, c revision.Change) (revision.Proposal, uint64, error) {
+func (s *Service) mayStillSend(req commitRequest) error {
+	if req.ctx.Err() != nil {
+		return fault.New(&fault.NotRun, fault.ReasonDeadline, "change state", "platform", "%w", req.ctx.Err())
+	}
+	return s.membership.MayAcceptChanges()
+}
+
+// propose decides the change against the state at the platform. While an
+// earlier try is in doubt it reads until it succeeds, and ends the doubt once
+// the replica has all that was committed up to the read: a later head can no
+// longer meet the condition of the earlier try.
+func (s *Service) propose(ctx context.Context, req commitRequest) (revision.Proposal, uint64, error) {
+	for {
+		h, parts, err := s.readForChange(ctx, req.change)
+		if err == nil && s.inDoubt.Load() {
+			err = s.reach(ctx, h.head.Revision)
+		}
+		if err == nil {
+			s.inDoubt.Store(false)
+			return revision.Propose(h.head, parts, req.change), h.version, nil
+		}
+		if !s.inDoubt.Load() {
+			return revision.Proposal{}, 0, err
+		}
+		s.metrics.Retried("resolve change", fault.ReasonOf(err))
+		if !pause(ctx) {
+			return revision.Proposal{}, 0, fault.New(&fault.Unknown, fault.ReasonDraining, "resolve change", "platform", "submit change %s again to learn its outcome", req.change.ID)
+		}
+	}
+}
+
+func (s *Service) readForChange(ctx context.Context, c revision.Change) (headRow, map[string]revision.Part, error) {
 	h, err := s.readHead(ctx)
 	if err != nil {
-		return revision.Proposal{}, 0, err
+		return headRow{}, nil, err
 	}
 	names := make([]string, len(c.Updates))
 	for i, u := range c.Updates {
 		names[i] = u.Part
 	}
 	parts, err := s.readParts(ctx, names)
-	if err != nil {
-		return revision.Proposal{}, 0, err
-	}
-	return revision.Propose(h.head, parts, c), h.version, nil
+	return h, parts, err
 }
 
 // commitCertainly commits tx and, when the reply is lost, submits it again
-// until the outcome is known. Submitting again is safe: every transaction is
-// conditional on the head's version, so it takes effect at most once. If it
-// did take effect, the second submission fails its condition and tryCommit
-// finds the change among the part's changes on its next try.
-func (s *Service) commitCertainly(ctx context.Context, tx services.Transaction) (bool, error) {
-	sentBefore := false
+// until there is one. Submitting again is safe: every transaction is
+// conditional on the head's version, so it takes effect at most once. lost
+// tells that a submission before the answered one may have taken effect.
+func (s *Service) commitCertainly(ctx context.Context, tx services.Transaction) (committed, lost bool, err error) {
 	for {
 		result, err := s.table.Commit(ctx, tx)
 		if err == nil {
-			return result.Committed, nil
+			return result.Committed, lost, nil
 		}
-		if fault.IsNotRun(err) && !sentBefore {
-			return false, err
+		if fault.IsNotRun(err) && !lost {
+			return false, false, err
 		}
-		sentBefore = true
-		select {
-		case <-ctx.Done():
-			return false, err
-		case <-time.After(resolvePeriod):
+		lost = true
+		s.metrics.Retried("commit change", fault.ReasonOf(err))
+		if !pause(ctx) {
+			return false, true, fault.New(&fault.Unknown, fault.ReasonOf(err), "commit change", "platform", "%w", err)
 		}
 	}
 }
 
-// applyOwn applies a change that this host committed, and returns once the
-// replica has it. The replica may lack changes of other hosts that came
-// before; it then reads them, for as long as that takes.
-func (s *Service) applyOwn(ctx context.Context, p revision.Proposal) {
-	parts := byName(p.Parts)
-	for ctx.Err() == nil {
-		if s.offer(ctx, p.Head, parts); s.revision() >= p.Revision {
-			return
-		}
+// reach returns once the replica is at or above a revision that the platform
+// has. The replica may lack changes of other hosts that came before; they are
+// read, for as long as that takes.
+func (s *Service) reach(ctx context.Context, revision uint64) error {
+	for s.revision() < revision || s.View() == nil {
 		head, fetched, err := s.readNewer(ctx)
 		if err == nil {
-			s.offer(ctx, head, fetched)
+			s.offer(ctx, advance{head: head, parts: fetched, fromPlatform: true})
 		}
-		if s.revision() >= p.Revision {
-			return
+		if s.revision() >= revision && s.View() != nil {
+			return nil
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(resolvePeriod):
+		if !pause(ctx) {
+			return fault.New(&fault.Unknown, fault.ReasonDeadline, "apply change", "platform", "revision %d is accepted and not yet in force here", revision)
 		}
 	}
+	return nil
+}
+
+// pause waits before a retry and reports whether ctx is still in force.
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(resolvePeriod):
+		return true
+	}
 }
 
 // offer hands a head and parts to the replica duty and waits until it has
 // looked at them.
-func (s *Service) offer(ctx context.Context, head revision.Head, parts map[string]revision.Part) {
-	done := ring.Reply[struct{}]()
-	if s.replica.Put(ctx, advance{head: head, parts: parts, done: done}) == nil {
-		done.Take(ctx)
+func (s *Service) offer(ctx context.Context, a advance) {
+	a.done = ring.Reply[struct{}]()
+	if s.replica.Put(ctx, a) == nil {
+		a.done.Take(ctx)
 	}
 }
 
--- a/services/statesync/replica.go
+++ b/services/statesync/replica.go
@@ -9,6 +9,7 @@
 	"fuchsiafront.example/fuchsiafront/decision/budget"
 	"fuchsiafront.example/fuchsiafront/decision/document"
 	"fuchsiafront.example/fuchsiafront/decision/revision"
+	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
 	"fuchsiafront.example/fuchsiafront/wire/yamldoc"
@@ -21,7 +22,10 @@
 type advance struct {
 	head  revision.Head
 	parts map[string]revision.Part
-	done  *ring.Ring[struct{}]
+	// fromPlatform is set for a read of the platform. Only that can tell
+	// that there is no state yet; a peer at revision zero may have lost it.
+	fromPlatform bool
+	done         *ring.Ring[struct{}]
 }
 
 // proof states that no revision above revision was accepted by asOf.
@@ -56,7 +60,7 @@
 		defer m.done.Offer(struct{}{})
 	}
 	next, advanced := state.Advance(m.head, m.parts)
-	firstEmpty := m.head.Revision == 0 && s.view.Load() == nil
+	firstEmpty := m.fromPlatform && m.head.Revision == 0 && s.view.Load() == nil
 	if !advanced && !firstEmpty {
 		return state
 	}
@@ -101,8 +105,11 @@
 	return v, nil
 }
 
+// decodePart adds a part to v. Empty data stands for a deleted part.
 func decodePart(v, previous *services.View, part revision.Part) error {
 	switch {
+	case len(part.Data) == 0:
+		return nil
 	case part.Name == services.PartLedger:
 		return json.Unmarshal(part.Data, v.Ledger)
 	case strings.HasPrefix(part.Name, services.PartHostsPrefix):
@@ -113,12 +120,25 @@
 	return nil
 }
 
+// checkUpdates refuses a change whose parts no replica could decode: the
+// replicas would keep their revision, and every later change would be lost on
+// them.
+func checkUpdates(c revision.Change) error {
+	scratch := &services.View{
+		Document:    &document.Document{Sections: map[string]document.Section{}},
+		Assignments: budget.Assignments{},
+		Ledger:      &budget.Ledger{},
+	}
+	for _, u := range c.Updates {
+		if err := decodePart(scratch, nil, revision.Part{Name: u.Part, Data: u.Data}); err != nil {
+			return fault.New(&fault.Invalid, fault.ReasonMalformed, "change state", u.Part, "%w", err)
+		}
+	}
+	return nil
+}
+
 // decodeSection reuses the section of the previous view when it is unchanged.
-// Empty data stands for a deleted section.
 func decodeSection(v, previous *services.View, part revision.Part) error {
-	if len(part.Data) == 0 {
-		return nil
-	}
 	name := strings.TrimPrefix(part.Name, services.PartSectionPrefix)
 	if previous != nil && previous.State.Parts[part.Name].Revision == part.Revision {
 		v.Document.Sections[name] = previous.Document.Sections[name]
--- a/services/statesync/rows.go
+++ b/services/statesync/rows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/revision"
 	"fuchsiafront.example/fuchsiafront/fault"
@@ -20,7 +21,18 @@
 	version uint64
 }
 
+// readHead reads the head and keeps it as the latest read that proves the
+// replica current.
 func (s *Service) readHead(ctx context.Context) (headRow, error) {
+	started := s.clock()
+	h, err := s.fetchHead(ctx)
+	if err == nil {
+		s.keepRead(platformRead{h.head.Revision, started})
+	}
+	return h, err
+}
+
+func (s *Service) fetchHead(ctx context.Context) (headRow, error) {
 	rows, err := s.table.Get(ctx, headKey)
 	if err != nil {
 		return headRow{}, err
@@ -61,6 +73,20 @@
 	return parts, nil
 }
 
+// keepRead replaces the latest read by a later one. The follow and the commit
+// duty both read.
+func (s *Service) keepRead(read platformRead) {
+	for {
+		old := s.latestRead.Load()
+		if old != nil && !read.asOf.After(old.asOf) {
+			return
+		}
+		if s.latestRead.CompareAndSwap(old, &read) {
+			return
+		}
+	}
+}
+
 // readNewer reads the head and, when it is newer than the replica, the parts
 // that differ. Parts are read after the head, so one of them may be newer
 // than the head says; the replica then keeps its state until the next read.
@@ -80,6 +106,12 @@
 	return h.head, parts, err
 }
 
+// platformRead is a read of the head that started at asOf.
+type platformRead struct {
+	revision uint64
+	asOf     time.Time
+}
+
 func encodeProposal(version uint64, p revision.Proposal) (services.Transaction, error) {
 	head, err := json.Marshal(p.Head)
 	if err != nil {
--- a/services/statesync/statesync.go
+++ b/services/statesync/statesync.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"fuchsiafront.example/fuchsiafront/decision/revision"
+	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -27,6 +28,7 @@
 	// followPeriod is the time between two reads of the head by the reader
 	// of a zone.
 	followPeriod = time.Second
+	followTries  = 3
 )
 
 // Service implements services.State and services.PeerState.
@@ -36,17 +38,23 @@
 
 	table      services.Table
 	membership services.Membership
+	metrics    services.Metrics
 
 	replica *ring.Ring[replicaMessage]
 	commits *ring.Ring[commitRequest]
+	// turns wakes the follow duty when this host's turn to read begins.
+	turns   *ring.Ring[struct{}]
 	watches []*ring.Ring[*services.View]
 
 	// The replica duty publishes these; every other goroutine only reads.
 	view    atomic.Pointer[services.View]
 	current atomic.Pointer[time.Time]
 
-	readTurn atomic.Bool
-	inDoubt  atomic.Bool
+	latestRead atomic.Pointer[platformRead]
+
+	readTurn    atomic.Bool
+	ownRevision atomic.Uint64
+	inDoubt     atomic.Bool
 }
 
 // New returns the service. clock must be monotonic.
@@ -64,8 +72,12 @@
 	if s.membership, err = kernel.Lookup[services.Membership](c, services.NameMembership); err != nil {
 		return err
 	}
+	if s.metrics, err = kernel.Lookup[services.Metrics](c, services.NameMetrics); err != nil {
+		return err
+	}
 	s.replica = ring.New[replicaMessage]("statesync.replica", replicaCapacity, c.Scope)
 	s.commits = ring.New[commitRequest]("statesync.commit", commitCapacity, c.Scope)
+	s.turns = ring.New[struct{}]("statesync.follow", 1, c.Scope)
 	s.readTurn.Store(true)
 	c.Duty("statesync.replica", s.runReplica)
 	c.Duty("statesync.follow", s.runFollow)
@@ -102,12 +114,37 @@
 	return revision.Head{}, doubt
 }
 
+// Replica implements services.PeerState.
+func (s *Service) Replica() *revision.State {
+	if v := s.view.Load(); v != nil {
+		return v.State
+	}
+	return nil
+}
+
+// OwnRevision implements services.PeerState.
+func (s *Service) OwnRevision() uint64 { return s.ownRevision.Load() }
+
+// PlatformRead implements services.PeerState.
+func (s *Service) PlatformRead() (uint64, time.Time) {
+	if r := s.latestRead.Load(); r != nil {
+		return r.revision, r.asOf
+	}
+	return 0, time.Time{}
+}
+
 // PlatformReadTurn implements services.PeerState.
-func (s *Service) PlatformReadTurn(turn bool) { s.readTurn.Store(turn) }
+func (s *Service) PlatformReadTurn(turn bool) {
+	if had := s.readTurn.Swap(turn); turn && !had {
+		s.turns.OfferLatest(struct{}{})
+	}
+}
 
 // ReceiveParts implements services.PeerState.
 func (s *Service) ReceiveParts(head revision.Head, parts []revision.Part) {
-	s.replica.Offer(advance{head: head, parts: byName(parts)})
+	if !s.replica.Offer(advance{head: head, parts: byName(parts)}) {
+		s.metrics.Refused("receive parts", fault.ReasonRingFull)
+	}
 }
 
 // ReceiveProof implements services.PeerState.
@@ -135,18 +172,27 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-s.turns.C():
 		case <-ticker.C:
 		}
 	}
 }
 
+// follow reads the head and what changed. When another change came between
+// the reads of head and parts it reads again, at most followTries times.
 func (s *Service) follow(ctx context.Context) {
-	started := s.clock()
-	head, parts, err := s.readNewer(ctx)
-	if err != nil {
-		s.log.Debug().Err(err).Msg("state head not read")
-		return
+	for range followTries {
+		started := s.clock()
+		head, parts, err := s.readNewer(ctx)
+		if err != nil {
+			s.metrics.Retried("read state head", fault.ReasonOf(err))
+			s.log.Debug().Err(err).Msg("state head not read")
+			return
+		}
+		s.offer(ctx, advance{head: head, parts: parts, fromPlatform: true})
+		s.ReceiveProof(head.Revision, started)
+		if s.revision() >= head.Revision {
+			return
+		}
 	}
-	s.offer(ctx, head, parts)
-	s.ReceiveProof(head.Revision, started)
 }
--- a/services/work.go
+++ b/services/work.go
@@ -25,15 +25,12 @@
 	// reason when they may not (hold term over, or paused and not yet
 	// confirmed).
 	MayUseRights(now time.Time) error
-	// MayAcceptChanges reports whether every listed member has confirmed
-	// this one.
+	// MayAcceptChanges returns nil while this host may accept changes: its
+	// row is in force and every listed member has confirmed it or ended.
 	MayAcceptChanges() error
-	// Members returns the identities listed at the platform when last read.
+	// Members returns this host and the members that it knows, from the
+	// platform and from peers.
 	Members() []Identity
-	// ReceiveConfirmation records that a member knows this host.
-	ReceiveConfirmation(member Identity)
-	// ReceiveMembers records members that a peer named.
-	ReceiveMembers(members []Identity)
 }
 
 // Request is one caller's request on its way to a backend server. Body is not
