--- a/cmd/fuchsiastandin/demo.go
+++ b/cmd/fuchsiastandin/demo.go
@@ -24,6 +24,11 @@
 	"fuchsiafront.example/fuchsiafront/wire/yamldoc"
 )
 
+const (
+	readyTimeout = 15 * time.Second
+	readyPeriod  = 200 * time.Millisecond
+)
+
 type demoSettings struct {
 	Verbose bool `arg:"--verbose" help:"show the logs of all services"`
 }
@@ -81,7 +86,7 @@
 		BootstrapKey:  stored.ID + ":" + stored.Salt + ":" + stored.Hash,
 		MaxEntryHosts: 8, MaxBodyBytes: 1 << 20,
 		DefaultTimeout: 10 * time.Second, MaxTimeout: time.Minute,
-		KeyCurrency: 3 * time.Second, DrainTimeout: 10 * time.Second,
+		KeyCurrency: 3 * time.Second, HoldTerm: 75 * time.Minute, DrainTimeout: 10 * time.Second,
 	}
 	if err := settings.Validate(); err != nil {
 		return nil, err
@@ -112,7 +117,7 @@
 	admin := fuchsiafrontv1connect.NewAdminServiceClient(http.DefaultClient, "http://"+demoHosts[0].admin)
 	apply := connect.NewRequest(&wirev1.ApplyRequest{ChangeId: "demo-1", Changes: []*wirev1.SectionChange{{Name: "sales", Yaml: string(text)}}})
 	apply.Header().Set("Authorization", "Bearer "+operator.Format())
-	resp, err := admin.Apply(ctx, apply)
+	resp, err := applyOnceReady(ctx, admin, apply)
 	if err != nil {
 		return err
 	}
@@ -127,6 +132,24 @@
 	return demoRequest(ctx, demoHosts[0], "ff.sales.k1.wrong", `{"echo":"not for sale"}`)
 }
 
+// applyOnceReady repeats a change until the entry host has the state and is
+// confirmed by the others, for readyTimeout at most.
+func applyOnceReady(ctx context.Context, admin fuchsiafrontv1connect.AdminServiceClient, apply *connect.Request[wirev1.ApplyRequest]) (*connect.Response[wirev1.ApplyResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		resp, err := admin.Apply(ctx, apply)
+		if connect.CodeOf(err) != connect.CodeUnavailable {
+			return resp, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(readyPeriod):
+		}
+	}
+}
+
 func demoRequest(ctx context.Context, h demoHost, key, body string) error {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.callers+"/v1/queues/quotes/requests", bytes.NewBufferString(body))
 	if err != nil {
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -1,6 +1,7 @@
 package entryhost
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -17,6 +18,7 @@
 	"fuchsiafront.example/fuchsiafront/services/hosts"
 	"fuchsiafront.example/fuchsiafront/services/membership"
 	"fuchsiafront.example/fuchsiafront/services/metrics"
+	"fuchsiafront.example/fuchsiafront/services/peers"
 	"fuchsiafront.example/fuchsiafront/services/platform"
 	"fuchsiafront.example/fuchsiafront/services/statesync"
 )
@@ -32,8 +34,9 @@
 	k.Register(services.NameMetrics, measured)
 	k.Register(services.NamePlatform, platform.New(platform.Settings{URL: s.Platform, SourceIP: s.SourceIP}))
 	k.Register(services.NameHosts, hosts.New(clock))
-	k.Register(services.NameMembership, membership.New(s.identity(clock())))
+	k.Register(services.NameMembership, membership.New(s.identity(clock()), membership.Settings{HoldTerm: s.HoldTerm}, clock))
 	k.Register(services.NameState, statesync.New(clock))
+	k.Register(services.NamePeers, peers.New(s.peers(), clock))
 	k.Register(services.NameBackend, backend.New(backend.Settings{MaxEntryHosts: s.MaxEntryHosts, SourceIP: s.SourceIP}, clock))
 	k.Register(services.NameDispatch, dispatch.New(clock))
 	k.Register(services.NameAdmin, admin.New(s.admin()))
@@ -52,6 +55,15 @@
 	}
 }
 
+func (s *Settings) peers() peers.Settings {
+	return peers.Settings{
+		Address:  s.PeerAddress,
+		SourceIP: s.SourceIP,
+		Seeds:    s.Peers,
+		Random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
 func (s *Settings) admin() admin.Settings {
 	bootstrap := document.Operator{}
 	if s.BootstrapKey != "" {
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -20,6 +20,7 @@
 	CallerAddress  string        `arg:"--caller-address,env:FUCHSIAFRONT_CALLER_ADDRESS" default:"127.0.0.1:8080" help:"IP:port for callers" placeholder:"IP:PORT"`
 	AdminAddress   string        `arg:"--admin-address,env:FUCHSIAFRONT_ADMIN_ADDRESS" default:"127.0.0.1:8081" help:"IP:port for operators, health and metrics" placeholder:"IP:PORT"`
 	PeerAddress    string        `arg:"--peer-address,env:FUCHSIAFRONT_PEER_ADDRESS" default:"127.0.0.1:8082" help:"IP:port for other entry hosts" placeholder:"IP:PORT"`
+	Peers          []string      `arg:"--peers,env:FUCHSIAFRONT_PEERS" help:"IP:port of other entry hosts to ask at a start, also while the platform is down" placeholder:"IP:PORT"`
 	SourceIP       string        `arg:"--source-ip,env:FUCHSIAFRONT_SOURCE_IP" help:"IP that outgoing connections start from" placeholder:"IP"`
 	Platform       string        `arg:"--platform,env:FUCHSIAFRONT_PLATFORM" help:"URL of the platform, http://IP:port" placeholder:"URL"`
 	BootstrapKey   string        `arg:"--bootstrap-key,env:FUCHSIAFRONT_BOOTSTRAP_KEY" help:"stored form ID:SALT:HASH of the operator key that is accepted while the document declares no operators" placeholder:"KEY"`
@@ -28,6 +29,7 @@
 	DefaultTimeout time.Duration `arg:"--default-timeout,env:FUCHSIAFRONT_DEFAULT_TIMEOUT" default:"30s" help:"timeout of requests that name none" placeholder:"DURATION"`
 	MaxTimeout     time.Duration `arg:"--max-timeout,env:FUCHSIAFRONT_MAX_TIMEOUT" default:"2m" help:"longest timeout that a request may name" placeholder:"DURATION"`
 	KeyCurrency    time.Duration `arg:"--key-currency,env:FUCHSIAFRONT_KEY_CURRENCY" default:"3s" help:"longest time without proof that keys are current" placeholder:"DURATION"`
+	HoldTerm       time.Duration `arg:"--hold-term,env:FUCHSIAFRONT_HOLD_TERM" default:"75m" help:"time since the last confirmed renewal of the member row for which rights may be used" placeholder:"DURATION"`
 	ReadinessDelay time.Duration `arg:"--readiness-delay,env:FUCHSIAFRONT_READINESS_DELAY" default:"3s" help:"time between reporting not-ready and refusing new connections at a stop" placeholder:"DURATION"`
 	DrainTimeout   time.Duration `arg:"--drain-timeout,env:FUCHSIAFRONT_DRAIN_TIMEOUT" default:"2m30s" help:"longest time that a stop waits for work under way" placeholder:"DURATION"`
 	LogLevel       string        `arg:"--log-level,env:FUCHSIAFRONT_LOG_LEVEL" default:"info" help:"trace, debug, info, warn or error" placeholder:"LEVEL"`
@@ -76,6 +78,11 @@
 			reject(a.flag, a.value, "IP:port")
 		}
 	}
+	for _, peer := range s.Peers {
+		if _, err := netip.ParseAddrPort(peer); err != nil {
+			reject("--peers", peer, "IP:port")
+		}
+	}
 	if s.SourceIP != "" {
 		if _, err := netip.ParseAddr(s.SourceIP); err != nil {
 			reject("--source-ip", s.SourceIP, "an IP address")
@@ -100,6 +107,7 @@
 		{"--default-timeout", s.DefaultTimeout, time.Millisecond, s.MaxTimeout},
 		{"--max-timeout", s.MaxTimeout, time.Millisecond, time.Hour},
 		{"--key-currency", s.KeyCurrency, time.Second, time.Minute},
+		{"--hold-term", s.HoldTerm, time.Minute, 24 * time.Hour},
 		{"--readiness-delay", s.ReadinessDelay, 0, time.Minute},
 		{"--drain-timeout", s.DrainTimeout, time.Second, 24 * time.Hour},
 	}
--- a/services/membership/membership.go
+++ b/services/membership/membership.go
@@ -1,36 +1,89 @@
 // Package membership keeps this entry host's row among the members at the
-// platform.
+// platform, and decides whether this process may use rights and accept
+// changes.
 package membership
 
 import (
 	"context"
-	"encoding/json"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"fuchsiafront.example/fuchsiafront/decision/currency"
+	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
 )
 
 const (
-	rowPrefix   = "member/"
 	renewPeriod = 10 * time.Second
-	scanLimit   = 500
+	// retryPeriod is the time between two tries while the row is not
+	// confirmed.
+	retryPeriod = time.Second
+	// tickPeriod is the time between two ticks of the own clock; a gap of
+	// more than pauseBound means that the process was paused.
+	tickPeriod    = 200 * time.Millisecond
+	pauseBound    = time.Second
+	messageBuffer = 16
 )
 
-// Service implements services.Membership.
+// Settings of the service.
+type Settings struct {
+	// HoldTerm is how long after the start of the last confirmed renewal
+	// this process may use rights and accept changes.
+	HoldTerm time.Duration
+}
+
+// Service implements services.Membership, services.PeerMembership and
+// services.MemberControl.
 type Service struct {
-	self  services.Identity
-	log   zerolog.Logger
-	table services.Table
+	self     services.Identity
+	settings Settings
+	clock    services.Clock
+	log      zerolog.Logger
+	table    services.Table
+	metrics  services.Metrics
+	messages *ring.Ring[message]
+
+	// The renew duty publishes these; other goroutines only read them.
+	lease   atomic.Pointer[lease]
+	listing atomic.Pointer[services.Listing]
+	learned atomic.Pointer[[]services.Identity]
+	ended   atomic.Pointer[[]services.Identity]
+
+	ticked atomic.Pointer[time.Time]
+	// pausedAt is the time at which a pause was noticed; nil when the row
+	// was confirmed since.
+	pausedAt     atomic.Pointer[time.Time]
+	acceptNoMore atomic.Bool
+	listTurn     atomic.Bool
+}
 
-	members atomic.Pointer[[]services.Identity]
+// lease is the standing of this process as of its last renewal.
+type lease struct {
+	// confirmedAt is the start of the last confirmed renewal; zero before
+	// the first one.
+	confirmedAt time.Time
+	// superseded is set for good once the row belongs to a later process or
+	// was removed by an operator.
+	superseded bool
+	admitted   bool
+	waiting    int
+	// term counts how often the hold term ended.
+	term int
 }
 
-// New returns the service for the entry host self.
-func New(self services.Identity) *Service { return &Service{self: self} }
+// New returns the service for the entry host self. clock must be monotonic.
+func New(self services.Identity, settings Settings, clock services.Clock) *Service {
+	s := &Service{self: self, settings: settings, clock: clock}
+	s.lease.Store(&lease{})
+	s.listing.Store(&services.Listing{})
+	s.ended.Store(&[]services.Identity{})
+	s.listTurn.Store(true)
+	return s
+}
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(c *kernel.Context) error {
@@ -39,17 +92,36 @@
 	if s.table, err = kernel.Lookup[services.Table](c, services.NamePlatform); err != nil {
 		return err
 	}
-	c.Duty("membership.renew", s.runRenew)
+	if s.metrics, err = kernel.Lookup[services.Metrics](c, services.NameMetrics); err != nil {
+		return err
+	}
+	s.messages = ring.New[message]("membership", messageBuffer, c.Scope)
+	c.Duty("membership.tick", s.runTick)
+	c.Duty("membership.renew", func(ctx context.Context) { newRenewer(s).run(ctx) })
 	return nil
 }
 
-func (s *Service) runRenew(ctx context.Context) {
-	ticker := time.NewTicker(renewPeriod)
+// Drain deletes the own row. Services that depend on this one have then ended
+// their work.
+func (s *Service) Drain(ctx context.Context) error {
+	s.AcceptNoMore()
+	done := ring.Reply[error]()
+	if err := s.messages.Put(ctx, leave{done}); err != nil {
+		return err
+	}
+	failed, err := done.Take(ctx)
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// runTick records that this process runs.
+func (s *Service) runTick(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
 	for {
-		if err := s.renew(ctx); err != nil {
-			s.log.Warn().Err(err).Msg("member row not renewed")
-		}
+		s.tick(s.clock())
 		select {
 		case <-ctx.Done():
 			return
@@ -58,50 +130,100 @@
 	}
 }
 
-func (s *Service) renew(ctx context.Context) error {
-	value, err := json.Marshal(s.self)
-	if err != nil {
-		return err
-	}
-	tx := services.Transaction{Writes: []services.Write{{Key: rowPrefix + s.self.Name, Value: value}}}
-	if _, err := s.table.Commit(ctx, tx); err != nil {
-		return err
+func (s *Service) tick(now time.Time) {
+	if s.gap(now) {
+		s.pausedAt.Store(&now)
+		s.log.Warn().Msg("the process was paused; it confirms its member row before it uses rights")
+		s.messages.Offer(renewNow{})
 	}
-	rows, _, err := s.table.Scan(ctx, rowPrefix, "", scanLimit)
-	if err != nil {
-		return err
-	}
-	members := make([]services.Identity, 0, len(rows))
-	for _, row := range rows {
-		var m services.Identity
-		if err := json.Unmarshal(row.Value, &m); err != nil {
-			return err
-		}
-		members = append(members, m)
-	}
-	s.members.Store(&members)
-	return nil
+	s.ticked.Store(&now)
+}
+
+// gap reports whether more than the pause bound passed since the last tick.
+func (s *Service) gap(now time.Time) bool {
+	last := s.ticked.Load()
+	return last != nil && now.Sub(*last) > pauseBound
 }
 
 // Self implements services.Membership.
 func (s *Service) Self() services.Identity { return s.self }
 
 // MayUseRights implements services.Membership.
-func (s *Service) MayUseRights(time.Time) error { return nil }
+func (s *Service) MayUseRights(now time.Time) error {
+	const step = "check member row"
+	l := s.lease.Load()
+	switch {
+	case l.superseded:
+		return fault.New(&fault.NotRun, fault.ReasonMemberSuperseded, step, s.self.Name, "the member row belongs to a later process or was removed")
+	case l.confirmedAt.IsZero():
+		return fault.New(&fault.NotRun, fault.ReasonMemberUnconfirmed, step, s.self.Name, "the member row was never confirmed")
+	case now.Sub(l.confirmedAt) >= s.settings.HoldTerm:
+		return fault.New(&fault.NotRun, fault.ReasonHoldTermOver, step, s.self.Name, "the member row was not confirmed for %v", s.settings.HoldTerm)
+	case s.pausedAt.Load() != nil || s.gap(now):
+		return fault.New(&fault.NotRun, fault.ReasonPaused, step, s.self.Name, "the process was paused and has not confirmed its member row")
+	}
+	return nil
+}
 
 // MayAcceptChanges implements services.Membership.
-func (s *Service) MayAcceptChanges() error { return nil }
+func (s *Service) MayAcceptChanges() error {
+	if s.acceptNoMore.Load() {
+		return fault.New(&fault.NotRun, fault.ReasonDraining, "accept change", s.self.Name, "this host is stopping")
+	}
+	if err := s.MayUseRights(s.clock()); err != nil {
+		return err
+	}
+	if l := s.lease.Load(); !l.admitted {
+		return fault.New(&fault.NotRun, fault.ReasonMemberUnconfirmed, "accept change", s.self.Name, "%d members have not confirmed this host", l.waiting)
+	}
+	return nil
+}
 
 // Members implements services.Membership.
 func (s *Service) Members() []services.Identity {
-	if m := s.members.Load(); m != nil {
+	if m := s.learned.Load(); m != nil {
 		return *m
 	}
-	return nil
+	return s.listing.Load().Members
 }
 
-// ReceiveConfirmation implements services.Membership.
-func (s *Service) ReceiveConfirmation(services.Identity) {}
+// Listing implements services.PeerMembership.
+func (s *Service) Listing() services.Listing {
+	l, listing := s.lease.Load(), *s.listing.Load()
+	over := s.clock().Sub(l.confirmedAt) >= s.settings.HoldTerm
+	listing.SelfListed = listing.SelfListed && listing.Term == l.term && !over && !l.superseded
+	listing.Term = l.term
+	return listing
+}
+
+// Ended implements services.PeerMembership.
+func (s *Service) Ended() []services.Identity { return *s.ended.Load() }
+
+// ReceiveConfirmation implements services.PeerMembership. A confirmation that
+// finds the ring full is repeated by the next exchange.
+func (s *Service) ReceiveConfirmation(member services.Identity, askedAt time.Time) {
+	if !s.lease.Load().admitted {
+		s.messages.Offer(confirmation{memberOf(member), askedAt})
+	}
+}
+
+// ReceiveMembers implements services.PeerMembership.
+func (s *Service) ReceiveMembers(members []services.Identity) {
+	all := append([]services.Identity{s.self}, members...)
+	s.learned.Store(&all)
+}
+
+// ListTurn implements services.PeerMembership.
+func (s *Service) ListTurn(turn bool) { s.listTurn.Store(turn) }
+
+// AcceptNoMore implements services.PeerMembership.
+func (s *Service) AcceptNoMore() { s.acceptNoMore.Store(true) }
 
-// ReceiveMembers implements services.Membership.
-func (s *Service) ReceiveMembers([]services.Identity) {}
+// StateEnded implements services.MemberControl.
+func (s *Service) StateEnded(ctx context.Context, member services.Identity) error {
+	return s.messages.Put(ctx, stateEnded{member})
+}
+
+func memberOf(i services.Identity) currency.Member {
+	return currency.Member{Name: i.Name, Incarnation: i.Incarnation}
+}
--- /dev/null
+++ b/services/membership/renew.go
@@ -0,0 +1,307 @@
+package membership
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/currency"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+const (
+	rowPrefix = "member/"
+	scanLimit = 500
+)
+
+// message is what the renew duty receives.
+type message interface{ message() }
+
+type confirmation struct {
+	member  currency.Member
+	askedAt time.Time
+}
+type stateEnded struct{ member services.Identity }
+type renewNow struct{}
+type leave struct{ done *ring.Ring[error] }
+
+func (confirmation) message() {}
+func (stateEnded) message()   {}
+func (renewNow) message()     {}
+func (leave) message()        {}
+
+// memberRow is the stored form of a member. Renewals makes each renewal a new
+// version of the row.
+type memberRow struct {
+	services.Identity
+	Renewals uint64
+}
+
+// sighting is the version at which a row was first seen by this process.
+type sighting struct {
+	version uint64
+	at      time.Time
+}
+
+// renewer is the state of the renew duty.
+type renewer struct {
+	*Service
+	version   uint64
+	renewals  uint64
+	join      *currency.Join
+	sightings map[string]sighting
+	// toRemove are rows of ended members that are still at the platform.
+	toRemove []services.Identity
+	left     bool
+}
+
+func newRenewer(s *Service) *renewer {
+	return &renewer{Service: s, join: currency.NewJoin(memberOf(s.self)), sightings: map[string]sighting{}}
+}
+
+func (r *renewer) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-r.messages.C():
+			if r.handle(ctx, m) {
+				timer.Reset(0)
+			}
+		case <-timer.C:
+			timer.Reset(r.round(ctx))
+		}
+	}
+}
+
+// handle carries out a message and reports whether the row is to be renewed
+// at once.
+func (r *renewer) handle(ctx context.Context, m message) bool {
+	switch m := m.(type) {
+	case confirmation:
+		r.join.Confirm(m.member, m.askedAt)
+		r.publish(func(*lease) {})
+	case stateEnded:
+		all := append(slices.Clone(r.Ended()), m.member)
+		r.ended.Store(&all)
+		r.toRemove = append(r.toRemove, m.member)
+		return true
+	case leave:
+		m.done.Offer(r.deleteRow(ctx))
+	case renewNow:
+		return true
+	}
+	return false
+}
+
+// round renews the row and returns the time until the next round.
+func (r *renewer) round(ctx context.Context) time.Duration {
+	if r.left || r.lease.Load().superseded {
+		return renewPeriod
+	}
+	err := r.renew(ctx)
+	if fault.ReasonOf(err) == fault.ReasonConflict {
+		err = r.renew(ctx)
+	}
+	if err != nil {
+		r.metrics.Retried("renew member row", fault.ReasonOf(err))
+		r.log.Warn().Err(err).Msg("member row not renewed")
+		return retryPeriod
+	}
+	r.removeEnded(ctx)
+	if !r.listTurn.Load() && r.join.Admitted() {
+		return renewPeriod
+	}
+	if err := r.list(ctx); err != nil {
+		r.metrics.Retried("read member rows", fault.ReasonOf(err))
+		r.log.Warn().Err(err).Msg("member rows not read")
+		return retryPeriod
+	}
+	return renewPeriod
+}
+
+// renew writes the own row, conditional on its own version.
+func (r *renewer) renew(ctx context.Context) error {
+	started := r.clock()
+	value, err := json.Marshal(memberRow{Identity: r.self, Renewals: r.renewals + 1})
+	if err != nil {
+		return err
+	}
+	key := rowPrefix + r.self.Name
+	result, err := r.table.Commit(ctx, services.Transaction{
+		Conditions: []services.Condition{{Key: key, Version: r.version}},
+		Writes:     []services.Write{{Key: key, Value: value}},
+	})
+	if err != nil {
+		return err
+	}
+	if !result.Committed {
+		return r.adopt(result.Current)
+	}
+	r.version = result.Version
+	r.renewals++
+	r.confirm(started)
+	return nil
+}
+
+// adopt decides what to do after the row had another version than expected.
+// The version of a row of this or of an earlier process is the condition of
+// the next try.
+func (r *renewer) adopt(current []services.Row) error {
+	const step = "renew member row"
+	if len(current) == 0 {
+		return fault.New(&fault.NotRun, fault.ReasonMalformed, step, "platform", "the refused transaction names no row")
+	}
+	row := current[0]
+	if row.Version == 0 {
+		return r.supersede("the row was removed")
+	}
+	var stored memberRow
+	if err := json.Unmarshal(row.Value, &stored); err != nil {
+		return fault.New(&fault.Invalid, fault.ReasonMalformed, step, "platform", "%w", err)
+	}
+	if stored.Incarnation > r.self.Incarnation {
+		return r.supersede("a later process has the name")
+	}
+	r.version = row.Version
+	r.renewals = max(r.renewals, stored.Renewals)
+	return fault.New(&fault.NotRun, fault.ReasonConflict, step, "platform", "the row is at version %d", row.Version)
+}
+
+// supersede ends this process's right to accept changes and to use rights.
+func (r *renewer) supersede(why string) error {
+	r.publish(func(l *lease) { l.superseded = true })
+	return fault.New(&fault.NotRun, fault.ReasonMemberSuperseded, "renew member row", "platform", "%s", why)
+}
+
+// confirm records a renewal that started at started. A renewal that starts
+// after the hold term is a new start: others may have left this host out.
+func (r *renewer) confirm(started time.Time) {
+	l := r.lease.Load()
+	lapsed := !l.confirmedAt.IsZero() && r.clock().Sub(l.confirmedAt) >= r.settings.HoldTerm
+	if lapsed {
+		r.join.Lapse()
+	}
+	r.join.Written(r.clock())
+	if noticed := r.pausedAt.Load(); noticed != nil && noticed.Before(started) {
+		r.pausedAt.CompareAndSwap(noticed, nil)
+	}
+	r.publish(func(l *lease) {
+		l.confirmedAt = started
+		if lapsed {
+			l.term++
+		}
+	})
+}
+
+// publish replaces the lease.
+func (r *renewer) publish(change func(*lease)) {
+	next := *r.lease.Load()
+	change(&next)
+	next.admitted = r.join.Admitted()
+	next.waiting = len(r.join.Waiting())
+	r.lease.Store(&next)
+}
+
+// list reads the rows of all members. A row that was not renewed for the hold
+// term is left out; one renewal period more covers the way of the renewal.
+func (r *renewer) list(ctx context.Context) error {
+	listing := services.Listing{AsOf: r.clock(), SelfListed: true, Term: r.lease.Load().term}
+	rows, err := r.scan(ctx)
+	if err != nil {
+		return err
+	}
+	now := r.clock()
+	seen := make(map[string]sighting, len(rows))
+	for _, row := range rows {
+		s, known := r.sightings[row.Key]
+		if !known || s.version != row.Version {
+			s = sighting{version: row.Version, at: now}
+		}
+		seen[row.Key] = s
+		var stored memberRow
+		if err := json.Unmarshal(row.Value, &stored); err != nil {
+			return fault.New(&fault.Invalid, fault.ReasonMalformed, "read member rows", row.Key, "%w", err)
+		}
+		if now.Sub(s.at) < r.settings.HoldTerm+renewPeriod {
+			listing.Members = append(listing.Members, stored.Identity)
+		}
+	}
+	r.sightings = seen
+	r.listing.Store(&listing)
+	r.join.List(members(listing.Members), listing.AsOf)
+	r.publish(func(*lease) {})
+	return nil
+}
+
+func (r *renewer) scan(ctx context.Context) ([]services.Row, error) {
+	var all []services.Row
+	after := ""
+	for {
+		rows, more, err := r.table.Scan(ctx, rowPrefix, after, scanLimit)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, rows...)
+		if !more || len(rows) == 0 {
+			return all, nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// removeEnded deletes the rows of the members that operators stated to have
+// ended. A row of a later process stays.
+func (r *renewer) removeEnded(ctx context.Context) {
+	r.toRemove = slices.DeleteFunc(r.toRemove, func(m services.Identity) bool {
+		err := r.removeRow(ctx, m)
+		if err != nil {
+			r.log.Warn().Err(err).Str("peer", m.Name).Msg("row of ended member not removed")
+		}
+		return err == nil
+	})
+}
+
+func (r *renewer) removeRow(ctx context.Context, m services.Identity) error {
+	key := rowPrefix + m.Name
+	rows, err := r.table.Get(ctx, key)
+	if err != nil || rows[0].Version == 0 {
+		return err
+	}
+	var stored memberRow
+	if err := json.Unmarshal(rows[0].Value, &stored); err != nil || stored.Incarnation > m.Incarnation {
+		return err
+	}
+	_, err = r.table.Commit(ctx, services.Transaction{
+		Conditions: []services.Condition{{Key: key, Version: rows[0].Version}},
+		Writes:     []services.Write{{Key: key, Delete: true}},
+	})
+	return err
+}
+
+// deleteRow ends this membership at a graceful stop.
+func (r *renewer) deleteRow(ctx context.Context) error {
+	r.left = true
+	if r.version == 0 {
+		return nil
+	}
+	key := rowPrefix + r.self.Name
+	_, err := r.table.Commit(ctx, services.Transaction{
+		Conditions: []services.Condition{{Key: key, Version: r.version}},
+		Writes:     []services.Write{{Key: key, Delete: true}},
+	})
+	return err
+}
+
+func members(identities []services.Identity) []currency.Member {
+	all := make([]currency.Member, len(identities))
+	for i, identity := range identities {
+		all[i] = memberOf(identity)
+	}
+	return all
+}
--- /dev/null
+++ b/services/peers/exchange.go
@@ -0,0 +1,131 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+	wirev1 "fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1"
+	"fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1/fuchsiafrontv1connect"
+)
+
+func (s *Service) peer(address string) fuchsiafrontv1connect.PeerServiceClient {
+	return fuchsiafrontv1connect.NewPeerServiceClient(s.client, "http://"+address)
+}
+
+// runExchange talks to one peer a period.
+func (s *Service) runExchange(ctx context.Context) {
+	ticker := time.NewTicker(exchangePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.exchangeNext(ctx)
+		}
+	}
+}
+
+func (s *Service) exchangeNext(ctx context.Context) {
+	reply := ring.Reply[call]()
+	if s.view.Put(ctx, nextCall{reply}) != nil {
+		return
+	}
+	c, err := reply.Take(ctx)
+	if err != nil || c.address == "" {
+		return
+	}
+	s.exchange(ctx, c)
+}
+
+// exchange asks one peer. The time of the question is taken before it is
+// sent, because the answer proves nothing about earlier times.
+func (s *Service) exchange(ctx context.Context, c call) {
+	askedAt := s.clock()
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := s.peer(c.address).Exchange(callCtx, connect.NewRequest(&wirev1.ExchangeRequest{Digest: c.digest}))
+	if err != nil {
+		s.failed("exchange digests", c.address, err)
+		return
+	}
+	digest := resp.Msg.GetDigest()
+	if s.view.Put(ctx, answered{digest: digest, askedAt: askedAt}) != nil {
+		return
+	}
+	s.fetchIfNewer(digest)
+}
+
+// fetchIfNewer has the fetch duty read the state of a peer that is ahead.
+func (s *Service) fetchIfNewer(d *wirev1.Digest) {
+	if head, _ := s.state.Head(); d.GetRevision() > head.Revision {
+		s.fetches.OfferLatest(identityFromWire(d.GetMember()))
+	}
+}
+
+func (s *Service) failed(step, address string, err error) {
+	s.metrics.Retried(step, fault.ReasonPeerUnreachable)
+	s.log.Debug().Err(fault.New(&fault.NotRun, fault.ReasonPeerUnreachable, step, address, "%w", err)).Msg("peer did not answer")
+}
+
+// runFetch reads the state of peers that are ahead. It is a duty of its own,
+// so that a large state does not delay the exchange.
+func (s *Service) runFetch(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case from := <-s.fetches.C():
+			s.fetch(ctx, from)
+		}
+	}
+}
+
+func (s *Service) fetch(ctx context.Context, from services.Identity) {
+	have, _ := s.state.Head()
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	resp, err := s.peer(from.PeerAddress).FetchState(ctx, connect.NewRequest(&wirev1.FetchStateRequest{Have: headToWire(have)}))
+	if err != nil {
+		s.failed("fetch state", from.Name, err)
+		return
+	}
+	s.state.ReceiveParts(headFromWire(resp.Msg.GetHead()), partsFromWire(resp.Msg.GetParts()))
+}
+
+// runSend carries out sends; a fixed number of equal duties read the ring.
+func (s *Service) runSend(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case send := <-s.sends.C():
+			send(ctx)
+		}
+	}
+}
+
+// tellAll makes calls and returns once each was answered or failed.
+func (s *Service) tellAll(ctx context.Context, calls []call) error {
+	done := ring.New[struct{}]("peers.told", max(1, len(calls)), nil)
+	for _, c := range calls {
+		send := func(ctx context.Context) {
+			s.exchange(ctx, c)
+			done.Offer(struct{}{})
+		}
+		if err := s.sends.Put(ctx, send); err != nil {
+			return err
+		}
+	}
+	for range calls {
+		if _, err := done.Take(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/services/peers/peers.go
@@ -0,0 +1,209 @@
+// Package peers exchanges digests and state with the other entry hosts.
+//
+// Digests carry what each host states of itself and what it knows of others,
+// so that proof that the replica is current spreads without every pair of
+// hosts talking. Package currency decides what the statements prove.
+package peers
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1/fuchsiafrontv1connect"
+)
+
+const (
+	viewCapacity = 256
+	pushCapacity = 16
+	// fetchCapacity is small: a later fetch makes an earlier one needless.
+	fetchCapacity = 2
+	sendCapacity  = 256
+	// sendDuties bounds the sends under way. With 52 silent members a push
+	// is over in four rounds of callTimeout.
+	sendDuties = 16
+
+	exchangePeriod = 400 * time.Millisecond
+	// callTimeout keeps a silent peer from delaying the next exchange.
+	callTimeout = 350 * time.Millisecond
+	// fetchTimeout allows for a whole state of some megabytes.
+	fetchTimeout = 3 * time.Second
+	idleTimeout  = 2 * time.Minute
+)
+
+// Settings of the service.
+type Settings struct {
+	// Address to listen on, IP:port.
+	Address string
+	// SourceIP is the address that connections start from; empty lets the
+	// system choose.
+	SourceIP string
+	// Seeds are peer addresses, IP:port, that are asked while their hosts
+	// are not known from the platform or from other peers.
+	Seeds []string
+	// Random orders the exchanges.
+	Random *rand.Rand
+}
+
+// Service implements services.Peers.
+type Service struct {
+	settings Settings
+	clock    services.Clock
+	log      zerolog.Logger
+
+	state      services.PeerState
+	membership services.Membership
+	members    services.PeerMembership
+	hosts      services.Hosts
+	metrics    services.Metrics
+
+	view    *ring.Ring[viewMessage]
+	changes *ring.Ring[*services.View]
+	fetches *ring.Ring[services.Identity]
+	sends   *ring.Ring[func(context.Context)]
+
+	// The view duty publishes these; other goroutines only read them.
+	status atomic.Pointer[[]services.PeerStatus]
+	loads  atomic.Pointer[[]services.TeamLoad]
+
+	network  network
+	client   *http.Client
+	server   *http.Server
+	listener net.Listener
+}
+
+// network is how the service reaches other hosts; tests replace it.
+type network struct {
+	listen func(ctx context.Context, address string) (net.Listener, error)
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+func tcp(sourceIP string) network {
+	dialer := &net.Dialer{Timeout: callTimeout}
+	if sourceIP != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(sourceIP)}
+	}
+	listen := func(ctx context.Context, address string) (net.Listener, error) {
+		var lc net.ListenConfig
+		return lc.Listen(ctx, "tcp", address)
+	}
+	return network{listen: listen, dial: dialer.DialContext}
+}
+
+// New returns the service. clock must be monotonic.
+func New(s Settings, clock services.Clock) *Service {
+	service := &Service{settings: s, clock: clock, network: tcp(s.SourceIP)}
+	service.status.Store(&[]services.PeerStatus{})
+	service.loads.Store(&[]services.TeamLoad{})
+	return service
+}
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(c *kernel.Context) error {
+	s.log = c.Log
+	if err := s.lookup(c); err != nil {
+		return err
+	}
+	s.view = ring.New[viewMessage]("peers.view", viewCapacity, c.Scope)
+	s.fetches = ring.New[services.Identity]("peers.fetch", fetchCapacity, c.Scope)
+	s.sends = ring.New[func(context.Context)]("peers.send", sendCapacity, c.Scope)
+	s.client = &http.Client{Transport: &http.Transport{
+		DialContext:     s.network.dial,
+		IdleConnTimeout: idleTimeout,
+	}}
+	mux := http.NewServeMux()
+	mux.Handle(fuchsiafrontv1connect.NewPeerServiceHandler(&handler{service: s}))
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: fetchTimeout, IdleTimeout: idleTimeout}
+	c.Duty("peers.view", func(ctx context.Context) { newViewer(s).run(ctx) })
+	c.Duty("peers.exchange", s.runExchange)
+	c.Duty("peers.fetch", s.runFetch)
+	c.Duty("peers.push", s.runPush)
+	for range sendDuties {
+		c.Duty("peers.send", s.runSend)
+	}
+	return nil
+}
+
+func (s *Service) lookup(c *kernel.Context) error {
+	var err error
+	if s.state, err = kernel.Lookup[services.PeerState](c, services.NameState); err != nil {
+		return err
+	}
+	state, err := kernel.Lookup[services.State](c, services.NameState)
+	if err != nil {
+		return err
+	}
+	s.changes = state.Watch("peers.push")
+	if s.membership, err = kernel.Lookup[services.Membership](c, services.NameMembership); err != nil {
+		return err
+	}
+	if s.members, err = kernel.Lookup[services.PeerMembership](c, services.NameMembership); err != nil {
+		return err
+	}
+	if s.hosts, err = kernel.Lookup[services.Hosts](c, services.NameHosts); err != nil {
+		return err
+	}
+	s.metrics, err = kernel.Lookup[services.Metrics](c, services.NameMetrics)
+	return err
+}
+
+// Start opens the listener.
+func (s *Service) Start(ctx context.Context) error {
+	listener, err := s.network.listen(ctx, s.settings.Address)
+	if err != nil {
+		return err
+	}
+	s.listener = listener
+	s.log.Info().Str("address", listener.Addr().String()).Msg("peers' listener open")
+	go s.serve()
+	return nil
+}
+
+func (s *Service) serve() {
+	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		s.log.Error().Err(err).Msg("peers' listener failed")
+	}
+}
+
+// Drain ends this host's right to accept changes, waits for the outcome of
+// the last one, and tells all peers. The exchange goes on until Stop, so that
+// work that is under way keeps its proof.
+func (s *Service) Drain(ctx context.Context) error {
+	s.members.AcceptNoMore()
+	departed := ring.Reply[[]call]()
+	if err := s.view.Put(ctx, depart{departed}); err != nil {
+		return err
+	}
+	calls, err := departed.Take(ctx)
+	if err != nil {
+		return err
+	}
+	return s.tellAll(ctx, calls)
+}
+
+// Stop closes the listener and all connections.
+func (s *Service) Stop(context.Context) error {
+	s.client.CloseIdleConnections()
+	return s.server.Close()
+}
+
+// Status implements services.Peers.
+func (s *Service) Status() []services.PeerStatus { return *s.status.Load() }
+
+// Loads implements services.Peers.
+func (s *Service) Loads() []services.TeamLoad { return *s.loads.Load() }
+
+// SetLoads implements services.Peers.
+func (s *Service) SetLoads(loads []services.TeamLoad) { s.view.Offer(setLoads{loads}) }
+
+// SetLeavingHosts implements services.Peers.
+func (s *Service) SetLeavingHosts(names []string) { s.view.Offer(setLeavingHosts{names}) }
--- /dev/null
+++ b/services/peers/peers_test.go
@@ -0,0 +1,257 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+const currencyBound = 3 * time.Second
+
+// startMany starts hosts one after the other, so that their exchanges are not
+// in step.
+func (c *cluster) startMany(n int, zone string) {
+	for i := range n {
+		c.start(fmt.Sprintf("%s-%d", zone, i), zone)
+		time.Sleep(53 * time.Millisecond)
+	}
+}
+
+// worstProof watches all hosts for a time and returns the largest age of
+// their proofs.
+func (c *cluster) worstProof(watch time.Duration) time.Duration {
+	var worst time.Duration
+	for range watch / (100 * time.Millisecond) {
+		time.Sleep(100 * time.Millisecond)
+		for _, h := range c.hosts {
+			worst = max(worst, h.proofAge())
+		}
+	}
+	return worst
+}
+
+// Guards against reads of the platform that grow with the hosts of a zone,
+// and against hosts that lose proof because another one reads.
+func TestReadsDoNotGrowWithHosts(t *testing.T) {
+	const seconds = 40
+	rates := map[int]float64{}
+	for _, n := range []int{1, 4, 8} {
+		inBubble(t, func(c *cluster) {
+			c.startMany(n, "klang")
+			time.Sleep(20 * time.Second)
+			before := c.table.readCount()
+			worst := c.worstProof(seconds * time.Second)
+			rates[n] = float64(c.table.readCount()-before) / seconds
+			t.Logf("%d hosts: %.2f reads/s, oldest proof %v", n, rates[n], worst)
+			assert.Assert(t, worst < currencyBound, "%d hosts: proof is %v old", n, worst)
+		})
+	}
+	for n, rate := range rates {
+		assert.Assert(t, rate <= 1.25, "%d hosts: %.2f reads/s", n, rate)
+	}
+}
+
+// Guards against a platform outage that alone stops keyed work.
+func TestOutageLeavesProof(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.startMany(3, "klang")
+		c.startMany(3, "shah-alam")
+		c.startMany(2, "penang")
+		time.Sleep(20 * time.Second)
+		_, err := c.hosts[0].change("c1", "section/a", 0)
+		assert.NilError(t, err)
+		time.Sleep(4 * time.Second)
+		c.table.setDown(true)
+		worst := c.worstProof(90 * time.Second)
+		t.Logf("oldest proof %v", worst)
+		assert.Assert(t, worst < currencyBound, "proof is %v old", worst)
+	})
+}
+
+// Guards against an accepted change that is not in force everywhere within
+// 4 s, or that a host loses again.
+func TestChangeReachesAll(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.startMany(4, "klang")
+		c.startMany(4, "penang")
+		time.Sleep(20 * time.Second)
+		result, err := c.hosts[3].change("c1", "section/a", 0)
+		assert.NilError(t, err)
+		time.Sleep(500 * time.Millisecond)
+		for _, h := range c.hosts {
+			assert.Equal(t, h.revision(), result.Revision, "%s", h.address)
+		}
+	})
+}
+
+// Guards against a partitioned host that goes on with keyed work: it may lack
+// a withdrawal that the others accepted.
+func TestPartitionEndsProof(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.startMany(3, "klang")
+		time.Sleep(20 * time.Second)
+		cut := c.hosts[2]
+		cut.table.set(func(f *flakyTable) { f.cut = true })
+		c.setSilent(cut, true)
+		time.Sleep(currencyBound)
+		at := cut.state.CurrentSince()
+		_, err := c.hosts[0].change("c1", "section/a", 0)
+		assert.NilError(t, err)
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, cut.state.CurrentSince(), at)
+		c.setSilent(cut, false)
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, cut.revision(), uint64(1))
+		assert.Assert(t, cut.proofAge() < currencyBound)
+	})
+}
+
+// Guards against proof while a change may have been accepted: a host whose
+// reply from the platform was lost reports doubt until it knows.
+func TestLostReplyKeepsDoubt(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.startMany(3, "klang")
+		time.Sleep(20 * time.Second)
+		sender := c.hosts[0]
+		sender.table.set(func(f *flakyTable) { f.loseNext = true })
+		done := make(chan error, 1)
+		go func() {
+			_, err := sender.change("c1", "section/a", 0)
+			done <- err
+		}()
+		time.Sleep(time.Millisecond)
+		c.table.setDown(true)
+		time.Sleep(20 * time.Second)
+		_, inDoubt := sender.state.Head()
+		assert.Assert(t, inDoubt)
+		for _, h := range c.hosts {
+			assert.Assert(t, h.proofAge() > 15*time.Second, "%s holds proof %v old", h.address, h.proofAge())
+		}
+		assert.Equal(t, fault.ReasonOf(<-done), fault.ReasonDeadline)
+		c.table.setDown(false)
+		sender.table.set(func(f *flakyTable) { f.cut = false })
+		time.Sleep(4 * time.Second)
+		_, inDoubt = sender.state.Head()
+		assert.Assert(t, !inDoubt)
+		for _, h := range c.hosts {
+			assert.Equal(t, h.revision(), uint64(1))
+			assert.Assert(t, h.proofAge() < currencyBound)
+		}
+		result, err := c.hosts[1].change("c1", "section/a", 0)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, result, services.ChangeResult{Revision: 1, Repeated: true})
+	})
+}
+
+// Guards against a crashed member that blocks proof after it was stated to
+// have ended, and against proof before that.
+func TestCrashDuringOutage(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.startMany(4, "klang")
+		time.Sleep(20 * time.Second)
+		c.table.setDown(true)
+		time.Sleep(5 * time.Second)
+		crashed := c.hosts[3]
+		identity := crashed.membership.Self()
+		c.stop(crashed)
+		time.Sleep(10 * time.Second)
+		for _, h := range c.hosts {
+			assert.Assert(t, h.proofAge() > 9*time.Second)
+		}
+		assert.NilError(t, c.hosts[1].membership.StateEnded(context.Background(), identity))
+		time.Sleep(4 * time.Second)
+		for _, h := range c.hosts {
+			assert.Assert(t, h.proofAge() < currencyBound, "%s: %v", h.address, h.proofAge())
+		}
+	})
+}
+
+// Guards against a graceful stop that takes proof from the others during an
+// outage, and against a stopping host that accepts changes.
+func TestGracefulStopDuringOutage(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.startMany(4, "klang")
+		time.Sleep(20 * time.Second)
+		c.table.setDown(true)
+		time.Sleep(5 * time.Second)
+		leaving := c.hosts[3]
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		assert.NilError(t, leaving.peers.Drain(ctx))
+		_, err := leaving.change("c1", "section/a", 0)
+		assert.Assert(t, err != nil)
+		assert.Equal(t, fault.ReasonOf(leaving.membership.MayAcceptChanges()), fault.ReasonDraining)
+		c.stop(leaving)
+		worst := c.worstProof(20 * time.Second)
+		assert.Assert(t, worst < currencyBound, "proof is %v old", worst)
+	})
+}
+
+// Guards against a host that starts during a platform outage and refuses work
+// until the platform is back, although its peers have the state.
+func TestStartDuringOutage(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.startMany(3, "klang")
+		time.Sleep(20 * time.Second)
+		_, err := c.hosts[0].change("c1", "section/a", 0)
+		assert.NilError(t, err)
+		c.table.setDown(true)
+		late := c.start("late", "klang", c.hosts[0].address)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, late.revision(), uint64(1))
+		assert.Assert(t, late.proofAge() < currencyBound, "%v", late.proofAge())
+		assert.Equal(t, fault.ReasonOf(late.membership.MayAcceptChanges()), fault.ReasonMemberUnconfirmed)
+		c.table.setDown(false)
+		time.Sleep(20 * time.Second)
+		assert.NilError(t, late.membership.MayAcceptChanges())
+		for _, h := range c.hosts {
+			assert.Equal(t, len(h.membership.Members()), 4)
+		}
+	})
+}
+
+// Guards against one silent peer, or the reader of a zone that lost the
+// platform, that costs the others their proof.
+func TestReaderLosesPlatform(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.startMany(5, "klang")
+		time.Sleep(20 * time.Second)
+		// Without the statements of a crashed member only the platform proves.
+		c.stop(c.hosts[4])
+		for _, h := range c.hosts {
+			h.table.set(func(f *flakyTable) { f.cut = true })
+			worst := c.worstProof(20 * time.Second)
+			assert.Assert(t, worst < currencyBound, "without %s proof is %v old", h.address, worst)
+			h.table.set(func(f *flakyTable) { f.cut = false })
+			time.Sleep(15 * time.Second)
+		}
+	})
+}
+
+// Guards against silent peers that delay the exchange with the others.
+func TestSilentPeer(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.startMany(5, "klang")
+		time.Sleep(20 * time.Second)
+		c.setSilent(c.hosts[4], true)
+		silent := c.hosts[4]
+		silent.table.set(func(f *flakyTable) { f.cut = true })
+		c.hosts = c.hosts[:4]
+		defer func() { c.hosts = append(c.hosts, silent) }()
+		worst := c.worstProof(30 * time.Second)
+		assert.Assert(t, worst < currencyBound, "proof is %v old", worst)
+		start := time.Now()
+		_, err := c.hosts[0].change("c1", "section/a", 0)
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		for _, h := range c.hosts {
+			assert.Equal(t, h.revision(), uint64(1), "%s after %v", h.address, time.Since(start))
+		}
+	})
+}
--- /dev/null
+++ b/services/peers/wire.go
@@ -0,0 +1,146 @@
+package peers
+
+import (
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/currency"
+	"fuchsiafront.example/fuchsiafront/decision/revision"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/services"
+	wirev1 "fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1"
+)
+
+// noAge stands for the age of something that is not known.
+const noAge = -1
+
+// age returns the time since t in milliseconds, rounded up: an age that is
+// too small would prove too much.
+func age(now, t time.Time) int64 {
+	if t.IsZero() {
+		return noAge
+	}
+	return int64((now.Sub(t) + time.Millisecond - 1) / time.Millisecond)
+}
+
+// asOf is the reverse of age for an answer to a question asked at askedAt.
+func asOf(askedAt time.Time, age int64) time.Time {
+	if age < 0 || askedAt.IsZero() {
+		return time.Time{}
+	}
+	return askedAt.Add(-time.Duration(age) * time.Millisecond)
+}
+
+// compose returns this host's digest as of now.
+func (v *viewer) compose() *wirev1.Digest {
+	own := v.statement()
+	now := v.clock()
+	read := v.know.Platform()
+	d := &wirev1.Digest{
+		Member:           identityToWire(v.self),
+		Revision:         own.Revision,
+		ChangeInDoubt:    own.InDoubt,
+		Leaving:          v.departed,
+		LeavingHosts:     v.leavingHosts,
+		PlatformRevision: read.Revision,
+		PlatformAgeMs:    age(now, read.AsOf),
+		MembersAgeMs:     age(now, v.know.MembersAsOf(own.MadeAt)),
+	}
+	for _, l := range v.ownLoads {
+		d.Loads = append(d.Loads, &wirev1.TeamLoad{Team: l.Team, Running: int32(l.Running), Waiting: int32(l.Waiting), UnmetRights: int32(l.UnmetRights)})
+	}
+	if !v.departed {
+		d.Members = append(d.Members, d.Member)
+	}
+	v.composeOthers(d, now)
+	return d
+}
+
+func (v *viewer) composeOthers(d *wirev1.Digest, now time.Time) {
+	for _, m := range v.know.Members() {
+		identity, ok := v.identities[m]
+		if !ok {
+			identity = services.Identity{Name: m.Name, Incarnation: m.Incarnation}
+		}
+		d.Members = append(d.Members, identityToWire(identity))
+	}
+	for m, s := range v.know.Statements() {
+		d.Statements = append(d.Statements, &wirev1.Statement{
+			Member: m.Name, Incarnation: m.Incarnation, Revision: s.Revision, ChangeInDoubt: s.InDoubt, AgeMs: age(now, s.MadeAt),
+		})
+	}
+	for _, departure := range v.know.Departures() {
+		d.Statements = append(d.Statements, &wirev1.Statement{
+			Member: departure.Member.Name, Incarnation: departure.Member.Incarnation, Revision: departure.Revision, Leaving: true,
+		})
+	}
+}
+
+// reportFromWire converts the part of a digest that concerns currency, but
+// for its members. askedAt is zero for a digest that nobody asked for.
+func reportFromWire(d *wirev1.Digest, askedAt time.Time) currency.Report {
+	from := memberOf(identityFromWire(d.GetMember()))
+	r := currency.Report{
+		From:        from,
+		MembersAsOf: asOf(askedAt, d.GetMembersAgeMs()),
+		Statements:  map[currency.Member]currency.Statement{},
+		Platform:    currency.PlatformRead{Revision: d.GetPlatformRevision(), AsOf: asOf(askedAt, d.GetPlatformAgeMs())},
+	}
+	for _, s := range d.GetStatements() {
+		m := currency.Member{Name: s.GetMember(), Incarnation: s.GetIncarnation()}
+		if s.GetLeaving() {
+			r.Departures = append(r.Departures, currency.Departure{Member: m, Revision: s.GetRevision()})
+			continue
+		}
+		r.Statements[m] = currency.Statement{Revision: s.GetRevision(), InDoubt: s.GetChangeInDoubt(), MadeAt: asOf(askedAt, s.GetAgeMs())}
+	}
+	r.Statements[from] = currency.Statement{Revision: d.GetRevision(), InDoubt: d.GetChangeInDoubt(), MadeAt: askedAt}
+	if d.GetLeaving() {
+		r.Departures = append(r.Departures, currency.Departure{Member: from, Revision: d.GetRevision()})
+	}
+	return r
+}
+
+func identityToWire(i services.Identity) *wirev1.Member {
+	return &wirev1.Member{Name: i.Name, Zone: string(i.Zone), Incarnation: i.Incarnation, PeerAddress: i.PeerAddress}
+}
+
+func identityFromWire(m *wirev1.Member) services.Identity {
+	return services.Identity{
+		Name: m.GetName(), Zone: fleet.AvailabilityZone(m.GetZone()), Incarnation: m.GetIncarnation(), PeerAddress: m.GetPeerAddress(),
+	}
+}
+
+func loadsFromWire(host string, in []*wirev1.TeamLoad) []services.TeamLoad {
+	loads := make([]services.TeamLoad, len(in))
+	for i, l := range in {
+		loads[i] = services.TeamLoad{Host: host, Team: l.GetTeam(), Running: int(l.GetRunning()), Waiting: int(l.GetWaiting()), UnmetRights: int(l.GetUnmetRights())}
+	}
+	return loads
+}
+
+func headToWire(h revision.Head) *wirev1.StateHead {
+	return &wirev1.StateHead{Revision: h.Revision, Parts: h.Parts}
+}
+
+func headFromWire(h *wirev1.StateHead) revision.Head {
+	return revision.Head{Revision: h.GetRevision(), Parts: h.GetParts()}
+}
+
+func partToWire(p revision.Part) *wirev1.StatePart {
+	out := &wirev1.StatePart{Name: p.Name, Revision: p.Revision, Data: p.Data}
+	for _, c := range p.Changes {
+		out.Changes = append(out.Changes, &wirev1.AppliedChange{ChangeId: c.ChangeID, Revision: c.Revision})
+	}
+	return out
+}
+
+func partsFromWire(in []*wirev1.StatePart) []revision.Part {
+	parts := make([]revision.Part, len(in))
+	for i, p := range in {
+		parts[i] = revision.Part{Name: p.GetName(), Revision: p.GetRevision(), Data: p.GetData()}
+		for _, c := range p.GetChanges() {
+			parts[i].Changes = append(parts[i].Changes, revision.Applied{ChangeID: c.GetChangeId(), Revision: c.GetRevision()})
+		}
+	}
+	return parts
+}
