--- a/services/peers/exchange.go
+++ b/services/peers/exchange.go
@@ -55,12 +55,29 @@
 		return
 	}
 	digest := resp.Msg.GetDigest()
+	if err := s.checkSender(digest); err != nil {
+		s.failed("exchange digests", c.address, err)
+		return
+	}
 	if s.view.Put(ctx, answered{digest: digest, askedAt: askedAt}) != nil {
 		return
 	}
 	s.fetchIfNewer(digest)
 }
 
+// checkSender refuses a digest without a sender, which would add a member that
+// never makes a statement, and one of this host itself.
+func (s *Service) checkSender(d *wirev1.Digest) error {
+	from := identityFromWire(d.GetMember())
+	if from.Name == "" || from.PeerAddress == "" || from.Incarnation == 0 {
+		return fault.New(&fault.Invalid, fault.ReasonMalformed, "exchange digests", from.Name, "the digest does not say whose it is")
+	}
+	if memberOf(from) == memberOf(s.membership.Self()) {
+		return fault.New(&fault.Invalid, fault.ReasonMalformed, "exchange digests", from.PeerAddress, "the digest is this host's own")
+	}
+	return nil
+}
+
 // fetchIfNewer has the fetch duty read the state of a peer that is ahead.
 func (s *Service) fetchIfNewer(d *wirev1.Digest) {
 	if head, _ := s.state.Head(); d.GetRevision() > head.Revision {
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -24,7 +24,6 @@
 
 const (
 	viewCapacity = 256
-	pushCapacity = 16
 	// fetchCapacity is small: a later fetch makes an earlier one needless.
 	fetchCapacity = 2
 	sendCapacity  = 256
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -6,10 +6,12 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/services"
+	wirev1 "fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1"
 )
 
 const currencyBound = 3 * time.Second
@@ -255,3 +257,18 @@
 		}
 	})
 }
+
+// Guards against a digest without a sender: a member that never makes a
+// statement would take proof from all hosts.
+func TestDigestWithoutSender(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.startMany(2, "klang")
+		time.Sleep(20 * time.Second)
+		req := connect.NewRequest(&wirev1.ExchangeRequest{Digest: &wirev1.Digest{}})
+		_, err := c.hosts[0].peers.peer(c.hosts[1].address).Exchange(context.Background(), req)
+		assert.Equal(t, connect.CodeOf(err), connect.CodeInvalidArgument)
+		c.table.setDown(true)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, c.hosts[1].proofAge() < currencyBound)
+	})
+}
