--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,13 +21,12 @@
 	"fuchsiafront.example/fuchsiafront/services/maintenance"
 	"fuchsiafront.example/fuchsiafront/services/membership"
 	"fuchsiafront.example/fuchsiafront/services/metrics"
+	"fuchsiafront.example/fuchsiafront/services/peers"
 	"fuchsiafront.example/fuchsiafront/services/platform"
 	"fuchsiafront.example/fuchsiafront/services/rights"
 	"fuchsiafront.example/fuchsiafront/services/statesync"
 )
 
-const holdTerm = 75 * time.Minute
-
 // Assemble registers the services of an entry host with a new kernel.
 // Settings must be valid.
 func Assemble(s Settings, log zerolog.Logger, clock services.Clock) *kernel.Kernel {
@@ -36,13 +36,13 @@
 	k.Register(services.NameMetrics, measured)
 	k.Register(services.NamePlatform, platform.New(platform.Settings{URL: s.Platform, SourceIP: s.SourceIP}))
 	k.Register(services.NameHosts, hosts.New(clock))
-	k.Register(services.NameMembership, membership.New(s.identity(clock())))
+	k.Register(services.NameMembership, membership.New(s.identity(clock()), membership.Settings{HoldTerm: s.HoldTerm}, clock))
 	k.Register(services.NameState, statesync.New(clock))
+	k.Register(services.NamePeers, peers.New(s.peers(), clock))
 	k.Register(services.NameBackend, backend.New(backend.Settings{MaxEntryHosts: s.MaxEntryHosts, SourceIP: s.SourceIP}, clock))
 	k.Register(services.NameDispatch, dispatch.New(clock))
 	k.Register(services.NameAdmin, admin.New(s.admin(), clock))
-	k.Register(services.NamePeers, absentPeers{})
-	k.Register(services.NameRights, rights.New(rights.Settings{HoldTerm: holdTerm, LongestRequest: s.MaxTimeout}))
+	k.Register(services.NameRights, rights.New(rights.Settings{HoldTerm: s.HoldTerm, LongestRequest: s.MaxTimeout}))
 	k.Register(services.NameClaims, claims.New())
 	k.Register(services.NameJobs, jobs.New(jobs.Config{Clock: clock}))
 	k.Register(services.NameMaintenance, maintenance.New(clock, maintenance.DefaultSettings()))
@@ -61,6 +61,15 @@
 	}
 }
 
+func (s *Settings) peers() peers.Settings {
+	return peers.Settings{
+		Address:  s.PeerAddress,
+		SourceIP: s.SourceIP,
+		Seeds:    s.Peers,
+		Random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
 func (s *Settings) admin() admin.Settings {
 	bootstrap := document.Operator{}
 	if s.BootstrapKey != "" {
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -22,6 +22,7 @@
 	AdminAddress   string        `arg:"--admin-address,env:FUCHSIAFRONT_ADMIN_ADDRESS" default:"127.0.0.1:8081" help:"IP:port for operators, health and metrics" placeholder:"IP:PORT" unit:"IP:port" range:"an IP address and a port"`
 	PeerAddress    string        `arg:"--peer-address,env:FUCHSIAFRONT_PEER_ADDRESS" default:"127.0.0.1:8082" help:"IP:port for other entry hosts" placeholder:"IP:PORT" unit:"IP:port" range:"an IP address and a port"`
 	PeerAdvertise  string        `arg:"--peer-advertise,env:FUCHSIAFRONT_PEER_ADVERTISE" help:"IP:port at which other entry hosts reach --peer-address, when it differs" placeholder:"IP:PORT" unit:"IP:port" range:"an IP address and a port, or empty for --peer-address"`
+	Peers          []string      `arg:"--peers,env:FUCHSIAFRONT_PEERS" help:"IP:port of other entry hosts to ask at a start, also while the platform is down" placeholder:"IP:PORT" unit:"IP:port list" range:"IP addresses with ports, or empty for none"`
 	SourceIP       string        `arg:"--source-ip,env:FUCHSIAFRONT_SOURCE_IP" help:"IP that outgoing connections start from" placeholder:"IP" unit:"IP address" range:"an IP address, or empty to let the system choose"`
 	Platform       string        `arg:"--platform,env:FUCHSIAFRONT_PLATFORM" help:"URL of the platform, http://IP:port" placeholder:"URL" unit:"URL" range:"http://IP:port"`
 	BootstrapKey   string        `arg:"--bootstrap-key,env:FUCHSIAFRONT_BOOTSTRAP_KEY" help:"stored form ID:SALT:HASH of the operator key that is accepted while the document declares no operators" placeholder:"KEY" unit:"stored key" range:"ID:SALT:HASH as printed by fuchsiactl operator create-key, or empty for none"`
@@ -30,6 +31,7 @@
 	DefaultTimeout time.Duration `arg:"--default-timeout,env:FUCHSIAFRONT_DEFAULT_TIMEOUT" default:"30s" help:"timeout of requests that name none" placeholder:"DURATION" range:"1ms to the value of --max-timeout"`
 	MaxTimeout     time.Duration `arg:"--max-timeout,env:FUCHSIAFRONT_MAX_TIMEOUT" default:"2m" help:"longest timeout that a request may name" placeholder:"DURATION" range:"1ms to 1h"`
 	KeyCurrency    time.Duration `arg:"--key-currency,env:FUCHSIAFRONT_KEY_CURRENCY" default:"3s" help:"longest time without proof that keys are current" placeholder:"DURATION" range:"1s to 1m"`
+	HoldTerm       time.Duration `arg:"--hold-term,env:FUCHSIAFRONT_HOLD_TERM" default:"75m" help:"time since the last confirmed renewal of the member row for which rights may be used" placeholder:"DURATION" range:"1m to 24h"`
 	ReadinessDelay time.Duration `arg:"--readiness-delay,env:FUCHSIAFRONT_READINESS_DELAY" default:"3s" help:"time between reporting not-ready and refusing new connections at a stop" placeholder:"DURATION" range:"0s to 1m"`
 	DrainTimeout   time.Duration `arg:"--drain-timeout,env:FUCHSIAFRONT_DRAIN_TIMEOUT" default:"2m30s" help:"longest time that a stop waits for work under way" placeholder:"DURATION" range:"1s to 24h"`
 	LogLevel       string        `arg:"--log-level,env:FUCHSIAFRONT_LOG_LEVEL" default:"info" help:"trace, debug, info, warn or error" placeholder:"LEVEL" unit:"name" range:"trace, debug, info, warn or error; empty means info"`
@@ -88,6 +90,11 @@
 			c.Reject("--peer-advertise", s.PeerAdvertise)
 		}
 	}
+	for _, peer := range s.Peers {
+		if _, err := netip.ParseAddrPort(peer); err != nil {
+			c.Reject("--peers", peer)
+		}
+	}
 	if s.SourceIP != "" {
 		if _, err := netip.ParseAddr(s.SourceIP); err != nil {
 			c.Reject("--source-ip", s.SourceIP)
@@ -107,6 +114,7 @@
 		{"--default-timeout", s.DefaultTimeout, time.Millisecond, s.MaxTimeout},
 		{"--max-timeout", s.MaxTimeout, time.Millisecond, time.Hour},
 		{"--key-currency", s.KeyCurrency, time.Second, time.Minute},
+		{"--hold-term", s.HoldTerm, time.Minute, 24 * time.Hour},
 		{"--readiness-delay", s.ReadinessDelay, 0, time.Minute},
 		{"--drain-timeout", s.DrainTimeout, time.Second, 24 * time.Hour},
 	}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -76,6 +76,9 @@
 	ReasonMemberUnconfirmed Reason = "member-unconfirmed"
 	ReasonBehind            Reason = "replica-behind"
 	ReasonUnsupported       Reason = "unsupported"
+	ReasonMemberSuperseded  Reason = "member-superseded"
+	ReasonHoldTermOver      Reason = "hold-term-over"
+	ReasonPeerUnreachable   Reason = "peer-unreachable"
 	ReasonInternal          Reason = "internal"
 )
 
--- a/services/work.go
+++ b/services/work.go
@@ -25,16 +25,19 @@
 	// reason when they may not (hold term over, or paused and not yet
 	// confirmed).
 	MayUseRights(now time.Time) error
-	// MayAcceptChanges reports whether every listed member has confirmed
-	// this one.
+	// MayAcceptChanges returns nil while this host may accept changes: its
+	// row is in force and every listed member has confirmed it or ended.
 	MayAcceptChanges() error
-	// Members returns the identities listed at the platform when last read.
+	// Members returns this host and the members that it knows, from the
+	// platform and from peers.
 	Members() []Identity
 }
 
 // MemberEnder is the part of the service NameMembership that takes an
-// operator's statement that an entry host has ended. It works while the
-// platform is down. A repeat has no further effect.
+// operator's statement that an entry host has ended. It leaves the host out at
+// once, also while the platform is down. The operator answers for the host
+// having ended and for the changes that it may have accepted last. A repeat has
+// no further effect.
 type MemberEnder interface {
 	DeclareEnded(ctx context.Context, changeID, member string) error
 }
