Test members whose row goes out of force

Cause: the model of package currency had no hold term, and three rules were not seen failing.

Change: processes of the model lapse, are left out by the others and come back; a unit test covers the end of completeness.

--- a/decision/currency/currency_test.go
+++ b/decision/currency/currency_test.go
@@ -43,6 +43,8 @@
 	"outage":     {1, func(w *world, p *process) { w.up = !w.up }},
 	"start":      {3, func(w *world, p *process) { w.startAny() }},
 	"fetch":      {3, func(w *world, p *process) { p.revision = max(p.revision, pickOther(w, p).revision) }},
+	"lapse":      {1, func(w *world, p *process) { w.lapse(p) }},
+	"expire":     {2, func(w *world, p *process) { w.expire(p) }},
 	"long pause": {1, func(w *world, p *process) { w.now += 20 * time.Second }},
 }
 
@@ -205,3 +207,24 @@
 		assert.Equal(t, readers, c.want, "at age %v", c.age)
 	}
 }
+
+// Guards against proof by a host whose row is out of force, or that left out a
+// member which others have admitted again: it may not know all members.
+func TestCompletenessEnds(t *testing.T) {
+	self, a, b := Member{"self", 9}, Member{"a", 1}, Member{"b", 1}
+	k := New(self)
+	k.List([]Member{self}, epoch, true, epoch)
+	k.ReadPlatform(PlatformRead{AsOf: epoch})
+	later := epoch.Add(time.Minute)
+	assert.Equal(t, k.Prove(Statement{MadeAt: later}), epoch)
+	assert.Equal(t, k.MembersAsOf(later), later)
+	k.Unlist()
+	assert.Assert(t, k.MembersAsOf(later).IsZero())
+
+	k.Depart(Departure{Member: a})
+	k.Prove(Statement{MadeAt: later})
+	k.Answer(Report{From: b, Members: []Member{a, b}, MembersAsOf: later}, later)
+	assert.Assert(t, k.MembersAsOf(later).IsZero())
+	k.Answer(Report{From: b, Members: []Member{b}, MembersAsOf: later}, later)
+	assert.Equal(t, k.MembersAsOf(later), later)
+}
--- a/decision/currency/world_test.go
+++ b/decision/currency/world_test.go
@@ -26,6 +26,7 @@
 	revision uint64
 	doubt    *change
 	closed   bool
+	lapsed   bool
 	listing  []Member
 	listedAt time.Time
 	reading  PlatformRead
@@ -173,6 +174,7 @@
 		return
 	}
 	w.rows[p.self.Name] = p.self
+	p.lapsed = false
 	p.join.Written(w.clock(p))
 }
 
@@ -187,7 +189,7 @@
 	if p.listedAt.IsZero() {
 		return
 	}
-	listed := slices.Contains(p.listing, p.self)
+	listed := !p.lapsed && slices.Contains(p.listing, p.self)
 	p.know.List(p.listing, p.listedAt, listed, w.clock(p))
 	p.join.List(p.listing, p.listedAt)
 	p.listedAt = time.Time{}
@@ -263,6 +265,22 @@
 	}
 }
 
+// lapse ends the hold term of a process; expire has the others leave it out.
+func (w *world) lapse(p *process) {
+	if p.doubt == nil && !p.closed {
+		p.lapsed = true
+		p.join.Lapse()
+		p.know.Unlist()
+		p.listedAt = time.Time{}
+	}
+}
+
+func (w *world) expire(p *process) {
+	if p.lapsed && w.rows[p.self.Name] == p.self {
+		delete(w.rows, p.self.Name)
+	}
+}
+
 // check fails when a host holds proof as of a time at which a change that it
 // lacks had been committed, or, for a change whose sender crashed, been
 // acknowledged.
