Bound the wait for a change in doubt at a stop

Cause: peers drains before the services that end callers' requests. A change in doubt during an outage of the platform would have used up the whole drain timeout, and the stop would then have interrupted requests.

Change: the drain waits 5 s; the view duty tells peers of the departure once the change is resolved, and not before.

Figures: TestStopWithChangeInDoubt fails with a wait of an hour and when the departure is told while the change is in doubt.

--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -37,6 +37,9 @@
 	// fetchTimeout allows for a whole state of some megabytes.
 	fetchTimeout = 3 * time.Second
 	idleTimeout  = 2 * time.Minute
+	// departTimeout bounds the wait for a change in doubt at a stop. The
+	// services that still have requests under way are drained after it.
+	departTimeout = 5 * time.Second
 )
 
 // Settings of the service.
@@ -182,9 +185,12 @@
 	if err := s.view.Put(ctx, depart{departed}); err != nil {
 		return err
 	}
-	calls, err := departed.Take(ctx)
+	waitCtx, cancel := context.WithTimeout(ctx, departTimeout)
+	defer cancel()
+	calls, err := departed.Take(waitCtx)
 	if err != nil {
-		return err
+		s.log.Warn().Msg("a change is still in doubt; peers are told of the departure once it is resolved")
+		return nil
 	}
 	return s.tellAll(ctx, calls)
 }
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -195,6 +195,30 @@
 	})
 }
 
+// Guards against a change in doubt that uses up the time of a graceful stop,
+// in which other services end their requests.
+func TestStopWithChangeInDoubt(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.startMany(2, "klang")
+		time.Sleep(20 * time.Second)
+		stopping := c.hosts[0]
+		stopping.table.set(func(f *flakyTable) { f.loseNext = true })
+		go stopping.change("c1", "section/a", 0)
+		time.Sleep(time.Second)
+		start := time.Now()
+		assert.NilError(t, stopping.peers.Drain(context.Background()))
+		assert.Equal(t, time.Since(start), departTimeout)
+		for _, s := range c.hosts[1].peers.Status() {
+			assert.Assert(t, !s.Leaving)
+		}
+		stopping.table.set(func(f *flakyTable) { f.cut = false })
+		time.Sleep(2 * time.Second)
+		for _, s := range c.hosts[1].peers.Status() {
+			assert.Assert(t, s.Leaving)
+		}
+	})
+}
+
 // Guards against a host that starts during a platform outage and refuses work
 // until the platform is back, although its peers have the state.
 func TestStartDuringOutage(t *testing.T) {
