Decide in one place whether a change is in force on a member

Cause: currency.ForceOn had no caller, and rollout.Decide held the same rule again.

Change: rollout.Decide calls currency.ForceOn.

Result: the tests of both packages and of the operators' API pass unchanged.

--- a/decision/rollout/rollout.go
+++ b/decision/rollout/rollout.go
@@ -6,6 +6,8 @@
 import (
 	"slices"
 	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/currency"
 )
 
 // sightingsKept is the number of sightings that a history holds. With an
@@ -60,9 +62,7 @@
 	// Confirmed members have the revision.
 	Confirmed bool
 	// ByBound members have not confirmed it, and serve no keyed work with an
-	// older one any more. A host serves keyed work for at most bound after
-	// the time as of which its replica is proved current, and no older
-	// revision can be proved current as of a time after the acceptance.
+	// older one any more (currency.ForceOn).
 	ByBound bool
 }
 
@@ -75,12 +75,18 @@
 // at different rates.
 func Decide(now time.Time, revision uint64, h History, bound time.Duration, members []Member) ([]Status, bool) {
 	accepted, known := h.AcceptedBy(revision)
-	passed := known && now.Sub(accepted) > bound
+	if !known {
+		accepted = now
+	}
 	all := known
 	statuses := make([]Status, 0, len(members))
 	for _, m := range members {
-		s := Status{Member: m, Confirmed: m.Revision >= revision}
-		s.ByBound = !s.Confirmed && passed
+		force := currency.ForceOn(m.Revision, revision, accepted, now, bound)
+		s := Status{
+			Member:    m,
+			Confirmed: force == currency.ForceConfirmed,
+			ByBound:   force == currency.ForceBound,
+		}
 		statuses = append(statuses, s)
 		all = all && s.InForce()
 	}
