Let every host be admitted before a test injects failures

That is the rule for joining members and not what the test is about.

Change: a test that injects failures first lets each host accept a change of its own. The test of lost replies also applies changes.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -94,7 +94,7 @@
 		text, _ := io.ReadAll(resp.Body)
 		resp.Body.Close()
 		for line := range strings.Lines(string(text)) {
-			if strings.Contains(line, "_refused_total{reason") || strings.Contains(line, "retried_total{") || strings.Contains(line, "rights_") {
+			if strings.Contains(line, "_refused_total{reason") || strings.Contains(line, "retried_total{") || strings.Contains(line, "rights_held{") {
 				t.Logf("%s: %s", h.name, strings.TrimSpace(line))
 			}
 		}
@@ -159,6 +159,19 @@
 	return revision
 }
 
+// admitted waits until every host has accepted a change of its own, which it
+// does only once all other members have confirmed it.
+func (c *cluster) admitted(t *testing.T) {
+	t.Helper()
+	for _, h := range c.hosts {
+		name := "admitted-" + h.name
+		c.inForce(t, c.apply(t, h, document.Section{
+			Name:  name,
+			Teams: []document.Team{{Name: name, Share: 1}},
+		}), c.hosts)
+	}
+}
+
 func (c *cluster) authorize(req connect.AnyRequest) {
 	req.Header().Set("Authorization", "Bearer "+c.operator.Format())
 }
--- a/e2e/failures_test.go
+++ b/e2e/failures_test.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
+	"fuchsiafront.example/fuchsiafront/decision/document"
 	wirev1 "fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1"
 	"fuchsiafront.example/fuchsiafront/wire/yamldoc"
 )
@@ -22,6 +23,7 @@
 func startWithDocument(t *testing.T) (*cluster, *callers, *evidence) {
 	t.Helper()
 	c := startCluster(t)
+	c.admitted(t)
 	c.inForce(t, c.apply(t, c.hosts[0], testSection()), c.hosts)
 	calls := newCallers()
 	for _, h := range c.hosts {
@@ -131,16 +133,16 @@
 	judge(t, c, calls, e)
 }
 
-// Guards against changes and requests that take effect twice because the
-// platform's reply was lost after the effect.
+// Guards against requests that run twice, and a change that is lost or goes
+// back, because the platform's reply was lost after the effect.
 func TestLostReplies(t *testing.T) {
 	c, calls, e := startWithDocument(t)
 	stop := runLoad(t, c, calls, e, loadSeed)
-	for range 3 {
+	for round := range 3 {
 		c.setFaults(t, &wirev1.Faults{Target: "table", LoseReply: true})
 		time.Sleep(time.Second)
 		c.setFaults(t, &wirev1.Faults{Target: "table"})
-		time.Sleep(time.Second)
+		c.inForce(t, c.apply(t, c.hosts[round], shareOfLedger(2+round)), c.hosts)
 	}
 	stop()
 	judge(t, c, calls, e)
@@ -213,6 +215,13 @@
 	judge(t, c, calls, e)
 }
 
+// shareOfLedger returns the test's section with another share of one team.
+func shareOfLedger(share int) document.Section {
+	section := testSection()
+	section.Teams[1].Share = float64(share)
+	return section
+}
+
 // race lets every host apply a different change made from the same revision,
 // and returns how many were accepted.
 func (c *cluster) race(t *testing.T, base uint64, round int) int {
@@ -220,9 +229,7 @@
 	var applying sync.WaitGroup
 	results := make([]error, len(c.hosts))
 	for i, h := range c.hosts {
-		section := testSection()
-		section.Teams[1].Share = float64(100 + round*len(c.hosts) + i)
-		text, err := yamldoc.Encode(section)
+		text, err := yamldoc.Encode(shareOfLedger(100 + round*len(c.hosts) + i))
 		assert.NilError(t, err)
 		req := connect.NewRequest(&wirev1.ApplyRequest{
 			ChangeId: fmt.Sprintf("race-%d-%d", round, i),
