Watch every host's revision under load, and print what callers were told

Cause: the checker could judge that a host never goes back, but no test recorded revisions; and a test that refuses everything would pass.

Change: the load records the revisions that each host shows, and each test prints outcomes by reason.

--- a/e2e/load_test.go
+++ b/e2e/load_test.go
@@ -16,6 +16,8 @@
 	// under the same identifier.
 	loadRetries = 2
 	loadPause   = 20 * time.Millisecond
+	// revisionPause is the time between two looks at a host's revision.
+	revisionPause = 100 * time.Millisecond
 )
 
 // load sends seeded work of all kinds until its context ends.
@@ -37,6 +39,9 @@
 	for worker := range loadWorkers {
 		sending.Go(func() { l.run(ctx, worker) })
 	}
+	for _, h := range c.hosts {
+		sending.Go(func() { l.watchRevision(ctx, h) })
+	}
 	return func() {
 		cancel()
 		sending.Wait()
@@ -55,6 +60,25 @@
 	}
 }
 
+// watchRevision records the revisions that a host shows, so that a host which
+// goes back is seen.
+func (l *load) watchRevision(ctx context.Context, h *entryHost) {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, time.Second)
+		doc, err := l.c.document(callCtx, h)
+		cancel()
+		if err == nil {
+			l.mu.Lock()
+			l.e.revisions[h.name] = append(l.e.revisions[h.name], doc.Revision)
+			l.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(revisionPause):
+		}
+	}
+}
+
 // next chooses a request: on the open queue, keyed without an identifier, or
 // keyed with one.
 func (l *load) next(random *rand.Rand, name string) (string, call) {
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -61,11 +62,21 @@
 	t.Helper()
 	e.executions = c.executions(t)
 	e.told = calls.all()
+	t.Logf("callers were told: %v", outcomes(e.told))
 	for _, v := range e.violations() {
 		t.Error(v)
 	}
 }
 
+// outcomes counts what callers were told, by outcome and reason.
+func outcomes(all []told) map[string]int {
+	counts := map[string]int{}
+	for _, t := range all {
+		counts[strings.TrimSpace(t.outcome+" "+t.reason)]++
+	}
+	return counts
+}
+
 // Guards against a path that is broken anywhere between an operator's
 // document, a caller's request and the answer, and against a stop that cuts
 // requests.
