Show the whole path in the demonstration

Cause: the demonstration showed requests only, and there was no way for a new user to go on with fuchsiactl.

--- a/cmd/fuchsiastandin/main.go
+++ b/cmd/fuchsiastandin/main.go
@@ -13,11 +13,12 @@
 	"github.com/rs/zerolog"
 
 	"fuchsiafront.example/fuchsiafront/standin/assembly"
+	"fuchsiafront.example/fuchsiafront/standin/demo"
 )
 
 type arguments struct {
 	Serve *assembly.Settings `arg:"subcommand:serve" help:"serve until interrupted; the first line of output is the platform's URL"`
-	Demo  *demoSettings      `arg:"subcommand:demo" help:"run the platform, entry hosts and a session of work in one process"`
+	Demo  *demo.Settings     `arg:"subcommand:demo" help:"run the platform, entry hosts and a session of work in one process"`
 }
 
 func main() {
@@ -30,7 +31,7 @@
 	case args.Serve != nil:
 		err = serve(ctx, *args.Serve)
 	case args.Demo != nil:
-		err = demo(ctx, *args.Demo)
+		err = demo.Run(ctx, *args.Demo)
 	default:
 		parser.Fail("name a subcommand")
 	}
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/alexflint/go-arg"
+
 	"fuchsiafront.example/fuchsiafront/decision/document"
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/settings"
@@ -38,6 +40,20 @@
 	Check          bool          `arg:"--check" help:"check the settings and exit"`
 }
 
+// Defaults returns the settings that apply where no flag or environment
+// variable sets another value.
+func Defaults() Settings {
+	var s Settings
+	parser, err := arg.NewParser(arg.Config{IgnoreEnv: true}, &s)
+	if err != nil {
+		panic(err)
+	}
+	if err := parser.Parse(nil); err != nil {
+		panic(err)
+	}
+	return s
+}
+
 // Description implements go-arg's interface.
 func (Settings) Description() string {
 	return "fuchsiafrontd is the daemon of an entry host: it admits, queues and routes callers' work."
