Compute a pool's mean load once for each choice

Cause: Capacity and Choose computed the decay of the pool's mean once for each server, although it is the same for all servers of a pool.

Ruled out: a lower bound of 0.5 on the estimate of free slots and a half-life of 300 ms for the mean. Both are reverted.

Change: the mean is computed once and passed on.

--- a/decision/route/route.go
+++ b/decision/route/route.go
@@ -135,10 +135,14 @@
 	p.own++
 }
 
-// free estimates the free slots of s.
-func (p *pool) free(s *server, now time.Time) float64 {
+// mean returns the running mean of the load of other hosts on one server.
+func (p *pool) mean(now time.Time) float64 {
+	return p.others * decay(now.Sub(p.reportedAt), meanHalfLife)
+}
+
+// free estimates the free slots of s; mean is the pool's mean now.
+func (s *server) free(mean float64, now time.Time) float64 {
 	weight := decay(now.Sub(s.reportedAt), othersHalfLife)
-	mean := p.others * decay(now.Sub(p.reportedAt), meanHalfLife)
 	others := weight*s.others + (1-weight)*mean
 	return float64(s.Slots-s.inFlight) - others
 }
@@ -148,6 +152,8 @@
 	return math.Exp2(-float64(max(0, age)) / float64(halfLife))
 }
 
+func (p *pool) free(s *server, now time.Time) float64 { return s.free(p.mean(now), now) }
+
 func (s *server) usable(now time.Time) bool {
 	return !now.Before(s.leavingUntil) && s.health.usable(s.inFlight, now)
 }
@@ -159,12 +165,13 @@
 	if p == nil {
 		return 0, 0
 	}
+	mean := p.mean(now)
 	for _, s := range p.servers {
 		if !s.usable(now) {
 			continue
 		}
 		slots += s.Slots
-		free += max(0, int(math.Floor(p.free(s, now)+1-minFree)))
+		free += max(0, int(math.Floor(s.free(mean, now)+1-minFree)))
 	}
 	return slots, free
 }
@@ -197,6 +204,7 @@
 	}
 	var best *server
 	bestFree, seen := 0.0, 0
+	mean := p.mean(now)
 	// A random start and a step that is coprime to the length visit each
 	// server once without a shuffled copy.
 	at, step := t.random.IntN(len(group)), t.stride(len(group))
@@ -206,7 +214,7 @@
 		if s.Name == avoid || !s.usable(now) {
 			continue
 		}
-		free := p.free(s, now)
+		free := s.free(mean, now)
 		if free < minFree {
 			continue
 		}
