Replay demand through the decisions and measure their growth

Cause: no figure showed what the decisions do together under the demand of the design page, or how their cost grows towards the size to design for.

Change: package measure and program fuchsiameasure. A replay on a virtual clock drives rights, fairqueue, route, budget and wave, and beside them a plain baseline, over the same seeded demand.

--- /dev/null
+++ b/cmd/fuchsiameasure/main.go
@@ -0,0 +1,80 @@
+// Command fuchsiameasure replays the demand of the deployments through the
+// decision packages and prints measures, or measures how the cost of decisions,
+// state and messages grows with the fleet.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"fuchsiafront.example/fuchsiafront/decision/preset"
+	"fuchsiafront.example/fuchsiafront/measure"
+)
+
+type capacity struct{}
+
+type sweep struct{}
+
+type options struct {
+	Capacity   *capacity `arg:"subcommand:capacity" help:"measure slopes of memory, messages, processor time and table calls"`
+	Sweep      *sweep    `arg:"subcommand:sweep" help:"replay with several values of each parameter"`
+	Seed       uint64    `arg:"--seed" default:"1" help:"seed of the demand and the failures"`
+	Deployment string    `arg:"--deployment" help:"tan-seng-huat or mare-viva; both when left out"`
+	Minutes    int       `arg:"--minutes" default:"30" help:"length of the replay in virtual minutes"`
+	JSON       bool      `arg:"--json" help:"print JSON"`
+}
+
+func main() {
+	var o options
+	arg.MustParse(&o)
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	if o.Capacity != nil {
+		return runCapacity(o)
+	}
+	names := preset.Names()
+	if o.Deployment != "" {
+		names = []string{o.Deployment}
+	}
+	var all []measure.Result
+	for _, name := range names {
+		settings := measure.Settings{Seed: o.Seed, Deployment: name, Minutes: o.Minutes}
+		p, _ := preset.ByName(name)
+		if o.Sweep != nil {
+			if err := measure.Sweep(os.Stdout, settings, p); err != nil {
+				return err
+			}
+			continue
+		}
+		results, err := measure.Replay(settings, p)
+		if err != nil {
+			return err
+		}
+		all = append(all, results...)
+	}
+	switch {
+	case o.Sweep != nil:
+		return nil
+	case o.JSON:
+		return json.NewEncoder(os.Stdout).Encode(all)
+	}
+	_, err := fmt.Print(measure.Table(all))
+	return err
+}
+
+func runCapacity(o options) error {
+	slopes := measure.Capacity()
+	if o.JSON {
+		return json.NewEncoder(os.Stdout).Encode(slopes)
+	}
+	_, err := fmt.Print(measure.SlopeTable(slopes))
+	return err
+}
--- /dev/null
+++ b/measure/capacity.go
@@ -0,0 +1,242 @@
+package measure
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"fuchsiafront.example/fuchsiafront/decision/preset"
+)
+
+// Slope is how one quantity grows with one size.
+type Slope struct {
+	Quantity string    `json:"quantity"`
+	Unit     string    `json:"unit"`
+	Of       string    `json:"of"`
+	Sizes    []int     `json:"sizes"`
+	Values   []float64 `json:"values"`
+	// Base and PerSize are the least-squares line through the values.
+	Base    float64 `json:"base"`
+	PerSize float64 `json:"perSize"`
+	// Design is the size of docs/design.md section 1.3. AtDesign lies between
+	// the neighbouring measured values where there are two, and else on the
+	// line. It is a calculation.
+	Design   int     `json:"design"`
+	AtDesign float64 `json:"atDesign"`
+}
+
+// Sizes to design for. Entry hosts are 8 in each of 13 zones.
+const (
+	designHosts      = 4900
+	designTeams      = 110
+	designMembers    = 104
+	designSections   = 110
+	designParts      = 175
+	designPoolServer = 75
+)
+
+// timeBudget is how long one size of one decision is timed.
+const timeBudget = 60 * time.Millisecond
+
+// Capacity measures all slopes. It takes some seconds.
+func Capacity() []Slope {
+	slopes := []Slope{
+		slope("replica and host lists", "B of memory", "hosts", designHosts, []int{500, 1500, 4900}, memory(replicaOfHosts)),
+		slope("replica", "B of memory", "sections", designSections, []int{25, 110, 500}, memory(replicaOfSections)),
+		slope("ledger of rights", "B of memory", "teams", designTeams, []int{50, 110, 500}, memory(ledgerOfTeams)),
+		slope("rights row", "B encoded", "holders", designMembers, []int{8, 26, 104}, rowBytes),
+		slope("digest with 110 teams", "B encoded", "members", designMembers, []int{8, 26, 104}, func(n int) float64 { return digestBytes(n, designTeams) }),
+		slope("digest with 104 members", "B encoded", "teams", designTeams, []int{6, 55, 110}, func(n int) float64 { return digestBytes(designMembers, n) }),
+		slope("assignments in the state", "B encoded", "hosts", designHosts, []int{500, 1500, 4900}, assignmentBytes),
+	}
+	for _, d := range decisions {
+		slopes = append(slopes, slope(d.name, "ns", d.of, d.design, d.sizes(), timed(d.round)))
+	}
+	return append(slopes, tableSlopes()...)
+}
+
+// decision is one decision of the control path and its size today.
+type decision struct {
+	name, of string
+	today    int
+	design   int
+	round    func(size int) func()
+}
+
+// growth are the multiples of today's size at which decisions are measured.
+var growth = []int{1, 10, 100}
+
+func (d decision) sizes() []int {
+	var sizes []int
+	for _, g := range growth {
+		sizes = append(sizes, g*d.today)
+	}
+	return sizes
+}
+
+var decisions = []decision{
+	{"admission and start", "teams", todayTeams, designTeams, admissionRound},
+	{"routing", "servers", todayServers, designPoolServer, routingRound},
+	{"placement", "workers", todayHosts / 2, designPoolServer, placementRound},
+	{"grant and wave planning", "hosts", todayHosts, designHosts, waveRound},
+	{"rights balance", "holders", todayHolders, designMembers, rightsRound},
+	{"revision propose and advance", "parts", todayParts, designParts, revisionRound},
+}
+
+func slope(quantity, unit, of string, design int, sizes []int, value func(int) float64) Slope {
+	s := Slope{Quantity: quantity, Unit: unit, Of: of, Design: design, Sizes: sizes}
+	for _, n := range sizes {
+		s.Values = append(s.Values, value(n))
+	}
+	s.Base, s.PerSize = line(sizes, s.Values)
+	s.AtDesign = s.at(design)
+	return s
+}
+
+func (s Slope) at(size int) float64 {
+	for i := 1; i < len(s.Sizes); i++ {
+		low, high := s.Sizes[i-1], s.Sizes[i]
+		if size < low || size > high {
+			continue
+		}
+		part := float64(size-low) / float64(high-low)
+		return s.Values[i-1] + part*(s.Values[i]-s.Values[i-1])
+	}
+	return s.Base + s.PerSize*float64(size)
+}
+
+// line fits a straight line by least squares.
+func line(sizes []int, values []float64) (base, perSize float64) {
+	var sx, sy, sxx, sxy float64
+	for i, n := range sizes {
+		x := float64(n)
+		sx += x
+		sy += values[i]
+		sxx += x * x
+		sxy += x * values[i]
+	}
+	n := float64(len(sizes))
+	perSize = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return (sy - perSize*sx) / n, perSize
+}
+
+// memory returns the heap that the result of build keeps alive.
+func memory(build func(n int) any) func(n int) float64 {
+	return func(n int) float64 {
+		before := heapInUse()
+		kept := build(n)
+		after := heapInUse()
+		runtime.KeepAlive(kept)
+		return float64(after) - float64(before)
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func rowBytes(holders int) float64 {
+	data, err := json.Marshal(rightsRow(holders))
+	if err != nil {
+		panic(err)
+	}
+	return float64(len(data))
+}
+
+func assignmentBytes(hosts int) float64 {
+	total := 0
+	for i := range hosts {
+		total += len(fmt.Sprintf("%q:%q,", hostName(i), fmt.Sprintf("pool-%03d", i/75)))
+	}
+	return float64(total)
+}
+
+func digestBytes(members, teams int) float64 {
+	return float64(proto.Size(digest(members, teams)))
+}
+
+// timed returns the mean time of a round, after a warm-up.
+func timed(round func(size int) func()) func(size int) float64 {
+	return func(size int) float64 {
+		run := round(size)
+		run()
+		start, n := time.Now(), 0
+		for time.Since(start) < timeBudget {
+			for range 8 {
+				run()
+			}
+			n += 8
+		}
+		return float64(time.Since(start).Nanoseconds()) / float64(n)
+	}
+}
+
+// tableSlopes replays a minute with other numbers of entry hosts and teams, and
+// counts calls for rights rows at the table service.
+func tableSlopes() []Slope {
+	byHosts := func(of func(Result) float64) func(int) float64 {
+		return func(n int) float64 { return of(tableRun(n, todayTeams)) }
+	}
+	byTeams := func(of func(Result) float64) func(int) float64 {
+		return func(n int) float64 { return of(tableRun(todayHolders, n)) }
+	}
+	reads := func(r Result) float64 { return r.RightsReads }
+	writes := func(r Result) float64 { return r.RightsWrites }
+	hosts, teams := []int{4, 8, 16}, []int{3, 6, 12}
+	return []Slope{
+		slope("reads of rights rows, 6 busy teams", "1/s", "entry hosts", designMembers, hosts, byHosts(reads)),
+		slope("writes of rights rows, 6 busy teams", "1/s", "entry hosts", designMembers, hosts, byHosts(writes)),
+		slope("reads of rights rows, 8 entry hosts", "1/s", "busy teams", designTeams, teams, byTeams(reads)),
+		slope("writes of rights rows, 8 entry hosts", "1/s", "busy teams", designTeams, teams, byTeams(writes)),
+	}
+}
+
+// tableRun replays the demand of one deployment, divided among a number of
+// teams. The fleet, and so the work, stays the same.
+func tableRun(entryHosts, teams int) Result {
+	d, err := deploymentOf(preset.TanSengHuat)
+	if err != nil {
+		panic(err)
+	}
+	d.entryHosts = entryHosts
+	all := d.teams
+	d.teams = nil
+	for i := range teams {
+		t := all[i%len(all)]
+		t.name = fmt.Sprintf("team-%d", i)
+		t.demand *= float64(len(all)) / float64(teams)
+		t.limit = max(1, t.limit*len(all)/teams)
+		d.teams = append(d.teams, t)
+	}
+	p, _ := preset.ByName(preset.TanSengHuat)
+	return replay(d, p, Settings{Seed: 1, Deployment: preset.TanSengHuat, Minutes: 1}, false)
+}
+
+// SlopeTable formats slopes, one a line.
+func SlopeTable(slopes []Slope) string {
+	var b strings.Builder
+	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "quantity\tunit\tsizes\tvalues\tslope\tat the design size (calculated)")
+	for _, s := range slopes {
+		fmt.Fprintf(t, "%s\t%s\t%v %s\t%s\t%.4g a %s\t%.4g at %d\n", s.Quantity, s.Unit, s.Sizes, s.Of, numbers(s.Values), s.PerSize, strings.TrimSuffix(s.Of, "s"), s.AtDesign, s.Design)
+	}
+	t.Flush()
+	return b.String()
+}
+
+func numbers(values []float64) string {
+	var list []string
+	for _, v := range values {
+		list = append(list, fmt.Sprintf("%.4g", v))
+	}
+	return strings.Join(list, " ")
+}
--- /dev/null
+++ b/measure/demand.go
@@ -0,0 +1,138 @@
+package measure
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// burstTime is the length of a burst. The queues of each service burst in
+	// turn, so that five services take 40 s for a cycle.
+	burstTime = 8 * time.Second
+	// burstFactor and lullFactor are parts of the mean demand; with five
+	// services in turn they average close to one.
+	burstFactor = 5.0
+	lullFactor  = 0.05
+	// burstLoad is the demand in a burst as a part of what the pool holds.
+	burstLoad = 1.3
+	// shiftFactor is by how much the demand of one service is raised in the
+	// middle third of a run.
+	shiftFactor = 2.5
+	// minWork and maxWork bound the time that a request takes; its logarithm
+	// is uniform between them.
+	minWork = 100 * time.Millisecond
+	maxWork = time.Second
+	// arrivalTick is the step in which arrivals are drawn.
+	arrivalTick = 50 * time.Millisecond
+	// hotPart of a team's demand in one burst arrives at hotHosts entry hosts.
+	hotPart  = 0.6
+	hotHosts = 2
+	// maxWaiting bounds each queue on one entry host.
+	maxWaiting = 64
+)
+
+// request is one request of a caller.
+type request struct {
+	team, service int
+	host          int
+	arrived       time.Time
+	deadline      time.Time
+	work          time.Duration
+	// attempt state
+	noSlots  int
+	failures int
+	server   string
+}
+
+// demand draws arrivals. Its random numbers do not depend on decisions, so
+// that all policies of a run see the same demand.
+type demand struct {
+	d       deployment
+	random  *rand.Rand
+	start   time.Time
+	length  time.Duration
+	shifted int
+	burst   int
+	hot     [][]int
+}
+
+func newDemand(d deployment, seed uint64, start time.Time, length time.Duration) *demand {
+	r := rand.New(rand.NewPCG(seed, 1))
+	return &demand{d: d, random: r, start: start, length: length, shifted: r.IntN(len(d.servers)), burst: -1, hot: make([][]int, len(d.teams))}
+}
+
+// draw returns the arrivals from now until the next tick.
+func (g *demand) draw(now time.Time) []*request {
+	g.turn(now)
+	var list []*request
+	for s := range g.d.servers {
+		rate := g.rate(s, now)
+		for t, team := range g.d.teams {
+			for range poisson(g.random, rate*team.demand*arrivalTick.Seconds()) {
+				list = append(list, g.request(s, t, now))
+			}
+		}
+	}
+	return list
+}
+
+// turn chooses where the callers of each team arrive in a new burst.
+func (g *demand) turn(now time.Time) {
+	n := int(now.Sub(g.start) / burstTime)
+	if n == g.burst {
+		return
+	}
+	g.burst = n
+	for t := range g.hot {
+		g.hot[t] = g.random.Perm(g.d.entryHosts)[:hotHosts]
+	}
+}
+
+func (g *demand) bursting() int { return g.burst % len(g.d.servers) }
+
+// rate returns the requests per second of a service.
+func (g *demand) rate(s int, now time.Time) float64 {
+	slots := float64(g.d.servers[s] * slotsPerServer)
+	mean := burstLoad / burstFactor * slots / meanWork.Seconds()
+	if s == g.shifted && g.inShift(now) {
+		mean *= shiftFactor
+	}
+	if s == g.bursting() {
+		return mean * burstFactor
+	}
+	return mean * lullFactor
+}
+
+// inShift reports whether now is in the middle third of the run.
+func (g *demand) inShift(now time.Time) bool {
+	at := now.Sub(g.start)
+	return at >= g.length/3 && at < 2*g.length/3
+}
+
+// meanWork is the mean of the log-uniform distribution of work.
+var meanWork = time.Duration(float64(maxWork-minWork) / math.Log(float64(maxWork)/float64(minWork)))
+
+func (g *demand) request(s, t int, now time.Time) *request {
+	at := now.Add(time.Duration(g.random.Int64N(int64(arrivalTick))))
+	work := float64(minWork) * math.Pow(float64(maxWork)/float64(minWork), g.random.Float64())
+	host := g.random.IntN(g.d.entryHosts)
+	if hot := g.random.Float64() < hotPart; hot && s == g.bursting() {
+		host = g.hot[t][g.random.IntN(hotHosts)]
+	}
+	return &request{
+		team: t, service: s, host: host, arrived: at,
+		deadline: at.Add(g.d.teams[t].deadline()), work: time.Duration(work),
+	}
+}
+
+// poisson draws a Poisson number (Knuth, The Art of Computer Programming,
+// volume 2, 3.4.1).
+func poisson(r *rand.Rand, mean float64) int {
+	limit, p, n := math.Exp(-mean), r.Float64(), 0
+	for p > limit {
+		p *= r.Float64()
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/measure/fixtures.go
@@ -0,0 +1,276 @@
+package measure
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/budget"
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/decision/fairqueue"
+	"fuchsiafront.example/fuchsiafront/decision/placement"
+	"fuchsiafront.example/fuchsiafront/decision/revision"
+	"fuchsiafront.example/fuchsiafront/decision/rights"
+	"fuchsiafront.example/fuchsiafront/decision/route"
+	"fuchsiafront.example/fuchsiafront/decision/wave"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	fuchsiafrontv1 "fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1"
+)
+
+// Sizes of the deployments of today, from which decisions are measured at 1, 10
+// and 100 times.
+const (
+	todayHosts   = 100
+	todayTeams   = 6
+	todayServers = 10
+	todayHolders = 8
+	todayParts   = 72
+)
+
+var fixtureStart = time.Unix(1_000_000, 0).UTC()
+
+func hostName(i int) string { return fmt.Sprintf("host-%05d", i) }
+
+func hostList(n int, kind fleet.HostKind, asOf time.Time) fleet.HostList {
+	list := fleet.HostList{AsOf: asOf}
+	for i := range n {
+		list.Hosts = append(list.Hosts, fleet.Host{
+			Name: hostName(i), Kind: kind, Zone: fleet.AvailabilityZone(fmt.Sprintf("zone-%d", i%13)),
+			Rack: fmt.Sprintf("rack-%d", i/13/rackHosts), Address: fmt.Sprintf("10.0.%d.%d:9000", i/256, i%256),
+			Phase: fleet.PhaseLive, Slots: slotsPerServer,
+			Capacity: fleet.Resources{MilliCPU: 32000, MemoryBytes: 64 << 30, Accelerators: 2},
+		})
+	}
+	return list
+}
+
+// admissionRound returns one admission, start and end of a request on a host
+// where requests of n teams wait in one pool.
+func admissionRound(teams int) func() {
+	set, now := fairqueue.New(), fixtureStart
+	item := func(t int) fairqueue.Item {
+		name := fmt.Sprintf("team-%04d", t)
+		return fairqueue.Item{Queue: name, Team: name, Pool: "p", Class: fleet.ClassInteractive, Share: float64(1 + t%3), Deadline: now.Add(time.Hour)}
+	}
+	items := make([]fairqueue.Item, teams)
+	for t := range items {
+		items[t] = item(t)
+		set.Admit(items[t], nil, now)
+	}
+	pool, t := fairqueue.Pool{Name: "p", Slots: 80, Free: 10}, 0
+	return func() {
+		now = now.Add(time.Millisecond)
+		e := set.Next(pool)
+		set.Start(e, now)
+		set.Ended(e.Team)
+		e2, reason := set.Admit(fairqueue.Item{Queue: e.Queue, Team: e.Team, Pool: "p", Class: e.Class, Share: e.Share, Deadline: now.Add(time.Hour)}, nil, now)
+		if e2 == nil {
+			panic(reason)
+		}
+		t = (t + 1) % teams
+	}
+}
+
+// routingRound returns one choice of a backend server of a pool of n.
+func routingRound(servers int) func() {
+	table, now := route.New("zone-0", rand.New(rand.NewPCG(1, 1))), fixtureStart
+	var list []route.Server
+	for _, h := range hostList(servers, fleet.KindBackendServer, now).Hosts {
+		list = append(list, route.Server{Name: h.Name, Address: h.Address, Zone: h.Zone, Pool: "p", Slots: h.Slots})
+	}
+	table.SetServers(list)
+	return func() {
+		now = now.Add(time.Millisecond)
+		table.Capacity("p", now)
+		name, _ := table.Choose("p", "", now)
+		table.Started(name)
+		table.Ended(name, route.Succeeded, route.Load{SlotsFree: 5}, now)
+	}
+}
+
+// placementRound returns one decision over n workers, each with one running
+// job, and a tenth as many waiting jobs.
+func placementRound(workers int) func() {
+	in := placement.Input{Teams: make(map[string]placement.Team)}
+	size := fleet.Resources{MilliCPU: 4000, MemoryBytes: 8 << 30}
+	job := func(i int) placement.Job {
+		team := fmt.Sprintf("team-%d", i%todayTeams)
+		in.Teams[team] = placement.Team{Share: 1}
+		return placement.Job{ID: fmt.Sprintf("job-%d", i), Team: team, Queue: team, Class: fleet.ClassBatch, Size: size, Idempotent: true}
+	}
+	for i, h := range hostList(workers, fleet.KindWorker, fixtureStart).Hosts {
+		in.Workers = append(in.Workers, placement.Worker{Name: h.Name, Zone: h.Zone, Rack: h.Rack, Capacity: h.Capacity, Slots: h.Slots})
+		in.Running = append(in.Running, placement.Running{Job: job(i), Worker: h.Name})
+	}
+	for i := range max(1, workers/10) {
+		in.Waiting = append(in.Waiting, job(workers+i))
+	}
+	return func() { placement.Decide(in) }
+}
+
+// waveRound returns one round of the planner over n hosts in pools of 75 with
+// one wave: the draft, the grants and the outcome.
+func waveRound(hosts int) func() {
+	const poolHosts = 75
+	doc := &document.Document{Sections: make(map[string]document.Section)}
+	assigned := make(budget.Assignments, hosts)
+	list := hostList(hosts, fleet.KindWorker, fixtureStart)
+	for i, h := range list.Hosts {
+		pool := fmt.Sprintf("pool-%03d", i/poolHosts)
+		if i%poolHosts == 0 {
+			doc.Sections[pool] = document.Section{Name: pool, Pools: []document.Pool{{Name: pool, Kind: fleet.KindWorker, MaxUnavailable: 8, MaxRacksOut: 8}}}
+		}
+		assigned[h.Name] = pool
+	}
+	ledger := &budget.Ledger{Waves: map[string]budget.Wave{"w": {ID: "w", Pool: "pool-000", Pending: wave.Order(list.Hosts[:min(hosts, poolHosts)]), MaxFailed: 8}}}
+	basis := budget.Basis{Document: doc, Assignments: assigned, Ledger: ledger, Hosts: &list, Now: fixtureStart}
+	pace := wave.Pace{Weights: wave.Weights{RollOut: 1, Buffer: 1}, HostTime: time.Minute, Reference: time.Minute, SlowFactor: 2}
+	return func() {
+		d := budget.NewDraft(basis)
+		d.RecordFailures(nil)
+		wave.Next(d, "w", 10, pace)
+		d.Outcome()
+	}
+}
+
+func rightsRow(holders int) rights.Row {
+	row := rights.Row{Limit: rights.Limit{Rights: 10 * holders, Revision: 1}}
+	for i := range holders {
+		row, _ = row.Take(rights.Holder{Host: fmt.Sprintf("entry-%04d", i), Incarnation: 1_700_000_000_000}, 8)
+	}
+	return row
+}
+
+// rightsRound returns one balance of a team's row with n holders.
+func rightsRound(holders int) func() {
+	self := rights.Holder{Host: "entry-0000", Incarnation: 1_700_000_000_000}
+	row, now := rightsRow(holders), fixtureStart
+	ledger, version := rights.NewLedger(self, now), uint64(0)
+	var peers []rights.Peer
+	for _, h := range row.Holdings {
+		if h.Holder != self {
+			peers = append(peers, rights.Peer{Holder: h.Holder, Need: 6})
+		}
+	}
+	return func() {
+		now = now.Add(10 * time.Millisecond)
+		version++
+		ledger.SetWaiting(now, "t", 4)
+		p := ledger.Prepare(now, rights.Survey{Team: "t", Version: version, Row: row, ReadStart: now, Limit: row.Limit, Hosts: holders, Peers: peers})
+		if p.Cause != rights.CauseNone {
+			ledger.Settle(p, rights.Refused, 0, now)
+		}
+	}
+}
+
+// revisionState returns a state of n parts.
+func revisionState(parts int) *revision.State {
+	s := &revision.State{Revision: 1, Parts: make(map[string]revision.Part, parts)}
+	for i := range parts {
+		name := fmt.Sprintf("section/%05d", i)
+		s.Parts[name] = revision.Part{Name: name, Revision: 1, Data: make([]byte, 1024)}
+	}
+	return s
+}
+
+// revisionRound returns one change of one of n parts, proposed and applied.
+func revisionRound(parts int) func() {
+	s := revisionState(parts)
+	const name = "section/00000"
+	return func() {
+		p := revision.Propose(s.Head(), s.Parts, revision.Change{ID: "c", Updates: []revision.Update{{Part: name, IfRevision: 1}}})
+		s.Advance(p.Head, map[string]revision.Part{name: p.Parts[0]})
+	}
+}
+
+// section returns a section as an operators' team declares it: one pool, two
+// teams with two keys each and three queues.
+func section(i int) document.Section {
+	name := fmt.Sprintf("section-%04d", i)
+	s := document.Section{Name: name, Pools: []document.Pool{{Name: name + "-pool", Kind: fleet.KindWorker, Adopt: []string{name + "-*"}, MaxUnavailable: 4, MaxRacksOut: 2}}}
+	hash := strings.Repeat("0f", 32)
+	for t := range 2 {
+		team := document.Team{Name: fmt.Sprintf("%s-team-%d", name, t), Share: 1, Limit: 100}
+		for k := range 2 {
+			team.Keys = append(team.Keys, document.Key{ID: fmt.Sprintf("key-%d", k), Salt: hash[:32], Hash: hash})
+		}
+		s.Teams = append(s.Teams, team)
+	}
+	for q := range 3 {
+		s.Queues = append(s.Queues, document.Queue{Name: fmt.Sprintf("%s-queue-%d", name, q), Team: s.Teams[0].Name, Pool: s.Pools[0].Name, Class: fleet.ClassInteractive})
+	}
+	return s
+}
+
+// replicaOfHosts returns what an entry host keeps for n hosts: the assignment
+// parts as bytes and decoded, and the host list twice (the copy in use and the
+// copy that replaces it).
+func replicaOfHosts(n int) any {
+	assigned := make(budget.Assignments, n)
+	buckets := make([]budget.Assignments, budget.Buckets)
+	for i := range n {
+		name := hostName(i)
+		pool := fmt.Sprintf("pool-%03d", i/75)
+		assigned[name] = pool
+		b := budget.Bucket(name)
+		if buckets[b] == nil {
+			buckets[b] = make(budget.Assignments)
+		}
+		buckets[b][name] = pool
+	}
+	state := &revision.State{Revision: 1, Parts: make(map[string]revision.Part)}
+	for b, content := range buckets {
+		data, err := json.Marshal(content)
+		if err != nil {
+			panic(err)
+		}
+		name := fmt.Sprintf("hosts/%02d", b)
+		state.Parts[name] = revision.Part{Name: name, Revision: 1, Data: data}
+	}
+	return []any{state, assigned, hostList(n, fleet.KindWorker, fixtureStart), hostList(n, fleet.KindWorker, fixtureStart)}
+}
+
+// replicaOfSections returns what an entry host keeps for n sections.
+func replicaOfSections(n int) any {
+	doc := &document.Document{Sections: make(map[string]document.Section)}
+	state := &revision.State{Revision: 1, Parts: make(map[string]revision.Part)}
+	for i := range n {
+		s := section(i)
+		data, err := json.Marshal(s)
+		if err != nil {
+			panic(err)
+		}
+		doc.Sections[s.Name] = s
+		state.Parts["section/"+s.Name] = revision.Part{Name: "section/" + s.Name, Revision: 1, Data: data}
+	}
+	return []any{doc, state}
+}
+
+// ledgerOfTeams returns one host's ledger of rights with n teams.
+func ledgerOfTeams(n int) any {
+	l := rights.NewLedger(rights.Holder{Host: "entry-0000", Incarnation: 1}, fixtureStart)
+	row := rightsRow(todayHolders)
+	for i := range n {
+		l.Observe(fmt.Sprintf("team-%04d", i), 1, row, fixtureStart)
+	}
+	return l
+}
+
+// digest returns the digest of an entry host that knows members others, with
+// the loads of teams.
+func digest(members, teams int) *fuchsiafrontv1.Digest {
+	member := func(i int) *fuchsiafrontv1.Member {
+		return &fuchsiafrontv1.Member{Name: fmt.Sprintf("entry-%04d", i), Zone: fmt.Sprintf("zone-%02d", i%13), Incarnation: 1_700_000_000_000_000_000, PeerAddress: fmt.Sprintf("10.0.%d.%d:7000", i/256, i%256)}
+	}
+	d := &fuchsiafrontv1.Digest{Member: member(0), Revision: 1_000_000, PlatformRevision: 1_000_000, PlatformAgeMs: 700}
+	for i := range members {
+		d.Members = append(d.Members, member(i))
+		d.Statements = append(d.Statements, &fuchsiafrontv1.Statement{Member: fmt.Sprintf("entry-%04d", i), Incarnation: 1_700_000_000_000_000_000, Revision: 1_000_000, AgeMs: 900})
+	}
+	for i := range teams {
+		d.Loads = append(d.Loads, &fuchsiafrontv1.TeamLoad{Team: fmt.Sprintf("team-%04d", i), Running: 20, Waiting: 5, UnmetRights: 3})
+	}
+	return d
+}
--- /dev/null
+++ b/measure/fleet.go
@@ -0,0 +1,140 @@
+package measure
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/budget"
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+const (
+	// listLag is by how much the platform's host list lags behind.
+	listLag = time.Second
+	// rebootMedian is the median time of a reboot; its logarithm is normal
+	// with standard deviation rebootSpread.
+	rebootMedian = 60 * time.Second
+	rebootSpread = 0.4
+	// freeReboots is the number of reboots at once from which the platform
+	// becomes slower in proportion.
+	freeReboots = 10
+	// hostFailures in a run, each for failureTime.
+	hostFailures = 4
+	failureTime  = 4 * time.Minute
+)
+
+// host is the true state of one host.
+type host struct {
+	fleet.Host
+	used     int
+	failures int
+	// away hosts are rebooting.
+	away bool
+}
+
+// platform is the stand-in for the platform's hosts and host list.
+type platform struct {
+	clock    *clock
+	random   *rand.Rand
+	hosts    []*host
+	byName   map[string]*host
+	list     fleet.HostList
+	rebooted map[string]bool
+	reboots  int
+}
+
+func newPlatform(c *clock, d deployment, seed uint64) *platform {
+	p := &platform{clock: c, random: rand.New(rand.NewPCG(seed, 2)), byName: make(map[string]*host), rebooted: make(map[string]bool)}
+	add := func(pool string, kind fleet.HostKind, i int) {
+		zone := d.zones[i%len(d.zones)]
+		rack := fmt.Sprintf("%s-%s-%d", pool, zone, i/len(d.zones)/rackHosts)
+		h := &host{Host: fleet.Host{Name: fmt.Sprintf("%s-%02d", pool, i), Kind: kind, Zone: zone, Rack: rack, Phase: fleet.PhaseLive, Slots: slotsPerServer}}
+		p.hosts = append(p.hosts, h)
+		p.byName[h.Name] = h
+	}
+	for s, n := range d.servers {
+		for i := range n {
+			add(serviceName(s), fleet.KindBackendServer, i)
+		}
+	}
+	for i := range d.spares {
+		add(d.spare, fleet.KindBackendServer, i)
+	}
+	for i := range d.workers {
+		add(workerPool, fleet.KindWorker, i)
+	}
+	p.publish()
+	c.every(listLag, p.publish)
+	return p
+}
+
+// publish makes a new copy of the host list, which readers see one lag later.
+func (p *platform) publish() {
+	list := fleet.HostList{AsOf: p.clock.now}
+	for _, h := range p.hosts {
+		list.Hosts = append(list.Hosts, h.Host)
+	}
+	p.clock.after(listLag/2, func() { p.list = list })
+	if p.list.Hosts == nil {
+		p.list = list
+	}
+}
+
+// assignments gives each host its first pool.
+func (p *platform) assignments(d deployment) budget.Assignments {
+	a := make(budget.Assignments)
+	for _, h := range p.hosts {
+		a[h.Name] = h.Name[:len(h.Name)-len("-00")]
+	}
+	return a
+}
+
+func (p *platform) drain(name string) {
+	if h := p.byName[name]; h.Phase == fleet.PhaseLive {
+		h.Phase = fleet.PhaseLeaving
+	}
+}
+
+// reboot takes longer when many hosts reboot at once.
+func (p *platform) reboot(name string) {
+	h := p.byName[name]
+	h.away = true
+	p.reboots++
+	slow := max(1, float64(p.reboots)/freeReboots)
+	took := float64(rebootMedian) * math.Exp(rebootSpread*p.random.NormFloat64()) * slow
+	p.clock.after(time.Duration(took), func() {
+		p.reboots--
+		h.away = false
+		p.rebooted[name] = true
+	})
+}
+
+func (p *platform) bringBack(name string) {
+	delete(p.rebooted, name)
+	if h := p.byName[name]; h.Phase == fleet.PhaseLeaving && !h.away {
+		h.Phase = fleet.PhaseLive
+	}
+}
+
+// fail breaks a host for failureTime.
+func (p *platform) fail(name string) {
+	h := p.byName[name]
+	if h.Phase != fleet.PhaseLive {
+		return
+	}
+	h.Phase = fleet.PhaseFailed
+	h.failures++
+	h.used = 0
+	p.clock.after(failureTime, func() { h.Phase = fleet.PhaseLive })
+}
+
+// scheduleFailures chooses the hosts and times of failures.
+func (p *platform) scheduleFailures(seed uint64, length time.Duration) {
+	r := rand.New(rand.NewPCG(seed, 3))
+	for range hostFailures {
+		h := p.hosts[r.IntN(len(p.hosts))]
+		p.clock.after(time.Duration(r.Int64N(int64(length))), func() { p.fail(h.Name) })
+	}
+}
--- /dev/null
+++ b/measure/replay_test.go
@@ -0,0 +1,51 @@
+package measure
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/decision/preset"
+)
+
+// A replay that depends on the order of a map or on the time of day would make
+// two runs of one seed differ, and figures on the pages could not be repeated.
+func TestReplayRepeats(t *testing.T) {
+	for _, name := range preset.Names() {
+		p, ok := preset.ByName(name)
+		assert.Assert(t, ok)
+		s := Settings{Seed: 7, Deployment: name, Minutes: 1}
+		first, err := Replay(s, p)
+		assert.NilError(t, err)
+		second, err := Replay(s, p)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, first, second)
+	}
+}
+
+// No policy may run more than a team's limit (G4), and requests must not be
+// lost between the stages of the replay.
+func TestReplayKeepsLimitsAndRequests(t *testing.T) {
+	for _, name := range preset.Names() {
+		p, _ := preset.ByName(name)
+		results, err := Replay(Settings{Seed: 3, Deployment: name, Minutes: 1}, p)
+		assert.NilError(t, err)
+		for _, r := range results {
+			assert.Equal(t, r.OverLimit, 0)
+			ended := r.Done
+			for _, n := range r.Refused {
+				ended += n
+			}
+			assert.Assert(t, ended <= r.Arrived)
+			assert.Assert(t, r.Arrived-ended < maxWaiting*8*30)
+		}
+	}
+}
+
+// The share distance rests on the fair parts: a team that asks for little gets
+// it, and the others divide the rest by their shares.
+func TestMaxMinFair(t *testing.T) {
+	teams := []account{{share: 1}, {share: 1}, {share: 2}}
+	parts := maxMinFair(teams, []float64{2, 50, 50}, 32)
+	assert.DeepEqual(t, parts, []float64{2, 10, 20})
+}
--- /dev/null
+++ b/measure/sweep.go
@@ -0,0 +1,62 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/preset"
+	"fuchsiafront.example/fuchsiafront/decision/wave"
+)
+
+// parameter is one value of a preset that a sweep varies.
+type parameter struct {
+	name   string
+	values []float64
+	set    func(p *preset.Preset, v float64)
+}
+
+func weight(of func(w *wave.Weights) *float64) func(p *preset.Preset, v float64) {
+	return func(p *preset.Preset, v float64) {
+		*of(&p.Pace.Weights) = v
+		*of(&p.Moves.Weights) = v
+	}
+}
+
+var parameters = []parameter{
+	{"share", []float64{1, 2, 4}, weight(func(w *wave.Weights) *float64 { return &w.Share })},
+	{"moves", []float64{1, 2, 4}, weight(func(w *wave.Weights) *float64 { return &w.Moves })},
+	{"roll-out", []float64{1, 2, 4}, weight(func(w *wave.Weights) *float64 { return &w.RollOut })},
+	{"buffer", []float64{1, 2, 4}, weight(func(w *wave.Weights) *float64 { return &w.Buffer })},
+	{"spare", []float64{0, 1, 3}, func(p *preset.Preset, v float64) { p.Pace.Spare = int(v) }},
+	{"reference-s", []float64{10, 60, 300}, func(p *preset.Preset, v float64) { p.Pace.Reference = seconds(v) }},
+	{"slow-factor", []float64{1.5, 2, 4}, func(p *preset.Preset, v float64) { p.Pace.SlowFactor = v }},
+	{"hysteresis", []float64{0.5, 1, 2}, func(p *preset.Preset, v float64) { p.Moves.Hysteresis = v }},
+	{"move-cost", []float64{0.25, 0.5, 0.9}, func(p *preset.Preset, v float64) { p.Moves.MoveCost = v }},
+	{"max-moves", []float64{1, 2, 4}, func(p *preset.Preset, v float64) { p.Moves.MaxMoves = int(v) }},
+	{"half-life-s", []float64{20, 60, 180}, func(p *preset.Preset, v float64) { p.DemandHalfLife = seconds(v) }},
+}
+
+func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+
+// Sweep replays the decisions with each value of each parameter of a preset,
+// the other parameters as they are, and prints one line a value.
+func Sweep(out io.Writer, s Settings, base preset.Preset) error {
+	d, err := deploymentOf(s.Deployment)
+	if err != nil {
+		return err
+	}
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "parameter\tvalue\tbuffer\troll-out workers\troll-out service\tmoves\tshare\twait p99\tdone")
+	for _, param := range parameters {
+		for _, v := range param.values {
+			p := base
+			param.set(&p, v)
+			r := replay(d, p, s, false)
+			fmt.Fprintf(t, "%s\t%g\t%.0f\t%s\t%s\t%d\t%.4f\t%.2f\t%d\n", param.name, v, r.BufferHostMinutes,
+				rollOutText(r.RollOutWorkers, r.WorkersDone), rollOutText(r.RollOutService, -1), r.Moves, r.ShareDistance, r.WaitP99, r.Done)
+		}
+	}
+	return t.Flush()
+}
