Count a shortage in full against the cost of a move

Cause: PlanMoves compared the cost of a move with the shortage bounded to one host. Once the weight of moves times MoveCost reached the weight of share, no host moved at all, however short the pool was, and the spare pool was never used.

Change: the shortage counts in full, so that a higher weight of moves raises the shortage at which a host moves.

Conclusion: the weight sets a threshold in place of a switch.

--- a/decision/wave/capacity.go
+++ b/decision/wave/capacity.go
@@ -95,11 +95,12 @@
 
 func (p MoveParams) short(l PoolLoad) float64 { return p.target(l) - float64(l.Hosts) }
 
-// worth reports whether one more host for l saves more waiting than the move
-// costs.
+// worth reports whether l is short by more than a move costs. The shortage
+// counts in full: bounded to the one host that a move brings, it would permit
+// no move at all once moves weigh enough, however short the pool is.
 func (p MoveParams) worth(l PoolLoad) bool {
 	short := p.short(l)
-	return short >= p.Hysteresis && short > 0 && p.Share*min(short, 1) > p.Moves*p.MoveCost
+	return short >= p.Hysteresis && short > 0 && p.Share*short > p.Moves*p.MoveCost
 }
 
 // neediest returns the index of the pool to serve next, passing over kinds of
