Measure the time to encode digests and to decode host lists

Change: two slopes in the mode capacity. The planner of the replay keeps since when it sees a host in a step in one typed record in place of composed keys.

--- a/measure/demand.go
+++ b/measure/demand.go
@@ -39,7 +39,8 @@
 	arrived       time.Time
 	deadline      time.Time
 	work          time.Duration
-	// attempt state
+	// noSlots and failures count attempts that were refused and that broke;
+	// server is that of the last attempt.
 	noSlots  int
 	failures int
 	server   string
--- a/measure/messages.go
+++ b/measure/messages.go
@@ -20,6 +20,8 @@
 		slope("assignments in the state", "B encoded", "hosts", designHosts, []int{500, 1500, 4900}, assignmentBytes),
 		slope("state head row", "B encoded", "parts", designParts, []int{72, 175, 720}, headBytes),
 		slope("host list message", "B encoded", "hosts", designHosts, []int{500, 1500, 4900}, hostListBytes),
+		slope("digest with 110 teams, encode and decode", "ns", "members", designMembers, []int{8, 26, 104}, timed(digestRound)),
+		slope("host list message, decode", "ns", "hosts", designHosts, []int{500, 1500, 4900}, timed(hostListRound)),
 		slope("task renewal and its answer", "B encoded", "tasks", designTasks, []int{4, 8, 32}, renewalBytes),
 	}
 }
@@ -71,7 +73,35 @@
 	return float64(proto.Size(d))
 }
 
-func hostListBytes(hosts int) float64 {
+// digestRound returns one encoding and decoding of a digest.
+func digestRound(members int) func() {
+	d := digest(members, designTeams)
+	return func() { decode(encode(d), &fuchsiafrontv1.Digest{}) }
+}
+
+// hostListRound returns one decoding of a host list.
+func hostListRound(hosts int) func() {
+	data := encode(hostListMessage(hosts))
+	return func() { decode(data, &fuchsiafrontv1.ListHostsResponse{}) }
+}
+
+func encode(m proto.Message) []byte {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func decode(data []byte, into proto.Message) {
+	if err := proto.Unmarshal(data, into); err != nil {
+		panic(err)
+	}
+}
+
+func hostListBytes(hosts int) float64 { return float64(proto.Size(hostListMessage(hosts))) }
+
+func hostListMessage(hosts int) *fuchsiafrontv1.ListHostsResponse {
 	m := &fuchsiafrontv1.ListHostsResponse{}
 	for _, h := range hostList(hosts, fleet.KindWorker, fixtureStart).Hosts {
 		m.Hosts = append(m.Hosts, &fuchsiafrontv1.Host{
@@ -79,7 +109,7 @@
 			Phase: string(h.Phase), Slots: int32(h.Slots), Capacity: resources(h.Capacity),
 		})
 	}
-	return float64(proto.Size(m))
+	return m
 }
 
 func resources(r fleet.Resources) *fuchsiafrontv1.Resources {
--- a/measure/planner.go
+++ b/measure/planner.go
@@ -38,18 +38,25 @@
 	assignments budget.Assignments
 	ledger      *budget.Ledger
 	demand      map[string]wave.Trend
-	since       map[string]time.Time
+	seen        map[string]sight
 	called      map[string]budget.Step
 	began       time.Time
 	nextMoves   time.Time
 	ended       map[string]time.Duration
 }
 
+// sight is when a host was first seen in a step of one time out.
+type sight struct {
+	step    budget.Step
+	granted time.Time
+	at      time.Time
+}
+
 func newPlanner(w *world, p preset.Preset) *planner {
 	return &planner{
 		w: w, doc: w.d.document(), preset: p,
 		assignments: w.fleet.assignments(w.d), ledger: &budget.Ledger{},
-		demand: make(map[string]wave.Trend), since: make(map[string]time.Time),
+		demand: make(map[string]wave.Trend), seen: make(map[string]sight),
 		called: make(map[string]budget.Step), ended: make(map[string]time.Duration),
 	}
 }
@@ -116,19 +123,17 @@
 
 func (p *planner) step(d *budget.Draft, name string) {
 	o, _ := d.Out(name)
-	key := name + "/" + string(o.Step)
-	if p.since[name+"/at"].IsZero() || p.since[key].IsZero() {
-		delete(p.since, name+"/"+string(budget.StepDraining))
-		delete(p.since, name+"/"+string(budget.StepMaintenance))
-		delete(p.since, name+"/"+string(budget.StepReturning))
-		p.since[key], p.since[name+"/at"] = p.w.clock.now, p.w.clock.now
+	first := p.seen[name]
+	if first.step != o.Step || !first.granted.Equal(o.Granted) {
+		first = sight{o.Step, o.Granted, p.w.clock.now}
+		p.seen[name] = first
 	}
 	h, _ := d.Listed(name)
 	called := p.called[name] == o.Step
 	if o.Step == budget.StepMaintenance && o.Cause == budget.CauseReboot {
 		called = p.w.fleet.rebooted[name]
 	}
-	seen := budget.Observation{Phase: h.Phase, InStep: p.w.clock.now.Sub(p.since[key]), Called: called}
+	seen := budget.Observation{Phase: h.Phase, InStep: p.w.clock.now.Sub(first.at), Called: called}
 	switch action, _ := budget.Next(o, seen, stepTimes); action {
 	case budget.ActionAdvance:
 		d.Advance(name)
