--- a/decision/preset/preset.go
+++ b/decision/preset/preset.go
@@ -33,9 +33,14 @@
 func ByName(name string) (p Preset, ok bool) {
 	switch name {
 	case TanSengHuat:
-		return build(name, wave.Weights{Share: 2, Moves: 2, RollOut: 1, Buffer: 1}, 1), true
+		p = build(name, wave.Weights{Share: 2, Moves: 2, RollOut: 1, Buffer: 1})
+		p.Pace.Spare = 1
+		p.Pace.Reference = time.Minute
+		return p, true
 	case MareViva:
-		return build(name, wave.Weights{Share: 1, Moves: 1, RollOut: 2, Buffer: 2}, 0), true
+		p = build(name, wave.Weights{Share: 1, Moves: 1, RollOut: 2, Buffer: 2})
+		p.Pace.Reference = 10 * time.Second
+		return p, true
 	}
 	return Preset{}, false
 }
@@ -43,13 +48,10 @@
 // Names returns the names of all presets.
 func Names() []string { return []string{TanSengHuat, MareViva} }
 
-func build(name string, w wave.Weights, spare int) Preset {
+func build(name string, w wave.Weights) Preset {
 	return Preset{
-		Name: name,
-		Pace: wave.Pace{
-			Weights: w, Spare: spare, HostTime: 2 * time.Minute,
-			Reference: 5 * time.Minute, SlowFactor: 2,
-		},
+		Name:           name,
+		Pace:           wave.Pace{Weights: w, HostTime: 2 * time.Minute, SlowFactor: 2},
 		Moves:          wave.MoveParams{Weights: w, Hysteresis: 1, MoveCost: 0.5, MaxMoves: 1},
 		DemandHalfLife: time.Minute,
 		MovePeriod:     10 * time.Second,
