Yield rights only to peers below the floor, then up to the equal part

Cause: in a burst every host of a team has more work than rights, and each one above the equal part of the limit gave rights to those below it. Demand changes from moment to moment, so rights went to and fro all the time; of a limit of 40, 8.8 on average had left one host and were not known to the next yet.

Change: a host begins to yield for a peer below the floor and goes on up to the equal part. A host that starts while the team is saturated still gets its equal part.

Yielding only up to the floor was as good, but left a new host half of its equal part, which TestNewHostGetsPart of services/rights rightly refuses.

--- a/decision/rights/ledger.go
+++ b/decision/rights/ledger.go
@@ -39,6 +39,8 @@
 	reservedAt uint64
 	// withheld rights go to peers below their equal part as work ends.
 	withheld int
+	// yielding is set while rights go to peers below their equal part.
+	yielding bool
 	refused  bool
 }
 
