--- a/decision/rights/balance.go
+++ b/decision/rights/balance.go
@@ -99,7 +99,7 @@
 	case p.Row.Excess() > 0:
 		l.shrink(&p, a, inDoubt)
 	default:
-		l.spread(&p, a, s, inDoubt)
+		l.spread(now, &p, a, s, inDoubt)
 	}
 	return p
 }
@@ -151,7 +151,7 @@
 }
 
 // spread takes what this host lacks, or gives away what it does not need.
-func (l *Ledger) spread(p *Plan, a *account, s Survey, inDoubt bool) {
+func (l *Ledger) spread(now time.Time, p *Plan, a *account, s Survey, inDoubt bool) {
 	floor := Floor(p.Row.Limit.Rights, s.Hosts)
 	a.floor = floor
 	held := a.held - a.reserved
@@ -164,7 +164,7 @@
 			p.because(CauseDemand)
 		}
 	}
-	p.want(l.self, a, held+p.Taken)
+	p.want(now, l.self, a, held+p.Taken)
 	if p.Taken > 0 {
 		return
 	}
@@ -180,15 +180,20 @@
 // want records in the row what this host lacks, so that hosts with idle rights
 // see it at their next read. It is rounded up to a power of two, and written
 // anew only when it doubled or fell to a quarter, to keep the number of writes
-// small.
-func (p *Plan) want(self Holder, a *account, held int) {
+// small. A write for this cause alone comes at most once in wantedPeriod; other
+// writes carry the newest value.
+func (p *Plan) want(now time.Time, self Holder, a *account, held int) {
 	recorded := p.Row.Of(self).Wanted
 	lack := max(0, a.need()-held)
-	if lack > recorded || overstated(recorded, lack) {
-		if lack > 0 {
-			lack = 1 << bits.Len(uint(lack-1))
-		}
-		p.Row = p.Row.Want(self, lack)
+	if lack <= recorded && !overstated(recorded, lack) {
+		return
+	}
+	if lack > 0 {
+		lack = 1 << bits.Len(uint(lack-1))
+	}
+	p.Row = p.Row.Want(self, lack)
+	if now.Sub(a.wantedAt) >= wantedPeriod {
+		a.wantedAt = now
 		p.because(CauseWanted)
 	}
 }
@@ -210,6 +215,8 @@
 // send moves idle rights straight to peers with unmet demand that the free
 // rights cannot meet, largest first.
 func (l *Ledger) send(p *Plan, a *account, s Survey, floor int) {
+	yielding := a.yielding
+	a.yielding = false
 	unmet := unmetPeers(p.Row, s.Peers)
 	total := 0
 	for _, u := range unmet {
@@ -219,7 +226,8 @@
 	if total <= 0 {
 		return
 	}
-	a.withheld = l.yield(p.Row, s, unmet)
+	a.withheld = l.yield(p.Row, s, unmet, yielding)
+	a.yielding = a.withheld > 0
 	spare := a.held - max(floor, withHeadroom(a.need()))
 	spare = max(spare, min(a.withheld, a.held-a.used))
 	spare = min(spare, total)
@@ -252,14 +260,22 @@
 // although this host has work for them. A host above the equal part of the
 // limit yields, in proportion to its excess, to peers below theirs; without
 // this a host that starts while the team is saturated would never get a right.
-func (l *Ledger) yield(row Row, s Survey, unmet []Holding) int {
+//
+// It begins for peers below the floor and then goes on up to the equal part.
+// Without this hysteresis hosts hand rights to and fro as their demand changes
+// from moment to moment, and a right is of no use while it moves.
+func (l *Ledger) yield(row Row, s Survey, unmet []Holding, yielding bool) int {
 	if s.Hosts < 1 {
 		return 0
 	}
 	equal := row.Limit.Rights / s.Hosts
+	part := Floor(row.Limit.Rights, s.Hosts)
+	if yielding {
+		part = equal
+	}
 	lacking := 0
 	for _, u := range unmet {
-		lacking += max(0, min(u.Wanted, equal-u.Requests))
+		lacking += max(0, min(u.Wanted, part-u.Requests))
 	}
 	above := 0
 	for _, h := range row.Holdings {
--- a/decision/rights/demand.go
+++ b/decision/rights/demand.go
@@ -15,6 +15,10 @@
 	// headroomDivisor sets the headroom, one eighth of the recent peak, that a
 	// host takes ahead of need where rights are free.
 	headroomDivisor = 8
+	// wantedPeriod is the shortest time between two writes that only record
+	// what a host lacks. Without it a team at its limit wrote its row up to
+	// 45 times a second with 8 entry hosts.
+	wantedPeriod = 500 * time.Millisecond
 	// floorDivisor sets the floor: the limit divided by four times the number of
 	// hosts.
 	floorDivisor = 4
--- a/decision/rights/ledger.go
+++ b/decision/rights/ledger.go
@@ -39,10 +39,14 @@
 	reservedAt uint64
 	// withheld rights go to peers below their equal part as work ends.
 	withheld int
+	// yielding is set while rights go to peers below their equal part.
+	yielding bool
 	refused  bool
 	floor    int
-	// wanted is what the row says that this host lacks.
-	wanted int
+	// wanted is what the row says that this host lacks; wantedAt is when a
+	// write was last planned for that cause alone.
+	wanted   int
+	wantedAt time.Time
 }
 
 // NewLedger returns the empty ledger of a process that starts at now.
