--- a/decision/rights/balance.go
+++ b/decision/rights/balance.go
@@ -215,8 +215,6 @@
 // send moves idle rights straight to peers with unmet demand that the free
 // rights cannot meet, largest first.
 func (l *Ledger) send(p *Plan, a *account, s Survey, floor int) {
-	yielding := a.yielding
-	a.yielding = false
 	unmet := unmetPeers(p.Row, s.Peers)
 	total := 0
 	for _, u := range unmet {
@@ -226,8 +224,7 @@
 	if total <= 0 {
 		return
 	}
-	a.withheld = l.yield(p.Row, s, unmet, yielding)
-	a.yielding = a.withheld > 0
+	a.withheld = l.yield(p.Row, s, unmet)
 	spare := a.held - max(floor, withHeadroom(a.need()))
 	spare = max(spare, min(a.withheld, a.held-a.used))
 	spare = min(spare, total)
@@ -260,22 +257,14 @@
 // although this host has work for them. A host above the equal part of the
 // limit yields, in proportion to its excess, to peers below theirs; without
 // this a host that starts while the team is saturated would never get a right.
-//
-// It begins for peers below the floor and then goes on up to the equal part.
-// Without this hysteresis hosts hand rights to and fro as their demand changes
-// from moment to moment, and a right is of no use while it moves.
-func (l *Ledger) yield(row Row, s Survey, unmet []Holding, yielding bool) int {
+func (l *Ledger) yield(row Row, s Survey, unmet []Holding) int {
 	if s.Hosts < 1 {
 		return 0
 	}
 	equal := row.Limit.Rights / s.Hosts
-	part := Floor(row.Limit.Rights, s.Hosts)
-	if yielding {
-		part = equal
-	}
 	lacking := 0
 	for _, u := range unmet {
-		lacking += max(0, min(u.Wanted, part-u.Requests))
+		lacking += max(0, min(u.Wanted, equal-u.Requests))
 	}
 	above := 0
 	for _, h := range row.Holdings {
--- a/decision/rights/ledger.go
+++ b/decision/rights/ledger.go
@@ -39,8 +39,6 @@
 	reservedAt uint64
 	// withheld rights go to peers below their equal part as work ends.
 	withheld int
-	// yielding is set while rights go to peers below their equal part.
-	yielding bool
 	refused  bool
 	floor    int
 	// wanted is what the row says that this host lacks; wantedAt is when a
