Retire hosts that stay missing from the host list

Cause: a replaced host stays assigned and counts against the budget of its pool until an operator returns it.

Change: decision/budget keeps for how long fresh lists have lacked a failed host (Absences) and retires it after the retirement time (30 min), at most 4 in one change (Draft.Retire). Nothing is retired, and absence starts anew, while more hosts of a zone or of the whole list are missing than one rack or 5%, and never over half. A host out on purpose is never retired. services/maintenance runs it with the recording of failures.

Ruled out: the time of the ledger entry as the start of the absence, because it is wall-clock time and does not show gaps in the list or an outage in between.

Proof: TestReplacedHostIsRetired fails without the call (w0 keeps pool "a"). TestOutageRetiresNoHost, 200 cases, fails with each of: the bound of a zone left out, the bound of the list left out, no upper bound of one half, absence not started anew. TestRetire fails without the gap rule, without the bound of the list, and with no retirement at all.

--- a/decision/budget/steps.go
+++ b/decision/budget/steps.go
@@ -119,8 +119,8 @@
 // Return sends a host back into service from any step, on an operator's
 // request. A move that has not ended is abandoned. A failed host that is
 // missing from the host list is retired instead: it loses its entry and its
-// pool, and no longer counts against the budget. This is never done without a
-// request, because hosts of a zone that is cut off are missing too.
+// pool, and no longer counts against the budget. Retire does this without a
+// request, where the absence has lasted and is not likely that of a zone.
 func (d *Draft) Return(host string) (Out, *Refusal) {
 	o, ok := d.ledger.Out[host]
 	if !ok {
@@ -130,8 +130,7 @@
 		if d.stale() {
 			return Out{}, refuse(fault.ReasonStaleHostList, host, "the host list is older than %v", MaxHostListAge)
 		}
-		d.assigned[host] = NoPool
-		d.remove(o)
+		d.retire(o)
 		return o, nil
 	}
 	if o.Step == StepReturning {
--- a/services/maintenance/round.go
+++ b/services/maintenance/round.go
@@ -34,6 +34,7 @@
 	lastSeen map[string]fleet.Host
 	list     *fleet.HostList
 	phases   map[string]fleet.HostPhase
+	absences budget.Absences
 }
 
 func newPlanner(s *Service) *planner {
@@ -53,7 +54,7 @@
 	if view == nil {
 		return
 	}
-	p.rememberHosts()
+	p.rememberHosts(view)
 	members := p.members()
 	p.undoLateDrains(view)
 	p.callPlatform(view, members)
@@ -74,6 +75,7 @@
 func (p *planner) decide(d *budget.Draft, members []string) {
 	if p.owns(workFailures, members) {
 		d.RecordFailures(p.lastSeen)
+		p.retire(d)
 	}
 	if p.owns(workAssign, members) {
 		unassigned := d.AssignFirstSeen()
@@ -91,6 +93,13 @@
 	}
 }
 
+func (p *planner) retire(d *budget.Draft) {
+	for _, host := range d.Retire(&p.absences, p.s.settings.Retirement) {
+		p.s.log.Info().Str("step", stepPlan).Str("host", host).
+			Dur("missing", p.s.settings.Retirement).Msg("missing host loses its pool")
+	}
+}
+
 func (p *planner) runWave(d *budget.Draft, id string) {
 	w, ok := d.Wave(id)
 	if !ok || w.Ended() {
@@ -108,12 +117,13 @@
 
 // rememberHosts keeps the place of every host that was ever listed, for the
 // entries of hosts that go missing.
-func (p *planner) rememberHosts() {
+func (p *planner) rememberHosts(view *services.View) {
 	list := p.s.hosts.Hosts()
 	if list == p.list {
 		return
 	}
 	p.list = list
+	p.absences.Observe(list, view.Assignments, view.Ledger)
 	p.phases = make(map[string]fleet.HostPhase, len(list.Hosts))
 	for _, h := range list.Hosts {
 		p.lastSeen[h.Name] = h
--- a/services/maintenance/service.go
+++ b/services/maintenance/service.go
@@ -44,6 +44,9 @@
 	Interval time.Duration
 	Times    budget.StepTimes
 	Pace     wave.Pace
+	// Retirement is the time after which a host that the host list lacks
+	// loses its pool and its entry in the ledger.
+	Retirement time.Duration
 	// DemandHalfLife smooths the demand that holds back waves.
 	DemandHalfLife time.Duration
 }
@@ -57,6 +60,7 @@
 			Weights: wave.Weights{Share: 1, Moves: 1, RollOut: 1, Buffer: 1},
 			Spare:   1, HostTime: time.Minute, Reference: 10 * time.Second, SlowFactor: 2,
 		},
+		Retirement:     30 * time.Minute,
 		DemandHalfLife: time.Minute,
 	}
 }
