Move hosts between elastic pools with lasting demand

Cause: decision/wave.PlanMoves had no caller, so that no host followed demand.

Change: Pool has the fields elastic, minHosts and maxHosts with their validation. decision/wave.Rebalance grants the planned moves through the ledger and the budget; services/maintenance runs it every 30 s on one entry host (rendezvous hash). The trend has a half-life of 2 min and a warm-up of 10 min, and starts anew after 10 s without a complete sample. A sample is incomplete while an entry host that the platform lists is not heard. At most two moves are under way; the ledger counts them, so that the bound holds when two entry hosts decide.

Ruled out: the trend that paces waves. Its half-life of 1 min is chosen so that a wave gives way soon, and it counts incomplete samples.

Proof, one hour of virtual time with two entry hosts: bursts of 5 s at five times the mean cause 0 moves, a lasting demand 3, also when both decide.

--- /dev/null
+++ b/decision/budget/capacity.go
@@ -0,0 +1,65 @@
+package budget
+
+import (
+	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+// ElasticPool is a pool whose hosts may move with demand.
+type ElasticPool struct {
+	document.Pool
+	// Hosts are in service or come into service by themselves: hosts that
+	// are rebooted, and those on their way into the pool.
+	Hosts int
+	// Movable are the hosts in service, in no particular order.
+	Movable []fleet.Host
+}
+
+// ElasticPools returns the elastic pools in document order. Its cost is linear
+// in the number of hosts.
+func (d *Draft) ElasticPools() []ElasticPool {
+	hosts := make(map[string]int)
+	movable := make(map[string][]fleet.Host)
+	for host := range d.basis.Assignments {
+		pool, _ := d.Pool(host)
+		if o, out := d.ledger.Out[host]; out {
+			hosts[staysWith(o)]++
+			continue
+		}
+		if h, listed := d.listed[host]; listed && h.Phase == fleet.PhaseLive {
+			hosts[pool]++
+			movable[pool] = append(movable[pool], *h)
+		}
+	}
+	var pools []ElasticPool
+	for _, p := range d.order {
+		if p.Elastic {
+			pools = append(pools, ElasticPool{Pool: p.Pool, Hosts: hosts[p.Name], Movable: movable[p.Name]})
+		}
+	}
+	return pools
+}
+
+// staysWith returns the pool that a host which is out will serve, or NoPool
+// when it does not come back by itself.
+func staysWith(o Out) string {
+	switch o.Cause {
+	case CauseReboot:
+		return o.Pool
+	case CauseMove:
+		return o.MoveTo
+	default:
+		return NoPool
+	}
+}
+
+// MovesUnderWay returns the number of hosts that are out for a move.
+func (d *Draft) MovesUnderWay() int {
+	n := 0
+	for _, o := range d.ledger.Out {
+		if o.Cause == CauseMove {
+			n++
+		}
+	}
+	return n
+}
--- a/decision/document/diff.go
+++ b/decision/document/diff.go
@@ -158,6 +158,9 @@
 		{name: "maxUnavailable", value: strconv.Itoa(p.MaxUnavailable)},
 		{name: "maxUnavailablePerZone", value: optional(p.MaxUnavailablePerZone)},
 		{name: "maxRacksOut", value: optional(p.MaxRacksOut)},
+		{name: "elastic", value: flag(p.Elastic)},
+		{name: "minHosts", value: optional(p.MinHosts)},
+		{name: "maxHosts", value: optional(p.MaxHosts)},
 	}
 }
 
--- a/decision/document/document.go
+++ b/decision/document/document.go
@@ -50,6 +50,13 @@
 	// MaxRacksOut bounds the number of racks that have a host of this pool
 	// out of service; zero means no bound.
 	MaxRacksOut int `json:"maxRacksOut,omitempty" yaml:"maxRacksOut,omitempty"`
+	// Elastic permits moves of hosts that follow demand: out of the pool
+	// while more than MinHosts are left, and into it, unless it is spare, up
+	// to MaxHosts; zero for MaxHosts means no bound. Neither bound moves a
+	// host by itself or holds back a move that an operator asks for.
+	Elastic  bool `json:"elastic,omitempty" yaml:"elastic,omitempty"`
+	MinHosts int  `json:"minHosts,omitempty" yaml:"minHosts,omitempty"`
+	MaxHosts int  `json:"maxHosts,omitempty" yaml:"maxHosts,omitempty"`
 }
 
 // Team is a holder of keys with a share and an upper limit.
--- a/decision/document/validate.go
+++ b/decision/document/validate.go
@@ -23,15 +23,16 @@
 
 // Descriptions of what is allowed.
 const (
-	allowedName    = "1 to 63 letters, digits, '-' or '_', beginning with a letter or a digit"
-	allowedCount   = "0 to 1000000"
-	allowedShare   = "a number above 0 and at most 1000000"
-	allowedPattern = "a pattern such as \"klang-*\": * and ? match within a name, [a-z] matches one character of a set"
-	allowedKind    = "worker or backend-server"
-	allowedClass   = "urgent, interactive or batch"
-	allowedSalt    = "2 to 128 lower-case hexadecimal digits"
-	allowedHash    = "64 lower-case hexadecimal digits"
-	hidden         = "(hidden)"
+	allowedName      = "1 to 63 letters, digits, '-' or '_', beginning with a letter or a digit"
+	allowedCount     = "0 to 1000000"
+	allowedShare     = "a number above 0 and at most 1000000"
+	allowedPattern   = "a pattern such as \"klang-*\": * and ? match within a name, [a-z] matches one character of a set"
+	allowedKind      = "worker or backend-server"
+	allowedClass     = "urgent, interactive or batch"
+	allowedSalt      = "2 to 128 lower-case hexadecimal digits"
+	allowedHash      = "64 lower-case hexadecimal digits"
+	allowedInelastic = "a bound only with elastic: true"
+	hidden           = "(hidden)"
 )
 
 // Names have no dot, because a presented key is split at dots, and no slash,
@@ -167,6 +168,7 @@
 	v.bound(field+".maxUnavailablePerZone", p, p.MaxUnavailablePerZone)
 	v.bound(field+".maxRacksOut", p, p.MaxRacksOut)
 	v.validateSpare(field+".spare", p)
+	v.validateElastic(field, p)
 }
 
 // bound checks a narrower bound; one above maxUnavailable would never apply.
@@ -187,6 +189,20 @@
 	v.spares[p.Kind] = p.Name
 }
 
+// validateElastic rejects bounds that would never apply.
+func (v *validator) validateElastic(field string, p Pool) {
+	v.count(field+".minHosts", p.Name, p.MinHosts)
+	v.count(field+".maxHosts", p.Name, p.MaxHosts)
+	switch {
+	case !p.Elastic && p.MinHosts > 0:
+		v.reject(field+".minHosts", p.Name, strconv.Itoa(p.MinHosts), allowedInelastic)
+	case !p.Elastic && p.MaxHosts > 0:
+		v.reject(field+".maxHosts", p.Name, strconv.Itoa(p.MaxHosts), allowedInelastic)
+	case p.MaxHosts > 0 && p.MinHosts > p.MaxHosts:
+		v.reject(field+".minHosts", p.Name, strconv.Itoa(p.MinHosts), fmt.Sprintf("0 to maxHosts, %d", p.MaxHosts))
+	}
+}
+
 func (v *validator) validateTeam(field string, t Team) {
 	v.name("team", field, t.Name)
 	if math.IsNaN(t.Share) || t.Share <= 0 || t.Share > maxShare {
--- a/decision/wave/capacity.go
+++ b/decision/wave/capacity.go
@@ -35,6 +35,9 @@
 	// Hosts are in service or on their way into the pool, and not on their
 	// way out of it.
 	Hosts int
+	// MinHosts is the number of hosts that the pool does not give; MaxHosts
+	// is the number up to which it receives, zero for no bound.
+	MinHosts, MaxHosts int
 	// Demand is the trend of the hosts needed.
 	Demand float64
 }
@@ -51,6 +54,9 @@
 	MoveCost float64
 	// MaxMoves bounds the moves of one round; zero means no bound.
 	MaxMoves int
+	// MaxUnderWay bounds the moves under way, whoever asked for them. It
+	// holds over all entry hosts, because the ledger lists those moves.
+	MaxUnderWay int
 }
 
 // Move takes one host from a pool to another.
@@ -107,7 +113,8 @@
 func (p MoveParams) neediest(loads []PoolLoad, without map[fleet.HostKind]bool) int {
 	best := -1
 	for i, l := range loads {
-		if l.Spare || without[l.Kind] || !p.worth(l) {
+		full := l.MaxHosts > 0 && l.Hosts >= l.MaxHosts
+		if l.Spare || full || without[l.Kind] || !p.worth(l) {
 			continue
 		}
 		if best < 0 || p.urgency(l) > p.urgency(loads[best]) {
@@ -122,7 +129,7 @@
 func (p MoveParams) donor(loads []PoolLoad, to PoolLoad) int {
 	best := -1
 	for i, l := range loads {
-		if l.Kind != to.Kind || l.Pool == to.Pool || l.Hosts == 0 {
+		if l.Kind != to.Kind || l.Pool == to.Pool || l.Hosts <= l.MinHosts {
 			continue
 		}
 		if -p.short(l) < p.reserve(l) {
--- a/decision/wave/capacity_test.go
+++ b/decision/wave/capacity_test.go
@@ -35,6 +35,8 @@
 		{"then the largest surplus", []PoolLoad{pool("b", 20, 9), pool("c", 16, 9), pool("a", 9, 9)}, moveParams, []Move{{"b", "a"}}},
 		{"donor keeps its target", []PoolLoad{pool("b", 11, 9), pool("a", 4, 9)}, moveParams, nil},
 		{"other kind does not help", []PoolLoad{servers, pool("a", 4, 9)}, moveParams, nil},
+		{"donor keeps minHosts", []PoolLoad{{Pool: "office", Kind: fleet.KindWorker, Spare: true, Hosts: 2, MinHosts: 2}, pool("a", 4, 9)}, moveParams, nil},
+		{"full at maxHosts", []PoolLoad{spare, {Pool: "a", Kind: fleet.KindWorker, Hosts: 4, MaxHosts: 5, Demand: 9}}, moveParams, []Move{{"office", "a"}}},
 		{"moves weigh more than waiting", []PoolLoad{spare, pool("a", 4, 9)}, heavy, nil},
 		{"shortest in proportion first", []PoolLoad{spare, pool("a", 35, 36), pool("b", 2, 4)}, one, []Move{{"office", "b"}}},
 		{"as many as the shortage asks", []PoolLoad{spare, pool("a", 4, 9), pool("b", 16, 9)}, light,
--- /dev/null
+++ b/services/maintenance/demand.go
@@ -0,0 +1,177 @@
+package maintenance
+
+import (
+	"math"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/budget"
+	"fuchsiafront.example/fuchsiafront/decision/wave"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+// maxDemandGap is the time without a sample after which the trend that moves
+// follow starts anew, because the next sample alone would make up most of it.
+const maxDemandGap = 10 * time.Second
+
+// demand is the trend of the hosts that each pool's work needs.
+type demand struct {
+	// forWaves has a short half-life, so that a wave makes room soon.
+	forWaves map[string]wave.Trend
+	// forMoves has a long half-life; since is when each trend began.
+	forMoves map[string]wave.Trend
+	since    map[string]time.Time
+}
+
+func newDemand() *demand {
+	return &demand{
+		forWaves: make(map[string]wave.Trend),
+		forMoves: make(map[string]wave.Trend),
+		since:    make(map[string]time.Time),
+	}
+}
+
+// observe adds a sample. A partial sample lacks the work of an entry host that
+// was not heard; moves do not follow it.
+func (m *demand) observe(pool string, hosts float64, partial bool, now time.Time, s Settings) {
+	m.forWaves[pool] = m.forWaves[pool].Observe(hosts, now, s.DemandHalfLife)
+	if partial {
+		return
+	}
+	trend := m.forMoves[pool]
+	if trend.At.IsZero() || now.Sub(trend.At) > maxDemandGap {
+		trend = wave.Trend{}
+		m.since[pool] = now
+	}
+	m.forMoves[pool] = trend.Observe(hosts, now, s.Moves.HalfLife)
+}
+
+// needed returns the hosts of pool that demand asks for now, rounded up.
+func (m *demand) needed(pool string) int { return int(math.Ceil(m.forWaves[pool].Mean)) }
+
+// lasting returns the demand of each pool that was observed for warmup without
+// a gap.
+func (m *demand) lasting(now time.Time, warmup time.Duration) map[string]float64 {
+	known := make(map[string]float64)
+	for pool, trend := range m.forMoves {
+		if now.Sub(trend.At) <= maxDemandGap && now.Sub(m.since[pool]) >= warmup {
+			known[pool] = trend.Mean
+		}
+	}
+	return known
+}
+
+// observeDemand samples the work of all entry hosts. Peers report work by
+// team; it is counted in full for each pool that a queue of the team sends to,
+// so that a wave rather waits than takes a needed host.
+func (p *planner) observeDemand(view *services.View) {
+	work := make(map[string]int)
+	for _, l := range p.s.peers.Loads() {
+		if l.Host != p.s.membership.Self().Name {
+			work[l.Team] += l.Running + l.Waiting
+		}
+	}
+	for _, q := range p.s.dispatch.Queues() {
+		work[q.Team] += q.Running + q.Waiting
+	}
+	byPool := make(map[string]int)
+	teams := make(map[[2]string]bool)
+	for _, section := range view.Document.Sections {
+		for _, pool := range section.Pools {
+			byPool[pool.Name] += 0
+		}
+		for _, q := range section.Queues {
+			if key := [2]string{q.Pool, q.Team}; !teams[key] {
+				teams[key] = true
+				byPool[q.Pool] += work[q.Team]
+			}
+		}
+	}
+	slots := p.slots(view)
+	partial := !p.hearsAllMembers()
+	now := p.s.clock()
+	for pool, n := range byPool {
+		if slots[pool] > 0 {
+			p.demand.observe(pool, float64(n)/slots[pool], partial, now, p.s.settings)
+		}
+	}
+}
+
+// hearsAllMembers reports whether every entry host that the platform lists was
+// heard lately, so that the loads are those of the whole fleet.
+func (p *planner) hearsAllMembers() bool {
+	heard := make(map[string]bool)
+	for _, name := range p.members() {
+		heard[name] = true
+	}
+	for _, member := range p.s.membership.Members() {
+		if !heard[member.Name] {
+			return false
+		}
+	}
+	return true
+}
+
+// slots returns the mean number of slots of a host of each pool, and of a host
+// of its kind for a pool without hosts. Hosts that state no slots leave the
+// demand of their pool unknown.
+func (p *planner) slots(view *services.View) map[string]float64 {
+	var pools, kinds means
+	for _, h := range p.list.Hosts {
+		kinds.add(string(h.Kind), h.Slots)
+		if pool, ok := view.Assignments[h.Name]; ok {
+			pools.add(pool, h.Slots)
+		}
+	}
+	slots := make(map[string]float64)
+	for _, section := range view.Document.Sections {
+		for _, pool := range section.Pools {
+			slots[pool.Name] = pools.mean(pool.Name, kinds.mean(string(pool.Kind), 0))
+		}
+	}
+	return slots
+}
+
+// means are means by name.
+type means struct {
+	sum, count map[string]float64
+}
+
+func (m *means) add(name string, n int) {
+	if m.sum == nil {
+		m.sum, m.count = make(map[string]float64), make(map[string]float64)
+	}
+	m.sum[name] += float64(n)
+	m.count[name]++
+}
+
+// mean returns the mean of name, or otherwise when there is no value.
+func (m *means) mean(name string, otherwise float64) float64 {
+	if m.count[name] == 0 {
+		return otherwise
+	}
+	return m.sum[name] / m.count[name]
+}
+
+// movesDue reports whether this entry host plans moves in this round. Two that
+// both do, for example because neither hears the other, are bounded together
+// by the ledger: MaxUnderWay counts the moves of all, and the later of two
+// changes is decided again on the state that the earlier one left.
+func (p *planner) movesDue(members []string) bool {
+	now := p.s.clock()
+	if now.Sub(p.movesAt) < p.s.settings.Moves.Interval || !p.owns(workMoves, members) {
+		return false
+	}
+	p.movesAt = now
+	return true
+}
+
+func (p *planner) move(d *budget.Draft) {
+	settings := p.s.settings.Moves
+	round := wave.Rebalance(d, p.demand.lasting(p.s.clock(), settings.Warmup), settings.MoveParams)
+	if round.Refusal != nil {
+		p.s.refused(round.Refusal.Reason)
+	}
+	for _, o := range round.Granted {
+		p.s.log.Info().Str("step", stepPlan).Str("host", o.Host).Str("from", o.Pool).Str("to", o.MoveTo).Msg("host follows demand")
+	}
+}
--- a/services/maintenance/hosts_test.go
+++ b/services/maintenance/hosts_test.go
@@ -1,6 +1,7 @@
 package maintenance
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,7 +9,9 @@
 	"gotest.tools/v3/assert"
 
 	"fuchsiafront.example/fuchsiafront/decision/budget"
+	"fuchsiafront.example/fuchsiafront/decision/document"
 	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/fleet"
 )
 
 // TestReplacedHostIsRetired guards against a replaced host that counts against
@@ -37,3 +40,74 @@
 		assert.Equal(t, n.View().Assignments["w0"], "a", "a host that comes back is a new one")
 	})
 }
+
+// moveTest runs two entry hosts for an hour over six hosts of pool "a" and six
+// spare ones, eight slots each. work returns the running requests of each
+// entry host at a second; it returns the moves and the most under way at once.
+func moveTest(t *testing.T, elastic bool, change func(*cluster), work func(second int) int) (moves, most int) {
+	c := newCluster(t, 6, 6)
+	for i := range 6 {
+		h := fleet.Host{Name: fmt.Sprint("s", i), Kind: fleet.KindWorker, Phase: fleet.PhaseLive, Slots: 8, Zone: fleet.AvailabilityZone(fmt.Sprint("z", i%3))}
+		c.hosts[h.Name] = &h
+	}
+	c.setPools(
+		document.Pool{Name: "a", Kind: fleet.KindWorker, Adopt: []string{"w*"}, MaxUnavailable: 6, Elastic: elastic},
+		document.Pool{Name: "office", Kind: fleet.KindWorker, Spare: true, MaxUnavailable: 6, Elastic: true})
+	change(c)
+	nodes := []*node{c.addNode("e1"), c.addNode("e2")}
+	for _, n := range nodes {
+		defer n.stop()
+	}
+	moved := make(map[string]bool)
+	for second := range 3600 {
+		c.mu.Lock()
+		c.running = work(second)
+		c.mu.Unlock()
+		time.Sleep(time.Second)
+		out := 0
+		for host, o := range nodes[0].View().Ledger.Out {
+			if o.Cause == budget.CauseMove {
+				moved[fmt.Sprint(host, o.Granted)] = true
+				out++
+			}
+		}
+		most = max(most, out)
+	}
+	return len(moved), most
+}
+
+// TestMovesFollowLastingDemand guards against moves that chase bursts, moves
+// that a lasting demand does not get, and moves in double when two entry hosts
+// decide. Eight hosts' work in a pool of six needs three more with headroom.
+func TestMovesFollowLastingDemand(t *testing.T) {
+	bursts := func(second int) int {
+		if second%60 < 5 {
+			return 60
+		}
+		return 11
+	}
+	steady := func(n int) func(int) int { return func(int) int { return n } }
+	none := func(*cluster) {}
+	cases := []struct {
+		name    string
+		elastic bool
+		change  func(*cluster)
+		work    func(int) int
+		want    int
+	}{
+		{"bursts of 5 s at five times the mean", true, none, bursts, 0},
+		{"lasting", true, none, steady(32), 3},
+		{"both entry hosts decide", true, func(c *cluster) { c.apart, c.unlisted = true, true }, steady(64), 3},
+		{"a listed entry host is not heard", true, func(c *cluster) { c.apart = true }, steady(64), 0},
+		{"not permitted", false, none, steady(32), 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				moves, most := moveTest(t, test.elastic, test.change, test.work)
+				assert.Equal(t, moves, test.want)
+				assert.Assert(t, most <= DefaultSettings().Moves.MaxUnderWay, "%d moves under way", most)
+			})
+		})
+	}
+}
--- a/services/maintenance/maintenance_test.go
+++ b/services/maintenance/maintenance_test.go
@@ -34,11 +34,14 @@
 	lost bool
 	// running is the work of team "t" on each entry host.
 	running int
-	calls   int
-	most    int
-	head    revision.Head
-	parts   map[string]revision.Part
-	nodes   []*node
+	// apart means that no entry host hears another; with unlisted the
+	// platform does not list the others either.
+	apart, unlisted bool
+	calls           int
+	most            int
+	head            revision.Head
+	parts           map[string]revision.Part
+	nodes           []*node
 }
 
 // node is one entry host with a fake for each service that it looks up.
@@ -68,10 +71,13 @@
 }
 
 func (c *cluster) setBound(maxUnavailable int) {
-	data, err := json.Marshal(document.Section{Name: "pools", Pools: []document.Pool{
-		{Name: "a", Kind: fleet.KindWorker, Adopt: []string{"w*"}, MaxUnavailable: maxUnavailable},
-		{Name: "office", Kind: fleet.KindWorker, Spare: true, MaxUnavailable: maxUnavailable}},
-		Queues: []document.Queue{{Name: "q", Team: "t", Pool: "a"}}})
+	c.setPools(
+		document.Pool{Name: "a", Kind: fleet.KindWorker, Adopt: []string{"w*"}, MaxUnavailable: maxUnavailable},
+		document.Pool{Name: "office", Kind: fleet.KindWorker, Spare: true, MaxUnavailable: maxUnavailable})
+}
+
+func (c *cluster) setPools(pools ...document.Pool) {
+	data, err := json.Marshal(document.Section{Name: "pools", Pools: pools, Queues: []document.Queue{{Name: "q", Team: "t", Pool: "a"}}})
 	assert.NilError(c.t, err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -203,6 +209,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var list []services.PeerStatus
+	if n.apart {
+		return nil
+	}
 	for _, other := range n.nodes {
 		if other != n && !other.gone {
 			list = append(list, services.PeerStatus{Identity: services.Identity{Name: other.name}, HeardAt: time.Now()})
@@ -211,9 +220,34 @@
 	return list
 }
 
-func (n *node) Loads() []services.TeamLoad { return nil }
+func (n *node) Members() []services.Identity {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var members []services.Identity
+	for _, other := range n.nodes {
+		if !n.unlisted && !other.gone {
+			members = append(members, services.Identity{Name: other.name})
+		}
+	}
+	return members
+}
+
+func (n *node) Loads() []services.TeamLoad {
+	var loads []services.TeamLoad
+	for _, peer := range n.Status() {
+		loads = append(loads, services.TeamLoad{Host: peer.Identity.Name, Team: "t", Running: n.load()})
+	}
+	return loads
+}
+
+func (n *node) load() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.running
+}
+
 func (n *node) Queues() []services.QueueStatus {
-	return []services.QueueStatus{{Team: "t", Running: n.running}}
+	return []services.QueueStatus{{Team: "t", Running: n.load()}}
 }
 
 // TestPausedPlannerCannotSpendTheBudgetTwice guards against a grant that is
--- a/services/maintenance/round.go
+++ b/services/maintenance/round.go
@@ -21,6 +21,7 @@
 const (
 	workFailures = "failures"
 	workAssign   = "assign"
+	workMoves    = "moves"
 )
 
 // planner is the state of the duty maintenance.plan. All of it can be rebuilt
@@ -30,7 +31,9 @@
 	changes  uint64
 	progress map[string]*progress
 	drained  map[string]lateDrain
-	demand   map[string]wave.Trend
+	demand   *demand
+	// movesAt is when this process last planned moves.
+	movesAt  time.Time
 	lastSeen map[string]fleet.Host
 	list     *fleet.HostList
 	phases   map[string]fleet.HostPhase
@@ -42,7 +45,7 @@
 		s:        s,
 		progress: make(map[string]*progress),
 		drained:  make(map[string]lateDrain),
-		demand:   make(map[string]wave.Trend),
+		demand:   newDemand(),
 		lastSeen: make(map[string]fleet.Host),
 	}
 }
@@ -59,10 +62,14 @@
 	p.undoLateDrains(view)
 	p.callPlatform(view, members)
 	p.observeDemand(view)
+	moves := p.movesDue(members)
 	ctx, cancel := context.WithTimeout(life, commitTimeout)
 	defer cancel()
 	err := p.change(life, ctx, p.nextID(), func(d *budget.Draft) error {
 		p.decide(d, members)
+		if moves {
+			p.move(d)
+		}
 		return nil
 	})
 	if err != nil {
@@ -105,7 +112,7 @@
 	if !ok || w.Ended() {
 		return
 	}
-	plan := wave.Next(d, id, p.needed(w.Pool), p.s.settings.Pace)
+	plan := wave.Next(d, id, p.demand.needed(w.Pool), p.s.settings.Pace)
 	if plan.Refusal != nil {
 		p.s.refused(plan.Refusal.Reason)
 	}
@@ -159,62 +166,3 @@
 	}
 	return true
 }
-
-// observeDemand updates the trend of the hosts that each pool's work needs.
-// Peers report work by team; it is counted in full for each pool that a queue
-// of the team sends to, so that a wave rather waits than takes a needed host.
-func (p *planner) observeDemand(view *services.View) {
-	work := make(map[string]int)
-	for _, l := range p.s.peers.Loads() {
-		if l.Host != p.s.membership.Self().Name {
-			work[l.Team] += l.Running + l.Waiting
-		}
-	}
-	for _, q := range p.s.dispatch.Queues() {
-		work[q.Team] += q.Running + q.Waiting
-	}
-	byPool := make(map[string]int)
-	teams := make(map[[2]string]bool)
-	for _, section := range view.Document.Sections {
-		for _, q := range section.Queues {
-			if key := [2]string{q.Pool, q.Team}; !teams[key] {
-				teams[key] = true
-				byPool[q.Pool] += work[q.Team]
-			}
-		}
-	}
-	slots := p.slots(view)
-	now := p.s.clock()
-	for pool, n := range byPool {
-		if slots[pool] > 0 {
-			p.demand[pool] = p.demand[pool].Observe(float64(n)/slots[pool], now, p.s.settings.DemandHalfLife)
-		}
-	}
-}
-
-// slots returns the mean number of slots of a host of each pool. Hosts that
-// state no slots leave the demand of their pool unknown.
-func (p *planner) slots(view *services.View) map[string]float64 {
-	sum := make(map[string]float64)
-	count := make(map[string]float64)
-	for _, h := range p.list.Hosts {
-		if pool, ok := view.Assignments[h.Name]; ok {
-			sum[pool] += float64(h.Slots)
-			count[pool]++
-		}
-	}
-	for pool := range sum {
-		sum[pool] /= count[pool]
-	}
-	return sum
-}
-
-// needed returns the hosts of pool that demand asks for, rounded up.
-func (p *planner) needed(pool string) int {
-	mean := p.demand[pool].Mean
-	n := int(mean)
-	if float64(n) < mean {
-		n++
-	}
-	return n
-}
--- a/services/maintenance/service.go
+++ b/services/maintenance/service.go
@@ -49,19 +49,39 @@
 	Retirement time.Duration
 	// DemandHalfLife smooths the demand that holds back waves.
 	DemandHalfLife time.Duration
+	Moves          MoveSettings
 }
 
-// DefaultSettings weigh roll-out time and buffer cost alike.
+// MoveSettings are the parameters of the moves that follow demand.
+type MoveSettings struct {
+	wave.MoveParams
+	// Interval is the least time between two plans.
+	Interval time.Duration
+	// HalfLife smooths the demand that moves follow. A burst of 5 s at five
+	// times the mean then changes it by a tenth.
+	HalfLife time.Duration
+	// Warmup is how long demand is observed before it moves hosts. After
+	// five half-lives a burst in the first sample has lost all but a
+	// thirtieth of its weight.
+	Warmup time.Duration
+}
+
+// DefaultSettings weigh all measures alike.
 func DefaultSettings() Settings {
+	weights := wave.Weights{Share: 1, Moves: 1, RollOut: 1, Buffer: 1}
 	return Settings{
 		Interval: time.Second,
 		Times:    budget.StepTimes{Drain: 10 * time.Second, Settle: 5 * time.Second, Deadline: 10 * time.Minute},
 		Pace: wave.Pace{
-			Weights: wave.Weights{Share: 1, Moves: 1, RollOut: 1, Buffer: 1},
+			Weights: weights,
 			Spare:   1, HostTime: time.Minute, Reference: 10 * time.Second, SlowFactor: 2,
 		},
 		Retirement:     30 * time.Minute,
 		DemandHalfLife: time.Minute,
+		Moves: MoveSettings{
+			MoveParams: wave.MoveParams{Weights: weights, Hysteresis: 1, MoveCost: 0.5, MaxMoves: 1, MaxUnderWay: 2},
+			Interval:   30 * time.Second, HalfLife: 2 * time.Minute, Warmup: 10 * time.Minute,
+		},
 	}
 }
 
