Follow the turn to read the host list

Cause: the turn set through services.HostReadTurn took effect only after the pause under way, and an entry host out of its turn paused for 5 s after a failed read too.

Change: turns reach the duty hosts.read over a ring and take effect at once. Out of its turn an entry host reads when its copy is 5 s old, so that one whose reads fail goes on each second. Where turns go round within 5 s, a zone reads once a second in all.

Proof with three entry hosts and turns of 1 s: at most 60 reads in 60 s, and no copy over 5.2 s old. The earlier version fails TestListIsReadOnceASecond ("no read in its turn").

--- a/services/hosts/hosts.go
+++ b/services/hosts/hosts.go
@@ -21,9 +21,10 @@
 const (
 	// readInterval is the interval at which the reader of a zone reads.
 	readInterval = time.Second
-	// restInterval is the interval of the other entry hosts of a zone. It is
-	// well under the 30 s after which a list permits no grants.
-	restInterval = 5 * time.Second
+	// maxRest is the age of the copy at which an entry host reads although it
+	// is not its turn. It is well under the 30 s after which a list permits
+	// no grants.
+	maxRest = 5 * time.Second
 	// readTimeout bounds one read.
 	readTimeout = 2 * time.Second
 	// jitter is the largest part of an interval that is added at random, so
@@ -33,10 +34,13 @@
 	// that shows the host as live. The list lags behind, and peers repeat
 	// their reports far more often than this.
 	leavingHold = 30 * time.Second
+	// turnCapacity holds the latest turns; only the last one counts.
+	turnCapacity = 2
 	// ringCapacity holds the reports of a whole pool that starts to leave.
 	ringCapacity = 64
 
 	stepList = "hosts.list"
+	stepRead = "hosts.read"
 )
 
 // Service is the service services.NameHosts. Its methods may be used
@@ -47,8 +51,8 @@
 	log      zerolog.Logger
 	scope    tally.Scope
 	events   *ring.Ring[event]
+	turns    *ring.Ring[bool]
 	latest   atomic.Pointer[fleet.HostList]
-	resting  atomic.Bool
 }
 
 var (
@@ -82,7 +86,8 @@
 	s.log = c.Log
 	s.scope = c.Scope
 	s.events = ring.New[event](stepList, ringCapacity, c.Scope)
-	c.Duty("hosts.read", s.read)
+	s.turns = ring.New[bool](stepRead, turnCapacity, c.Scope)
+	c.Duty(stepRead, s.read)
 	c.Duty(stepList, s.list)
 	return nil
 }
@@ -93,34 +98,53 @@
 // ReportLeaving records that a host was seen leaving. It never waits.
 func (s *Service) ReportLeaving(host string) { s.events.OfferLatest(event{leaving: host}) }
 
-// SetHostReadTurn sets whether this entry host is the reader of its zone. It
-// is, until told otherwise.
-func (s *Service) SetHostReadTurn(turn bool) { s.resting.Store(!turn) }
+// SetHostReadTurn sets whether it is this entry host's turn to read the list
+// for its zone. It is, until told otherwise. It never waits and may be called
+// once the service is provisioned.
+func (s *Service) SetHostReadTurn(turn bool) { s.turns.OfferLatest(turn) }
 
-// read reads the list at intervals and hands each to the duty hosts.list.
+// read reads the list when it is due and hands each to the duty hosts.list.
 func (s *Service) read(ctx context.Context) {
+	r := reader{turn: true}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case r.turn = <-s.turns.C():
 		case <-timer.C:
+			r.attempt = s.clock()
+			if s.readOnce(ctx) {
+				r.success = r.attempt
+			}
 		}
-		s.readOnce(ctx)
-		timer.Reset(s.interval())
+		due := r.due()
+		timer.Reset(due.Sub(s.clock()) + time.Duration(rand.Float64()*jitter*float64(readInterval)))
 	}
 }
 
-func (s *Service) interval() time.Duration {
-	d := readInterval
-	if s.resting.Load() {
-		d = restInterval
+// reader is the state of the duty hosts.read.
+type reader struct {
+	turn bool
+	// attempt and success are the starts of the last read and of the last
+	// one that was answered.
+	attempt, success time.Time
+}
+
+// due returns when to read next. An entry host whose turn it is not reads when
+// its copy has reached maxRest, whether the turn did not come round or its
+// reads failed.
+func (r reader) due() time.Time {
+	next := r.attempt.Add(readInterval)
+	if rested := r.success.Add(maxRest); !r.turn && rested.After(next) {
+		return rested
 	}
-	return d + time.Duration(rand.Float64()*jitter*float64(d))
+	return next
 }
 
-func (s *Service) readOnce(ctx context.Context) {
+// readOnce reports whether the platform answered.
+func (s *Service) readOnce(ctx context.Context) bool {
 	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	asOf := s.clock()
@@ -129,9 +153,10 @@
 		reason := fault.ReasonOf(err)
 		s.scope.Tagged(map[string]string{"step": stepList, "reason": string(reason)}).Counter("retried_total").Inc(1)
 		s.log.Warn().Err(err).Str("step", stepList).Str("reason", string(reason)).Msg("host list not read")
-		return
+		return false
 	}
 	s.events.OfferLatest(event{read: &fleet.HostList{Hosts: read, AsOf: asOf}})
+	return true
 }
 
 // list owns the last list read and the reports of leaving hosts.
--- a/services/hosts/hosts_test.go
+++ b/services/hosts/hosts_test.go
@@ -64,8 +64,9 @@
 	})
 }
 
-// TestListIsReadOnceASecond guards against a list that ages, and against
-// entry hosts that all read as often as the reader of the zone.
+// TestListIsReadOnceASecond guards against a list that ages, against entry
+// hosts that all read as often as the reader of the zone, and against one that
+// waits for the rest of its pause when its turn comes.
 func TestListIsReadOnceASecond(t *testing.T) {
 	run(t, func(s *Service, l *lister) {
 		time.Sleep(22 * time.Second)
@@ -76,6 +77,59 @@
 		before := l.count()
 		time.Sleep(20 * time.Second)
 		assert.Assert(t, l.count()-before <= 4, "%d reads while resting", l.count()-before)
+		before = l.count()
+		s.SetHostReadTurn(false)
+		s.SetHostReadTurn(true)
+		time.Sleep(1100 * time.Millisecond)
+		assert.Assert(t, l.count() > before, "no read in its turn")
+	})
+}
+
+// TestZoneReadsOnceASecond guards against a zone that reads the list more than
+// once a second in all while turns go round, and against copies that age.
+func TestZoneReadsOnceASecond(t *testing.T) {
+	run(t, func(first *Service, l *lister) {
+		zone := []*Service{first}
+		for range 2 {
+			s := New(time.Now)
+			k := kernel.New(zerolog.Nop(), nil)
+			k.Register(services.NamePlatform, l)
+			k.Register(services.NameHosts, s)
+			assert.NilError(t, k.Start(t.Context()))
+			defer func() { assert.NilError(t, k.Stop(context.Background())) }()
+			zone = append(zone, s)
+		}
+		time.Sleep(time.Second / 2)
+		before := l.count()
+		const seconds = 60
+		for second := range seconds {
+			for i, s := range zone {
+				s.SetHostReadTurn(i == second%len(zone))
+			}
+			time.Sleep(time.Second)
+			for i, s := range zone {
+				age := time.Since(s.Hosts().AsOf)
+				assert.Assert(t, second < 3 || age <= 5200*time.Millisecond, "copy %d is %v old", i, age)
+			}
+		}
+		assert.Assert(t, l.count()-before <= seconds, "%d reads in %d s", l.count()-before, seconds)
+	})
+}
+
+// TestFailedReaderReadsRegardlessOfItsTurn guards against an entry host that
+// waits for its turn, or for a whole pause, after reads that failed.
+func TestFailedReaderReadsRegardlessOfItsTurn(t *testing.T) {
+	run(t, func(s *Service, l *lister) {
+		time.Sleep(time.Second)
+		s.SetHostReadTurn(false)
+		l.set(func() { l.down = true })
+		time.Sleep(5 * time.Second)
+		before := l.count()
+		time.Sleep(20 * time.Second)
+		assert.Assert(t, l.count()-before >= 8, "%d reads in 20 s of 2 s each", l.count()-before)
+		l.set(func() { l.down = false })
+		time.Sleep(3500 * time.Millisecond)
+		assert.Assert(t, time.Since(s.Hosts().AsOf) <= 3500*time.Millisecond, "copy is %v old", time.Since(s.Hosts().AsOf))
 	})
 }
 
