Drop platform calls that rest on a view over 1 s old

Cause: a process paused between its view and the call drains a host whose grant has ended; the host was returned only about 10 s later. A return that failed was not repeated, so that the host could stay draining.

Change: each call carries the time of its view on the own clock and is dropped before it is made when that is over 1 s ago (counted as a retry, reason "paused"); the next round decides again. The watch after the call stays, because a process can be paused within the call; its return is repeated until it succeeds.

TestMoveAndLateDrain now gives the age of its late call, requires that the call drains the host, lets the first return fail, and waits 10 s in place of 5 s for the second one.

Proof: without the age check TestPausedCallIsDecidedAgain sees w0 leaving in place of live; with a dropped call counted as made the host is never drained; with a return that is not repeated TestMoveAndLateDrain sees w1 leaving.

--- a/services/maintenance/hosts_test.go
+++ b/services/maintenance/hosts_test.go
@@ -1,17 +1,22 @@
 package maintenance
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"fuchsiafront.example/fuchsiafront/decision/budget"
 	"fuchsiafront.example/fuchsiafront/decision/document"
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
 )
 
 // TestReplacedHostIsRetired guards against a replaced host that counts against
@@ -111,3 +116,36 @@
 		})
 	}
 }
+
+// TestPausedCallIsDecidedAgain guards against a host that is drained after its
+// grant has ended, by a process that was paused between the view and the call.
+func TestPausedCallIsDecidedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 2, 1)
+		n := &node{cluster: c, name: "e1"}
+		s := New(time.Now, DefaultSettings())
+		s.platform, s.membership, s.scope, s.log = n, n, tally.NoopScope, zerolog.Nop()
+		s.calls = ring.New[call](stepCall, callCapacity, nil)
+		s.messages = ring.New[message](stepPlan, planCapacity, nil)
+		p := newPlanner(s)
+		view := &services.View{Ledger: &budget.Ledger{Out: map[string]budget.Out{
+			"w0": {Host: "w0", Step: budget.StepDraining, Cause: budget.CauseDrain, Since: time.Now()},
+		}}}
+		decide := func() {
+			p.viewedAt = time.Now()
+			p.callPlatform(view, []string{"e1"})
+		}
+		decide()
+		time.Sleep(maxCallDelay + time.Millisecond)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.call(ctx)
+		synctest.Wait()
+		assert.Equal(t, c.hosts["w0"].Phase, fleet.PhaseLive, "drained on an old view")
+		p.receive(ctx, <-s.messages.C())
+		assert.Equal(t, len(p.drained), 0)
+		decide()
+		synctest.Wait()
+		assert.Equal(t, c.hosts["w0"].Phase, fleet.PhaseLeaving, "not decided again")
+	})
+}
--- a/services/maintenance/maintenance_test.go
+++ b/services/maintenance/maintenance_test.go
@@ -32,6 +32,8 @@
 	reboots map[string]int
 	// lost makes every third call fail after it took effect.
 	lost bool
+	// failing is the number of the next calls that fail without effect.
+	failing int
 	// running is the work of team "t" on each entry host.
 	running int
 	// apart means that no entry host hears another; with unlisted the
@@ -171,6 +173,10 @@
 func (n *node) operate(f func()) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.failing > 0 {
+		n.failing--
+		return fault.New(&fault.NotRun, fault.ReasonPlatformDown, "operate", "platform", "down")
+	}
 	f()
 	out := 0
 	for _, h := range n.hosts {
@@ -352,8 +358,13 @@
 		assert.Equal(t, len(n.View().Ledger.Out), 0)
 		_, err = n.service.Move(t.Context(), "m", "w0", "office")
 		assert.NilError(t, err, "a repeated request is answered, not refused")
-		n.service.calls.Offer(call{host: "w1", step: budget.StepDraining, granted: time.Now()})
-		time.Sleep(5 * time.Second)
+		n.service.calls.Offer(call{host: "w1", step: budget.StepDraining, decided: time.Now()})
+		synctest.Wait()
+		assert.Equal(t, n.Hosts().Hosts[1].Phase, fleet.PhaseLeaving)
+		c.mu.Lock()
+		c.failing = 1
+		c.mu.Unlock()
+		time.Sleep(10 * time.Second)
 		phase := n.Hosts().Hosts[1].Phase
 		assert.Equal(t, phase, fleet.PhaseLive)
 	})
--- a/services/maintenance/round.go
+++ b/services/maintenance/round.go
@@ -27,10 +27,12 @@
 // planner is the state of the duty maintenance.plan. All of it can be rebuilt
 // from the shared state and the host list.
 type planner struct {
-	s        *Service
-	changes  uint64
+	s       *Service
+	changes uint64
+	// viewedAt is when the view of the present round was taken.
+	viewedAt time.Time
 	progress map[string]*progress
-	drained  map[string]lateDrain
+	drained  map[string]*lateDrain
 	demand   *demand
 	// movesAt is when this process last planned moves.
 	movesAt  time.Time
@@ -44,7 +46,7 @@
 	return &planner{
 		s:        s,
 		progress: make(map[string]*progress),
-		drained:  make(map[string]lateDrain),
+		drained:  make(map[string]*lateDrain),
 		demand:   newDemand(),
 		lastSeen: make(map[string]fleet.Host),
 	}
@@ -53,6 +55,7 @@
 // round does this entry host's part of the work: record failures, assign new
 // hosts, move hosts through their steps, and take the next hosts of waves.
 func (p *planner) round(life context.Context) {
+	p.viewedAt = p.s.clock()
 	view := p.s.state.View()
 	if view == nil {
 		return
--- a/services/maintenance/steps.go
+++ b/services/maintenance/steps.go
@@ -15,6 +15,11 @@
 // have undone it.
 const callInterval = 5 * time.Second
 
+// maxCallDelay is the longest time between the view that a call rests on and
+// the call. A process that was paused for longer decides again, because the
+// grant may have ended.
+const maxCallDelay = time.Second
+
 // lateDrainWatch is how long after a drain call this process checks that the
 // grant still holds. It covers the time that a paused process needs to learn
 // of changes.
@@ -25,14 +30,20 @@
 	host  string
 	step  budget.Step
 	since time.Time
-	// granted identifies the grant that the call belongs to.
-	granted time.Time
+	// undo means that the call belongs to no grant and returns a host that
+	// was drained too late.
+	undo bool
+	// decided is when the view was taken that shows the grant, on this
+	// process's clock.
+	decided time.Time
 }
 
 // called reports the end of a call to the duty maintenance.plan.
 type called struct {
 	call call
 	err  error
+	// dropped means that the call came too late and was not made.
+	dropped bool
 }
 
 // progress is what this process knows of one host in its present step.
@@ -48,8 +59,9 @@
 // lateDrain is a drain call that ended; the grant behind it may have ended
 // before.
 type lateDrain struct {
-	granted time.Time
-	at      time.Time
+	at time.Time
+	// undoAt is when the call that returns the host was last posted.
+	undoAt time.Time
 }
 
 // call is the duty that makes calls to the platform. Its reports are dropped
@@ -60,15 +72,24 @@
 		if err != nil {
 			return
 		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err = s.operate(callCtx, c)
-		cancel()
-		if err != nil {
-			s.retried(stepCall, fault.ReasonOf(err))
-			s.log.Warn().Err(err).Str("step", stepCall).Str("host", c.host).Str("hostStep", string(c.step)).Msg("platform call failed")
-		}
-		s.messages.Offer(message{called: &called{call: c, err: err}})
+		s.messages.Offer(message{called: s.makeCall(ctx, c)})
+	}
+}
+
+// makeCall makes c unless it comes too late.
+func (s *Service) makeCall(ctx context.Context, c call) *called {
+	if s.clock().Sub(c.decided) > maxCallDelay {
+		s.retried(stepCall, fault.ReasonPaused)
+		return &called{call: c, dropped: true}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := s.operate(callCtx, c)
+	if err != nil {
+		s.retried(stepCall, fault.ReasonOf(err))
+		s.log.Warn().Err(err).Str("step", stepCall).Str("host", c.host).Str("hostStep", string(c.step)).Msg("platform call failed")
 	}
+	return &called{call: c, err: err}
 }
 
 func (s *Service) operate(ctx context.Context, c call) error {
@@ -96,7 +117,7 @@
 		if !p.owns(host, members) || !needsCall(o) || !at.due(o, p.phases[host], now) {
 			continue
 		}
-		if p.s.calls.Offer(call{host: host, step: o.Step, since: o.Since, granted: o.Granted}) {
+		if p.s.calls.Offer(call{host: host, step: o.Step, since: o.Since, decided: p.viewedAt}) {
 			at.inFlight = true
 			at.lastCall = now
 		}
@@ -147,30 +168,37 @@
 // recordCall notes the end of a call.
 func (p *planner) recordCall(c called) {
 	now := p.s.clock()
-	if c.call.step == budget.StepDraining {
-		p.drained[c.call.host] = lateDrain{granted: c.call.granted, at: now}
+	switch {
+	case c.dropped:
+	case c.call.step == budget.StepDraining:
+		p.drained[c.call.host] = &lateDrain{at: now}
+	case c.call.undo && c.err == nil:
+		delete(p.drained, c.call.host)
 	}
 	at, ok := p.progress[c.call.host]
 	if !ok || at.step != c.call.step || !at.since.Equal(c.call.since) {
 		return
 	}
 	at.inFlight = false
-	at.called = at.called || c.err == nil
+	at.called = at.called || !c.dropped && c.err == nil
 }
 
 // undoLateDrains returns hosts that this process drained after their grant had
-// ended, as it can happen when the process is paused before the call.
+// ended, as it can happen when the process is paused within the call. The
+// return is repeated until it succeeds or the deadline of a step has passed.
 func (p *planner) undoLateDrains(view *services.View) {
 	now := p.s.clock()
 	for host, late := range p.drained {
-		o, out := view.Ledger.Out[host]
+		_, out := view.Ledger.Out[host]
 		switch {
-		case now.Sub(late.at) > lateDrainWatch:
+		case late.undoAt.IsZero() && now.Sub(late.at) > lateDrainWatch, now.Sub(late.at) > p.s.settings.Times.Deadline:
 			delete(p.drained, host)
-		case out:
-			// A later step or a later grant makes its own calls.
-		case p.s.calls.Offer(call{host: host, step: budget.StepReturning, granted: o.Granted}):
+		case out && !late.undoAt.IsZero():
+			// A later grant makes its own calls.
 			delete(p.drained, host)
+		case out || now.Sub(late.undoAt) < callInterval:
+		case p.s.calls.Offer(call{host: host, step: budget.StepReturning, undo: true, decided: p.viewedAt}):
+			late.undoAt = now
 		}
 	}
 }
