Read the newer state after a conflicting change

Cause: a change that met a conflict left the replica as old as it was. A submitter that decided again met the same conflict until the next read of the head, up to a second later, so that an operator's request on another entry host soon after a change ended with a conflict (exit status 3 of fuchsiactl, "the part is at revision 3") after five attempts.

Ruled out: longer pauses between the attempts of services/maintenance, because its duty serves nothing else meanwhile.

Change: statesync reads and applies the newer state before it answers with a conflict.

Proof: without it TestConflictBringsTheNewerState finds the replica at revision 0 in place of 1.

--- a/services/statesync/commit.go
+++ b/services/statesync/commit.go
@@ -83,6 +83,7 @@
 	case revision.Repeated:
 		return services.ChangeResult{Revision: proposal.Revision, Repeated: true}, false, nil
 	case revision.Conflict:
+		s.catchUp(ctx)
 		return services.ChangeResult{}, false, fault.New(&fault.NotRun, fault.ReasonConflict, "change state", proposal.ConflictPart,
 			"the part is at revision %d", proposal.ConflictRevision)
 	}
@@ -106,6 +107,17 @@
 	return services.ChangeResult{Revision: proposal.Revision}, false, nil
 }
 
+// catchUp reads the state that a change conflicted with, so that the submitter
+// decides again on that state and not on a replica that may be a second old.
+func (s *Service) catchUp(ctx context.Context) {
+	head, parts, err := s.readNewer(ctx)
+	if err != nil {
+		s.log.Debug().Err(err).Msg("state not read after a conflict")
+		return
+	}
+	s.offer(ctx, head, parts)
+}
+
 func (s *Service) propose(ctx context.Context, c revision.Change) (revision.Proposal, uint64, error) {
 	h, err := s.readHead(ctx)
 	if err != nil {
