--- a/cmd/fuchsiastandin/demo.go
+++ b/cmd/fuchsiastandin/demo.go
@@ -81,7 +81,7 @@
 		BootstrapKey:  stored.ID + ":" + stored.Salt + ":" + stored.Hash,
 		MaxEntryHosts: 8, MaxBodyBytes: 1 << 20,
 		DefaultTimeout: 10 * time.Second, MaxTimeout: time.Minute,
-		KeyCurrency: 3 * time.Second, DrainTimeout: 10 * time.Second,
+		KeyCurrency: 3 * time.Second, DrainTimeout: 10 * time.Second, HostRetirement: 30 * time.Minute,
 	}
 	if err := settings.Validate(); err != nil {
 		return nil, err
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -45,7 +45,7 @@
 	k.Register(services.NameRights, rights.New(rights.Settings{HoldTerm: holdTerm, LongestRequest: s.MaxTimeout}))
 	k.Register(services.NameClaims, claims.New())
 	k.Register(services.NameJobs, jobs.New(jobs.Config{Clock: clock}))
-	k.Register(services.NameMaintenance, maintenance.New(clock, maintenance.DefaultSettings()))
+	k.Register(services.NameMaintenance, maintenance.New(clock, s.maintenance()))
 	k.Register(services.NameFront, front.New(s.front(), clock))
 	return k
 }
@@ -69,6 +69,12 @@
 	return admin.Settings{Address: s.AdminAddress, Bootstrap: bootstrap, KeyCurrency: s.KeyCurrency}
 }
 
+func (s *Settings) maintenance() maintenance.Settings {
+	m := maintenance.DefaultSettings()
+	m.Retirement = s.HostRetirement
+	return m
+}
+
 func (s *Settings) front() front.Settings {
 	return front.Settings{
 		Address:        s.CallerAddress,
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -32,6 +32,7 @@
 	KeyCurrency    time.Duration `arg:"--key-currency,env:FUCHSIAFRONT_KEY_CURRENCY" default:"3s" help:"longest time without proof that keys are current" placeholder:"DURATION" range:"1s to 1m"`
 	ReadinessDelay time.Duration `arg:"--readiness-delay,env:FUCHSIAFRONT_READINESS_DELAY" default:"3s" help:"time between reporting not-ready and refusing new connections at a stop" placeholder:"DURATION" range:"0s to 1m"`
 	DrainTimeout   time.Duration `arg:"--drain-timeout,env:FUCHSIAFRONT_DRAIN_TIMEOUT" default:"2m30s" help:"longest time that a stop waits for work under way" placeholder:"DURATION" range:"1s to 24h"`
+	HostRetirement time.Duration `arg:"--host-retirement,env:FUCHSIAFRONT_HOST_RETIREMENT" default:"30m" help:"time after which a host that is missing from the host list loses its pool, unless many of its zone are missing" placeholder:"DURATION" range:"1m to 24h"`
 	LogLevel       string        `arg:"--log-level,env:FUCHSIAFRONT_LOG_LEVEL" default:"info" help:"trace, debug, info, warn or error" placeholder:"LEVEL" unit:"name" range:"trace, debug, info, warn or error; empty means info"`
 	Check          bool          `arg:"--check" help:"check the settings and exit"`
 }
@@ -109,6 +110,7 @@
 		{"--key-currency", s.KeyCurrency, time.Second, time.Minute},
 		{"--readiness-delay", s.ReadinessDelay, 0, time.Minute},
 		{"--drain-timeout", s.DrainTimeout, time.Second, 24 * time.Hour},
+		{"--host-retirement", s.HostRetirement, time.Minute, 24 * time.Hour},
 	}
 	for _, d := range durations {
 		if d.value < d.min || d.value > d.max {
