--- a/services/work.go
+++ b/services/work.go
@@ -262,7 +262,7 @@
 type Maintenance interface {
 	Drain(ctx context.Context, changeID, host string, cause budget.Cause) (budget.Out, error)
 	// Return brings a host back into service. A failed host that is missing
-	// from the host list is retired: it loses its pool.
+	// from the host list is retired at once: it loses its pool.
 	Return(ctx context.Context, changeID, host string) error
 	Move(ctx context.Context, changeID, host, toPool string) (budget.Out, error)
 	StartWave(ctx context.Context, w budget.Wave) (budget.Wave, error)
