--- a/decision/wave/capacity_test.go
+++ b/decision/wave/capacity_test.go
@@ -39,6 +39,8 @@
 		{"moves weigh more than waiting", []PoolLoad{spare, pool("a", 9, 9)}, heavy, nil},
 		{"a large shortage weighs more than moves", []PoolLoad{spare, pool("a", 4, 9)}, heavy, []Move{{"office", "a"}, {"office", "a"}}},
 		{"until the rest is not worth a move", []PoolLoad{pool("b", 30, 9), pool("a", 8, 9)}, heavy, []Move{{"b", "a"}}},
+		{"donor keeps minHosts", []PoolLoad{{Pool: "office", Kind: fleet.KindWorker, Spare: true, Hosts: 2, MinHosts: 2}, pool("a", 4, 9)}, moveParams, nil},
+		{"full at maxHosts", []PoolLoad{spare, {Pool: "a", Kind: fleet.KindWorker, Hosts: 4, MaxHosts: 5, Demand: 9}}, moveParams, []Move{{"office", "a"}}},
 		{"shortest in proportion first", []PoolLoad{spare, pool("a", 35, 36), pool("b", 2, 4)}, one, []Move{{"office", "b"}}},
 		{"as many as the shortage asks", []PoolLoad{spare, pool("a", 4, 9), pool("b", 16, 9)}, light,
 			[]Move{{"office", "a"}, {"office", "a"}, {"b", "a"}, {"b", "a"}, {"b", "a"}}},
--- a/services/statesync/commit.go
+++ b/services/statesync/commit.go
@@ -93,6 +93,7 @@
 	case revision.Malformed:
 		return services.ChangeResult{}, false, fault.New(&fault.Invalid, fault.ReasonMalformed, "change state", req.change.ID, "a change needs an identifier and one update for each of its parts")
 	case revision.Conflict:
+		s.catchUp(ctx)
 		return services.ChangeResult{}, false, fault.New(&fault.NotRun, fault.ReasonConflict, "change state", proposal.ConflictPart,
 			"the part is at revision %d", proposal.ConflictRevision)
 	}
@@ -132,6 +133,17 @@
 	return services.ChangeResult{Revision: proposal.Revision}, false, nil
 }
 
+// catchUp reads the state that a change conflicted with, so that the submitter
+// decides again on that state and not on a replica that may be a second old.
+func (s *Service) catchUp(ctx context.Context) {
+	head, parts, err := s.readNewer(ctx)
+	if err != nil {
+		s.log.Debug().Err(err).Msg("state not read after a conflict")
+		return
+	}
+	s.offer(ctx, advance{head: head, parts: parts, fromPlatform: true})
+}
+
 func (s *Service) mayStillSend(req commitRequest) error {
 	if req.ctx.Err() != nil {
 		return fault.New(&fault.NotRun, fault.ReasonDeadline, "change state", "platform", "%w", req.ctx.Err())
