Bind the rights of jobs in the transaction of their rows

The service jobs took rights with Acquire and gave them back with Release. The rights of a scheduler that disappeared were therefore freed after the longest request duration while its jobs ran on, and an adopted job needed a second right.

The holder in a job's row now says which host's right covers it, and a transaction that changes the holder also applies JobRights.PlaceJob, AdoptJob or EndJob. Commits of one team that change rights follow one another, urgent ones first, so that they do not conflict on the team's row. They are not put into one transaction, because JobRights accounts for one job at a time.

With a single right for each job, a scheduler that takes over must not free it while the earlier one, cut off from the platform, renews the task. The row therefore lists earlier holders that may renew (MayRenew) until they state that they stopped or are no members any more. Only the holder renews. A drain no longer waits for the rights of running jobs to be taken over.

fault.ReasonNoJobRight tells a missing right from a row that changed.

--- a/decision/job/job.go
+++ b/decision/job/job.go
@@ -41,7 +41,7 @@
 // have MaxFailedWorkers of them.
 const MaxFailures = 6
 
-// Holder is the entry host whose right to run covers an active job.
+// Holder is a process of an entry host.
 type Holder struct {
 	Host        string `json:"host"`
 	Incarnation uint64 `json:"incarnation"`
@@ -59,7 +59,11 @@
 	Attempt    int          `json:"attempt"`
 	Worker     string       `json:"worker,omitempty"`
 	Token      string       `json:"token,omitempty"`
-	Holder     Holder       `json:"holder"`
+	// Holder has the right to run that covers the job. It is set exactly while
+	// the team's row of rights counts a right for the job.
+	Holder Holder `json:"holder"`
+	// MayRenew are earlier holders that may still renew the task lease.
+	MayRenew []Holder `json:"mayRenew,omitempty"`
 	// CancelRequested is set while a cancelled job may still be running.
 	CancelRequested bool `json:"cancelRequested,omitempty"`
 	// RanBefore is set when an attempt whose outcome is settled ran, or may
@@ -115,6 +119,7 @@
 	r.Worker = worker
 	r.Token = token
 	r.Holder = holder
+	r.MayRenew = nil
 	return r, changed("")
 }
 
@@ -166,21 +171,48 @@
 	}
 }
 
-// LeaseLost applies that the worker could not be reached until the task lease
-// had certainly ended.
+// LeaseLost applies that the worker could not be reached for the length of a
+// task lease. While an earlier holder may still renew the lease, the task may
+// run on: an idempotent job then stays as it is, and any other becomes unknown
+// and keeps its right.
 func LeaseLost(r Record, token string) (Record, Verdict) {
 	if !r.Active() || r.Token != token {
 		return r, unchanged(fault.ReasonStaleCopy)
 	}
+	if r.Idempotent && len(r.MayRenew) > 0 {
+		return r, unchanged(fault.ReasonWorkerUnreachable)
+	}
 	if r.Idempotent {
 		return requeue(ran(r), fault.ReasonWorkerUnreachable)
 	}
 	r.State = Unknown
 	r.Reason = fault.ReasonWorkerUnreachable
-	r.Holder = Holder{}
+	if len(r.MayRenew) == 0 {
+		r.Holder = Holder{}
+	}
 	return r, changed(r.Reason)
 }
 
+// LeaseEnded applies that the lease of an unknown job's task has certainly
+// ended, so that the job needs no right.
+func LeaseEnded(r Record, token string) (Record, Verdict) {
+	if r.State != Unknown || r.Token != token || len(r.MayRenew) > 0 || r.Holder == (Holder{}) {
+		return r, unchanged(fault.ReasonStaleCopy)
+	}
+	r.Holder = Holder{}
+	return r, changed("")
+}
+
+// StopRenewing applies that holder, or a process that has ended, renews the
+// task lease no more.
+func StopRenewing(r Record, holder Holder) (Record, Verdict) {
+	if !slices.Contains(r.MayRenew, holder) {
+		return r, unchanged(fault.ReasonStaleCopy)
+	}
+	r.MayRenew = slices.DeleteFunc(slices.Clone(r.MayRenew), func(h Holder) bool { return h == holder })
+	return r, changed("")
+}
+
 // Cancel ends a job that certainly does not run, and marks one that may run so
 // that its scheduler stops it.
 func Cancel(r Record) (Record, Verdict) {
@@ -197,11 +229,17 @@
 	return r, changed(fault.ReasonCancelled)
 }
 
-// Adopt moves an active job to the right of another holder.
+// Adopt moves the right of a job that may run to another holder. The earlier
+// holder may renew the task lease until it learns of this.
 func Adopt(r Record, holder Holder) (Record, Verdict) {
-	if !r.Active() || r.Holder == holder {
+	covered := r.Holder != Holder{}
+	if r.Holder == holder || (!r.Active() && !(r.State == Unknown && covered)) {
 		return r, unchanged(fault.ReasonStaleCopy)
 	}
+	if covered {
+		r.MayRenew = append(slices.Clone(r.MayRenew), r.Holder)
+	}
+	r.MayRenew = slices.DeleteFunc(r.MayRenew, func(h Holder) bool { return h == holder })
 	r.Holder = holder
 	return r, changed("")
 }
@@ -271,6 +309,7 @@
 	r.Worker = ""
 	r.Token = ""
 	r.Holder = Holder{}
+	r.MayRenew = nil
 	return r, changed(reason)
 }
 
@@ -278,6 +317,7 @@
 	r.State = s
 	r.Reason = reason
 	r.Holder = Holder{}
+	r.MayRenew = nil
 	return r, changed(reason)
 }
 
--- a/fault/job.go
+++ b/fault/job.go
@@ -14,4 +14,6 @@
 	ReasonFailedOnWorkers   Reason = "failed-on-workers"
 	ReasonCannotRun         Reason = "cannot-run"
 	ReasonWorkerExcluded    Reason = "worker-excluded"
+	// ReasonNoJobRight means that the team's row counts no right for the job.
+	ReasonNoJobRight Reason = "no-job-right"
 )
--- a/services/jobs/entries.go
+++ b/services/jobs/entries.go
@@ -1,20 +1,20 @@
 package jobs
 
 import (
-	"context"
+	"slices"
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/job"
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/fleet"
-	"fuchsiafront.example/fuchsiafront/services"
 )
 
 // transition is an event that is applied to a job's record. It is applied
 // again when the row turned out to have changed.
 type transition func(job.Record) (job.Record, job.Verdict)
 
-// entry is a job that this host schedules, or whose right it holds.
+// entry is a job that this host schedules, or that it had earlier and whose
+// task lease it may still renew.
 type entry struct {
 	name    string
 	row     row
@@ -26,11 +26,10 @@
 	todo    []transition
 	busy    bool
 	retryAt time.Time
-	// doubtful means that an earlier try of the commit may have taken effect.
-	doubtful bool
 	// ended means that the worker said that the last task does not run.
 	ended bool
-	// right is set while a right of this host covers the job.
+	// right is set while this host has acquired a right that no commit has
+	// yet bound to the job.
 	right bool
 	// token is the last token that this host placed.
 	token string
@@ -65,6 +64,10 @@
 		e.confirmed, e.ended, e.stopping, e.yielding = false, false, false, false
 		e.throttle = 0
 	}
+	if len(r.MayRenew) < len(e.row.MayRenew) {
+		// The holder that renews no more may have done so until now.
+		e.leaseFrom = s.now
+	}
 	e.row, e.version = r, version
 }
 
@@ -86,19 +89,24 @@
 		if next.State == job.Done {
 			next.ResultObject = e.result
 		}
+		if bindsRight(&e.row, &next) && !e.right {
+			e.todo = e.todo[1:]
+			continue
+		}
 		e.busy = true
-		s.post(commitJob{name: e.name, before: e.row, after: next, version: e.version})
+		s.commit(commitJob{name: e.name, before: e.row, after: next, version: e.version})
 	}
 }
 
-// retry commits what could not be committed earlier and looks after jobs of
-// queues that this host lost.
+// retry commits what could not be committed earlier and looks after jobs that
+// another host schedules and that concern this one.
 func (s *scheduler) retry() {
 	var followed []string
 	for _, e := range s.jobs {
 		s.pump(e)
 		s.settle(e)
-		if q := s.queues[e.row.Queue]; e.right && !e.busy && (q == nil || !q.mine) {
+		renewedElsewhere := !e.confirmed && len(e.row.MayRenew) > 0
+		if !e.busy && (!s.schedules(e) || renewedElsewhere) {
 			followed = append(followed, e.name)
 		}
 	}
@@ -108,88 +116,10 @@
 	}
 }
 
-// commitJob replaces a job's row.
-type commitJob struct {
-	name    string
-	before  row
-	after   row
-	version uint64
-}
-
-func (c commitJob) run(ctx context.Context, s *Service) event {
-	result, err := s.platform.Commit(ctx, update(&c.before, &c.after, c.version))
-	return jobCommitted{c, result, err}
-}
-
-// jobCommitted is the outcome of commitJob.
-type jobCommitted struct {
-	call   commitJob
-	result services.CommitResult
-	err    error
-}
-
-func (c jobCommitted) handle(s *scheduler) {
-	e := s.jobs[c.call.name]
-	if e == nil {
-		return
-	}
-	e.busy = false
-	switch {
-	case c.err != nil:
-		s.commitFailed(e, c)
-		return
-	case c.result.Committed:
-		e.row, e.version = c.call.after, c.result.Version
-		e.todo = e.todo[1:]
-		e.doubtful = false
-		s.countTransition(c.call)
-	default:
-		s.commitRefused(e, c)
-	}
-	s.pump(e)
-	s.settle(e)
-}
-
-// commitFailed tries the same commit again after a pause. A placement that
-// certainly had no effect is given up instead, so that others can start.
-func (s *scheduler) commitFailed(e *entry, c jobCommitted) {
-	reason := fault.ReasonOf(c.err)
-	s.svc.countRetried("commit-job", reason)
-	e.retryAt = s.now.Add(retryCommit)
-	if c.call.after.State == job.Placed && c.call.before.State == job.Queued && fault.IsNotRun(c.err) && !e.doubtful {
-		e.todo = e.todo[1:]
-		s.settle(e)
-		return
-	}
-	e.doubtful = true
-}
-
-// commitRefused takes the row as it is. When an earlier try took effect and
-// its reply was lost, the transition no longer applies to the row and is left
-// out.
-func (s *scheduler) commitRefused(e *entry, c jobCommitted) {
-	e.doubtful = false
-	s.svc.countRetried("commit-job", fault.ReasonConflict)
-	for _, current := range c.result.Current {
-		if current.Version == 0 {
-			e.todo = nil
-			s.drop(e)
-			return
-		}
-		r, err := decodeRow(current, "commit-job")
-		if err != nil {
-			s.svc.log.Error().Err(err).Str("step", "commit-job").Msg("row cannot be read")
-			e.retryAt = s.now.Add(retryCommit)
-			return
-		}
-		s.setRow(e, *r, current.Version)
-	}
-}
-
-func (s *scheduler) countTransition(c commitJob) {
-	if c.before.Active() && c.after.State == job.Queued {
-		s.svc.countRetried("run-job", c.after.Reason)
-	}
+// schedules reports whether this host schedules the queue of a job.
+func (s *scheduler) schedules(e *entry) bool {
+	q := s.queues[e.row.Queue]
+	return q != nil && q.mine
 }
 
 // settle does what the state of the row calls for.
@@ -200,12 +130,17 @@
 	if e.row.State != job.Queued || len(e.todo) == 0 {
 		e.planned = ""
 	}
-	q := s.queues[e.row.Queue]
-	mine := q != nil && q.mine
+	mine := s.schedules(e)
 	if e.row.Active() {
 		s.settleActive(e, mine)
 	}
+	if mine && e.row.State == job.Unknown && e.row.Holder != (job.Holder{}) && len(e.todo) == 0 {
+		s.adopt(e)
+	}
 	s.settleRight(e)
+	if !mine {
+		s.stopRenewing(e)
+	}
 	if e.row.Ended() || !mine {
 		s.dropIfDone(e)
 	}
@@ -219,7 +154,7 @@
 	if !mine {
 		return
 	}
-	if e.row.Holder != s.self && len(e.todo) == 0 {
+	if len(e.todo) == 0 {
 		s.adopt(e)
 	}
 	if e.row.CancelRequested && !e.stopping && !e.starting && !e.ended && !s.now.Before(e.nextStop) {
@@ -227,39 +162,43 @@
 	}
 }
 
-// adopt moves the job's right to this host. Without a free right the job is
-// supervised all the same, under the right that the earlier holder is still
-// counted for.
+// adopt moves the job's right to this host. A task without a right, which a
+// worker ran past the end of its lease, needs a free one.
 func (s *scheduler) adopt(e *entry) {
-	if !e.right && !s.acquire(e.row.Team) {
+	if e.row.Holder == s.self || s.now.Before(e.retryAt) {
 		return
 	}
-	e.right = true
+	if e.row.Holder == (job.Holder{}) {
+		if s.isBlocked(e.row.Team) || !s.acquire(e.row.Team) {
+			return
+		}
+		e.right = true
+	}
 	s.apply(e, func(r job.Record) (job.Record, job.Verdict) { return job.Adopt(r, s.self) })
 }
 
-// settleRight returns the right when the work has surely ended or another
-// host's right covers it.
+// settleRight returns a right that was acquired for a commit that was given
+// up.
 func (s *scheduler) settleRight(e *entry) {
-	if !e.right || e.busy || len(e.todo) > 0 || e.starting {
-		return
-	}
-	if e.row.Active() && e.row.Holder == s.self {
-		return
+	if e.right && !e.busy && len(e.todo) == 0 {
+		e.right = false
+		s.svc.rights.Release(e.row.Team, 1)
 	}
-	sameTask := e.row.Token == e.token || e.token == ""
-	covered := e.row.Active() && sameTask
-	if !covered && !s.surelyEnded(e) {
+}
+
+// stopRenewing lets the scheduler of a job know that this host, which had it
+// earlier, renews the task lease no more.
+func (s *scheduler) stopRenewing(e *entry) {
+	if !slices.Contains(e.row.MayRenew, s.self) || s.mayBeRenewing(e) || len(e.todo) > 0 {
 		return
 	}
-	e.right = false
-	s.svc.rights.Release(e.row.Team, 1)
+	s.apply(e, func(r job.Record) (job.Record, job.Verdict) { return job.StopRenewing(r, s.self) })
 }
 
-// surelyEnded reports whether the last task that this host started or renewed
-// cannot run any more: its worker said so, or its lease has ended.
-func (s *scheduler) surelyEnded(e *entry) bool {
-	return e.ended || (e.token != "" && !e.sent) || s.now.Sub(e.leaseFrom) >= s.svc.config.TaskLease+leaseMargin
+// mayBeRenewing reports whether a call of this host that starts a task or
+// renews its lease may be under way.
+func (s *scheduler) mayBeRenewing(e *entry) bool {
+	return e.starting || s.worker(e.row.Worker).polling
 }
 
 // dropIfDone forgets a job that this host has no more part in.
@@ -267,6 +206,9 @@
 	if e.right || e.busy || e.starting || len(e.todo) > 0 {
 		return
 	}
+	if !e.row.Ended() && (e.row.Holder == s.self || slices.Contains(e.row.MayRenew, s.self)) {
+		return
+	}
 	s.drop(e)
 }
 
--- a/services/jobs/poll.go
+++ b/services/jobs/poll.go
@@ -9,6 +9,7 @@
 	"fuchsiafront.example/fuchsiafront/decision/job"
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/services"
 	v1 "fuchsiafront.example/fuchsiafront/wire/fuchsiafront/v1"
 )
 
@@ -55,11 +56,13 @@
 			e.confirmed = false
 			return
 		}
-		p = &pollWorker{host: h, names: make(map[string]string)}
+		p = &pollWorker{host: h, names: make(map[string]string), held: make(map[string]bool)}
 		due[e.row.Worker] = p
 	}
 	p.names[e.row.Token] = e.name
-	if e.confirmed {
+	// Only the holder in the row renews, so that a later one knows who may.
+	p.held[e.row.Token] = e.row.Holder == s.self
+	if e.confirmed && p.held[e.row.Token] {
 		p.renew = append(p.renew, e.row.Token)
 	} else {
 		p.inspect = append(p.inspect, e.row.Token)
@@ -74,6 +77,9 @@
 	inspect []string
 	// names are the jobs by token.
 	names map[string]string
+	// held are the tokens of jobs whose right this host has; others are not
+	// renewed.
+	held map[string]bool
 }
 
 // polled is the outcome of pollWorker. Renewed are the tokens for which a
@@ -98,7 +104,7 @@
 			return out
 		}
 		for _, t := range resp.Msg.Tasks {
-			if t.State == v1.TaskState_TASK_STATE_RUNNING {
+			if t.State == v1.TaskState_TASK_STATE_RUNNING && c.held[t.Token] {
 				out.renewed = append(out.renewed, t.Token)
 				continue
 			}
@@ -153,17 +159,43 @@
 }
 
 // loseLeases ends the attempts of jobs whose worker has not answered until
-// the task lease had certainly ended.
+// the task lease had ended.
 func (s *scheduler) loseLeases() {
 	for _, e := range s.jobs {
-		q := s.queues[e.row.Queue]
-		if q == nil || !q.mine || !e.row.Active() || e.starting || e.confirmed || e.ended || len(e.todo) > 0 {
+		if !s.schedules(e) || e.row.Holder != s.self || e.starting || e.confirmed || e.ended || len(e.todo) > 0 {
 			continue
 		}
-		if s.now.Sub(e.leaseFrom) < s.svc.config.TaskLease+leaseMargin {
+		s.forgetEnded(e)
+		if s.now.Sub(e.leaseFrom) < s.svc.config.TaskLease+leaseMargin || len(e.todo) > 0 {
 			continue
 		}
-		token := e.row.Token
+		s.loseLease(e)
+	}
+}
+
+// forgetEnded records that earlier holders which are no longer members renew
+// the task lease no more.
+func (s *scheduler) forgetEnded(e *entry) {
+	if len(e.row.MayRenew) == 0 {
+		return
+	}
+	members := s.svc.membership.Members()
+	for _, h := range e.row.MayRenew {
+		listed := slices.ContainsFunc(members, func(m services.Identity) bool {
+			return m.Name == h.Host && m.Incarnation == h.Incarnation
+		})
+		if !listed {
+			s.apply(e, func(r job.Record) (job.Record, job.Verdict) { return job.StopRenewing(r, h) })
+		}
+	}
+}
+
+func (s *scheduler) loseLease(e *entry) {
+	token := e.row.Token
+	switch {
+	case e.row.Active():
 		s.apply(e, func(r job.Record) (job.Record, job.Verdict) { return job.LeaseLost(r, token) })
+	case e.row.State == job.Unknown:
+		s.apply(e, func(r job.Record) (job.Record, job.Verdict) { return job.LeaseEnded(r, token) })
 	}
 }
--- a/services/jobs/scheduler.go
+++ b/services/jobs/scheduler.go
@@ -22,24 +22,26 @@
 	workers map[string]*workerState
 	// blocked teams had no right to run; they are tried again when one is
 	// freed, and with every retryBlocked in case that message was lost.
-	blocked  map[string]time.Time
-	health   *placement.Health
-	sizes    *placement.Sizes
-	backlog  []call
-	sequence uint64
+	blocked map[string]time.Time
+	health  *placement.Health
+	sizes   *placement.Sizes
+	// teamCommits are the teams with a commit under way that changes their
+	// rights, and the commits that wait for it.
+	teamCommits map[string][]commitJob
+	backlog     []call
+	sequence    uint64
 	// readingLeases is set while a read of the schedule rows is under way.
 	readingLeases bool
 	leasesRead    time.Time
-	// nextFollow is when rows of jobs are read that another host schedules
-	// while this one still holds a right for them.
+	// nextFollow is when rows of jobs are read that have, or had, another
+	// holder.
 	nextFollow time.Time
 	nextPlace  time.Time
 	// hostsOf is the host list that hostIndex was made from.
-	hostsOf    *fleet.HostList
-	hostIndex  map[string]int
-	drained    *ring.Ring[struct{}]
-	draining   bool
-	drainBegan time.Time
+	hostsOf   *fleet.HostList
+	hostIndex map[string]int
+	drained   *ring.Ring[struct{}]
+	draining  bool
 }
 
 // retryBlocked is the time after which a team without a right is tried again.
@@ -66,21 +68,18 @@
 // shunFor keeps work off a worker that refused a start or did not answer.
 const shunFor = 2 * time.Second
 
-// handOver bounds the wait of a drain for other hosts to take over the rights
-// of running jobs; without another host they stay counted for this one.
-const handOver = 10 * time.Second
-
 func newScheduler(s *Service) *scheduler {
 	self := s.membership.Self()
 	return &scheduler{
-		svc:     s,
-		self:    job.Holder{Host: self.Name, Incarnation: self.Incarnation},
-		queues:  make(map[string]*queue),
-		jobs:    make(map[string]*entry),
-		workers: make(map[string]*workerState),
-		blocked: make(map[string]time.Time),
-		health:  placement.NewHealth(),
-		sizes:   placement.NewSizes(),
+		svc:         s,
+		self:        job.Holder{Host: self.Name, Incarnation: self.Incarnation},
+		queues:      make(map[string]*queue),
+		jobs:        make(map[string]*entry),
+		workers:     make(map[string]*workerState),
+		blocked:     make(map[string]time.Time),
+		teamCommits: make(map[string][]commitJob),
+		health:      placement.NewHealth(),
+		sizes:       placement.NewSizes(),
 	}
 }
 
@@ -180,7 +179,6 @@
 
 func (d drainRequest) handle(s *scheduler) {
 	s.draining = true
-	s.drainBegan = s.now
 	s.drained = d.done
 	for _, q := range s.queues {
 		if q.mine {
@@ -194,15 +192,10 @@
 	if s.drained == nil {
 		return
 	}
-	handedOver := true
 	for _, e := range s.jobs {
-		if e.busy || e.starting {
+		if e.busy || e.starting || e.right {
 			return
 		}
-		handedOver = handedOver && !e.right
-	}
-	if !handedOver && s.now.Before(s.drainBegan.Add(handOver)) {
-		return
 	}
 	s.drained.Offer(struct{}{})
 	s.drained = nil
--- a/services/jobs/service.go
+++ b/services/jobs/service.go
@@ -105,6 +105,7 @@
 	hosts       services.Hosts
 	membership  services.Membership
 	rights      services.Rights
+	jobRights   services.JobRights
 	maintenance services.Maintenance
 	freed       services.FreedRing
 	events      *ring.Ring[event]
@@ -141,6 +142,9 @@
 	if s.rights, err = kernel.Lookup[services.Rights](c, services.NameRights); err != nil {
 		return err
 	}
+	if s.jobRights, err = kernel.Lookup[services.JobRights](c, services.NameRights); err != nil {
+		return err
+	}
 	if s.maintenance, err = kernel.Lookup[services.Maintenance](c, services.NameMaintenance); err != nil {
 		return err
 	}
--- a/services/rights/jobs.go
+++ b/services/rights/jobs.go
@@ -64,7 +64,7 @@
 }
 
 func noJobRight(team string, scheduler services.Identity) error {
-	return fault.New(&fault.NotRun, fault.ReasonConflict, stepJob, scheduler.Name, "no right of a job of team %s", team)
+	return fault.New(&fault.NotRun, fault.ReasonNoJobRight, stepJob, scheduler.Name, "no right of a job of team %s", team)
 }
 
 func (s *Service) readRow(ctx context.Context, team string) (rowRead, error) {
--- a/services/work.go
+++ b/services/work.go
@@ -148,7 +148,8 @@
 // JobRights accounts for jobs in the rows of rights. It is implemented by the
 // service NameRights. Each method reads the team's row; the caller adds the
 // change to the transaction that changes the job's row, so that a job and its
-// right change together. All methods block until the row was read.
+// right change together. All methods block until the row was read. A row that
+// counts no job for the scheduler is a fault with fault.ReasonNoJobRight.
 type JobRights interface {
 	// PlaceJob turns a right that Acquire granted into the right of a job.
 	// After a transaction that committed, or whose outcome is unknown, the
