--- a/services/front/front_test.go
+++ b/services/front/front_test.go
@@ -33,6 +33,7 @@
 	object    []byte
 	jobs      map[string]services.JobStatus
 	jobErr    error
+	statusErr error
 	ready     []bool
 }
 
@@ -71,6 +72,9 @@
 	return f.jobs[id], nil
 }
 func (f fakeJobs) Status(_ context.Context, _, id string) (services.JobStatus, error) {
+	if f.statusErr != nil {
+		return services.JobStatus{}, f.statusErr
+	}
 	if job, ok := f.jobs[id]; ok {
 		return job, nil
 	}
@@ -132,6 +136,7 @@
 	full := failing(fault.New(&fault.NotRun, fault.ReasonQueueFull, "test", "", "full"))
 	lost := failing(fault.New(&fault.Unknown, fault.ReasonConnectionLost, "test", "", "lost"))
 	down := fault.New(&fault.NotRun, fault.ReasonPlatformDown, "test", "", "down")
+	busy := fault.New(&fault.NotRun, fault.ReasonPlatformBusy, "test", "", "busy")
 	key, post := testKey.Format(), http.MethodPost
 	queue := "/v1/queues/q/requests"
 	cases := []struct {
@@ -166,6 +171,10 @@
 		{"ask, platform down", fakes{recordErr: down}, call{http.MethodGet, "/v1/requests/id", key, "", ""}, 503, fault.ReasonPlatformDown, "unknown", "not-run"},
 		{"job, bad body", fakes{}, call{post, "/v1/queues/q/jobs", key, "", `{"x":1}`}, 400, fault.ReasonMalformed, "not-run", "not-run"},
 		{"job, platform down", fakes{jobErr: down}, call{post, "/v1/queues/q/jobs", key, "", "{}"}, 503, fault.ReasonPlatformDown, "not-run", "not-run"},
+		{"job, platform down, identifier", fakes{jobErr: down, statusErr: down}, call{post, "/v1/queues/q/jobs", key, "id", "{}"}, 503, fault.ReasonPlatformDown, "unknown", "not-run"},
+		{"job, refused, no row", fakes{jobErr: busy}, call{post, "/v1/queues/q/jobs", key, "id", "{}"}, 503, fault.ReasonPlatformBusy, "not-run", "not-run"},
+		{"job, refused, no row read", fakes{jobErr: busy, statusErr: down}, call{post, "/v1/queues/q/jobs", key, "id", "{}"}, 503, fault.ReasonPlatformBusy, "unknown", "not-run"},
+		{"job, ask, platform down", fakes{statusErr: down}, call{http.MethodGet, "/v1/jobs/id", key, "", ""}, 503, fault.ReasonPlatformDown, "unknown", "not-run"},
 		{"job, none", fakes{}, call{http.MethodGet, "/v1/jobs/id", key, "", ""}, 404, fault.ReasonUnknownJob, "not-run", "not-run"},
 		{"job without key", fakes{}, call{http.MethodDelete, "/v1/jobs/id", "", "", ""}, 401, fault.ReasonNoKey, "unknown", "not-run"},
 	}
