Delete the rows of jobs 7 days after their end

Rows of ended jobs stayed for ever. A job that ends now also gets an entry in an index ordered by time, in the same transaction, and the duty jobs.expire deletes what ended longer ago than Config.KeepEnded. A scan over all job rows was ruled out: each page would carry payloads of up to 16 KiB a row, and at the rate of the design size a slow scan would not come round. The index costs one row more in the last transaction of each job, and one scan a minute for the fleet, or one scan, one read and one commit a second while rows are due.

The choice of one host by rendezvous hash stood in claims and maintenance already; it moves to decision/turn. Payloads and results in the object store are not deleted, because the platform offers no deletion of objects.

--- a/services/claims/expire.go
+++ b/services/claims/expire.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"fuchsiafront.example/fuchsiafront/decision/turn"
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/services"
 )
@@ -39,16 +37,14 @@
 	}
 }
 
-// hasExpireTurn reports whether this host does the scan now: the listed member
-// with the highest hash for the current period (rendezvous hashing, Thaler and
-// Ravishankar, 1998).
+// hasExpireTurn reports whether this host does the scan in the current period.
 func (s *Service) hasExpireTurn(now time.Time) bool {
-	period := now.Truncate(turnLength).Format(time.RFC3339)
-	self := s.membership.Self().Name
-	mine := xxhash.Sum64String(period + self)
-	return !slices.ContainsFunc(s.membership.Members(), func(m services.Identity) bool {
-		return m.Name != self && xxhash.Sum64String(period+m.Name) > mine
-	})
+	var names []string
+	for _, m := range s.membership.Members() {
+		names = append(names, m.Name)
+	}
+	period := now.UTC().Truncate(turnLength).Format(time.RFC3339)
+	return turn.Owns(s.membership.Self().Name, stepExpire+period, names)
 }
 
 // expirePage deletes the old records of one page and returns the key after
--- a/services/jobs/callers.go
+++ b/services/jobs/callers.go
@@ -181,6 +181,7 @@
 		if !verdict.Changed {
 			return r.status(), nil
 		}
+		next = next.withEnd(r, s.config.Clock())
 		result, err := s.platform.Commit(ctx, update(r, &next, version))
 		if err != nil {
 			return services.JobStatus{}, err
--- a/services/jobs/entries.go
+++ b/services/jobs/entries.go
@@ -89,6 +89,7 @@
 		if next.State == job.Done {
 			next.ResultObject = e.result
 		}
+		next = next.withEnd(&e.row, s.now)
 		if bindsRight(&e.row, &next) && !e.right {
 			e.todo = e.todo[1:]
 			continue
--- /dev/null
+++ b/services/jobs/expire.go
@@ -0,0 +1,120 @@
+package jobs
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/turn"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+const (
+	// expirePause is the pause between two scans while there are rows to
+	// delete, and expireRows the number of jobs in one: at most 64 jobs a
+	// second, which is above the rate at which the platform can record them.
+	expirePause = time.Second
+	expireRows  = 64
+	// expireIdle is the pause after a scan that left nothing to delete.
+	expireIdle = time.Minute
+	// expireTurn is for how long one host does the scans.
+	expireTurn = 10 * time.Minute
+
+	stepExpire = "expire-jobs"
+)
+
+// expire is the duty jobs.expire. Two hosts at once do no harm, because each
+// deletion is conditional on the versions of its rows.
+func (s *Service) expire(ctx context.Context) {
+	pause := expireIdle
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		pause = expireIdle
+		if s.hasExpireTurn(s.config.Clock()) {
+			more, err := s.expireSome(ctx, s.config.Clock())
+			if err != nil {
+				s.countRetried(stepExpire, fault.ReasonOf(err))
+			}
+			if more {
+				pause = expirePause
+			}
+		}
+		timer.Reset(pause)
+	}
+}
+
+func (s *Service) hasExpireTurn(now time.Time) bool {
+	var names []string
+	for _, m := range s.membership.Members() {
+		names = append(names, m.Name)
+	}
+	key := stepExpire + now.UTC().Truncate(expireTurn).Format(time.RFC3339)
+	return turn.Owns(s.membership.Self().Name, key, names)
+}
+
+// expireSome deletes the jobs that ended first, if they ended long ago, and
+// reports whether there may be more.
+func (s *Service) expireSome(ctx context.Context, now time.Time) (more bool, err error) {
+	index, more, err := s.platform.Scan(ctx, endedPrefix, "", expireRows)
+	if err != nil {
+		return false, err
+	}
+	var keys []string
+	for _, r := range index {
+		name, ended, ok := parseEndedKey(r.Key)
+		if ok && now.Sub(ended) < s.config.KeepEnded {
+			more = false
+			break
+		}
+		keys = append(keys, jobKey(name))
+	}
+	if len(keys) == 0 {
+		return false, nil
+	}
+	jobs, err := s.platform.Get(ctx, keys...)
+	if err != nil {
+		return false, err
+	}
+	_, err = s.platform.Commit(ctx, deletion(index, jobs))
+	// After a failed condition the next scan sees the rows as they are.
+	return more, err
+}
+
+// deletion deletes jobs and their entries in the index of ended jobs. An entry
+// whose job is gone, or did not end at the time of the entry, is deleted alone.
+func deletion(index, jobs []services.Row) services.Transaction {
+	var tx services.Transaction
+	remove := func(r services.Row) {
+		tx.Conditions = append(tx.Conditions, services.Condition{Key: r.Key, Version: r.Version})
+		tx.Writes = append(tx.Writes, services.Write{Key: r.Key, Delete: true})
+	}
+	for i, raw := range jobs {
+		remove(index[i])
+		if raw.Version == 0 {
+			continue
+		}
+		if r, err := decodeRow(raw, stepExpire); err == nil && r.Ended() && endedKey(r) == index[i].Key {
+			remove(raw)
+		}
+	}
+	return tx
+}
+
+// endedKey is the key of a job in the index of ended jobs, which is in the
+// order of the time of the end.
+func endedKey(r *row) string {
+	return endedPrefix + r.EndedAt.UTC().Format(endedLayout) + "/" + r.name()
+}
+
+func parseEndedKey(key string) (name string, ended time.Time, ok bool) {
+	at, name, _ := strings.Cut(strings.TrimPrefix(key, endedPrefix), "/")
+	ended, err := time.Parse(endedLayout, at)
+	return name, ended, err == nil
+}
--- a/services/jobs/row.go
+++ b/services/jobs/row.go
@@ -17,11 +17,16 @@
 const (
 	jobPrefix      = "job/"
 	openPrefix     = "openjob/"
+	endedPrefix    = "endedjob/"
 	schedulePrefix = "schedule/"
 	payloadPrefix  = "job-payload/"
 	resultPrefix   = "job-result/"
 )
 
+// endedLayout is the form of times in the index of ended jobs; its order as
+// text is the order in time.
+const endedLayout = "20060102T150405"
+
 // maxRowPayload is the largest payload that is kept in the job's row; larger
 // ones go to the object store.
 const maxRowPayload = 16 << 10
@@ -36,6 +41,9 @@
 	ResultObject  string          `json:"resultObject,omitempty"`
 	// Submitted is the submitter's wall clock; it orders waiting jobs.
 	Submitted time.Time `json:"submitted"`
+	// EndedAt is the wall clock of the host that ended the job; it is used only
+	// to delete the row long after.
+	EndedAt time.Time `json:"endedAt,omitzero"`
 }
 
 // openRow is the index entry of a job that has not ended. The entry is
@@ -90,8 +98,17 @@
 	}
 }
 
+// withEnd records when the job ended, if the change from before ended it.
+func (r row) withEnd(before *row, now time.Time) row {
+	if r.Ended() && !before.Ended() {
+		r.EndedAt = now
+	}
+	return r
+}
+
 // update returns the transaction that replaces a row of the given version. An
-// ended job leaves the index; a cancellation that is requested is marked there.
+// ended job moves from the index of open jobs to that of ended ones; a
+// cancellation that is requested is marked in the former.
 func update(before, after *row, version uint64) services.Transaction {
 	key := jobKey(after.name())
 	tx := services.Transaction{
@@ -101,7 +118,9 @@
 	index := openKey(after.Queue, after.name())
 	switch {
 	case after.Ended():
-		tx.Writes = append(tx.Writes, services.Write{Key: index, Delete: true})
+		tx.Writes = append(tx.Writes,
+			services.Write{Key: index, Delete: true},
+			services.Write{Key: endedKey(after), Value: encode(openRow{})})
 	case after.CancelRequested && !before.CancelRequested:
 		tx.Writes = append(tx.Writes, services.Write{Key: index, Value: encode(openRow{Canceled: true})})
 	}
--- a/services/jobs/service.go
+++ b/services/jobs/service.go
@@ -3,7 +3,8 @@
 //
 // Callers' methods read and write rows themselves. The duty jobs.schedule owns
 // all scheduling state and performs no I/O; the equal duties jobs.tasks carry
-// out its calls to the platform and to workers and post the outcomes back.
+// out its calls to the platform and to workers and post the outcomes back. The
+// duty jobs.expire deletes the rows of jobs that ended long ago.
 package jobs
 
 import (
@@ -41,6 +42,8 @@
 	Tick time.Duration
 	// WorkerTimeout bounds one call to a worker.
 	WorkerTimeout time.Duration
+	// KeepEnded is how long the row of a job stays after its end.
+	KeepEnded time.Duration
 	// TaskDuties is the number of equal duties that carry out calls.
 	TaskDuties int
 }
@@ -54,6 +57,7 @@
 	defaultIndexEvery    = 2 * time.Second
 	defaultTick          = 250 * time.Millisecond
 	defaultWorkerTimeout = 3 * time.Second
+	defaultKeepEnded     = 7 * 24 * time.Hour
 	defaultTaskDuties    = 16
 )
 
@@ -84,6 +88,7 @@
 		{&c.IndexEvery, defaultIndexEvery},
 		{&c.Tick, defaultTick},
 		{&c.WorkerTimeout, defaultWorkerTimeout},
+		{&c.KeepEnded, defaultKeepEnded},
 	} {
 		if *d.value == 0 {
 			*d.value = d.other
@@ -153,6 +158,7 @@
 	s.calls = ring.New[call]("jobs.tasks", tasksRing, c.Scope)
 	c.Duty("jobs.schedule", func(ctx context.Context) { newScheduler(s).run(ctx) })
 	c.Duty("jobs.freed", s.runFreed)
+	c.Duty("jobs.expire", s.expire)
 	for range s.config.TaskDuties {
 		c.Duty("jobs.tasks", s.runTasks)
 	}
--- a/services/maintenance/round.go
+++ b/services/maintenance/round.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"fuchsiafront.example/fuchsiafront/decision/budget"
+	"fuchsiafront.example/fuchsiafront/decision/turn"
 	"fuchsiafront.example/fuchsiafront/decision/wave"
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/fleet"
@@ -135,19 +134,10 @@
 	return names
 }
 
-// owns reports whether this entry host has the highest rendezvous hash for key
-// among members (Thaler and Ravishankar, IEEE/ACM Transactions on Networking
-// 6(1), 1998). Partitioned members each own everything; the conditions on
-// their changes keep that safe.
+// owns reports whether key is this entry host's. Partitioned members each own
+// everything; the conditions on their changes keep that safe.
 func (p *planner) owns(key string, members []string) bool {
-	self := p.s.membership.Self().Name
-	mine := xxhash.Sum64String(self + "\x00" + key)
-	for _, name := range members {
-		if name != self && xxhash.Sum64String(name+"\x00"+key) > mine {
-			return false
-		}
-	}
-	return true
+	return turn.Owns(p.s.membership.Self().Name, key, members)
 }
 
 // observeDemand updates the trend of the hosts that each pool's work needs.
