Keep a pool with one scheduler and report jobs that lack rights

Two hosts that started together could take some queues of a pool each and keep them: a host refused only free queues of a pool that another one had. Each then knew part of the use by team and of the room. The host that has the first queue of the pool by name now keeps it, and the others give theirs up.

Jobs reported waiting work with Rights.Waiting, which holds one number for each team: dispatch overwrote it, and jobs never took it back. The new method JobRights.WaitingJobs has its own number. It counts jobs that have room and lack a right, and is sent when it changes. The load that peers see now counts the running jobs of a team with its requests.

Tests: without leavePools, TestOneHostSchedulesAPool fails; without the report of zero, TestReportsJobsThatLackRights; with one number for requests and jobs, TestRightsMoveToWaitingJobs.

--- a/decision/rights/demand.go
+++ b/decision/rights/demand.go
@@ -20,17 +20,18 @@
 	floorDivisor = 4
 )
 
-// demand is the work of one team on this host: running, waiting, and the
-// decaying peak of their sum.
+// demand is the work of one team on this host: running, waiting requests and
+// jobs, and the decaying peak of their sum.
 type demand struct {
-	used, waiting int
-	peak          float64
+	used, waiting, waitingJobs int
+
+	peak float64
 	// held is until when the peak does not decay.
 	held    time.Time
 	decayed time.Time
 }
 
-func (d *demand) need() int { return d.used + d.waiting }
+func (d *demand) need() int { return d.used + d.waiting + d.waitingJobs }
 
 // note records the present need plus extra, which was refused, at now.
 func (d *demand) note(now time.Time, extra int) {
--- a/decision/rights/ledger.go
+++ b/decision/rights/ledger.go
@@ -124,6 +124,14 @@
 	a.note(now, 0)
 }
 
+// SetWaitingJobs records how many jobs of team wait for a right.
+func (l *Ledger) SetWaitingJobs(now time.Time, team string, n int) {
+	l.Tick(now)
+	a := l.account(team)
+	a.waitingJobs = n
+	a.note(now, 0)
+}
+
 // TakeFreed reports whether team has a free right after a refusal, once for
 // each time.
 func (l *Ledger) TakeFreed(team string) bool {
@@ -225,7 +233,7 @@
 	for team, a := range l.accounts {
 		list = append(list, Position{
 			Team: team, Limit: a.limit.Rights,
-			Held: a.held, Jobs: a.jobs, Used: a.used, Waiting: a.waiting,
+			Held: a.held, Jobs: a.jobs, Used: a.used, Waiting: a.waiting + a.waitingJobs,
 			FleetHeld: a.sum, Unmet: max(0, a.need()-a.held), Available: a.free(),
 			Hungry: l.Hungry(team), Unsettled: l.Unsettled(team),
 			Surplus: a.held > max(a.floor, withHeadroom(a.need())) && a.held > a.used,
--- a/services/jobs/fakes_test.go
+++ b/services/jobs/fakes_test.go
@@ -40,6 +40,8 @@
 	version uint64
 	writes  int
 	down    bool
+	// readDelay is how long the reply to a read takes.
+	readDelay time.Duration
 	// loseReplies lets commits take effect and reports them as unknown.
 	loseReplies bool
 }
@@ -55,6 +57,7 @@
 var errDown = fault.New(&fault.NotRun, fault.ReasonPlatformDown, "table", "platform", "down")
 
 func (p *platform) Get(_ context.Context, keys ...string) ([]services.Row, error) {
+	defer time.Sleep(p.readDelay)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down || p.cut.Load() {
@@ -223,7 +226,9 @@
 	r.announce()
 }
 
-func (r *hostRights) Waiting(_ string, n int) {
+func (r *hostRights) Waiting(string, int) {}
+
+func (r *hostRights) WaitingJobs(_ string, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.waiting[r.self.Host] = n
@@ -259,6 +264,12 @@
 	return r.count()
 }
 
+func (r *rights) waitingOf(host string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.waiting[host]
+}
+
 func (r *rights) note(held int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/services/jobs/jobs_test.go
+++ b/services/jobs/jobs_test.go
@@ -415,3 +415,58 @@
 		assert.Equal(t, state(t, s, "open"), "running")
 	})
 }
+
+// Guards against demand for rights that is not reported, that stays reported
+// when it is met, and that counts jobs for which there is no room.
+func TestReportsJobsThatLackRights(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 2)
+		s, k := w.host("h1", nil)
+		defer k.Stop(t.Context())
+		for i := range 20 {
+			submit(t, s, fmt.Sprint(i), spec(true, time.Minute))
+		}
+		time.Sleep(5 * time.Second)
+		waiting := w.rights.waitingOf("h1")
+		assert.Assert(t, waiting > 0 && waiting <= 6, "%d reported, room for 8 of which 2 run", waiting)
+		for i := range 20 {
+			_, err := s.Cancel(t.Context(), "team", fmt.Sprint(i))
+			assert.NilError(t, err)
+		}
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, w.rights.waitingOf("h1"), 0)
+	})
+}
+
+// Guards against a pool whose queues stay divided between two hosts, of which
+// neither knows the use by team and the room in the pool.
+func TestOneHostSchedulesAPool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 10)
+		// Both hosts read the free schedules before one takes the first queue.
+		// That one is slow to go on, so that the other takes the second queue.
+		w.store.readDelay = 10 * time.Millisecond
+		var taken atomic.Bool
+		slow := func(services.Transaction) {
+			if !taken.Swap(true) {
+				time.Sleep(time.Second)
+			}
+		}
+		_, k1 := w.start("h1", slow, jobs.Config{TaskDuties: 1})
+		defer k1.Stop(t.Context())
+		_, k2 := w.start("h2", slow, jobs.Config{TaskDuties: 1})
+		defer k2.Stop(t.Context())
+		holder := func(queue string) string { return scheduleHost(t, w.store.row("schedule/"+queue)) }
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, holder("queue") != holder("urgent"), "the pool is not divided")
+		time.Sleep(15 * time.Second)
+		assert.Equal(t, holder("queue"), holder("urgent"))
+	})
+}
+
+func scheduleHost(t *testing.T, value []byte) string {
+	t.Helper()
+	var lease struct{ Host string }
+	assert.NilError(t, json.Unmarshal(value, &lease))
+	return lease.Host
+}
--- a/services/jobs/lease.go
+++ b/services/jobs/lease.go
@@ -119,6 +119,7 @@
 			s.seeLease(q, l.rows[i])
 		}
 	}
+	s.leavePools()
 	for _, name := range l.names {
 		if q := s.queues[name]; q != nil && s.mayTake(q) {
 			s.ask(q)
@@ -166,6 +167,31 @@
 	return true
 }
 
+// leavePools gives up the queues of a pool whose first queue by name another
+// host schedules. Hosts that start together may take some queues each; use by
+// team and room in the pool are known only to one that has them all.
+func (s *scheduler) leavePools() {
+	first := make(map[string]*queue)
+	for _, q := range s.queues {
+		if f := first[q.pool]; f == nil || q.name < f.name {
+			first[q.pool] = q
+		}
+	}
+	for _, q := range s.queues {
+		f := first[q.pool]
+		if q.mine && !q.asking && !f.mine && !f.asking && !s.free(f) {
+			s.give(q)
+		}
+	}
+}
+
+// give ends the lease on a queue.
+func (s *scheduler) give(q *queue) {
+	s.post(commitLease{queue: q.name, version: q.version, give: true})
+	q.mine = false
+	q.changed = s.now
+}
+
 // leaseCommitted is the outcome of commitLease.
 type leaseCommitted struct {
 	call   commitLease
--- a/services/jobs/place.go
+++ b/services/jobs/place.go
@@ -27,13 +27,32 @@
 	}
 	s.nextPlace = s.now.Add(placePause)
 	inputs := s.inputs(view, list)
+	short := make(map[string]int)
 	for _, in := range inputs {
 		s.moveOff(in.closed)
 		if len(in.Waiting) == 0 && !in.throttled {
 			continue
 		}
-		s.carryOut(placement.Decide(in.Input))
+		s.carryOut(placement.Decide(in.Input), short)
 	}
+	s.reportWaiting(short)
+}
+
+// reportWaiting tells the rights service how many jobs of each team have room
+// and lack a right. Jobs without room are left out, or rights would lie idle
+// here that requests on other hosts need.
+func (s *scheduler) reportWaiting(short map[string]int) {
+	for team, n := range short {
+		if s.reported[team] != n {
+			s.svc.jobRights.WaitingJobs(team, n)
+		}
+	}
+	for team := range s.reported {
+		if short[team] == 0 {
+			s.svc.jobRights.WaitingJobs(team, 0)
+		}
+	}
+	s.reported = short
 }
 
 // poolInput is the input of one decision. Closed are the workers whose tasks
@@ -127,24 +146,22 @@
 	return blocked && s.now.Sub(since) < retryBlocked
 }
 
-func (s *scheduler) carryOut(d placement.Decision) {
+// carryOut starts what the decision says and adds to short the starts of each
+// team for which there was no right.
+func (s *scheduler) carryOut(d placement.Decision, short map[string]int) {
 	for _, never := range d.Never {
 		e := s.jobs[never.Job]
 		s.svc.countRefused("place-job", never.Reason)
 		s.apply(e, func(r job.Record) (job.Record, job.Verdict) { return job.PutAside(r, never.Reason) })
 	}
-	waiting := make(map[string]int)
 	for _, start := range d.Starts {
 		e := s.jobs[start.Job]
 		if s.isBlocked(e.row.Team) || !s.acquire(e.row.Team) {
-			waiting[e.row.Team]++
+			short[e.row.Team]++
 			continue
 		}
 		s.placeOn(e, start.Worker)
 	}
-	for team, n := range waiting {
-		s.svc.rights.Waiting(team, n)
-	}
 	for _, y := range d.Yields {
 		s.yield(y)
 	}
--- a/services/jobs/scheduler.go
+++ b/services/jobs/scheduler.go
@@ -23,8 +23,10 @@
 	// blocked teams had no right to run; they are tried again when one is
 	// freed, and with every retryBlocked in case that message was lost.
 	blocked map[string]time.Time
-	health  *placement.Health
-	sizes   *placement.Sizes
+	// reported is what the rights service was last told of jobs that wait.
+	reported map[string]int
+	health   *placement.Health
+	sizes    *placement.Sizes
 	// teamCommits are the teams with a commit under way that changes their
 	// rights, and the commits that wait for it.
 	teamCommits map[string][]commitJob
@@ -180,10 +182,10 @@
 func (d drainRequest) handle(s *scheduler) {
 	s.draining = true
 	s.drained = d.done
+	s.reportWaiting(nil)
 	for _, q := range s.queues {
 		if q.mine {
-			s.post(commitLease{queue: q.name, version: q.version, give: true})
-			q.mine = false
+			s.give(q)
 		}
 	}
 }
--- a/services/rights/balance.go
+++ b/services/rights/balance.go
@@ -362,7 +362,7 @@
 	for _, p := range positions {
 		b.plan(p, now)
 		loads = append(loads, services.TeamLoad{
-			Host: self, Team: p.Team, Running: p.Used, Waiting: p.Waiting, UnmetRights: p.Unmet,
+			Host: self, Team: p.Team, Running: p.Used + p.Jobs, Waiting: p.Waiting, UnmetRights: p.Unmet,
 		})
 	}
 	b.s.peers.SetLoads(loads)
--- a/services/rights/jobs.go
+++ b/services/rights/jobs.go
@@ -103,6 +103,19 @@
 	}, nil
 }
 
+// WaitingJobs implements services.JobRights. It waits while the ring is full.
+func (s *Service) WaitingJobs(team string, n int) { s.post(waitingJobs{team: team, n: n}) }
+
+type waitingJobs struct {
+	team string
+	n    int
+}
+
+func (m waitingJobs) receive(k *keeper, now time.Time) {
+	k.ledger.SetWaitingJobs(now, m.team, m.n)
+	k.changed(m.team)
+}
+
 type mayPlaceJob struct {
 	rowRead
 	reply *ring.Ring[bool]
--- a/services/rights/jobs_test.go
+++ b/services/rights/jobs_test.go
@@ -91,3 +91,23 @@
 		}
 	})
 }
+
+// Guards against rights that do not move to a scheduler ahead of its need, and
+// against waiting jobs that are forgotten when the requests report theirs.
+func TestRightsMoveToWaitingJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(8)
+		a, b := c.start(t, "a", 1), c.start(t, "b", 2)
+		settle()
+		b.Waiting("t", 8)
+		time.Sleep(time.Second)
+		b.Waiting("t", 0)
+		a.WaitingJobs("t", 6)
+		a.Waiting("t", 0)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, c.row(t).Of(holder("a", 1)).Requests >= 6)
+		a.WaitingJobs("t", 0)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, c.row(t).Of(holder("a", 1)).Requests < 6)
+	})
+}
--- a/services/work.go
+++ b/services/work.go
@@ -148,7 +148,7 @@
 // JobRights accounts for jobs in the rows of rights. It is implemented by the
 // service NameRights. Each method reads the team's row; the caller adds the
 // change to the transaction that changes the job's row, so that a job and its
-// right change together. All methods block until the row was read. A row that
+// right change together. These methods block until the row was read. A row that
 // counts no job for the scheduler is a fault with fault.ReasonNoJobRight.
 type JobRights interface {
 	// PlaceJob turns a right that Acquire granted into the right of a job.
@@ -159,6 +159,9 @@
 	AdoptJob(ctx context.Context, team string, scheduler Identity) (RightsChange, error)
 	// EndJob frees the right of a job that scheduler placed or adopted.
 	EndJob(ctx context.Context, team string, scheduler Identity) (RightsChange, error)
+	// WaitingJobs reports how many jobs of team could start here but for a
+	// right, apart from the requests that Rights.Waiting reports.
+	WaitingJobs(team string, n int)
 }
 
 // RightsChange is the part of a job's transaction that accounts for its right.
