Read the index of urgent queues every 500 ms

A job that another entry host recorded was seen by its scheduler only at the next scan of the index, up to 2 s later.

Reads at the design size of 110 teams and 65 pools, with one urgent and two other queues a team: 110 / 0.5 s + 220 / 2 s = 330 scans a second in the fleet, of about 2,000 reads that the platform handles; it was 165. An index of several pages is scanned less often in proportion, so that the rate does not grow with the number of jobs.

--- a/services/jobs/fakes_test.go
+++ b/services/jobs/fakes_test.go
@@ -42,6 +42,8 @@
 	down    bool
 	// readDelay is how long the reply to a read takes.
 	readDelay time.Duration
+	// commitDelay is how long a commit takes.
+	commitDelay time.Duration
 	// loseReplies lets commits take effect and reports them as unknown.
 	loseReplies bool
 }
@@ -73,6 +75,7 @@
 }
 
 func (p *platform) Scan(_ context.Context, prefix, after string, limit int) ([]services.Row, bool, error) {
+	defer time.Sleep(p.readDelay)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down || p.cut.Load() {
@@ -89,6 +92,7 @@
 }
 
 func (p *platform) Commit(_ context.Context, tx services.Transaction) (services.CommitResult, error) {
+	time.Sleep(p.commitDelay)
 	result, err := p.commit(tx)
 	if p.hold != nil && result.Committed {
 		p.hold(tx)
@@ -524,6 +528,16 @@
 	return out
 }
 
+// started returns when a job first started, zero if it did not.
+func (w *world) started(id string) time.Time {
+	for _, e := range w.executions() {
+		if e.Job == "team/"+id {
+			return e.Start
+		}
+	}
+	return time.Time{}
+}
+
 func (s *store) row(key string) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/services/jobs/index.go
+++ b/services/jobs/index.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/job"
+	"fuchsiafront.example/fuchsiafront/fleet"
 	"fuchsiafront.example/fuchsiafront/services"
 )
 
@@ -19,12 +20,20 @@
 	for _, q := range s.queues {
 		if q.mine && !q.scanning && !s.now.Before(q.nextScan) {
 			q.scanning = true
-			q.nextScan = s.now.Add(s.svc.config.IndexEvery)
+			q.scanBegan = s.now
+			q.nextScan = s.now.Add(s.indexEvery(q))
 			s.post(scanIndex{q.name})
 		}
 	}
 }
 
+func (s *scheduler) indexEvery(q *queue) time.Duration {
+	if q.class == fleet.ClassUrgent {
+		return s.svc.config.UrgentIndexEvery
+	}
+	return s.svc.config.IndexEvery
+}
+
 // scanIndex reads all open jobs of a queue.
 type scanIndex struct{ queue string }
 
@@ -33,6 +42,7 @@
 	prefix, after := openQueuePrefix(c.queue), ""
 	for more := true; more && out.err == nil; {
 		var rows []services.Row
+		out.pages++
 		rows, more, out.err = s.platform.Scan(ctx, prefix, after, listPage)
 		for _, r := range rows {
 			out.open[r.Key[len(prefix):]] = r.Version
@@ -48,6 +58,7 @@
 type indexSeen struct {
 	queue string
 	open  map[string]uint64
+	pages int
 	err   error
 }
 
@@ -57,6 +68,11 @@
 		return
 	}
 	q.scanning = false
+	// A long index is read less often, so that the reads a second of a queue
+	// do not grow with the number of its jobs.
+	if pause := time.Duration(i.pages) * s.indexEvery(q); i.pages > 1 {
+		q.nextScan = later(q.nextScan, q.scanBegan.Add(pause))
+	}
 	if i.err != nil || !q.mine {
 		return
 	}
@@ -74,6 +90,13 @@
 	s.read(read, i.open)
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // mayBeStale reports whether a waiting job's row is due to be read again. An
 // earlier scheduler may have placed the job by a commit that took effect after
 // this one had read the row; without a free right this host would not notice.
--- a/services/jobs/lease.go
+++ b/services/jobs/lease.go
@@ -27,6 +27,7 @@
 	asking    bool
 	nextRenew time.Time
 	scanning  bool
+	scanBegan time.Time
 	nextScan  time.Time
 }
 
--- a/services/jobs/service.go
+++ b/services/jobs/service.go
@@ -38,6 +38,9 @@
 	ScheduleRenew time.Duration
 	// IndexEvery is the time between two scans of a queue's open jobs.
 	IndexEvery time.Duration
+	// UrgentIndexEvery is the same for queues of the class urgent. It is the
+	// largest part of the time from a submission at another host to the start.
+	UrgentIndexEvery time.Duration
 	// Tick is the time between two decisions.
 	Tick time.Duration
 	// WorkerTimeout bounds one call to a worker.
@@ -55,6 +58,7 @@
 	defaultScheduleLease = 15 * time.Second
 	defaultScheduleRenew = 5 * time.Second
 	defaultIndexEvery    = 2 * time.Second
+	defaultUrgentEvery   = 500 * time.Millisecond
 	defaultTick          = 250 * time.Millisecond
 	defaultWorkerTimeout = 3 * time.Second
 	defaultKeepEnded     = 7 * 24 * time.Hour
@@ -86,6 +90,7 @@
 		{&c.ScheduleLease, defaultScheduleLease},
 		{&c.ScheduleRenew, defaultScheduleRenew},
 		{&c.IndexEvery, defaultIndexEvery},
+		{&c.UrgentIndexEvery, defaultUrgentEvery},
 		{&c.Tick, defaultTick},
 		{&c.WorkerTimeout, defaultWorkerTimeout},
 		{&c.KeepEnded, defaultKeepEnded},
