Keep the report of jobs that lack rights while a team is not tried

After a refusal a team is left out of decisions for 2 s. Its number of jobs that lack a right was then reported as zero at the next decision, so that the demand was seen for 250 ms in each 2 s. The number is now kept until the team is tried again. TestReportsJobsThatLackRights had sampled once, in the right moment; it now samples 30 times over 3 s and fails on the earlier version.

--- a/services/jobs/jobs_test.go
+++ b/services/jobs/jobs_test.go
@@ -427,8 +427,11 @@
 			submit(t, s, fmt.Sprint(i), spec(true, time.Minute))
 		}
 		time.Sleep(5 * time.Second)
-		waiting := w.rights.waitingOf("h1")
-		assert.Assert(t, waiting > 0 && waiting <= 6, "%d reported, room for 8 of which 2 run", waiting)
+		for range 30 {
+			waiting := w.rights.waitingOf("h1")
+			assert.Assert(t, waiting > 0 && waiting <= 6, "%d reported, room for 8 of which 2 run", waiting)
+			time.Sleep(100 * time.Millisecond)
+		}
 		for i := range 20 {
 			_, err := s.Cancel(t.Context(), "team", fmt.Sprint(i))
 			assert.NilError(t, err)
--- a/services/jobs/place.go
+++ b/services/jobs/place.go
@@ -42,16 +42,20 @@
 // and lack a right. Jobs without room are left out, or rights would lie idle
 // here that requests on other hosts need.
 func (s *scheduler) reportWaiting(short map[string]int) {
-	for team, n := range short {
-		if s.reported[team] != n {
-			s.svc.jobRights.WaitingJobs(team, n)
+	for team, n := range s.reported {
+		if s.isBlocked(team) && !s.draining {
+			// Decisions leave the team out until it is tried again.
+			short[team] = max(short[team], n)
 		}
-	}
-	for team := range s.reported {
 		if short[team] == 0 {
 			s.svc.jobRights.WaitingJobs(team, 0)
 		}
 	}
+	for team, n := range short {
+		if s.reported[team] != n {
+			s.svc.jobRights.WaitingJobs(team, n)
+		}
+	}
 	s.reported = short
 }
 
