--- a/decision/job/job_test.go
+++ b/decision/job/job_test.go
@@ -139,6 +139,9 @@
 		if !r.rec.Idempotent && m.runs[id] > 1 {
 			t.Fatalf("non-idempotent job %s ran %d times", id, m.runs[id])
 		}
+		if (r.rec.State == job.Queued || r.rec.Ended()) && (r.rec.Holder != job.Holder{} || len(r.rec.MayRenew) > 0) {
+			t.Fatalf("job %s does not run and has a right: %+v", id, r.rec)
+		}
 		m.notRun[id] = m.notRun[id] || r.rec.NotRun()
 		if m.notRun[id] && m.runs[id] > 0 {
 			t.Fatalf("job %s was said to be not run and ran", id)
@@ -233,3 +236,22 @@
 	assert.Equal(t, r.Reason, fault.ReasonFailedOnWorkers)
 	assert.Assert(t, !r.NotRun())
 }
+
+// Guards against a right that is freed, or a second start, while an earlier
+// holder that was adopted from may still renew the task lease.
+func TestEarlierHolderMayRenew(t *testing.T) {
+	h1, h2 := job.Holder{Host: "h1"}, job.Holder{Host: "h2"}
+	for _, idempotent := range []bool{false, true} {
+		r, _ := job.Place(job.Submit("team", "id", "queue", "hash", idempotent), "w", "t", h1)
+		r, _ = job.Adopt(r, h2)
+		r, _ = job.LeaseLost(r, "t")
+		r, _ = job.LeaseEnded(r, "t")
+		assert.Equal(t, r.Holder, h2)
+		assert.Equal(t, r.State == job.Queued, false)
+		r, _ = job.StopRenewing(r, h1)
+		r, _ = job.LeaseLost(r, "t")
+		r, _ = job.LeaseEnded(r, "t")
+		assert.Equal(t, r.Holder, job.Holder{})
+		assert.Equal(t, r.State == job.Queued, idempotent)
+	}
+}
--- a/services/jobs/callers.go
+++ b/services/jobs/callers.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 
-	"fuchsiafront.example/fuchsiafront/decision/document"
 	"fuchsiafront.example/fuchsiafront/decision/job"
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/fleet"
@@ -89,8 +88,8 @@
 	if view == nil || view.Document == nil {
 		return fault.New(&fault.NotRun, fault.ReasonNoState, step, "", "no state yet")
 	}
-	q, pool, ok := findQueue(view.Document, spec.Queue)
-	if !ok || pool.Kind != fleet.KindWorker {
+	q, known := view.Document.Queue(spec.Queue)
+	if pool, _ := view.Document.Pool(q.Pool); !known || pool.Kind != fleet.KindWorker {
 		return fault.New(&fault.Invalid, fault.ReasonUnknownQueue, step, "", "no queue %q of a pool of workers", spec.Queue)
 	}
 	if q.Team != team {
@@ -102,29 +101,6 @@
 	return nil
 }
 
-func findQueue(d *document.Document, name string) (document.Queue, document.Pool, bool) {
-	for _, section := range d.Sections {
-		for _, q := range section.Queues {
-			if q.Name == name {
-				pool, ok := findPool(d, q.Pool)
-				return q, pool, ok
-			}
-		}
-	}
-	return document.Queue{}, document.Pool{}, false
-}
-
-func findPool(d *document.Document, name string) (document.Pool, bool) {
-	for _, section := range d.Sections {
-		for _, p := range section.Pools {
-			if p.Name == name {
-				return p, true
-			}
-		}
-	}
-	return document.Pool{}, false
-}
-
 func decodeRow(r services.Row, step string) (*row, error) {
 	out := &row{}
 	if err := json.Unmarshal(r.Value, out); err != nil {
--- a/services/jobs/lease.go
+++ b/services/jobs/lease.go
@@ -75,21 +75,11 @@
 	if view == nil || view.Document == nil {
 		return
 	}
-	shares := make(map[string]float64)
-	kinds := make(map[string]fleet.HostKind)
-	for _, section := range view.Document.Sections {
-		for _, t := range section.Teams {
-			shares[t.Name] = t.Share
-		}
-		for _, p := range section.Pools {
-			kinds[p.Name] = p.Kind
-		}
-	}
-	for _, section := range view.Document.Sections {
-		for _, d := range section.Queues {
-			if kinds[d.Pool] == fleet.KindWorker {
-				s.setQueue(d, shares[d.Team])
-			}
+	for _, d := range view.Document.Queues() {
+		pool, _ := view.Document.Pool(d.Pool)
+		team, _ := view.Document.Team(d.Team)
+		if pool.Kind == fleet.KindWorker {
+			s.setQueue(d, team.Share)
 		}
 	}
 }
--- a/services/jobs/poll.go
+++ b/services/jobs/poll.go
@@ -180,11 +180,17 @@
 		return
 	}
 	members := s.svc.membership.Members()
-	for _, h := range e.row.MayRenew {
-		listed := slices.ContainsFunc(members, func(m services.Identity) bool {
+	isListed := func(h job.Holder) bool {
+		return slices.ContainsFunc(members, func(m services.Identity) bool {
 			return m.Name == h.Host && m.Incarnation == h.Incarnation
 		})
-		if !listed {
+	}
+	if !isListed(s.self) {
+		// The members have not been read yet.
+		return
+	}
+	for _, h := range e.row.MayRenew {
+		if !isListed(h) {
 			s.apply(e, func(r job.Record) (job.Record, job.Verdict) { return job.StopRenewing(r, h) })
 		}
 	}
