--- a/services/jobs/world_test.go
+++ b/services/jobs/world_test.go
@@ -95,6 +95,9 @@
 	drained []string
 	members []services.Identity
 	mu      sync.Mutex
+	// rightsService, if set, makes the rights service of each host in place of
+	// the fake one.
+	rightsService func() kernel.Service
 }
 
 func newWorld(t *testing.T, workers, limit int) *world {
@@ -190,7 +193,12 @@
 	k := kernel.New(zerolog.Nop(), nil)
 	table := &platform{store: w.store, hold: hold, cut: &c.platform}
 	k.Register(services.NamePlatform, table)
-	k.Register(services.NameRights, &hostRights{w.rights, table, decision.Holder{Host: name, Incarnation: 1}})
+	if w.rightsService != nil {
+		k.Register(services.NameRights, w.rightsService())
+		k.Register(services.NamePeers, silentPeers{})
+	} else {
+		k.Register(services.NameRights, &hostRights{w.rights, table, decision.Holder{Host: name, Incarnation: 1}})
+	}
 	for _, n := range []string{services.NameState, services.NameHosts, services.NameMembership, services.NameMaintenance} {
 		k.Register(n, around)
 	}
