--- a/services/jobs/lease.go
+++ b/services/jobs/lease.go
@@ -27,6 +27,7 @@
 	asking    bool
 	nextRenew time.Time
 	scanning  bool
+	scanBegan time.Time
 	nextScan  time.Time
 }
 
@@ -74,21 +75,11 @@
 	if view == nil || view.Document == nil {
 		return
 	}
-	shares := make(map[string]float64)
-	kinds := make(map[string]fleet.HostKind)
-	for _, section := range view.Document.Sections {
-		for _, t := range section.Teams {
-			shares[t.Name] = t.Share
-		}
-		for _, p := range section.Pools {
-			kinds[p.Name] = p.Kind
-		}
-	}
-	for _, section := range view.Document.Sections {
-		for _, d := range section.Queues {
-			if kinds[d.Pool] == fleet.KindWorker {
-				s.setQueue(d, shares[d.Team])
-			}
+	for _, d := range view.Document.Queues() {
+		pool, _ := view.Document.Pool(d.Pool)
+		team, _ := view.Document.Team(d.Team)
+		if pool.Kind == fleet.KindWorker {
+			s.setQueue(d, team.Share)
 		}
 	}
 }
@@ -119,6 +110,7 @@
 			s.seeLease(q, l.rows[i])
 		}
 	}
+	s.leavePools()
 	for _, name := range l.names {
 		if q := s.queues[name]; q != nil && s.mayTake(q) {
 			s.ask(q)
@@ -166,6 +158,31 @@
 	return true
 }
 
+// leavePools gives up the queues of a pool whose first queue by name another
+// host schedules. Hosts that start together may take some queues each; use by
+// team and room in the pool are known only to one that has them all.
+func (s *scheduler) leavePools() {
+	first := make(map[string]*queue)
+	for _, q := range s.queues {
+		if f := first[q.pool]; f == nil || q.name < f.name {
+			first[q.pool] = q
+		}
+	}
+	for _, q := range s.queues {
+		f := first[q.pool]
+		if q.mine && !q.asking && !f.mine && !f.asking && !s.free(f) {
+			s.give(q)
+		}
+	}
+}
+
+// give ends the lease on a queue.
+func (s *scheduler) give(q *queue) {
+	s.post(commitLease{queue: q.name, version: q.version, give: true})
+	q.mine = false
+	q.changed = s.now
+}
+
 // leaseCommitted is the outcome of commitLease.
 type leaseCommitted struct {
 	call   commitLease
--- a/services/jobs/service.go
+++ b/services/jobs/service.go
@@ -3,7 +3,8 @@
 //
 // Callers' methods read and write rows themselves. The duty jobs.schedule owns
 // all scheduling state and performs no I/O; the equal duties jobs.tasks carry
-// out its calls to the platform and to workers and post the outcomes back.
+// out its calls to the platform and to workers and post the outcomes back. The
+// duty jobs.expire deletes the rows of jobs that ended long ago.
 package jobs
 
 import (
@@ -37,10 +38,15 @@
 	ScheduleRenew time.Duration
 	// IndexEvery is the time between two scans of a queue's open jobs.
 	IndexEvery time.Duration
+	// UrgentIndexEvery is the same for queues of the class urgent. It is the
+	// largest part of the time from a submission at another host to the start.
+	UrgentIndexEvery time.Duration
 	// Tick is the time between two decisions.
 	Tick time.Duration
 	// WorkerTimeout bounds one call to a worker.
 	WorkerTimeout time.Duration
+	// KeepEnded is how long the row of a job stays after its end.
+	KeepEnded time.Duration
 	// TaskDuties is the number of equal duties that carry out calls.
 	TaskDuties int
 }
@@ -52,8 +58,10 @@
 	defaultScheduleLease = 15 * time.Second
 	defaultScheduleRenew = 5 * time.Second
 	defaultIndexEvery    = 2 * time.Second
+	defaultUrgentEvery   = 500 * time.Millisecond
 	defaultTick          = 250 * time.Millisecond
 	defaultWorkerTimeout = 3 * time.Second
+	defaultKeepEnded     = 7 * 24 * time.Hour
 	defaultTaskDuties    = 16
 )
 
@@ -82,8 +90,10 @@
 		{&c.ScheduleLease, defaultScheduleLease},
 		{&c.ScheduleRenew, defaultScheduleRenew},
 		{&c.IndexEvery, defaultIndexEvery},
+		{&c.UrgentIndexEvery, defaultUrgentEvery},
 		{&c.Tick, defaultTick},
 		{&c.WorkerTimeout, defaultWorkerTimeout},
+		{&c.KeepEnded, defaultKeepEnded},
 	} {
 		if *d.value == 0 {
 			*d.value = d.other
@@ -105,6 +115,7 @@
 	hosts       services.Hosts
 	membership  services.Membership
 	rights      services.Rights
+	jobRights   services.JobRights
 	maintenance services.Maintenance
 	freed       services.FreedRing
 	events      *ring.Ring[event]
@@ -141,6 +152,9 @@
 	if s.rights, err = kernel.Lookup[services.Rights](c, services.NameRights); err != nil {
 		return err
 	}
+	if s.jobRights, err = kernel.Lookup[services.JobRights](c, services.NameRights); err != nil {
+		return err
+	}
 	if s.maintenance, err = kernel.Lookup[services.Maintenance](c, services.NameMaintenance); err != nil {
 		return err
 	}
@@ -149,6 +163,7 @@
 	s.calls = ring.New[call]("jobs.tasks", tasksRing, c.Scope)
 	c.Duty("jobs.schedule", func(ctx context.Context) { newScheduler(s).run(ctx) })
 	c.Duty("jobs.freed", s.runFreed)
+	c.Duty("jobs.expire", s.expire)
 	for range s.config.TaskDuties {
 		c.Duty("jobs.tasks", s.runTasks)
 	}
--- a/services/rights/jobs.go
+++ b/services/rights/jobs.go
@@ -64,7 +64,7 @@
 }
 
 func noJobRight(team string, scheduler services.Identity) error {
-	return fault.New(&fault.NotRun, fault.ReasonConflict, stepJob, scheduler.Name, "no right of a job of team %s", team)
+	return fault.New(&fault.NotRun, fault.ReasonNoJobRight, stepJob, scheduler.Name, "no right of a job of team %s", team)
 }
 
 func (s *Service) readRow(ctx context.Context, team string) (rowRead, error) {
@@ -103,6 +103,19 @@
 	}, nil
 }
 
+// WaitingJobs implements services.JobRights. It waits while the ring is full.
+func (s *Service) WaitingJobs(team string, n int) { s.post(waitingJobs{team: team, n: n}) }
+
+type waitingJobs struct {
+	team string
+	n    int
+}
+
+func (m waitingJobs) receive(k *keeper, now time.Time) {
+	k.ledger.SetWaitingJobs(now, m.team, m.n)
+	k.changed(m.team)
+}
+
 type mayPlaceJob struct {
 	rowRead
 	reply *ring.Ring[bool]
