Let a setting choose the deployment's weights for waves and moves

Cause: decision/preset had no caller; every entry host ran with weights that treat all measures alike.

--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"fuchsiafront.example/fuchsiafront/decision/document"
+	"fuchsiafront.example/fuchsiafront/decision/preset"
 	"fuchsiafront.example/fuchsiafront/fleet"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -80,6 +81,9 @@
 
 func (s *Settings) maintenance() maintenance.Settings {
 	m := maintenance.DefaultSettings()
+	if p, ok := preset.ByName(s.Preset); ok {
+		m.Pace, m.Moves.MoveParams, m.DemandHalfLife = p.Pace, p.Moves, p.DemandHalfLife
+	}
 	m.Retirement = s.HostRetirement
 	return m
 }
--- a/entryhost/settings_test.go
+++ b/entryhost/settings_test.go
@@ -29,7 +29,7 @@
 // start for each mistake, and against a key in a message.
 func TestAllFaultsAreReportedAtOnce(t *testing.T) {
 	assert.NilError(t, parse(t).Validate())
-	s := parse(t, "--name", "a/b", "--zone", "", "--caller-address", "here", "--admin-address", "localhost:1", "--peer-address", "", "--peer-advertise", "there", "--peers", "nowhere", "--hold-term", "1s",
+	s := parse(t, "--name", "a/b", "--zone", "", "--caller-address", "here", "--admin-address", "localhost:1", "--peer-address", "", "--peer-advertise", "there", "--peers", "nowhere", "--hold-term", "1s", "--preset", "klang",
 		"--source-ip", "x", "--platform", "http://name:1", "--bootstrap-key", "k:zz:5ec7e7", "--max-entry-hosts", "0",
 		"--max-body-bytes", "0", "--default-timeout", "3m", "--key-currency", "0s", "--host-retirement", "0s", "--log-level", "loud")
 	err := s.Validate()
