Hold the ports of a test's processes together until they start

The harness asked the kernel for one port after the other and freed each at once, and the kernel chose the same port for callers and operators of one host.

Ruled out: a process left over from another test; both listeners of the same process had the address.

Change: all ports of a host are held until the relay has its own and the process starts.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -103,15 +103,17 @@
 
 func (c *cluster) startHost(t *testing.T, zone, ip string, n int, platform string, extra []string) *entryHost {
 	t.Helper()
+	addresses, release := freePorts(t, ip, 3)
 	h := &entryHost{
 		name:      fmt.Sprintf("entry-%s-%d", zone, n+1),
 		zone:      zone,
 		ip:        ip,
-		callers:   freePort(t, ip),
-		operators: freePort(t, ip),
-		peers:     freePort(t, ip),
+		callers:   addresses[0],
+		operators: addresses[1],
+		peers:     addresses[2],
 	}
 	h.relay = startRelay(t, ip, h.peers)
+	release()
 	stored := c.operator.Store("00a1")
 	h.args = append([]string{
 		"--name", h.name, "--zone", zone, "--platform", platform, "--source-ip", ip,
--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -122,13 +122,23 @@
 	}
 }
 
-// freePort returns an address on ip whose port the kernel chose.
-func freePort(t *testing.T, ip string) string {
+// freePorts returns addresses on ip whose ports the kernel chose, and a
+// function that frees them for the process under test. They are held together
+// until then, because the kernel may choose a port again once it is free.
+func freePorts(t *testing.T, ip string, n int) (addresses []string, release func()) {
 	t.Helper()
-	l, err := net.Listen("tcp", ip+":0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	var listeners []net.Listener
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		assert.NilError(t, err)
+		listeners = append(listeners, l)
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses, func() {
+		for _, l := range listeners {
+			l.Close()
+		}
+	}
 }
 
 // eventually waits until condition holds.
