Run HTTP listeners in one place

Cause: the callers', operators' and peers' listeners and the stand-in platform each opened, served and closed a listener in the same lines.

Change: package httpserver; the four use it.

Result: behaviour is the same; tests of front, admin, peers, entryhost and ctl pass with their assertions unchanged.

--- a/services/admin/admin.go
+++ b/services/admin/admin.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -16,6 +15,7 @@
 
 	"fuchsiafront.example/fuchsiafront/decision/document"
 	"fuchsiafront.example/fuchsiafront/decision/rollout"
+	"fuchsiafront.example/fuchsiafront/httpserver"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -59,9 +59,8 @@
 	// history is published by the duty admin.views.
 	history atomic.Pointer[rollout.History]
 
-	ready    atomic.Bool
-	server   *http.Server
-	listener net.Listener
+	ready  atomic.Bool
+	server *httpserver.Server
 }
 
 // New returns the service. clock must be monotonic.
@@ -85,7 +84,7 @@
 	mux.Handle("GET /metrics", s.metrics.Handler())
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", s.readyz)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	s.server = httpserver.New("operators", &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}, c.Log)
 	return nil
 }
 
@@ -123,30 +122,11 @@
 
 // Start opens the listener.
 func (s *Service) Start(ctx context.Context) error {
-	var lc net.ListenConfig
-	listener, err := lc.Listen(ctx, "tcp", s.settings.Address)
-	if err != nil {
-		return err
-	}
-	s.listener = listener
-	s.log.Info().Str("address", listener.Addr().String()).Msg("operators' listener open")
-	go s.serve()
-	return nil
+	return s.server.Listen(ctx, s.settings.Address)
 }
 
 // Address returns the address that the listener has; empty before Start.
-func (s *Service) Address() string {
-	if s.listener == nil {
-		return ""
-	}
-	return s.listener.Addr().String()
-}
-
-func (s *Service) serve() {
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		s.log.Error().Err(err).Msg("operators' listener failed")
-	}
-}
+func (s *Service) Address() string { return s.server.Address() }
 
 // Drain stops accepting connections and waits for the calls under way.
 func (s *Service) Drain(ctx context.Context) error { return s.server.Shutdown(ctx) }
--- a/services/front/front.go
+++ b/services/front/front.go
@@ -6,8 +6,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/httpserver"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/services"
 )
@@ -60,8 +59,7 @@
 	metrics    services.Metrics
 	readiness  services.Readiness
 
-	server   *http.Server
-	listener net.Listener
+	server   *httpserver.Server
 	draining atomic.Bool
 }
 
@@ -76,12 +74,12 @@
 	if err := s.lookup(c); err != nil {
 		return err
 	}
-	s.server = &http.Server{
+	s.server = httpserver.New("callers", &http.Server{
 		Handler:           s.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	}, c.Log)
 	return nil
 }
 
@@ -150,26 +148,15 @@
 	})
 }
 
-// Start opens the listener.
+// Start opens the listener and reports ready.
 func (s *Service) Start(ctx context.Context) error {
-	var lc net.ListenConfig
-	listener, err := lc.Listen(ctx, "tcp", s.settings.Address)
-	if err != nil {
+	if err := s.server.Listen(ctx, s.settings.Address); err != nil {
 		return err
 	}
-	s.listener = listener
-	s.log.Info().Str("address", listener.Addr().String()).Msg("callers' listener open")
-	go s.serve()
 	s.readiness.SetReady(true)
 	return nil
 }
 
-func (s *Service) serve() {
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		s.log.Error().Err(err).Msg("callers' listener failed")
-	}
-}
-
 // Drain reports not-ready, gives the balancer time to react, then stops
 // accepting connections and waits for the requests under way.
 func (s *Service) Drain(ctx context.Context) error {
--- a/services/front/front_test.go
+++ b/services/front/front_test.go
@@ -16,6 +16,7 @@
 	"fuchsiafront.example/fuchsiafront/decision/document"
 	"fuchsiafront.example/fuchsiafront/decision/keyring"
 	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/httpserver"
 	"fuchsiafront.example/fuchsiafront/services"
 )
 
@@ -107,7 +108,7 @@
 	s.log = zerolog.Nop()
 	s.state, s.dispatcher, s.metrics, s.readiness = f, f, f, f
 	s.claims, s.jobs, s.objects = fakeClaims{f}, fakeJobs{f}, fakeObjects{f}
-	s.server = &http.Server{Handler: s.handler()}
+	s.server = httpserver.New("callers", &http.Server{Handler: s.handler()}, zerolog.Nop())
 	return s
 }
 
@@ -122,7 +123,7 @@
 		r.Header.Set(headerIdempotencyKey, c.id)
 	}
 	w := httptest.NewRecorder()
-	s.server.Handler.ServeHTTP(w, r)
+	s.handler().ServeHTTP(w, r)
 	return w
 }
 
@@ -244,7 +245,7 @@
 	assert.NilError(t, s.Start(t.Context()))
 	answer := make(chan string, 1)
 	go func() {
-		resp, err := http.Post("http://"+s.listener.Addr().String()+"/v1/queues/open/requests", "", nil)
+		resp, err := http.Post("http://"+s.server.Address()+"/v1/queues/open/requests", "", nil)
 		if err != nil {
 			answer <- err.Error()
 			return
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -16,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	"fuchsiafront.example/fuchsiafront/httpserver"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -77,10 +77,9 @@
 	status atomic.Pointer[[]services.PeerStatus]
 	loads  atomic.Pointer[[]services.TeamLoad]
 
-	network  network
-	client   *http.Client
-	server   *http.Server
-	listener net.Listener
+	network network
+	client  *http.Client
+	server  *httpserver.Server
 }
 
 // network is how the service reaches other hosts; tests replace it.
@@ -124,7 +123,7 @@
 	}}
 	mux := http.NewServeMux()
 	mux.Handle(fuchsiafrontv1connect.NewPeerServiceHandler(&handler{service: s}))
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: fetchTimeout, IdleTimeout: idleTimeout}
+	s.server = httpserver.New("peers", &http.Server{Handler: mux, ReadHeaderTimeout: fetchTimeout, IdleTimeout: idleTimeout}, c.Log)
 	c.Duty("peers.view", func(ctx context.Context) { newViewer(s).run(ctx) })
 	c.Duty("peers.exchange", s.runExchange)
 	c.Duty("peers.fetch", s.runFetch)
@@ -164,18 +163,10 @@
 	if err != nil {
 		return err
 	}
-	s.listener = listener
-	s.log.Info().Str("address", listener.Addr().String()).Msg("peers' listener open")
-	go s.serve()
+	s.server.Serve(listener)
 	return nil
 }
 
-func (s *Service) serve() {
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		s.log.Error().Err(err).Msg("peers' listener failed")
-	}
-}
-
 // Drain ends this host's right to accept changes, waits for the outcome of
 // the last one, and tells all peers. The exchange goes on until Stop, so that
 // work that is under way keeps its proof.
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -13,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/rs/zerolog"
 
+	"fuchsiafront.example/fuchsiafront/httpserver"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/standin"
@@ -47,8 +46,7 @@
 	fleet    standin.Fleet
 	ops      *ring.Ring[func(*contents)]
 	faults   map[string]*faults.Injector
-	server   *http.Server
-	listener net.Listener
+	server   *httpserver.Server
 }
 
 // contents is owned by the duty standin.table.
@@ -82,7 +80,7 @@
 	mount(TargetHosts, path, h)
 	path, h = fuchsiafrontv1connect.NewStandinServiceHandler(controlHandler{s})
 	mux.Handle(path, h)
-	s.server = &http.Server{Handler: mux, ConnContext: faults.ConnContext}
+	s.server = httpserver.New("platform", &http.Server{Handler: mux, ConnContext: faults.ConnContext}, c.Log)
 	c.Duty("standin.table", s.runTable)
 	return nil
 }
@@ -101,25 +99,14 @@
 
 // Start opens the listener.
 func (s *Service) Start(ctx context.Context) error {
-	var lc net.ListenConfig
-	listener, err := lc.Listen(ctx, "tcp", s.settings.Address)
-	if err != nil {
-		return err
-	}
-	s.listener = listener
-	go func() {
-		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			s.log.Error().Err(err).Msg("platform listener failed")
-		}
-	}()
-	return nil
+	return s.server.Listen(ctx, s.settings.Address)
 }
 
 // Stop closes the listener and all connections.
 func (s *Service) Stop(context.Context) error { return s.server.Close() }
 
 // URL returns the address that clients use.
-func (s *Service) URL() string { return "http://" + s.listener.Addr().String() }
+func (s *Service) URL() string { return "http://" + s.server.Address() }
 
 // do runs op on the table's duty and waits for it.
 func do[T any](ctx context.Context, s *Service, op func(*contents) T) (T, error) {
