--- /dev/null
+++ b/decision/rights/world_test.go
@@ -0,0 +1,323 @@
+package rights_test
+
+import (
+	"fmt"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"fuchsiafront.example/fuchsiafront/decision/rights"
+)
+
+const (
+	team           = "t"
+	holdTerm       = 20 * time.Second
+	longestRequest = 5 * time.Second
+	tickPeriod     = 400 * time.Millisecond
+	// steps is the number of actions of one case.
+	steps = 400
+)
+
+// world models the platform's row, the entry hosts and the work that really
+// runs, which goes on for up to longestRequest after its host died.
+type world struct {
+	now     time.Time
+	row     rights.Row
+	version uint64
+	members map[string]uint64
+	limit   rights.Limit
+	hosts   []*host
+	work    []*run
+	delayed []transaction
+	nextInc uint64
+
+	memberVersion uint64
+}
+
+type host struct {
+	holder  rights.Holder
+	ledger  *rights.Ledger
+	watch   *rights.Watch
+	alive   bool
+	frozen  bool
+	cut     bool
+	renewed time.Time
+	limit   rights.Limit
+	// read is the last row read, which may be out of date when it is used.
+	read    *rights.Survey
+	placing []placement
+}
+
+type run struct {
+	owner   rights.Holder
+	started time.Time
+	job     bool
+	ended   bool
+}
+
+type transaction struct {
+	version uint64
+	row     rights.Row
+	members map[string]uint64
+	// job starts when the transaction takes effect.
+	job *run
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{now: time.Unix(1000, 0), members: map[string]uint64{}}
+	w.limit = rights.Limit{Rights: rapid.IntRange(2, 20).Draw(t, "limit"), Revision: 1}
+	for i := range rapid.IntRange(2, 4).Draw(t, "hosts") {
+		w.hosts = append(w.hosts, &host{holder: rights.Holder{Host: fmt.Sprintf("h%d", i)}})
+		w.boot(w.hosts[i])
+	}
+	return w
+}
+
+func (w *world) boot(h *host) {
+	w.nextInc++
+	h.holder.Incarnation = w.nextInc
+	h.ledger = rights.NewLedger(h.holder, w.now)
+	h.watch = rights.NewWatch(holdTerm, longestRequest)
+	h.alive, h.frozen, h.cut, h.read, h.placing = true, false, false, nil, nil
+	h.limit = w.limit
+	w.renew(h)
+}
+
+func (w *world) renew(h *host) {
+	w.memberVersion++
+	w.members[h.holder.Host] = w.memberVersion
+	h.renewed = w.now
+}
+
+func (h *host) runs() bool { return h.alive && !h.frozen }
+
+// advance lets time pass in steps that no unfrozen host perceives as a pause.
+func (w *world) advance(d time.Duration) {
+	for d > 0 {
+		step := min(d, tickPeriod)
+		w.now = w.now.Add(step)
+		d -= step
+		for _, h := range w.hosts {
+			if !h.runs() {
+				continue
+			}
+			h.ledger.Tick(w.now)
+			h.mayUse(w.now)
+			if !h.cut && w.now.Sub(h.renewed) > time.Second {
+				w.renew(h)
+			}
+		}
+	}
+}
+
+// running counts what really runs now.
+func (w *world) running() int {
+	n := 0
+	for _, r := range w.work {
+		if !r.ended && (r.job || w.now.Sub(r.started) < longestRequest) {
+			n++
+		}
+	}
+	return n
+}
+
+// commit applies tx if its conditions hold, and checks the invariant of the
+// row for every transaction.
+func (w *world) commit(t *rapid.T, tx transaction) bool {
+	if tx.version != w.version {
+		return false
+	}
+	for name, version := range tx.members {
+		if w.members[name] != version {
+			return false
+		}
+	}
+	before := w.row.Sum()
+	if sum := tx.row.Sum(); sum > tx.row.Limit.Rights && sum > before {
+		t.Fatalf("sum grew from %d to %d over the limit %d", before, sum, tx.row.Limit.Rights)
+	}
+	if tx.row.Limit.Revision < w.row.Limit.Revision {
+		t.Fatalf("limit went back to revision %d", tx.row.Limit.Revision)
+	}
+	w.row = tx.row
+	w.version++
+	if tx.job != nil {
+		tx.job.ended, tx.job.job = false, true
+	}
+	return true
+}
+
+func (h *host) mayUse(now time.Time) bool {
+	if now.Sub(h.renewed) < holdTerm {
+		return true
+	}
+	h.ledger.Lapse(now)
+	return false
+}
+
+func (w *world) start(t *rapid.T, h *host, job bool) bool {
+	if !h.mayUse(w.now) || h.ledger.Acquire(w.now, team, 1) != "" {
+		return false
+	}
+	w.work = append(w.work, &run{owner: h.holder, started: w.now, job: job})
+	inForce := max(w.row.Limit.Rights, w.row.Sum())
+	if n := w.running(); n > inForce {
+		t.Fatalf("%d running with limit %d and %d rights held", n, w.row.Limit.Rights, w.row.Sum())
+	}
+	return true
+}
+
+func (w *world) survey(h *host) rights.Survey {
+	s := rights.Survey{
+		Team: team, Version: w.version, Row: w.row, ReadStart: w.now,
+		Limit: h.limit, Hosts: len(w.hosts),
+	}
+	for _, x := range w.row.Holdings {
+		if x.Holder == h.holder {
+			continue
+		}
+		switch h.watch.Live(x.Holder, rights.Member{Version: w.members[x.Host]}, w.now, w.now) {
+		case rights.Abandon:
+			s.Abandoned = append(s.Abandoned, x.Holder)
+		case rights.Free:
+			s.Expired = append(s.Expired, x.Holder)
+		}
+	}
+	for _, x := range w.row.Stranded {
+		if h.watch.Stranded(team, x, w.now, w.now) == rights.Free {
+			s.Reclaimed = append(s.Reclaimed, x.Holder)
+		}
+	}
+	return s
+}
+
+// conditions returns the member rows that a plan of s relies on.
+func (w *world) conditions(s rights.Survey) map[string]uint64 {
+	c := map[string]uint64{}
+	for _, h := range s.Expired {
+		c[h.Host] = w.members[h.Host]
+	}
+	return c
+}
+
+func (w *world) balance(t *rapid.T, h *host) {
+	if !h.runs() || h.cut || !h.mayUse(w.now) {
+		return
+	}
+	s := w.survey(h)
+	members := w.conditions(s)
+	if h.read != nil && rapid.Bool().Draw(t, "late read") {
+		s, members = *h.read, nil
+		s.Abandoned, s.Expired, s.Reclaimed = nil, nil, nil
+	}
+	h.read = &s
+	for _, peer := range w.hosts {
+		if peer != h && rapid.Bool().Draw(t, "peer is heard") {
+			s.Peers = append(s.Peers, peer.holder)
+		}
+	}
+	p := h.ledger.Prepare(w.now, s)
+	if p.Cause == rights.CauseNone {
+		return
+	}
+	w.send(t, h, p, transaction{version: p.Version, row: p.Row, members: members})
+}
+
+func (w *world) send(t *rapid.T, h *host, p rights.Plan, tx transaction) {
+	switch rapid.IntRange(0, 5).Draw(t, "fate of the write") {
+	case 0:
+		w.delayed = append(w.delayed, tx)
+		h.ledger.Settle(p, rights.InDoubt, 0, w.now)
+	case 1:
+		w.commit(t, tx)
+		h.ledger.Settle(p, rights.InDoubt, 0, w.now)
+	case 2:
+		h.ledger.Settle(p, rights.Refused, 0, w.now)
+	default:
+		if w.commit(t, tx) {
+			h.ledger.Settle(p, rights.Committed, w.version, w.now)
+		} else {
+			h.ledger.Settle(p, rights.Refused, 0, w.now)
+		}
+	}
+}
+
+// placement is a job whose transaction was decided and not yet settled.
+type placement struct {
+	run *run
+	tx  transaction
+}
+
+// placeJob decides on a placement. Its job starts only once that is committed.
+func (w *world) placeJob(t *rapid.T, h *host) {
+	if !h.runs() || h.cut || !w.start(t, h, false) {
+		return
+	}
+	r := w.work[len(w.work)-1]
+	next, ok := w.row.PlaceJob(h.holder)
+	h.ledger.Observe(team, w.version, w.row, w.now)
+	if !ok || !h.ledger.MayPlaceJob(team, w.version) {
+		return
+	}
+	r.ended = true
+	h.placing = append(h.placing, placement{r, transaction{version: w.version, row: next, job: r}})
+}
+
+// settleJob sends the transaction of the oldest placement of h.
+func (w *world) settleJob(t *rapid.T, h *host) {
+	if !h.runs() || len(h.placing) == 0 {
+		return
+	}
+	p := h.placing[0]
+	h.placing = h.placing[1:]
+	outcome := rights.InDoubt
+	switch rapid.IntRange(0, 3).Draw(t, "fate of the placement") {
+	case 0:
+		w.delayed = append(w.delayed, p.tx)
+	case 1:
+		w.commit(t, p.tx)
+	default:
+		outcome = rights.Refused
+		if w.commit(t, p.tx) {
+			outcome = rights.Committed
+			h.ledger.Observe(team, w.version, w.row, w.now)
+		}
+	}
+	h.ledger.SettleJob(team, p.tx.version, outcome)
+	if outcome != rights.Refused {
+		return
+	}
+	// The scheduler tries again with the right that it has, or returns it.
+	next, ok := w.row.PlaceJob(h.holder)
+	h.ledger.Observe(team, w.version, w.row, w.now)
+	if ok && h.ledger.MayPlaceJob(team, w.version) {
+		h.placing = append(h.placing, placement{p.run, transaction{version: w.version, row: next, job: p.run}})
+		return
+	}
+	h.ledger.Release(w.now, team, 1)
+}
+
+func (w *world) pick(t *rapid.T) *host { return rapid.SampledFrom(w.hosts).Draw(t, "host") }
+
+func (w *world) pickJob(t *rapid.T) *run {
+	var jobs []*run
+	for _, r := range w.work {
+		if r.job && !r.ended {
+			jobs = append(jobs, r)
+		}
+	}
+	if len(jobs) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(jobs).Draw(t, "job")
+}
+
+func (w *world) finish(h *host) {
+	for _, r := range w.work {
+		if r.owner == h.holder && !r.ended && !r.job {
+			r.ended = true
+			h.ledger.Release(w.now, team, 1)
+			return
+		}
+	}
+}
