Wait for a full round before tests of rights count floors

Cause: TestBurstGetsFreeRights failed once under the race detector: host a had 10 rights and not 5. It had balanced before host b was a member, so its floor was that of a fleet of one, and it gives the surplus back in the next full round, 7.5 s to 10 s later; the test waited 3 s.

Ruled out: a fault in the decision. With b started 1 s later, the old wait fails in 3 of 3 runs and the new one passes in 20 of 20.

Change: the tests wait 15 s of virtual time. No assertion changed.

Result: 20 of 20 runs pass under the race detector in the usual order.

--- a/services/rights/rights_test.go
+++ b/services/rights/rights_test.go
@@ -15,8 +15,10 @@
 	longestRequest = 10 * time.Second
 )
 
-// settle lets the hosts take their floors.
-func settle() { time.Sleep(3 * time.Second) }
+// settle lets the hosts take their floors. A host that balanced before the
+// other one was a member gives its surplus back in the next full round, which
+// comes within 10 s.
+func settle() { time.Sleep(15 * time.Second) }
 
 // Guards against a burst that waits for the next period although rights are
 // free, and against refused work that is not told when they came.
