--- a/services/metrics/metrics.go
+++ b/services/metrics/metrics.go
@@ -35,6 +35,8 @@
 	closer   io.Closer
 	reporter prometheus.Reporter
 
+	// mu guards refusals: every duty and HTTP handler counts into it, and a ring
+	// would have to drop counts when full.
 	mu       sync.Mutex
 	refusals map[refusalKey]int64
 }
