--- a/cmd/fuchsiafrontd/main.go
+++ b/cmd/fuchsiafrontd/main.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"fuchsiafront.example/fuchsiafront/entryhost"
+	"fuchsiafront.example/fuchsiafront/fleethost"
 )
 
 // exitSettings is the exit status for wrong settings.
@@ -22,6 +23,10 @@
 func main() {
 	var settings entryhost.Settings
 	arg.MustParse(&settings)
+	if settings.Boot != "" {
+		exitOn(runFleet(settings))
+		return
+	}
 	if err := settings.Validate(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitSettings)
@@ -30,12 +35,35 @@
 		fmt.Println("the settings are valid")
 		return
 	}
-	if err := run(settings); err != nil {
+	exitOn(run(settings))
+}
+
+func exitOn(err error) {
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
+// runFleet runs an entry host on the users' platform, which hands over its
+// settings in a file.
+func runFleet(settings entryhost.Settings) error {
+	level, err := zerolog.ParseLevel(cmp.Or(settings.LogLevel, "info"))
+	if err != nil {
+		return err
+	}
+	host, err := fleethost.New(settings.Boot, level, os.Stdout, time.Now)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if settings.Check {
+		fmt.Println("the settings are valid")
+		return nil
+	}
+	return host.Run()
+}
+
 func run(settings entryhost.Settings) error {
 	level, err := zerolog.ParseLevel(cmp.Or(settings.LogLevel, "info"))
 	if err != nil {
--- /dev/null
+++ b/decision/catalog/catalog.go
@@ -0,0 +1,137 @@
+// Package catalog holds the configuration in force: queues, services, tenants
+// and their keys. A catalog never changes; a newer version replaces it.
+package catalog
+
+import (
+	"crypto/subtle"
+	"strings"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+// Catalog is one version of the configuration.
+type Catalog struct {
+	Version  int64
+	Queues   []Queue
+	Services map[string]Service
+	Tenants  map[string]Tenant
+
+	byHost map[string][]*Queue
+	byKey  map[string]string
+}
+
+// Queue carries work to the executors of one service.
+type Queue struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Service    string
+	// Public queues need no key.
+	Public bool
+	// Priority zero comes first and may preempt others.
+	Priority    int
+	MaxAttempts int
+	// Slack times the longest chain of work, and LatencyTarget more, is the
+	// objective of a job.
+	Slack         float64
+	LatencyTarget time.Duration
+	Timeout       time.Duration
+	// Advice is set when another service decides which executors may run a
+	// step.
+	Advice *Advice
+}
+
+// Advice holds the times of the advice service for one queue.
+type Advice struct {
+	Decision, PerExecutor, Validity time.Duration
+}
+
+// Service is a pool of executors.
+type Service struct {
+	Name string
+	// Standby tells that the pool's machines are off and free of cost.
+	Standby bool
+	// AdmissionCheck tells that executors reject what does not fit.
+	AdmissionCheck bool
+	HealthPath     string
+	MaxConnections int
+}
+
+// Tenant owns keys, a share and an upper limit.
+type Tenant struct {
+	Name    string
+	Keys    []string
+	Weight  float64
+	Maximum fleet.Resources
+}
+
+// New returns a catalog with its indexes built.
+func New(version int64, queues []Queue, services []Service, tenants []Tenant) *Catalog {
+	c := &Catalog{
+		Version:  version,
+		Queues:   queues,
+		Services: make(map[string]Service, len(services)),
+		Tenants:  make(map[string]Tenant, len(tenants)),
+		byHost:   make(map[string][]*Queue),
+		byKey:    make(map[string]string),
+	}
+	for i := range queues {
+		q := &queues[i]
+		c.byHost[q.Host] = append(c.byHost[q.Host], q)
+	}
+	for _, s := range services {
+		c.Services[s.Name] = s
+	}
+	for _, t := range tenants {
+		c.Tenants[t.Name] = t
+		for _, key := range t.Keys {
+			c.byKey[key] = t.Name
+		}
+	}
+	return c
+}
+
+// Route returns the queue whose host is the given one and whose prefix is the
+// longest that path begins with, and the rest of the path.
+func (c *Catalog) Route(host, path string) (queue *Queue, rest string, ok bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, q := range c.byHost[host] {
+		if !strings.HasPrefix(path, q.PathPrefix) {
+			continue
+		}
+		if queue == nil || len(q.PathPrefix) > len(queue.PathPrefix) {
+			queue = q
+		}
+	}
+	if queue == nil {
+		return nil, "", false
+	}
+	return queue, path[len(queue.PathPrefix):], true
+}
+
+// Queue returns the queue with the given name.
+func (c *Catalog) Queue(name string) (*Queue, bool) {
+	for i := range c.Queues {
+		if c.Queues[i].Name == name {
+			return &c.Queues[i], true
+		}
+	}
+	return nil, false
+}
+
+// Authenticate returns the tenant that holds key.
+func (c *Catalog) Authenticate(key string) (tenant string, ok bool) {
+	tenant, ok = c.byKey[key]
+	if !ok {
+		return "", false
+	}
+	for _, k := range c.Tenants[tenant].Keys {
+		if subtle.ConstantTimeCompare([]byte(k), []byte(key)) == 1 {
+			return tenant, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/decision/ownership/ownership.go
@@ -0,0 +1,77 @@
+// Package ownership decides which pools a process claims.
+//
+// Each pool has an owner record that its owner renews. A process claims a pool
+// whose record is absent, released, or has not changed for a while. Claims are
+// conditional on the record's version, so that of several claims one succeeds;
+// the delays below only spread the pools over the processes.
+package ownership
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Timing of ownership.
+const (
+	// RenewEvery separates renewals.
+	RenewEvery = time.Second
+	// TakeoverAfter is how long a record stays unchanged before its pool is
+	// claimed. It covers two lost renewals.
+	TakeoverAfter = 2500 * time.Millisecond
+	// Lapse is how long an owner goes on without a confirmed renewal. The
+	// fencing token stops it earlier wherever its successor has been heard; the
+	// bound is for executors that the successor cannot reach.
+	Lapse = 12 * time.Second
+	// loadDelay is added for each pool that the process owns already.
+	loadDelay = 350 * time.Millisecond
+	// spreadDelay is the largest delay drawn from the names of pool and host.
+	spreadDelay = 250 * time.Millisecond
+	// powerDelay is the largest delay of a host with little processor time.
+	powerDelay = 600 * time.Millisecond
+	// fullPower is the processor share, in cores, from which on a host claims
+	// without that delay.
+	fullPower = 0.8
+)
+
+// Record is what is known of a pool's owner.
+type Record struct {
+	Holder string
+	// Mine tells that this process owns the pool.
+	Mine     bool
+	Absent   bool
+	Released bool
+	// Unchanged is how long the record has been seen unchanged.
+	Unchanged time.Duration
+	// Free is how long the pool has been known to have no owner.
+	Free time.Duration
+}
+
+// Host is the process that decides.
+type Host struct {
+	Name string
+	// Power is the processor share of the host, in cores.
+	Power float64
+	Owned int
+}
+
+// Claim reports whether the host claims the pool, and why.
+func Claim(pool string, r Record, h Host) (bool, string) {
+	if r.Mine {
+		return false, ""
+	}
+	delay := Delay(pool, h)
+	if r.Absent || r.Released {
+		return r.Free >= delay, "no owner"
+	}
+	return r.Unchanged >= TakeoverAfter+delay, "owner is silent"
+}
+
+// Delay returns how long a host waits before it claims a pool that is free.
+func Delay(pool string, h Host) time.Duration {
+	draw := float64(xxhash.Sum64String(pool+"\x00"+h.Name)%1024) / 1024
+	weakness := max(0, fullPower-h.Power) / fullPower
+	return time.Duration(h.Owned)*loadDelay +
+		time.Duration(draw*float64(spreadDelay)) +
+		time.Duration(weakness*float64(powerDelay))
+}
--- /dev/null
+++ b/decision/poolplan/job.go
@@ -0,0 +1,382 @@
+package poolplan
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/workload"
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+// job is a job of this pool that has not ended.
+type job struct {
+	spec *workload.Spec
+	// inherited jobs may have been started by an earlier owner.
+	inherited   bool
+	cancelled   bool
+	occurrences []*occurrence
+	progress    workload.Progress
+	objective   time.Time
+	begun       bool
+	saving      bool
+	dirty       bool
+	// ends lists the executors' ends that the next save makes durable.
+	ends []endMark
+}
+
+// endMark is one end of an executor's life.
+type endMark struct {
+	executor string
+	born     int64
+	number   int64
+}
+
+// occurrence is one pass through the steps.
+type occurrence struct {
+	number int
+	groups []*group
+	left   int
+}
+
+// group is the tasks of one step of one occurrence.
+type group struct {
+	job     *job
+	number  int
+	stepNo  int
+	step    *workload.Step
+	tasks   []*task
+	done    int
+	ready   bool
+	readyAt time.Time
+	// gangAttempt is the attempt that the members of a gang share.
+	gangAttempt int
+	advice      *advice
+	adviceAsked time.Time
+}
+
+// advice tells which executors may run a group, with a ticket for each.
+type advice struct {
+	allowed map[string]string
+	until   time.Time
+}
+
+// task is one task of a group.
+type task struct {
+	group    *group
+	index    int
+	done     bool
+	failures int
+	attempts int
+	runs     []*run
+	// checkpoint is the newest state that the task can resume from.
+	checkpoint string
+	notBefore  time.Time
+	lastFailed string
+	lostAt     time.Time
+}
+
+func (t *task) id() workload.TaskID {
+	return workload.TaskID{Job: t.group.job.spec.ID, TaskName: t.name()}
+}
+
+func (t *task) name() workload.TaskName {
+	return workload.TaskName{Occurrence: t.group.number, Step: t.group.stepNo, Index: t.index}
+}
+
+func (g *group) waiting() int {
+	n := 0
+	for _, t := range g.tasks {
+		if t.open() {
+			n++
+		}
+	}
+	return n
+}
+
+// open reports whether the task needs another run. A speculative one gets a
+// copy while nothing is heard of its run.
+func (t *task) open() bool {
+	if t.done {
+		return false
+	}
+	if len(t.runs) == 0 {
+		return true
+	}
+	return t.group.step.Speculative && len(t.runs) == 1 && !t.runs[0].executor.reachable()
+}
+
+func (j *job) task(n workload.TaskName) *task {
+	if n.Occurrence >= len(j.occurrences) {
+		return nil
+	}
+	groups := j.occurrences[n.Occurrence].groups
+	if n.Step >= len(groups) || n.Index >= len(groups[n.Step].tasks) {
+		return nil
+	}
+	return groups[n.Step].tasks[n.Index]
+}
+
+// AddJob adds a recorded job. inherited tells that it was recorded before this
+// owner took over. A job that is known already is left as it is.
+func (p *Plan) AddJob(now time.Time, spec *workload.Spec, progress workload.Progress, inherited bool) {
+	if p.jobs[spec.ID] != nil || progress.State.Ended() {
+		return
+	}
+	j := &job{spec: spec, inherited: inherited, progress: progress}
+	for k := range spec.Occurrences() {
+		j.occurrences = append(j.occurrences, newOccurrence(j, k))
+	}
+	for _, n := range progress.Done {
+		if t := j.task(n); t != nil && !t.done {
+			t.finish()
+			j.begun = true
+		}
+	}
+	for n, failures := range progress.Failures {
+		if t := j.task(n); t != nil {
+			t.failures, t.attempts = failures, max(failures, progress.Attempts)
+			j.begun = true
+		}
+	}
+	j.objective = p.objective(j)
+	p.jobs[spec.ID] = j
+	p.regroup = true
+	p.endIfComplete(now, j)
+}
+
+func newOccurrence(j *job, number int) *occurrence {
+	o := &occurrence{number: number}
+	for i := range j.spec.Steps {
+		step := &j.spec.Steps[i]
+		g := &group{job: j, number: number, stepNo: i, step: step}
+		for k := range step.Count {
+			g.tasks = append(g.tasks, &task{group: g, index: k})
+		}
+		o.groups = append(o.groups, g)
+		o.left += step.Count
+	}
+	return o
+}
+
+// finish marks a task as done.
+func (t *task) finish() {
+	t.done = true
+	t.group.done++
+	t.group.job.occurrences[t.group.number].left--
+}
+
+// objective returns when the job has to be complete to be on time.
+func (p *Plan) objective(j *job) time.Time {
+	slack, target := 1.5, time.Second
+	if p.catalog != nil {
+		if q, ok := p.catalog.Queue(j.spec.Queue); ok {
+			slack, target = q.Slack, q.LatencyTarget
+		}
+	}
+	return j.spec.Accepted.Add(time.Duration(float64(chain(j.spec.Steps, 0))*slack) + target)
+}
+
+// chain returns the longest chain of estimated work from the steps on that are
+// numbered first or higher.
+func chain(steps []workload.Step, first int) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	var longest time.Duration
+	for i := first; i < len(steps); i++ {
+		var begin time.Duration
+		for _, a := range steps[i].After {
+			if a >= first && a < i {
+				begin = max(begin, ends[a])
+			}
+		}
+		ends[i] = begin + steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// CancelJob ends a job; its runs are stopped.
+func (p *Plan) CancelJob(now time.Time, id string) {
+	j := p.jobs[id]
+	if j == nil || j.cancelled {
+		return
+	}
+	j.cancelled = true
+	p.regroup = true
+	p.note(Event{What: "job cancelled", Job: id, Age: now.Sub(j.spec.Accepted)})
+}
+
+// stopCancelled stops the runs of jobs that have been cancelled or have failed.
+func (p *Plan) stopCancelled(now time.Time) {
+	for id, j := range p.jobs {
+		if !j.cancelled && j.progress.State != workload.Failed {
+			continue
+		}
+		left := 0
+		for _, r := range j.runs() {
+			left++
+			p.stop(now, r, "job ended")
+		}
+		if j.cancelled && j.progress.State != workload.Cancelled {
+			p.end(now, j, workload.Cancelled)
+		}
+		if left == 0 && !j.dirty && !j.saving {
+			delete(p.jobs, id)
+		}
+	}
+}
+
+func (j *job) runs() []*run {
+	var runs []*run
+	for _, o := range j.occurrences {
+		for _, g := range o.groups {
+			for _, t := range g.tasks {
+				runs = append(runs, t.runs...)
+			}
+		}
+	}
+	return runs
+}
+
+// end records the final state of a job.
+func (p *Plan) end(now time.Time, j *job, s workload.State) {
+	if j.progress.State.Ended() {
+		return
+	}
+	j.progress.State, j.progress.EndedAt = s, now
+	p.touch(j)
+	p.regroup = true
+	p.note(Event{What: "job ended", Job: j.spec.ID, Reason: stateReason(s), Age: now.Sub(j.spec.Accepted)})
+}
+
+func stateReason(s workload.State) string {
+	return [...]string{"queued", "running", "completed", "failed", "cancelled"}[s]
+}
+
+func (p *Plan) endIfComplete(now time.Time, j *job) {
+	for _, o := range j.occurrences {
+		if o.left > 0 {
+			return
+		}
+	}
+	p.end(now, j, workload.Completed)
+}
+
+// touch marks a job as changed since it was last saved.
+func (p *Plan) touch(j *job) {
+	j.dirty = true
+	p.unsaved[j.spec.ID] = j
+}
+
+// Save is the progress of a job to make durable.
+type Save struct {
+	Job      string
+	Progress workload.Progress
+	marks    []endMark
+}
+
+// Saves returns up to limit jobs whose progress has to be saved. SaveDone is
+// called for each; until then the job is not returned again.
+func (p *Plan) Saves(limit int) []Save {
+	var saves []Save
+	for _, id := range slices.Sorted(maps.Keys(p.unsaved)) {
+		if len(saves) == limit {
+			break
+		}
+		j := p.unsaved[id]
+		if j.saving {
+			continue
+		}
+		j.saving, j.dirty = true, false
+		delete(p.unsaved, id)
+		saves = append(saves, Save{Job: id, Progress: j.snapshot(), marks: j.ends})
+		j.ends = nil
+	}
+	return saves
+}
+
+// Unsaved reports whether progress waits to be saved.
+func (p *Plan) Unsaved() bool { return len(p.unsaved) > 0 }
+
+func (j *job) snapshot() workload.Progress {
+	s := workload.Progress{State: j.progress.State, EndedAt: j.progress.EndedAt, Failures: make(map[workload.TaskName]int)}
+	if s.State == workload.Queued && j.begun {
+		s.State = workload.Running
+	}
+	for _, o := range j.occurrences {
+		for _, g := range o.groups {
+			for _, t := range g.tasks {
+				s.Attempts = max(s.Attempts, t.attempts)
+				if t.done {
+					s.Done = append(s.Done, t.name())
+				}
+				if t.failures > 0 {
+					s.Failures[t.name()] = t.failures
+				}
+			}
+		}
+	}
+	return s
+}
+
+// SaveDone records whether a save is durable. When it is not, the job is
+// returned by Saves again.
+func (p *Plan) SaveDone(now time.Time, s Save, ok bool) {
+	j := p.jobs[s.Job]
+	if j == nil {
+		return
+	}
+	j.saving = false
+	if !ok {
+		j.ends = append(s.marks, j.ends...)
+		p.touch(j)
+		return
+	}
+	for _, m := range s.marks {
+		p.acknowledge(m)
+	}
+	if j.dirty {
+		p.unsaved[s.Job] = j
+		return
+	}
+	if j.progress.State == workload.Completed {
+		delete(p.jobs, s.Job)
+	}
+}
+
+// Pending returns, for each queue, the number of jobs for which no task has
+// started, and the jobs that have begun but whose progress says nothing yet.
+func (p *Plan) Pending() (pending map[string]int, begun []string) {
+	pending = make(map[string]int)
+	for id, j := range p.jobs {
+		if j.cancelled || j.progress.State.Ended() {
+			continue
+		}
+		switch {
+		case !j.begun:
+			pending[j.spec.Queue]++
+		case j.progress.State == workload.Queued:
+			begun = append(begun, id)
+		}
+	}
+	slices.Sort(begun)
+	return pending, begun
+}
+
+// charge adds n times what a run of t takes to its executor and tenant.
+func (p *Plan) charge(r *run, sign int64) {
+	s := r.task.group.step
+	r.executor.used = r.executor.used.Add(scale(s.Demand(), sign))
+	tenant := r.task.group.job.spec.Tenant
+	p.used[tenant] = p.used[tenant].Add(scale(s.Size, sign))
+	if s.Service && s.LatencyTarget > 0 {
+		r.executor.serviceRuns += int(sign)
+	}
+	if s.Filler {
+		r.executor.fillerRuns += int(sign)
+	}
+}
+
+func scale(r fleet.Resources, n int64) fleet.Resources {
+	return fleet.Resources{MilliCPU: r.MilliCPU * n, MemoryBytes: r.MemoryBytes * n, Accelerators: r.Accelerators * n}
+}
--- /dev/null
+++ b/decision/poolplan/orders.go
@@ -0,0 +1,168 @@
+package poolplan
+
+import (
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/workload"
+)
+
+// Order is a call to an executor. Whoever carries it out reports the outcome
+// to the Plan.
+type Order interface{ order() }
+
+// Target names one life of an executor.
+type Target struct {
+	Executor string
+	Address  string
+	Born     int64
+}
+
+// Start tells an executor to run a task.
+type Start struct {
+	Target
+	Task       workload.TaskID
+	Attempt    int
+	Text       string
+	Checkpoint string
+	Ticket     string
+	// LeaseUntil is the end of the lease on the executor's clock.
+	LeaseUntil int64
+	// Reason tells why the task starts here; it is logged.
+	Reason string
+	// Waited is the time since the task became ready.
+	Waited time.Duration
+}
+
+// Stop tells an executor to end a run, or never to begin it.
+type Stop struct {
+	Target
+	Task    workload.TaskID
+	Attempt int
+	Reason  string
+}
+
+// Hold extends the lease of an executor and asks what runs and what ended.
+type Hold struct {
+	Target
+	// LeaseUntil is zero when the lease must not be extended.
+	LeaseUntil int64
+	// LastSeen is the number of the last end that may be forgotten.
+	LastSeen int64
+	// Wait is how long the executor may wait for an end.
+	Wait time.Duration
+}
+
+// Pace sets the share of its speed at which a run works.
+type Pace struct {
+	Target
+	Task    workload.TaskID
+	Attempt int
+	Percent int
+	Reason  string
+}
+
+// Advise asks which executors may run a step.
+type Advise struct {
+	Job              string
+	Occurrence, Step int
+	Executors        []string
+}
+
+func (Start) order()  {}
+func (Stop) order()   {}
+func (Hold) order()   {}
+func (Pace) order()   {}
+func (Advise) order() {}
+
+// Answer is what an executor said to a start, a stop or a pace.
+type Answer int
+
+// Answers to orders.
+const (
+	// Accepted means that the order is carried out.
+	Accepted Answer = iota
+	// NotSent means that the executor has not received the order and will not.
+	NotSent
+	// NoAnswer means that the order may be carried out, now or later.
+	NoAnswer
+	// RefusedFence means that the executor has seen a higher fencing token.
+	RefusedFence
+	// RefusedOld means that a run with this attempt or a higher one has ended
+	// there.
+	RefusedOld
+	// RefusedLate means that the lease in the order was over.
+	RefusedLate
+	// RefusedRoom means that the executor has no room.
+	RefusedRoom
+	// RefusedTicket means that the ticket of the advice service is not valid.
+	RefusedTicket
+	// RefusedBusy means that the executor is unhealthy and has done nothing.
+	RefusedBusy
+	// RefusedInvalid means that the executor cannot read the order.
+	RefusedInvalid
+	// WrongLife means that the address belongs to another life or executor.
+	WrongLife
+)
+
+var answerNames = [...]string{
+	"accepted", "not-sent", "no-answer", "fence", "old", "late", "no-room", "ticket", "busy", "invalid", "wrong-life",
+}
+
+// String returns the name of the answer in logs and metrics.
+func (a Answer) String() string { return answerNames[a] }
+
+// Outcome is an answer with the executor's clock, which is zero when it sent
+// none.
+type Outcome struct {
+	Answer  Answer
+	ClockMs int64
+	SentAt  time.Time
+}
+
+// RunReport is one run that an executor lists.
+type RunReport struct {
+	Task       workload.TaskID
+	Attempt    int
+	Checkpoint string
+	Percent    int
+	// Figure is the tail latency in milliseconds of a service task, and the
+	// thousandths of processors in use of any other; negative when not given.
+	Figure int
+}
+
+// Ending tells how a run ended.
+type Ending int
+
+// Endings of runs.
+const (
+	EndedDone Ending = iota
+	EndedFailed
+	EndedStopped
+	EndedLapsed
+	EndedBroken
+	EndedAlone
+)
+
+var endingNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}
+
+// String returns the name of the ending in logs.
+func (e Ending) String() string { return endingNames[e] }
+
+// EndReport is one ended run that an executor lists.
+type EndReport struct {
+	Number     int64
+	Task       workload.TaskID
+	Attempt    int
+	Ending     Ending
+	Checkpoint string
+}
+
+// Report is an executor's answer to a Hold.
+type Report struct {
+	Outcome
+	Born    int64
+	Running []RunReport
+	Ended   []EndReport
+	// Truncated tells that there are more ends than the report lists.
+	Truncated bool
+}
--- /dev/null
+++ b/decision/poolplan/place.go
@@ -0,0 +1,399 @@
+package poolplan
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+// Weights of the choice of an executor, in thousandths of its capacity.
+const (
+	// weightFar is added away from the rack that holds the data.
+	weightFar = 4000
+	// weightFailed is added on the executor on which the task failed last.
+	weightFailed = 8000
+	// weightMixed is added where fillers and service tasks would meet.
+	weightMixed = 2000
+)
+
+// refreshGroups renews the list of groups that may start tasks, in the order in
+// which they are served.
+func (p *Plan) refreshGroups(now time.Time) {
+	if !p.regroup && !p.dueSoon(now) {
+		return
+	}
+	p.regroup = false
+	p.groups = p.groups[:0]
+	for _, j := range p.jobs {
+		if j.cancelled || j.progress.State.Ended() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			p.addGroups(now, j, o)
+		}
+	}
+	slices.SortFunc(p.groups, func(a, b *group) int { return p.compareGroups(now, a, b) })
+}
+
+// dueSoon reports whether the order of the groups changes with time alone.
+func (p *Plan) dueSoon(now time.Time) bool {
+	for _, j := range p.jobs {
+		if j.spec.Times > 0 && !j.progress.State.Ended() {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Plan) addGroups(now time.Time, j *job, o *occurrence) {
+	if o.left == 0 || now.Before(j.spec.Due(o.number)) {
+		return
+	}
+	for _, g := range o.groups {
+		if g.done == len(g.tasks) || !o.dependenciesDone(g) {
+			continue
+		}
+		if !g.ready {
+			g.ready, g.readyAt = true, now
+		}
+		if g.waiting() > 0 {
+			p.groups = append(p.groups, g)
+		}
+	}
+}
+
+func (o *occurrence) dependenciesDone(g *group) bool {
+	for _, a := range g.step.After {
+		if a < 0 || a >= len(o.groups) {
+			continue
+		}
+		if dep := o.groups[a]; dep.done < len(dep.tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// compareGroups orders groups: first the jobs that can still be on time, then
+// by priority, then jobs under way, then the oldest.
+func (p *Plan) compareGroups(now time.Time, a, b *group) int {
+	if a.job != b.job {
+		return cmp.Or(
+			cmp.Compare(p.lateness(now, a), p.lateness(now, b)),
+			cmp.Compare(p.priority(a.job), p.priority(b.job)),
+			a.job.spec.Accepted.Compare(b.job.spec.Accepted),
+			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
+		)
+	}
+	return cmp.Or(cmp.Compare(a.number, b.number), cmp.Compare(a.stepNo, b.stepNo))
+}
+
+// lateness is zero while the group's job can be complete within its objective.
+// Service work is never late.
+func (p *Plan) lateness(now time.Time, g *group) int {
+	j := g.job
+	if j.spec.Times > 0 || g.step.Service {
+		return 0
+	}
+	if now.Add(chain(j.spec.Steps, g.stepNo)).After(j.objective) {
+		return 1
+	}
+	return 0
+}
+
+func (p *Plan) priority(j *job) int {
+	if q, ok := p.catalog.Queue(j.spec.Queue); ok {
+		return q.Priority
+	}
+	return 0
+}
+
+// place starts as many tasks as there is room for.
+func (p *Plan) place(now time.Time) {
+	if p.catalog == nil {
+		return
+	}
+	p.refreshGroups(now)
+	if len(p.groups) == 0 {
+		return
+	}
+	candidates := p.candidates(now)
+	if len(candidates) == 0 {
+		return
+	}
+	for _, g := range p.groups {
+		if g.job.inherited && !p.settled {
+			continue
+		}
+		if !p.advised(now, g, candidates) {
+			continue
+		}
+		if g.step.Gang {
+			p.placeGang(now, g, candidates)
+			continue
+		}
+		p.placeTasks(now, g, candidates)
+	}
+}
+
+// candidates returns the executors that accept work, in a fixed order.
+func (p *Plan) candidates(now time.Time) []*executor {
+	var list []*executor
+	for _, id := range slices.Sorted(maps.Keys(p.executors)) {
+		if e := p.executors[id]; e.accepts(now) && e.lease(now, p.leaseTerm()) > 0 {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func (p *Plan) placeTasks(now time.Time, g *group, candidates []*executor) {
+	for _, t := range g.tasks {
+		if !t.open() || now.Before(t.notBefore) {
+			continue
+		}
+		if !p.withinLimit(g, 1) {
+			return
+		}
+		e := p.choose(g, t, candidates, nil)
+		if e == nil {
+			return
+		}
+		p.start(now, t, e, p.nextAttempt(t))
+	}
+}
+
+// placeGang starts all members of a gang, or none.
+func (p *Plan) placeGang(now time.Time, g *group, candidates []*executor) {
+	for _, t := range g.tasks {
+		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
+			return
+		}
+	}
+	if !p.withinLimit(g, int64(len(g.tasks))) {
+		return
+	}
+	places := p.gangPlaces(g, candidates)
+	if places == nil {
+		return
+	}
+	attempt := 0
+	for _, t := range g.tasks {
+		attempt = max(attempt, p.nextAttempt(t))
+	}
+	for i, t := range g.tasks {
+		p.start(now, t, places[i], attempt)
+	}
+}
+
+// gangPlaces returns an executor for each member, in one rack if the step asks
+// for it and there is one with room.
+func (p *Plan) gangPlaces(g *group, candidates []*executor) []*executor {
+	if g.step.OneRack {
+		byRack := make(map[string][]*executor)
+		for _, e := range candidates {
+			byRack[e.Rack] = append(byRack[e.Rack], e)
+		}
+		for _, rack := range slices.Sorted(maps.Keys(byRack)) {
+			if places := p.fitGang(g, byRack[rack]); places != nil {
+				return places
+			}
+		}
+	}
+	return p.fitGang(g, candidates)
+}
+
+func (p *Plan) fitGang(g *group, candidates []*executor) []*executor {
+	planned := make(map[*executor]int)
+	places := make([]*executor, 0, len(g.tasks))
+	for _, t := range g.tasks {
+		e := p.choose(g, t, candidates, planned)
+		if e == nil {
+			return nil
+		}
+		planned[e]++
+		places = append(places, e)
+	}
+	return places
+}
+
+// choose returns the best executor for a task, or nil. planned counts the
+// members of the same group that are to start there too.
+func (p *Plan) choose(g *group, t *task, candidates []*executor, planned map[*executor]int) *executor {
+	var best *executor
+	var bestCost int64
+	demand := g.step.Demand()
+	for _, e := range candidates {
+		n := int64(planned[e])
+		if !scale(demand, n+1).Fits(e.free()) || !g.allows(e, int(n)) {
+			continue
+		}
+		cost := p.cost(g, t, e)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
+
+// cost is lower the better the executor suits the task.
+func (p *Plan) cost(g *group, t *task, e *executor) int64 {
+	cost := e.used.MilliCPU * 1000 / max(e.Capacity.MilliCPU, 1)
+	if g.step.DataRack != "" && g.step.DataRack != e.Rack {
+		cost += weightFar
+	}
+	if t.lastFailed == e.ID {
+		cost += weightFailed
+	}
+	if g.step.Filler && e.serviceRuns > 0 || g.step.Service && g.step.LatencyTarget > 0 && e.fillerRuns > 0 {
+		cost += weightMixed
+	}
+	return cost
+}
+
+// allows reports whether the step's constraints permit one more task on e.
+func (g *group) allows(e *executor, planned int) bool {
+	if g.step.Label != "" && !slices.Contains(e.Labels, g.step.Label) {
+		return false
+	}
+	if g.advice != nil {
+		if _, ok := g.advice.allowed[e.ID]; !ok {
+			return false
+		}
+	}
+	if g.step.MaxPerExecutor <= 0 {
+		return true
+	}
+	n := planned
+	for _, t := range g.tasks {
+		for _, r := range t.runs {
+			if r.executor == e {
+				n++
+			}
+		}
+	}
+	return n < g.step.MaxPerExecutor
+}
+
+// withinLimit reports whether the group's tenant may start n more of its tasks.
+func (p *Plan) withinLimit(g *group, n int64) bool {
+	tenant, ok := p.catalog.Tenants[g.job.spec.Tenant]
+	if !ok {
+		return true
+	}
+	after := p.used[tenant.Name].Add(scale(g.step.Size, n))
+	limit := p.limits[tenant.Name]
+	return within(after, limit, tenant.Maximum)
+}
+
+// within reports whether r is at or under limit in each dimension that maximum
+// bounds.
+func within(r, limit, maximum fleet.Resources) bool {
+	return (maximum.MilliCPU == 0 || r.MilliCPU <= limit.MilliCPU) &&
+		(maximum.MemoryBytes == 0 || r.MemoryBytes <= limit.MemoryBytes) &&
+		(maximum.Accelerators == 0 || r.Accelerators <= limit.Accelerators)
+}
+
+func (p *Plan) nextAttempt(t *task) int {
+	base := t.attempts
+	if t.group.job.inherited {
+		base = max(base, (p.term-1)*attemptsPerTerm)
+	}
+	return base + 1
+}
+
+func (p *Plan) start(now time.Time, t *task, e *executor, attempt int) {
+	g := t.group
+	t.attempts = attempt
+	r := &run{
+		key:       runKey{t.id(), attempt},
+		task:      t,
+		executor:  e,
+		orderedAt: now,
+		percentAt: now,
+		tries:     1,
+		pace:      100,
+	}
+	e.runs[r.key] = r
+	t.runs = append(t.runs, r)
+	g.job.begun = true
+	p.charge(r, 1)
+	until := e.lease(now, p.leaseTerm())
+	e.grant(now, until)
+	s := Start{
+		Target:     e.target(),
+		Task:       r.key.task,
+		Attempt:    attempt,
+		Text:       g.job.spec.Text,
+		LeaseUntil: until,
+		Reason:     "room",
+		Waited:     now.Sub(g.readyAt),
+	}
+	if g.step.Checkpoints {
+		s.Checkpoint = t.checkpoint
+	}
+	if g.advice != nil {
+		s.Ticket = g.advice.allowed[e.ID]
+	}
+	p.orders = append(p.orders, s)
+}
+
+// relocate moves service tasks off executors that leave, and repeats stops that
+// have no effect yet.
+func (p *Plan) relocate(now time.Time) {
+	for _, e := range p.executors {
+		for _, r := range e.runs {
+			switch {
+			case r.state == runStopping:
+				p.stop(now, r, r.stopReason)
+			case r.state == runRunning && r.task.group.step.Service && e.Draining:
+				p.stop(now, r, "executor is draining")
+			case r.state == runRunning && r.task.group.step.Service && e.Cordoned && p.mayInterrupt(now, r):
+				p.stop(now, r, "executor is cordoned")
+			}
+		}
+	}
+}
+
+// mayInterrupt reports whether a service task may be away now: all the others
+// of its step have been at work for the notice time.
+func (p *Plan) mayInterrupt(now time.Time, r *run) bool {
+	g := r.task.group
+	if g.step.MaxUnavailable <= 0 {
+		return true
+	}
+	away := 0
+	for _, t := range g.tasks {
+		if t != r.task && !t.atWork(now, p.params.Notice) {
+			away++
+		}
+	}
+	return away < g.step.MaxUnavailable
+}
+
+// atWork reports whether a service task has worked for at least d.
+func (t *task) atWork(now time.Time, d time.Duration) bool {
+	for _, r := range t.runs {
+		if r.state == runRunning && r.percent == 100 && now.Sub(r.percentAt) >= d {
+			return true
+		}
+	}
+	return false
+}
+
+// Next returns when Step should be called again for want of other events.
+func (p *Plan) Next(now time.Time) time.Time {
+	next := now.Add(idleTick)
+	for _, e := range p.executors {
+		if !e.holding && len(e.runs) > 0 && e.holdAt.After(now) && e.holdAt.Before(next) {
+			next = e.holdAt
+		}
+	}
+	return next
+}
+
+// idleTick is the longest time between two steps.
+const idleTick = 200 * time.Millisecond
--- /dev/null
+++ b/decision/poolplan/plan.go
@@ -0,0 +1,219 @@
+// Package poolplan plans the work of one pool: which task starts on which
+// executor, which runs are stopped, held and paced, and what has to be saved.
+//
+// A Plan is driven by messages (jobs, executors, answers, reports) and by
+// calls of Step, and returns orders. It performs no I/O and reads no clock.
+package poolplan
+
+import (
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/decision/workload"
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+// Params are the bounds of the deployment that the plan depends on.
+type Params struct {
+	// HoldMax is the longest lease that an executor grants.
+	HoldMax time.Duration
+	// OwnerLapse is the longest time for which an earlier owner of the pool may
+	// go on giving orders after this one took over.
+	OwnerLapse time.Duration
+	// RemoteFactor is how much longer a task takes away from its data.
+	RemoteFactor float64
+	// GangTimeout is how long a gang's task waits for the others.
+	GangTimeout time.Duration
+	// Impact is how long a service task may be over its target because of
+	// fillers.
+	Impact time.Duration
+	// Notice is how long before a stop other service tasks must have worked.
+	Notice time.Duration
+}
+
+// Timing of the plan.
+const (
+	// holdWait is how long an executor may hold back a report for want of an
+	// end. The protocol allows 2 s; shorter waits notice silence sooner.
+	holdWait = 1500 * time.Millisecond
+	// holdPause collects ends that follow each other closely in one report.
+	holdPause = 20 * time.Millisecond
+	// unsavedPause separates reports while ends wait to be saved, because the
+	// executor answers at once while it has ends to list.
+	unsavedPause = 700 * time.Millisecond
+	// silentRetry separates holds to an executor that did not answer.
+	silentRetry = 400 * time.Millisecond
+	// clockDrift is how much slower than true time an executor's clock may
+	// run, from the platform's pages.
+	clockDrift = 0.02
+	// lapseMargin covers the time that an executor takes to end what lapsed.
+	lapseMargin = 500 * time.Millisecond
+	// lateOrder is the longest delay after which an unanswered order may still
+	// be carried out, from the platform's list of troubles.
+	lateOrder = 12 * time.Second
+	// attemptsPerTerm separates the attempt numbers of successive owners,
+	// because an owner does not know all attempts of the one before.
+	attemptsPerTerm = 64
+)
+
+// Plan is the state of one pool. It is owned by one duty.
+type Plan struct {
+	pool    string
+	term    int
+	params  Params
+	catalog *catalog.Catalog
+
+	executors map[string]*executor
+	jobs      map[string]*job
+	groups    []*group
+	regroup   bool
+	limits    map[string]fleet.Resources
+	used      map[string]fleet.Resources
+	orders    []Order
+	unsaved   map[string]*job
+	deposed   bool
+	takeover  time.Time
+	// settled tells that no run of an earlier owner can be alive unseen.
+	settled bool
+	// advising counts the open calls for advice.
+	advising int
+	events   []Event
+}
+
+// Event is a decision or a change of belief worth a line in the log.
+type Event struct {
+	What   string
+	Job    string
+	Task   string
+	Peer   string
+	Reason string
+	Age    time.Duration
+}
+
+// New returns the plan of an owner that took over at now. term counts the
+// owners that the pool has had, from one.
+func New(pool string, term int, now time.Time, params Params) *Plan {
+	return &Plan{
+		pool:      pool,
+		term:      term,
+		params:    params,
+		executors: make(map[string]*executor),
+		jobs:      make(map[string]*job),
+		limits:    make(map[string]fleet.Resources),
+		used:      make(map[string]fleet.Resources),
+		unsaved:   make(map[string]*job),
+		takeover:  now,
+		settled:   term <= 1,
+	}
+}
+
+// SetCatalog replaces the configuration.
+func (p *Plan) SetCatalog(c *catalog.Catalog) {
+	p.catalog = c
+	p.regroup = true
+}
+
+// SetLimits replaces what tenants may have running in this pool. A tenant
+// without an entry may start nothing.
+func (p *Plan) SetLimits(limits map[string]fleet.Resources) { p.limits = limits }
+
+// Deposed reports whether an executor has seen a later owner.
+func (p *Plan) Deposed() bool { return p.deposed }
+
+// Events returns what was decided since the last call.
+func (p *Plan) Events() []Event {
+	events := p.events
+	p.events = nil
+	return events
+}
+
+func (p *Plan) note(e Event) { p.events = append(p.events, e) }
+
+// Step decides what to do at now and returns the orders.
+func (p *Plan) Step(now time.Time) []Order {
+	if p.deposed {
+		return nil
+	}
+	p.expire(now)
+	p.settle(now)
+	p.stopCancelled(now)
+	p.relocate(now)
+	p.watch(now)
+	p.place(now)
+	p.hold(now)
+	orders := p.orders
+	p.orders = nil
+	return orders
+}
+
+// settle notes when every executor that an earlier owner may have used has
+// either answered this owner or certainly lost its lease.
+func (p *Plan) settle(now time.Time) {
+	if p.settled {
+		return
+	}
+	if now.Sub(p.takeover) < p.inheritedLapse() {
+		for _, e := range p.executors {
+			if e.inherited && !e.fenced {
+				return
+			}
+		}
+	}
+	p.settled = true
+	p.regroup = true
+	p.note(Event{What: "inherited work accounted for", Age: now.Sub(p.takeover)})
+}
+
+// inheritedLapse is when all leases that an earlier owner granted are over.
+func (p *Plan) inheritedLapse() time.Duration {
+	lease := time.Duration(float64(p.params.HoldMax) * (1 + clockDrift))
+	return p.params.OwnerLapse + lease + lapseMargin
+}
+
+// Use returns what the tenants have running here, the largest demand that
+// could start at once included in want.
+func (p *Plan) Use() (used, want map[string]fleet.Resources) {
+	used = make(map[string]fleet.Resources, len(p.used))
+	want = make(map[string]fleet.Resources, len(p.used))
+	for tenant, r := range p.used {
+		used[tenant] = r
+		want[tenant] = r
+	}
+	for _, g := range p.groups {
+		if !g.ready {
+			continue
+		}
+		waiting := int64(g.waiting())
+		size := g.step.Size
+		want[g.job.spec.Tenant] = want[g.job.spec.Tenant].Add(fleet.Resources{
+			MilliCPU:     size.MilliCPU * waiting,
+			MemoryBytes:  size.MemoryBytes * waiting,
+			Accelerators: size.Accelerators * waiting,
+		})
+	}
+	return used, want
+}
+
+// Settled reports whether all work of earlier owners is accounted for.
+func (p *Plan) Settled() bool { return p.settled }
+
+// taskOf returns the task that a name stands for, or nil.
+func (p *Plan) taskOf(id workload.TaskID) *task {
+	j := p.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	return j.task(id.TaskName)
+}
+
+// Runs returns the number of runs that are not certainly over.
+func (p *Plan) Runs() int {
+	n := 0
+	for _, e := range p.executors {
+		n += len(e.runs)
+	}
+	return n
+}
+
+// Jobs returns the number of jobs that have not ended.
+func (p *Plan) Jobs() int { return len(p.jobs) }
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -40,6 +40,7 @@
 	HostRetirement time.Duration `arg:"--host-retirement,env:FUCHSIAFRONT_HOST_RETIREMENT" default:"30m" help:"time after which a host that is missing from the host list loses its pool, unless many of its zone are missing" placeholder:"DURATION" range:"1m to 24h"`
 	Preset         string        `arg:"--preset,env:FUCHSIAFRONT_PRESET" help:"deployment whose weights of buffer cost, roll-out time, moves and share apply to waves and moves" placeholder:"NAME" unit:"name" range:"tan-seng-huat, mare-viva, or empty to weigh all alike"`
 	LogLevel       string        `arg:"--log-level,env:FUCHSIAFRONT_LOG_LEVEL" default:"info" help:"trace, debug, info, warn or error" placeholder:"LEVEL" unit:"name" range:"trace, debug, info, warn or error; empty means info"`
+	Boot           string        `arg:"--boot,env:FUCHSIAFRONT_BOOT" help:"settings file of the users' platform; when given, the host runs there and of the other settings only the log level and --check apply" placeholder:"FILE" unit:"file name" range:"a readable file, or empty"`
 	Check          bool          `arg:"--check" help:"check the settings and exit"`
 }
 
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -80,6 +80,8 @@
 	ReasonHoldTermOver      Reason = "hold-term-over"
 	ReasonPeerUnreachable   Reason = "peer-unreachable"
 	ReasonInternal          Reason = "internal"
+	ReasonSuperseded        Reason = "superseded"
+	ReasonMachineBusy       Reason = "machine-busy"
 )
 
 // Error is a fault with the step and the peer at which it arose.
--- /dev/null
+++ b/fleethost/fleethost.go
@@ -0,0 +1,116 @@
+// Package fleethost assembles an entry host that runs on the users' platform.
+package fleethost
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fuchsiafront.example/fuchsiafront/decision/poolplan"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/platform"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/services/catalog"
+	"fuchsiafront.example/fuchsiafront/services/jobdesk"
+	"fuchsiafront.example/fuchsiafront/services/logsink"
+	"fuchsiafront.example/fuchsiafront/services/metrics"
+	"fuchsiafront.example/fuchsiafront/services/ownership"
+	"fuchsiafront.example/fuchsiafront/services/pools"
+)
+
+const (
+	// memoryShare is the part of the machine's memory, in percent, above which
+	// the garbage collector works harder.
+	memoryShare = 60
+	// keepMargin is how much longer than the platform asks for the records of
+	// ended jobs stay.
+	keepMargin = 5
+	// stopMargin is kept of the platform's grace time for the exit itself.
+	stopMargin = time.Second
+)
+
+// Host is the assembled process.
+type Host struct {
+	path    string
+	adapter *platform.Adapter
+	kernel  *kernel.Kernel
+	log     zerolog.Logger
+}
+
+// New assembles the process from the platform's settings file. Logs go to out.
+func New(path string, level zerolog.Level, out io.Writer, clock services.Clock) (*Host, error) {
+	settings, err := platform.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	measured, scope := metrics.New(zerolog.New(out))
+	sink := logsink.New(out, scope)
+	log := zerolog.New(sink).Level(level).With().Timestamp().Str("host", settings.NodeName).Logger()
+	h := &Host{path: path, adapter: platform.New(settings), log: log, kernel: kernel.New(log, scope)}
+	k := h.kernel
+	k.Register(services.NameLog, sink)
+	k.Register(services.NameMetrics, measured)
+	k.Register(services.NamePlatform, h.adapter)
+	k.Register(services.NameCatalog, catalog.New(clock))
+	k.Register(services.NameOwnership, ownership.New(ownership.Settings{
+		Host: settings.NodeName, Incarnation: clock().UnixNano(), Power: settings.Limits.CPUShare,
+	}, clock))
+	k.Register(services.NamePools, pools.New(pools.Settings{Params: params(settings), KeepEnded: keepEnded(settings)}, clock))
+	k.Register(services.NameJobDesk, jobdesk.New(clock))
+	k.Register(services.NameJobFront, platform.NewJobFront(h.adapter, clock))
+	return h, nil
+}
+
+func params(s *platform.Settings) poolplan.Params {
+	return poolplan.Params{
+		HoldMax:      platform.Milliseconds(s.Bounds.LeaseMaxMs),
+		RemoteFactor: s.Bounds.RemoteFactor,
+		GangTimeout:  platform.Milliseconds(s.Bounds.GangTimeoutMs),
+		Impact:       platform.Milliseconds(s.Bounds.ImpactMs),
+		Notice:       platform.Milliseconds(s.Bounds.NoticeMs),
+	}
+}
+
+func keepEnded(s *platform.Settings) time.Duration {
+	return keepMargin * platform.Seconds(s.Bounds.StatusS)
+}
+
+// Run serves until the process is told to stop.
+func (h *Host) Run() error {
+	settings := h.adapter.Settings()
+	debug.SetMemoryLimit(settings.Limits.MemoryMB << 20 * memoryShare / 100)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	signal.Ignore(syscall.SIGPIPE)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go h.reloadOn(ctx, reload)
+	h.log.Info().Str("zone", settings.Zone).Str("jobs", settings.Listen.Jobs).Str("store", settings.Store.Address).
+		Float64("cpu_share", settings.Limits.CPUShare).Int64("memory_mb", settings.Limits.MemoryMB).Msg("starting")
+	return h.kernel.Run(ctx, platform.Seconds(settings.Bounds.GraceS)-stopMargin)
+}
+
+// reloadOn reads the settings file again whenever the platform says that it has
+// changed. A file that cannot be used changes nothing.
+func (h *Host) reloadOn(ctx context.Context, signals <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			settings, err := platform.Load(h.path)
+			if err != nil {
+				h.log.Error().Err(err).Msg("settings not reloaded; those in force stay")
+				continue
+			}
+			h.adapter.Reload(settings)
+			h.log.Info().Str("store", settings.Store.Address).Msg("settings reloaded")
+		}
+	}
+}
--- /dev/null
+++ b/services/catalog/catalog.go
@@ -0,0 +1,147 @@
+// Package catalog is the service that keeps the operator's configuration and
+// waves. The duty catalog.follow owns the state; readers get the latest
+// version, which never goes back.
+package catalog
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+const (
+	// followWait is how long the store may hold back an answer. A connection
+	// that has gone silent is noticed that much later.
+	followWait = time.Second
+	// retryPause separates reads while the store does not answer.
+	retryPause = 250 * time.Millisecond
+)
+
+// Service implements services.Catalogs.
+type Service struct {
+	log      zerolog.Logger
+	operator services.Operator
+	clock    services.Clock
+	view     atomic.Pointer[view]
+	rings    []*ring.Ring[struct{}]
+	age      tally.Gauge
+	scope    tally.Scope
+}
+
+type view struct {
+	catalog *catalog.Catalog
+	waves   map[int]services.MaintenanceWave
+	readAt  time.Time
+}
+
+// New returns the service.
+func New(clock services.Clock) *Service {
+	s := &Service{clock: clock}
+	s.view.Store(&view{waves: map[int]services.MaintenanceWave{}})
+	return s
+}
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(c *kernel.Context) error {
+	s.log, s.scope = c.Log, c.Scope
+	s.age = c.Scope.Gauge("catalog_age_seconds")
+	var err error
+	s.operator, err = kernel.Lookup[services.Operator](c, services.NamePlatform)
+	c.Duty("catalog.follow", s.follow)
+	return err
+}
+
+// Catalog implements services.Catalogs.
+func (s *Service) Catalog() *catalog.Catalog { return s.view.Load().catalog }
+
+// Waves implements services.Catalogs.
+func (s *Service) Waves() []services.MaintenanceWave {
+	v := s.view.Load()
+	waves := make([]services.MaintenanceWave, 0, len(v.waves))
+	for _, n := range slices.Sorted(maps.Keys(v.waves)) {
+		waves = append(waves, v.waves[n])
+	}
+	return waves
+}
+
+// Changed implements services.Catalogs.
+func (s *Service) Changed(name string) services.ChangedRing {
+	r := ring.New[struct{}](name, 1, s.scope)
+	s.rings = append(s.rings, r)
+	return r
+}
+
+// follow reads the whole state once, then its changes.
+func (s *Service) follow(ctx context.Context) {
+	version := int64(0)
+	for ctx.Err() == nil {
+		state, err := s.read(ctx, version)
+		if err != nil {
+			s.age.Update(s.clock().Sub(s.view.Load().readAt).Seconds())
+			pause(ctx, retryPause)
+			continue
+		}
+		if state.Forgotten {
+			s.log.Info().Int64("version", version).Msg("changes forgotten by the store; reading all")
+			version = 0
+			continue
+		}
+		version = max(version, state.Version)
+		s.apply(state)
+	}
+}
+
+func (s *Service) read(ctx context.Context, version int64) (services.OperatorState, error) {
+	if version == 0 {
+		return s.operator.ReadOperator(ctx)
+	}
+	return s.operator.FollowOperator(ctx, version, followWait)
+}
+
+func (s *Service) apply(state services.OperatorState) {
+	old := s.view.Load()
+	next := &view{catalog: old.catalog, waves: old.waves, readAt: s.clock()}
+	changed := false
+	if c := state.Catalog; c != nil && (old.catalog == nil || c.Version > old.catalog.Version) {
+		next.catalog, changed = c, true
+		s.log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Int("tenants", len(c.Tenants)).Msg("configuration in force")
+	}
+	if len(state.Waves) > 0 {
+		next.waves = maps.Clone(old.waves)
+		for _, w := range state.Waves {
+			if old.waves[w.Number].Version >= w.Version {
+				continue
+			}
+			next.waves[w.Number], changed = w, true
+			s.log.Info().Int("wave", w.Number).Int("machines", len(w.Machines)).Int("max_down", w.MaxDown).Dur("duration", w.Duration).Msg("wave asked for")
+		}
+	}
+	s.view.Store(next)
+	s.age.Update(0)
+	if !changed {
+		return
+	}
+	for _, r := range s.rings {
+		r.OfferLatest(struct{}{})
+	}
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/services/jobdesk/jobdesk.go
@@ -0,0 +1,267 @@
+// Package jobdesk is the service that records callers' jobs and cancellations
+// and tells how far jobs are. It keeps nothing: every answer comes from the
+// platform's store, so that all hosts give the same one. Callers' goroutines
+// perform its calls.
+package jobdesk
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/decision/workload"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
+)
+
+const (
+	// refuseAfter is how long a job that is certainly not recorded is tried
+	// again before it is refused. A quarter of the shortest latency target of
+	// the deployments is 150 ms.
+	refuseAfter = 120 * time.Millisecond
+	// retryPause separates attempts.
+	retryPause = 30 * time.Millisecond
+	// answerMargin is kept of a caller's time for the answer.
+	answerMargin = 150 * time.Millisecond
+)
+
+// Service implements services.JobDesk.
+type Service struct {
+	clock     services.Clock
+	log       zerolog.Logger
+	records   services.Records
+	catalogs  services.Catalogs
+	metrics   services.Metrics
+	submitted tally.Histogram
+	looked    tally.Histogram
+}
+
+// New returns the service.
+func New(clock services.Clock) *Service { return &Service{clock: clock} }
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(c *kernel.Context) error {
+	s.log = c.Log
+	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 13)
+	s.submitted = c.Scope.Histogram("job_submit_seconds", buckets)
+	s.looked = c.Scope.Histogram("job_state_seconds", buckets)
+	var err error
+	if s.records, err = kernel.Lookup[services.Records](c, services.NamePlatform); err != nil {
+		return err
+	}
+	if s.catalogs, err = kernel.Lookup[services.Catalogs](c, services.NameCatalog); err != nil {
+		return err
+	}
+	s.metrics, err = kernel.Lookup[services.Metrics](c, services.NameMetrics)
+	return err
+}
+
+// Submit implements services.JobDesk. A repeat under the same identifier finds
+// the record of the first and succeeds.
+func (s *Service) Submit(ctx context.Context, q *catalog.Queue, spec *workload.Spec) error {
+	start := s.clock()
+	defer func() { s.submitted.RecordDuration(s.clock().Sub(start)) }()
+	value, err := jobrecord.EncodeSpec(spec)
+	if err != nil {
+		return fault.New(&fault.Invalid, fault.ReasonMalformed, "encode job", "", "%w", err)
+	}
+	key := jobrecord.Job(q.Service, spec.ID)
+	tx := services.RecordTx{
+		Conditions: []services.RecordCondition{{RecordKey: key}},
+		Writes:     []services.RecordWrite{{RecordKey: key, Value: value}},
+	}
+	commit, err := s.commit(ctx, tx, "submit")
+	log := s.log.Info().Str("job", spec.ID).Str("queue", q.Name).Str("tenant", spec.Tenant).Str("pool", q.Service).Dur("took", s.clock().Sub(start))
+	if err != nil {
+		log.Err(err).Msg("job refused")
+		return err
+	}
+	log.Int64("version", commit.Version).Bool("repeat", !commit.Committed).Msg("job accepted")
+	return nil
+}
+
+// commit writes until the store answers, as long as the caller waits. The
+// error says whether any attempt may have taken effect.
+func (s *Service) commit(ctx context.Context, tx services.RecordTx, step string) (services.RecordCommit, error) {
+	start := s.clock()
+	unsure := false
+	for {
+		commit, err := s.records.Commit(ctx, tx)
+		if err == nil {
+			return commit, nil
+		}
+		unsure = unsure || !fault.IsNotRun(err)
+		reason := fault.ReasonOf(err)
+		if !unsure && s.clock().Sub(start) > refuseAfter {
+			return commit, err
+		}
+		if !s.timeLeft(ctx) || !pause(ctx, retryPause) {
+			if unsure {
+				return commit, fault.New(&fault.Unknown, reason, step, "", "%w", err)
+			}
+			return commit, err
+		}
+		s.metrics.Retried(step, reason)
+	}
+}
+
+// timeLeft reports whether the caller waits long enough for another attempt.
+func (s *Service) timeLeft(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return !ok || deadline.Sub(s.clock()) > answerMargin
+}
+
+// job is what the store holds of a job.
+type job struct {
+	pool      string
+	tenant    string
+	state     workload.State
+	cancelled bool
+}
+
+// find looks a job up in the pool of its queue, and then in the others, because
+// the queue may have had another pool when the job was recorded.
+func (s *Service) find(ctx context.Context, q *catalog.Queue, id string) (*job, error) {
+	found, err := s.findIn(ctx, q.Service, id)
+	if found != nil || err != nil {
+		return found, err
+	}
+	for name := range s.catalogs.Catalog().Services {
+		if name == q.Service {
+			continue
+		}
+		if found, err = s.findIn(ctx, name, id); found != nil || err != nil {
+			return found, err
+		}
+	}
+	return nil, nil
+}
+
+func (s *Service) findIn(ctx context.Context, pool, id string) (*job, error) {
+	shown, err := s.scan(ctx, jobrecord.ProgressRange(pool, id))
+	if err != nil {
+		return nil, err
+	}
+	j := &job{pool: pool}
+	known := false
+	for i := range shown {
+		switch _, kind := jobrecord.Parse(shown[i].Key); kind {
+		case jobrecord.KindCancel:
+			j.cancelled, known = true, true
+		case jobrecord.KindProgress:
+			p, err := jobrecord.DecodeProgress(id, shown[i].Value)
+			if err != nil {
+				return nil, fault.New(&fault.NotRun, fault.ReasonMalformed, "read progress", pool, "%w", err)
+			}
+			j.state, known = p.State, true
+		}
+	}
+	if known {
+		return j, nil
+	}
+	return s.findUnbegun(ctx, pool, id)
+}
+
+// findUnbegun looks up a job without recorded progress.
+func (s *Service) findUnbegun(ctx context.Context, pool, id string) (*job, error) {
+	records, err := s.scan(ctx, jobrecord.JobRange(pool, id))
+	if err != nil || len(records) == 0 {
+		return nil, err
+	}
+	j := &job{pool: pool}
+	status, err := s.status(ctx, pool)
+	if err != nil {
+		return nil, err
+	}
+	for _, begun := range status.Begun {
+		if begun == id {
+			j.state = workload.Running
+		}
+	}
+	return j, nil
+}
+
+// scan reads a range, and once more when the store did not answer.
+func (s *Service) scan(ctx context.Context, r services.RecordRange) ([]services.Record, error) {
+	start := s.clock()
+	for {
+		page, err := s.records.Scan(ctx, r)
+		if err == nil {
+			return page.Records, nil
+		}
+		if s.clock().Sub(start) > refuseAfter || !s.timeLeft(ctx) || !pause(ctx, retryPause) {
+			return nil, err
+		}
+		s.metrics.Retried("scan", fault.ReasonOf(err))
+	}
+}
+
+func (s *Service) status(ctx context.Context, pool string) (jobrecord.StatusRecord, error) {
+	var status jobrecord.StatusRecord
+	key := jobrecord.Status(pool)
+	records, err := s.scan(ctx, services.RecordRange{Table: key.Table, Part: key.Part, From: key.Key, Limit: 1})
+	if err != nil || len(records) == 0 || records[0].Key != key.Key {
+		return status, err
+	}
+	if err := json.Unmarshal(records[0].Value, &status); err != nil {
+		return status, fault.New(&fault.NotRun, fault.ReasonMalformed, "read status", pool, "%w", err)
+	}
+	return status, nil
+}
+
+// State implements services.JobDesk.
+func (s *Service) State(ctx context.Context, q *catalog.Queue, tenant, id string) (workload.State, bool, error) {
+	start := s.clock()
+	defer func() { s.looked.RecordDuration(s.clock().Sub(start)) }()
+	j, err := s.find(ctx, q, id)
+	if err != nil || j == nil {
+		return 0, false, err
+	}
+	if j.cancelled && !j.state.Ended() {
+		return workload.Cancelled, true, nil
+	}
+	return j.state, true, nil
+}
+
+// Cancel implements services.JobDesk.
+func (s *Service) Cancel(ctx context.Context, q *catalog.Queue, tenant, id string) (bool, error) {
+	j, err := s.find(ctx, q, id)
+	if err != nil || j == nil {
+		return false, err
+	}
+	if j.cancelled || j.state.Ended() {
+		return true, nil
+	}
+	value := []byte("{}")
+	tx := services.RecordTx{Writes: []services.RecordWrite{
+		{RecordKey: jobrecord.Cancel(j.pool, id), Value: value},
+		{RecordKey: jobrecord.ShownCancel(j.pool, id), Value: value},
+	}}
+	commit, err := s.commit(ctx, tx, "cancel")
+	s.log.Info().Err(err).Str("job", id).Str("queue", q.Name).Int64("version", commit.Version).Msg("job cancelled")
+	return true, err
+}
+
+// Pending implements services.JobDesk.
+func (s *Service) Pending(ctx context.Context, q *catalog.Queue) (int, error) {
+	status, err := s.status(ctx, q.Service)
+	return status.Pending[q.Name], err
+}
+
+// pause waits for d and reports whether ctx still lasts.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/services/ownership/ownership.go
@@ -0,0 +1,275 @@
+// Package ownership is the service that claims pools and renews the claims.
+// The duty ownership.watch owns all its state.
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
+)
+
+const (
+	// pollEvery separates looks at the owner records.
+	pollEvery = 300 * time.Millisecond
+	// pollGap is the longest time between two looks that still shows that a
+	// record has not changed in between by its owner's fault.
+	pollGap  = 1200 * time.Millisecond
+	lostRing = 16
+)
+
+// Settings of the service.
+type Settings struct {
+	Host        string
+	Incarnation int64
+	// Power is the processor share of the host, in cores.
+	Power float64
+}
+
+// Service implements services.Ownership.
+type Service struct {
+	settings Settings
+	clock    services.Clock
+	log      zerolog.Logger
+	scope    tally.Scope
+	records  services.Records
+	catalogs services.Catalogs
+	rings    []*ring.Ring[struct{}]
+	lost     *ring.Ring[services.Tenure]
+	tenures  atomic.Pointer[map[string]services.Tenure]
+	draining atomic.Bool
+
+	// The rest is owned by the duty.
+	pools    map[string]*pool
+	version  int64
+	lastPoll time.Time
+	owned    tally.Gauge
+}
+
+// pool is what the duty knows of one pool.
+type pool struct {
+	name    string
+	record  jobrecord.OwnerRecord
+	version int64
+	known   bool
+	// unchanged and free add up the time between successful looks.
+	unchanged time.Duration
+	free      time.Duration
+	tenure    *services.Tenure
+	renewAt   time.Time
+	// claimedAt is when the last claim was sent.
+	claimedAt time.Time
+}
+
+// New returns the service.
+func New(s Settings, clock services.Clock) *Service {
+	service := &Service{settings: s, clock: clock, pools: make(map[string]*pool)}
+	service.tenures.Store(&map[string]services.Tenure{})
+	return service
+}
+
+// Provision implements kernel.Service.
+func (s *Service) Provision(c *kernel.Context) error {
+	s.log, s.scope = c.Log, c.Scope
+	s.owned = c.Scope.Gauge("pools_owned")
+	s.lost = ring.New[services.Tenure]("ownership.lost", lostRing, c.Scope)
+	var err error
+	if s.records, err = kernel.Lookup[services.Records](c, services.NamePlatform); err != nil {
+		return err
+	}
+	if s.catalogs, err = kernel.Lookup[services.Catalogs](c, services.NameCatalog); err != nil {
+		return err
+	}
+	c.Duty("ownership.watch", s.watch)
+	return nil
+}
+
+// Tenures implements services.Ownership.
+func (s *Service) Tenures() map[string]services.Tenure { return *s.tenures.Load() }
+
+// TenuresChanged implements services.Ownership.
+func (s *Service) TenuresChanged(name string) services.ChangedRing {
+	r := ring.New[struct{}](name, 1, s.scope)
+	s.rings = append(s.rings, r)
+	return r
+}
+
+// Lost implements services.Ownership.
+func (s *Service) Lost(t services.Tenure) { s.lost.OfferLatest(t) }
+
+// Drain gives all pools up, so that other hosts claim them at once.
+func (s *Service) Drain(context.Context) error {
+	s.draining.Store(true)
+	return nil
+}
+
+func (s *Service) watch(ctx context.Context) {
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case t := <-s.lost.C():
+			s.forget(t)
+		case <-ticker.C:
+			s.round(ctx)
+		}
+	}
+}
+
+// forget drops a tenure that another process was seen to have ended.
+func (s *Service) forget(t services.Tenure) {
+	p := s.pools[t.Pool]
+	if p == nil || p.tenure == nil || p.tenure.Term != t.Term {
+		return
+	}
+	s.log.Warn().Str("pool", t.Pool).Int("term", t.Term).Msg("pool lost")
+	p.tenure = nil
+	s.publish()
+}
+
+func (s *Service) round(ctx context.Context) {
+	catalog := s.catalogs.Catalog()
+	if catalog == nil {
+		return
+	}
+	s.addPool(services.PoolMachines)
+	for name := range catalog.Services {
+		s.addPool(name)
+	}
+	if s.draining.Load() {
+		s.release(ctx)
+		return
+	}
+	if err := s.look(ctx); err != nil {
+		return
+	}
+	for _, p := range s.pools {
+		if p.tenure != nil {
+			s.renew(ctx, p)
+		}
+	}
+	for _, p := range s.pools {
+		s.claim(ctx, p)
+	}
+}
+
+func (s *Service) addPool(name string) {
+	if s.pools[name] == nil {
+		s.pools[name] = &pool{name: name}
+		s.version = 0
+	}
+}
+
+// look reads the owner records, or their changes.
+func (s *Service) look(ctx context.Context) error {
+	now := s.clock()
+	records, err := s.read(ctx)
+	if err != nil {
+		return err
+	}
+	changed := make(map[string]bool)
+	for i := range records {
+		r := &records[i]
+		if p := s.pools[r.Part]; p != nil && r.RecordKey == jobrecord.Owner(r.Part) {
+			changed[r.Part] = s.learn(p, r) || changed[r.Part]
+		}
+	}
+	passed := now.Sub(s.lastPoll)
+	if passed > pollGap {
+		passed = 0
+	}
+	s.lastPoll = now
+	for _, p := range s.pools {
+		p.unchanged += passed
+		p.free += passed
+		if changed[p.name] {
+			p.unchanged, p.free = 0, 0
+		}
+		p.known = true
+	}
+	return nil
+}
+
+func (s *Service) read(ctx context.Context) ([]services.Record, error) {
+	if s.version > 0 {
+		changes, err := s.records.Changes(ctx, jobrecord.TableOwners, s.version, 0)
+		if err != nil {
+			return nil, err
+		}
+		if !changes.Forgotten {
+			s.version = max(s.version, changes.Version)
+			return changes.Records, nil
+		}
+		s.log.Info().Int64("version", s.version).Msg("changes forgotten by the store; reading all owners")
+	}
+	var all []services.Record
+	version := int64(0)
+	for name := range s.pools {
+		page, err := s.records.Scan(ctx, services.RecordRange{Table: jobrecord.TableOwners, Part: name})
+		if err != nil {
+			return nil, err
+		}
+		if version == 0 || page.Version < version {
+			version = page.Version
+		}
+		all = append(all, page.Records...)
+	}
+	s.version = version
+	return all, nil
+}
+
+// learn takes in a record and reports whether it is new.
+func (s *Service) learn(p *pool, r *services.Record) bool {
+	if r.Version <= p.version {
+		return false
+	}
+	var record jobrecord.OwnerRecord
+	if err := json.Unmarshal(r.Value, &record); err != nil {
+		s.log.Error().Err(err).Str("record", r.Part+"/"+r.Key).Msg("owner record cannot be read; taken as released")
+		record = jobrecord.OwnerRecord{Released: true}
+	}
+	if record.Holder != p.record.Holder || record.Incarnation != p.record.Incarnation {
+		s.log.Info().Str("pool", p.name).Str("holder", record.Holder).Int("term", record.Term).Msg("pool has an owner")
+	}
+	p.record, p.version = record, r.Version
+	if p.tenure == nil && s.mine(record) && record.Renewals == 0 {
+		// A claim without an answer was carried out.
+		s.take(p, record, r.Version)
+		return true
+	}
+	if p.tenure != nil && !s.mine(record) {
+		s.log.Warn().Str("pool", p.name).Str("holder", record.Holder).Int("term", p.tenure.Term).Msg("pool lost")
+		p.tenure = nil
+		s.publish()
+	}
+	return true
+}
+
+func (s *Service) mine(r jobrecord.OwnerRecord) bool {
+	return r.Holder == s.settings.Host && r.Incarnation == s.settings.Incarnation && !r.Released
+}
+
+// publish shows the tenures to the other services.
+func (s *Service) publish() {
+	tenures := make(map[string]services.Tenure)
+	for name, p := range s.pools {
+		if p.tenure != nil {
+			tenures[name] = *p.tenure
+		}
+	}
+	s.owned.Update(float64(len(tenures)))
+	s.tenures.Store(&tenures)
+	for _, r := range s.rings {
+		r.OfferLatest(struct{}{})
+	}
+}
--- /dev/null
+++ b/services/pools/planner.go
@@ -0,0 +1,233 @@
+package pools
+
+import (
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/decision/ownership"
+	"fuchsiafront.example/fuchsiafront/decision/poolplan"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+// Intervals of the planner.
+const (
+	// registryEvery separates reads of the registry of executors.
+	registryEvery = time.Second
+	// statusEvery separates publications of a pool's status; the number of
+	// pending jobs may be 2 s old.
+	statusEvery = 700 * time.Millisecond
+	// saveRetry separates saves while the store does not take them.
+	saveRetry = 150 * time.Millisecond
+	// loadRetry separates attempts to load a pool.
+	loadRetry = 300 * time.Millisecond
+	// backlogLimit bounds the calls that wait for room in a ring.
+	backlogLimit = 4096
+	// eventBurst is how many waiting events are handled before the next step.
+	eventBurst = 64
+)
+
+// planner is the state of the duty pools.plan.
+type planner struct {
+	s       *Service
+	now     time.Time
+	catalog *catalog.Catalog
+	pools   map[string]*manager
+	backlog []queued
+
+	registry     []services.RegisteredExecutor
+	registryBusy bool
+	registryAt   time.Time
+	limits       limiter
+}
+
+// queued is a call that found its ring full.
+type queued struct {
+	ring interface{ Offer(call) bool }
+	call call
+}
+
+// manager is the state of one pool that this process owns.
+type manager struct {
+	pool   string
+	tenure services.Tenure
+	plan   *poolplan.Plan
+	loaded bool
+	loadAt time.Time
+	busy   busy
+
+	// version is where the next look at the pool's changes resumes.
+	version   int64
+	saveAt    time.Time
+	statusAt  time.Time
+	published string
+	cordoned  map[string]bool
+	expireAt  time.Time
+}
+
+// busy tells which calls of a pool are under way; there is at most one of each.
+type busy struct {
+	load, follow, save, record, status, expire bool
+}
+
+func newPlanner(s *Service) *planner {
+	p := &planner{s: s, now: s.clock(), pools: make(map[string]*manager)}
+	p.limits.init()
+	return p
+}
+
+// send hands a call to its duties. The planner never waits for room: a call
+// that finds none is kept until the next step.
+func (p *planner) send(r interface{ Offer(call) bool }, c call) {
+	if len(p.backlog) == 0 && r.Offer(c) {
+		return
+	}
+	if len(p.backlog) >= backlogLimit {
+		p.s.log.Error().Int("limit", backlogLimit).Msg("too many calls wait; dropped one")
+		return
+	}
+	p.backlog = append(p.backlog, queued{r, c})
+}
+
+func (p *planner) flush() {
+	for len(p.backlog) > 0 && p.backlog[0].ring.Offer(p.backlog[0].call) {
+		p.backlog = p.backlog[1:]
+	}
+}
+
+// drainEvents handles what has arrived meanwhile, so that one step serves all.
+func (p *planner) drainEvents() {
+	for range eventBurst {
+		select {
+		case e := <-p.s.events.C():
+			e.handle(p)
+		default:
+			return
+		}
+	}
+}
+
+func (p *planner) refreshCatalog() {
+	p.catalog = p.s.catalogs.Catalog()
+	for _, m := range p.pools {
+		if m.plan != nil && p.catalog != nil {
+			m.plan.SetCatalog(p.catalog)
+		}
+	}
+}
+
+// refreshTenures starts and ends the management of pools.
+func (p *planner) refreshTenures() {
+	tenures := p.s.ownership.Tenures()
+	for name, m := range p.pools {
+		t, ok := tenures[name]
+		if !ok || t.Term != m.tenure.Term {
+			p.s.log.Info().Str("pool", name).Int("term", m.tenure.Term).Msg("pool given up")
+			delete(p.pools, name)
+			continue
+		}
+		m.tenure = t
+	}
+	for name, t := range tenures {
+		if name != services.PoolMachines && p.pools[name] == nil {
+			p.pools[name] = &manager{pool: name, tenure: t, cordoned: make(map[string]bool)}
+		}
+	}
+}
+
+// manager returns the state of a pool while the tenure is the same.
+func (p *planner) manager(pool string, term int) *manager {
+	m := p.pools[pool]
+	if m == nil || m.tenure.Term != term {
+		return nil
+	}
+	return m
+}
+
+// step lets all pools decide and returns the time until the next step.
+func (p *planner) step() time.Duration {
+	p.now = p.s.clock()
+	p.flush()
+	if p.catalog == nil {
+		p.refreshCatalog()
+	}
+	wait := idleWait
+	if p.catalog == nil {
+		return wait
+	}
+	p.readRegistry()
+	p.limits.step(p)
+	running, pending := 0, 0
+	for _, m := range p.pools {
+		wait = min(wait, p.stepPool(m))
+		if m.plan != nil {
+			running += m.plan.Runs()
+			pending += m.plan.Jobs()
+		}
+	}
+	p.s.meters.running.Update(float64(running))
+	p.s.meters.waiting.Update(float64(pending))
+	return max(wait, shortestWait)
+}
+
+// Bounds of the time between two steps without events.
+const (
+	idleWait     = 250 * time.Millisecond
+	shortestWait = 2 * time.Millisecond
+)
+
+func (p *planner) stepPool(m *manager) time.Duration {
+	if !m.loaded {
+		p.load(m)
+		return loadRetry
+	}
+	p.follow(m)
+	p.record(m)
+	if p.now.Sub(m.tenure.RenewedAt) > ownership.Lapse {
+		p.logEvents(m)
+		return idleWait
+	}
+	for _, o := range m.plan.Step(p.now) {
+		p.order(m, o)
+	}
+	p.logEvents(m)
+	if m.plan.Deposed() {
+		p.s.log.Warn().Str("pool", m.pool).Int("term", m.tenure.Term).Msg("an executor has seen a later owner")
+		p.s.ownership.Lost(m.tenure)
+		delete(p.pools, m.pool)
+		return idleWait
+	}
+	p.save(m)
+	p.status(m)
+	p.expireOld(m)
+	return m.plan.Next(p.now).Sub(p.now)
+}
+
+func (p *planner) order(m *manager, o poolplan.Order) {
+	ref := poolRef{m.pool, m.tenure.Term, m.tenure.Fence}
+	switch o := o.(type) {
+	case poolplan.Start:
+		p.s.meters.starts.Inc(1)
+		p.s.meters.waited.RecordDuration(o.Waited)
+		p.s.log.Info().Str("pool", m.pool).Str("job", o.Task.Job).Str("task", o.Task.TaskName.String()).Int("attempt", o.Attempt).
+			Str("peer", o.Executor).Str("reason", o.Reason).Dur("waited", o.Waited).Int64("fence", ref.fence).Msg("start")
+		p.send(p.s.orders, startCall{ref, o})
+	case poolplan.Stop:
+		p.s.meters.stops.Inc(1)
+		p.s.log.Info().Str("pool", m.pool).Str("job", o.Task.Job).Str("task", o.Task.TaskName.String()).Int("attempt", o.Attempt).
+			Str("peer", o.Executor).Str("reason", o.Reason).Msg("stop")
+		p.send(p.s.orders, stopCall{ref, o})
+	case poolplan.Pace:
+		p.send(p.s.orders, paceCall{ref, o})
+	case poolplan.Advise:
+		p.send(p.s.orders, adviseCall{ref, o})
+	case poolplan.Hold:
+		p.send(p.s.holds, holdCall{ref, o})
+	}
+}
+
+func (p *planner) logEvents(m *manager) {
+	for _, e := range m.plan.Events() {
+		p.s.meters.events.Tagged(map[string]string{"event": e.What}).Counter("pool_events_total").Inc(1)
+		p.s.log.Info().Str("pool", m.pool).Str("job", e.Job).Str("task", e.Task).Str("peer", e.Peer).Str("reason", e.Reason).Dur("age", e.Age).Msg(e.What)
+	}
+}
--- a/services/services.go
+++ b/services/services.go
@@ -19,4 +19,11 @@
 	NameAdmin       = "admin"
 	NameMetrics     = "metrics"
 	NameHosts       = "hosts"
+	NameCatalog     = "catalog"
+	NameOwnership   = "ownership"
+	NamePools       = "pools"
+	NameJobDesk     = "jobdesk"
+	NameJobFront    = "jobfront"
+	NameUpkeep      = "upkeep"
+	NameLog         = "log"
 )
--- /dev/null
+++ b/wire/jobrecord/jobrecord.go
@@ -0,0 +1,275 @@
+// Package jobrecord defines how jobs, their progress and the state of pools are
+// kept in the platform's store: tables, keys and encodings.
+//
+// All records of a pool share the part that is named after the pool, so that
+// they can change in one transaction.
+package jobrecord
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"fuchsiafront.example/fuchsiafront/decision/workload"
+	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/services"
+)
+
+// ErrRecord is the class of errors for records that cannot be read.
+var ErrRecord = errs.Class("record")
+
+// Tables.
+const (
+	tableJobsPrefix = "jobs."
+	TableProgress   = "progress"
+	TableOwners     = "owners"
+	TablePools      = "pools"
+	TableLimits     = "limits"
+	// PartLimits is the one part of TableLimits; its keys are tenants.
+	PartLimits = "limits"
+)
+
+// Keys of a pool's part.
+const (
+	keyOwner     = "owner"
+	keyTerm      = "term"
+	keyExecutors = "executors"
+	keyStatus    = "status"
+	keyCordons   = "cordons"
+
+	suffixJob      = "/job"
+	suffixCancel   = "/cancel"
+	suffixProgress = "/progress"
+	// suffixEnd is the byte after the slash of the suffixes.
+	suffixEnd = "0"
+)
+
+// TableJobs returns the table of a pool's jobs. Each pool has its own, because
+// the store's list of changes can only be asked for by table.
+func TableJobs(pool string) string { return tableJobsPrefix + pool }
+
+// Job is the key of a job.
+func Job(pool, id string) services.RecordKey {
+	return services.RecordKey{Table: TableJobs(pool), Part: pool, Key: id + suffixJob}
+}
+
+// Cancel is the key of a job's cancellation in the table that the pool's owner
+// follows.
+func Cancel(pool, id string) services.RecordKey {
+	return services.RecordKey{Table: TableJobs(pool), Part: pool, Key: id + suffixCancel}
+}
+
+// ShownCancel is the key of a job's cancellation beside its progress.
+func ShownCancel(pool, id string) services.RecordKey {
+	return services.RecordKey{Table: TableProgress, Part: pool, Key: id + suffixCancel}
+}
+
+// Progress is the key of a job's progress.
+func Progress(pool, id string) services.RecordKey {
+	return services.RecordKey{Table: TableProgress, Part: pool, Key: id + suffixProgress}
+}
+
+// ProgressRange selects a job's progress and its cancellation.
+func ProgressRange(pool, id string) services.RecordRange {
+	return services.RecordRange{Table: TableProgress, Part: pool, From: id + "/", To: id + suffixEnd}
+}
+
+// JobRange selects a job and its cancellation.
+func JobRange(pool, id string) services.RecordRange {
+	return services.RecordRange{Table: TableJobs(pool), Part: pool, From: id + "/", To: id + suffixEnd}
+}
+
+// Owner is the key of a pool's owner.
+func Owner(pool string) services.RecordKey {
+	return services.RecordKey{Table: TableOwners, Part: pool, Key: keyOwner}
+}
+
+// Term is the key of the record that changes only when the owner does.
+func Term(pool string) services.RecordKey {
+	return services.RecordKey{Table: TablePools, Part: pool, Key: keyTerm}
+}
+
+// Executors is the key of the executors that owners of the pool have used.
+func Executors(pool string) services.RecordKey {
+	return services.RecordKey{Table: TablePools, Part: pool, Key: keyExecutors}
+}
+
+// Status is the key of what the owner publishes of its pool.
+func Status(pool string) services.RecordKey {
+	return services.RecordKey{Table: TablePools, Part: pool, Key: keyStatus}
+}
+
+// Cordons is the key of the machines that the owner of the pool has to empty.
+func Cordons(pool string) services.RecordKey {
+	return services.RecordKey{Table: TablePools, Part: pool, Key: keyCordons}
+}
+
+// Limit is the key of the division of a tenant's maximum.
+func Limit(tenant string) services.RecordKey {
+	return services.RecordKey{Table: TableLimits, Part: PartLimits, Key: tenant}
+}
+
+// Kind tells what a record in the tables of jobs and progress holds.
+type Kind int
+
+// Kinds of records.
+const (
+	KindOther Kind = iota
+	KindJob
+	KindCancel
+	KindProgress
+)
+
+// Parse splits a key into the job's identifier and the kind.
+func Parse(key string) (id string, kind Kind) {
+	if id, ok := strings.CutSuffix(key, suffixJob); ok {
+		return id, KindJob
+	}
+	if id, ok := strings.CutSuffix(key, suffixCancel); ok {
+		return id, KindCancel
+	}
+	if id, ok := strings.CutSuffix(key, suffixProgress); ok {
+		return id, KindProgress
+	}
+	return "", KindOther
+}
+
+type specRecord struct {
+	Queue    string       `json:"q"`
+	Tenant   string       `json:"t,omitempty"`
+	Text     string       `json:"x,omitempty"`
+	Steps    []stepRecord `json:"s"`
+	Times    int          `json:"n,omitempty"`
+	StartAt  int64        `json:"a,omitempty"`
+	Interval int64        `json:"i,omitempty"`
+	Accepted int64        `json:"r"`
+}
+
+type stepRecord struct {
+	Count          int             `json:"n"`
+	Size           fleet.Resources `json:"z"`
+	EstimateMs     int64           `json:"e,omitempty"`
+	After          []int           `json:"a,omitempty"`
+	Gang           bool            `json:"g,omitempty"`
+	OneRack        bool            `json:"o,omitempty"`
+	Label          string          `json:"l,omitempty"`
+	DataRack       string          `json:"d,omitempty"`
+	MaxPerExecutor int             `json:"p,omitempty"`
+	Checkpoints    bool            `json:"c,omitempty"`
+	Speculative    bool            `json:"v,omitempty"`
+	Service        bool            `json:"s,omitempty"`
+	Image          string          `json:"i,omitempty"`
+	TargetMs       int64           `json:"t,omitempty"`
+	Filler         bool            `json:"f,omitempty"`
+	MaxUnavailable int             `json:"u,omitempty"`
+}
+
+// EncodeSpec returns the value of a job's record.
+func EncodeSpec(s *workload.Spec) ([]byte, error) {
+	r := specRecord{
+		Queue: s.Queue, Tenant: s.Tenant, Text: s.Text, Times: s.Times,
+		Interval: s.Interval.Milliseconds(), Accepted: s.Accepted.UnixMilli(),
+	}
+	if s.Times > 0 {
+		r.StartAt = s.StartAt.UnixMilli()
+	}
+	for i := range s.Steps {
+		st := &s.Steps[i]
+		r.Steps = append(r.Steps, stepRecord{
+			Count: st.Count, Size: st.Size, EstimateMs: st.Estimate.Milliseconds(), After: st.After, Gang: st.Gang,
+			OneRack: st.OneRack, Label: st.Label, DataRack: st.DataRack, MaxPerExecutor: st.MaxPerExecutor,
+			Checkpoints: st.Checkpoints, Speculative: st.Speculative, Service: st.Service, Image: st.Image,
+			TargetMs: st.LatencyTarget.Milliseconds(), Filler: st.Filler, MaxUnavailable: st.MaxUnavailable,
+		})
+	}
+	return json.Marshal(r)
+}
+
+// DecodeSpec is the inverse of EncodeSpec.
+func DecodeSpec(id string, value []byte) (*workload.Spec, error) {
+	var r specRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return nil, ErrRecord.New("job %s: %v", id, err)
+	}
+	s := &workload.Spec{
+		ID: id, Queue: r.Queue, Tenant: r.Tenant, Text: r.Text, Times: r.Times,
+		Interval: time.Duration(r.Interval) * time.Millisecond, Accepted: time.UnixMilli(r.Accepted),
+	}
+	if r.Times > 0 {
+		s.StartAt = time.UnixMilli(r.StartAt)
+	}
+	for i := range r.Steps {
+		st := &r.Steps[i]
+		s.Steps = append(s.Steps, workload.Step{
+			Count: st.Count, Size: st.Size, Estimate: time.Duration(st.EstimateMs) * time.Millisecond, After: st.After, Gang: st.Gang,
+			OneRack: st.OneRack, Label: st.Label, DataRack: st.DataRack, MaxPerExecutor: st.MaxPerExecutor,
+			Checkpoints: st.Checkpoints, Speculative: st.Speculative, Service: st.Service, Image: st.Image,
+			LatencyTarget: time.Duration(st.TargetMs) * time.Millisecond, Filler: st.Filler, MaxUnavailable: st.MaxUnavailable,
+		})
+	}
+	return s, nil
+}
+
+type progressRecord struct {
+	State    int              `json:"s"`
+	Done     map[string][]int `json:"d,omitempty"`
+	Failures map[string]int   `json:"f,omitempty"`
+	Attempts int              `json:"a,omitempty"`
+	EndedAt  int64            `json:"e,omitempty"`
+}
+
+// EncodeProgress returns the value of a job's progress. What tasks have done is
+// left out once the job has ended.
+func EncodeProgress(p *workload.Progress) ([]byte, error) {
+	r := progressRecord{State: int(p.State), Attempts: p.Attempts}
+	if p.State.Ended() {
+		r.EndedAt = p.EndedAt.UnixMilli()
+		return json.Marshal(r)
+	}
+	r.Done = make(map[string][]int)
+	for _, n := range p.Done {
+		step := stepName(n)
+		r.Done[step] = append(r.Done[step], n.Index)
+	}
+	r.Failures = make(map[string]int, len(p.Failures))
+	for n, failures := range p.Failures {
+		r.Failures[n.String()] = failures
+	}
+	return json.Marshal(r)
+}
+
+func stepName(n workload.TaskName) string {
+	name := n.String()
+	return name[:strings.LastIndexByte(name, '.')]
+}
+
+// DecodeProgress is the inverse of EncodeProgress.
+func DecodeProgress(id string, value []byte) (workload.Progress, error) {
+	var r progressRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return workload.Progress{}, ErrRecord.New("progress of %s: %v", id, err)
+	}
+	p := workload.Progress{State: workload.State(r.State), Attempts: r.Attempts, Failures: make(map[workload.TaskName]int)}
+	if r.EndedAt > 0 {
+		p.EndedAt = time.UnixMilli(r.EndedAt)
+	}
+	for step, indexes := range r.Done {
+		n, err := workload.ParseTaskName(step + ".0")
+		if err != nil {
+			return workload.Progress{}, ErrRecord.New("progress of %s: %v", id, err)
+		}
+		for _, i := range indexes {
+			p.Done = append(p.Done, workload.TaskName{Occurrence: n.Occurrence, Step: n.Step, Index: i})
+		}
+	}
+	for name, failures := range r.Failures {
+		n, err := workload.ParseTaskName(name)
+		if err != nil {
+			return workload.Progress{}, ErrRecord.New("progress of %s: %v", id, err)
+		}
+		p.Failures[n] = failures
+	}
+	return p, nil
+}
--- /dev/null
+++ b/wire/jobrecord/pool.go
@@ -0,0 +1,88 @@
+package jobrecord
+
+import (
+	"encoding/json"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/poolplan"
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+// OwnerRecord names the process that owns a pool.
+type OwnerRecord struct {
+	// Holder is the name of the host; Incarnation tells its processes apart.
+	Holder      string `json:"holder"`
+	Incarnation int64  `json:"incarnation"`
+	Term        int    `json:"term"`
+	// Renewals rises with each renewal, so that the value changes.
+	Renewals int64 `json:"renewals"`
+	// Released tells that the owner has given the pool up.
+	Released bool `json:"released,omitempty"`
+}
+
+// StatusRecord is what the owner of a pool publishes.
+type StatusRecord struct {
+	Term int `json:"term"`
+	// Pending counts, for each queue, the jobs for which no task has started.
+	Pending map[string]int `json:"pending"`
+	// Begun lists jobs whose tasks have started and whose progress is not
+	// recorded yet.
+	Begun []string `json:"begun,omitempty"`
+	// Empty lists cordoned machines on which nothing runs.
+	Empty []string `json:"empty,omitempty"`
+	// Demand is the processor demand of work that could run now, in
+	// thousandths, and Capacity what the executors have.
+	Demand   int64 `json:"demand"`
+	Capacity int64 `json:"capacity"`
+	// Machines gives, for each machine, how much of it is in use.
+	Machines map[string]MachineUse `json:"machines,omitempty"`
+}
+
+// MachineUse is how much of a machine is in use.
+type MachineUse struct {
+	MilliCPU int64 `json:"cpu"`
+	Tasks    int   `json:"tasks"`
+	Services int   `json:"services,omitempty"`
+}
+
+// CordonRecord lists the machines that the owner of a pool has to empty.
+type CordonRecord struct {
+	Machines []string `json:"machines"`
+}
+
+type executorRecord struct {
+	ID       string          `json:"id"`
+	Born     int64           `json:"born,omitempty"`
+	Address  string          `json:"addr"`
+	Zone     string          `json:"zone,omitempty"`
+	Labels   []string        `json:"labels,omitempty"`
+	Rack     string          `json:"rack,omitempty"`
+	Capacity fleet.Resources `json:"cap"`
+}
+
+// EncodeExecutors returns the value of the record of used executors.
+func EncodeExecutors(list []poolplan.Executor) ([]byte, error) {
+	records := make([]executorRecord, 0, len(list))
+	for _, e := range list {
+		records = append(records, executorRecord{ID: e.ID, Born: e.Born, Address: e.Address, Zone: e.Zone, Labels: e.Labels, Rack: e.Rack, Capacity: e.Capacity})
+	}
+	return json.Marshal(records)
+}
+
+// DecodeExecutors is the inverse of EncodeExecutors.
+func DecodeExecutors(value []byte) ([]poolplan.Executor, error) {
+	var records []executorRecord
+	if err := json.Unmarshal(value, &records); err != nil {
+		return nil, ErrRecord.New("executors: %v", err)
+	}
+	list := make([]poolplan.Executor, 0, len(records))
+	for _, r := range records {
+		list = append(list, poolplan.Executor{ID: r.ID, Born: r.Born, Address: r.Address, Zone: r.Zone, Labels: r.Labels, Rack: r.Rack, Capacity: r.Capacity})
+	}
+	return list, nil
+}
+
+// EndedLongAgo reports whether a job that ended at t may be deleted.
+func EndedLongAgo(t, now time.Time, keep time.Duration) bool {
+	return !t.IsZero() && now.Sub(t) > keep
+}
