Keep runs of executors that the registry lost while they answer

Cause: after the loss of all hosts a new owner reached an executor whose entry had lapsed, adopted its runs and gave them up at once, because it had granted no lease itself and took the lease for over.

Change: an executor that answers is not expired, and the first report of an inherited executor sets the lease that the earlier owner may have granted.

Result: TestAdoptedRunOfUnlistedExecutorIsKept fails before and passes now.

--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -149,6 +149,11 @@
 	e.heardAt = now
 }
 
+// inheritLease notes that an earlier owner may have granted a lease up to now.
+func (e *executor) inheritLease(holdMax time.Duration) {
+	e.leaseUntil = max(e.leaseUntil, e.clock+holdMax.Milliseconds())
+}
+
 // lapsed reports whether every lease that was sent is certainly over.
 func (e *executor) lapsed(now time.Time, holdMax time.Duration) bool {
 	if e.clockAt.IsZero() {
@@ -275,7 +280,7 @@
 // expire gives up the runs of executors whose lease is certainly over.
 func (p *Plan) expire(now time.Time) {
 	for _, e := range p.executors {
-		if e.reachable() && e.listed {
+		if e.reachable() && (e.listed || now.Sub(e.heardAt) < p.params.HoldMax) {
 			continue
 		}
 		if !e.lapsed(now, p.params.HoldMax) || p.mayBeHeld(now, e) {
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -197,9 +197,13 @@
 	if e.silent > 0 {
 		p.note(Event{What: "executor answers again", Peer: e.ID, Age: now.Sub(e.heardAt)})
 	}
+	first := !e.fenced
 	e.silent, e.fenced = 0, true
 	e.unanswered = time.Time{}
 	e.heard(now, r.Outcome)
+	if first {
+		e.inheritLease(p.params.HoldMax)
+	}
 	ended := p.readEnds(now, e, r)
 	p.readRuns(now, e, r, ended)
 	e.holdAt = now
--- /dev/null
+++ b/decision/poolplan/takeover_test.go
@@ -0,0 +1,66 @@
+package poolplan
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/decision/workload"
+)
+
+func taskID(job string) workload.TaskID { return workload.TaskID{Job: job} }
+
+// Guards against a second run of a task whose executor lost its registry entry
+// while it was cut off from the store and went on: a new owner that had granted
+// no lease itself took the earlier owner's lease for over.
+func TestAdoptedRunOfUnlistedExecutorIsKept(t *testing.T) {
+	w := newWorld(t, 2)
+	w.plan.Inherit(w.now, executorInfo("1"))
+	w.job("a", true, step(1))
+	w.register("2")
+	w.pass(100 * time.Millisecond)
+	for range len(w.holds) {
+		h := w.takeHold()
+		if h.Executor == "1" {
+			w.report(h, []RunReport{{Task: taskID("a"), Attempt: 1, Percent: 40}})
+		}
+	}
+	for range 20 {
+		w.pass(50 * time.Millisecond)
+	}
+	assert.Equal(t, len(w.starts), 0, "the task still runs on executor 1")
+}
+
+// Guards against a second run of a task that may run on an executor which
+// neither this owner nor the registry reaches.
+func TestInheritedTaskWaitsForUnreachableExecutor(t *testing.T) {
+	w := newWorld(t, 2)
+	w.plan.Inherit(w.now, executorInfo("1"))
+	w.register("2")
+	w.job("a", true, step(1))
+	w.job("b", false, step(1))
+	begin := w.now
+	var running []RunReport
+	for len(w.starts) == 0 || w.starts[0].Task.Job != "a" {
+		w.pass(100 * time.Millisecond)
+		for range len(w.holds) {
+			h := w.takeHold()
+			if h.Executor == "1" {
+				w.plan.HoldDone(w.now, h, Report{Outcome: w.outcome(NoAnswer)})
+				continue
+			}
+			w.report(h, running)
+		}
+		if len(w.starts) > 0 && w.starts[0].Task.Job == "b" {
+			assert.Assert(t, w.now.Sub(begin) < time.Second, "a job that is new to this owner starts at once")
+			s := w.takeStart()
+			w.plan.StartDone(w.now, s, w.outcome(Accepted))
+			running = append(running, runReport(s))
+		}
+		assert.Assert(t, w.now.Sub(begin) < time.Minute, "the task never starts")
+	}
+	earliest := testParams.OwnerLapse + testParams.HoldMax
+	assert.Assert(t, w.now.Sub(begin) > earliest, "started after %v; leases of the earlier owner may last %v", w.now.Sub(begin), earliest)
+	assert.Assert(t, w.starts[0].Attempt > attemptsPerTerm, "attempt %d may have been used by the earlier owner", w.starts[0].Attempt)
+}
