Give pools up on sight of a successor; do not starve pools of doubtful executors

Change: the term record is in the table that the owner follows, so that the claim arrives before any later job. A job that fails on two executors no longer counts against executors, retries avoid executors on which the task failed, and doubtful executors are used when there are no others.

--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -122,8 +122,8 @@
 func (e *executor) reachable() bool { return e.silent == 0 && e.unanswered.IsZero() }
 
 // accepts reports whether new work may start here.
-func (e *executor) accepts(now time.Time) bool {
-	return e.listed && e.usable && !e.Draining && !e.Cordoned && e.reachable() && !now.Before(e.avoidUntil)
+func (e *executor) accepts() bool {
+	return e.listed && e.usable && !e.Draining && !e.Cordoned && e.reachable()
 }
 
 // lease returns the end of a lease of d from now on the executor's clock, or
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -23,6 +23,8 @@
 	dirty       bool
 	// ends lists the executors' ends that the next save makes durable.
 	ends []endMark
+	// failedOn lists the executors on which tasks of the job have failed.
+	failedOn []string
 }
 
 // endMark is one end of an executor's life.
@@ -72,8 +74,9 @@
 	// checkpoint is the newest state that the task can resume from.
 	checkpoint string
 	notBefore  time.Time
-	lastFailed string
-	lostAt     time.Time
+	// failedOn lists the executors on which the task failed or stood still.
+	failedOn []string
+	lostAt   time.Time
 }
 
 func (t *task) id() workload.TaskID {
@@ -106,6 +109,18 @@
 	return t.group.step.Speculative && len(t.runs) == 1 && !t.runs[0].executor.reachable()
 }
 
+func (t *task) failOn(e *executor) {
+	if !slices.Contains(t.failedOn, e.ID) {
+		t.failedOn = append(t.failedOn, e.ID)
+	}
+}
+
+func (j *job) failOn(e *executor) {
+	if !slices.Contains(j.failedOn, e.ID) {
+		j.failedOn = append(j.failedOn, e.ID)
+	}
+}
+
 func (j *job) task(n workload.TaskName) *task {
 	if n.Occurrence >= len(j.occurrences) {
 		return nil
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -13,8 +13,6 @@
 const (
 	// weightFar is added away from the rack that holds the data.
 	weightFar = 4000
-	// weightFailed is added on the executor on which the task failed last.
-	weightFailed = 8000
 	// weightMixed is added where fillers and service tasks would meet.
 	weightMixed = 2000
 )
@@ -141,12 +139,21 @@
 
 // candidates returns the executors that accept work, in a fixed order.
 func (p *Plan) candidates(now time.Time) []*executor {
-	var list []*executor
+	var list, avoided []*executor
 	for _, id := range slices.Sorted(maps.Keys(p.executors)) {
-		if e := p.executors[id]; e.accepts(now) && e.lease(now, p.leaseTerm()) > 0 {
+		e := p.executors[id]
+		switch {
+		case !e.accepts() || e.lease(now, p.leaseTerm()) == 0:
+		case now.Before(e.avoidUntil):
+			avoided = append(avoided, e)
+		default:
 			list = append(list, e)
 		}
 	}
+	if len(list) == 0 {
+		// Work on a doubtful executor is better than none.
+		return avoided
+	}
 	return list
 }
 
@@ -228,6 +235,9 @@
 	demand := g.step.Demand()
 	for _, e := range candidates {
 		n := int64(planned[e])
+		if len(t.failedOn) < len(candidates) && slices.Contains(t.failedOn, e.ID) {
+			continue
+		}
 		if !scale(demand, n+1).Fits(e.free()) || !g.allows(e, int(n)) {
 			continue
 		}
@@ -245,9 +255,6 @@
 	if g.step.DataRack != "" && g.step.DataRack != e.Rack {
 		cost += weightFar
 	}
-	if t.lastFailed == e.ID {
-		cost += weightFailed
-	}
 	if g.step.Filler && e.serviceRuns > 0 || g.step.Service && g.step.LatencyTarget > 0 && e.fillerRuns > 0 {
 		cost += weightMixed
 	}
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -17,12 +17,15 @@
 	vanishMargin = 50 * time.Millisecond
 )
 
-// Failures of different jobs after which an executor is taken to fail
+// Failures of different jobs in a row after which an executor is taken to fail
 // everything, and how long it then gets no work; the pause doubles each time.
 const (
-	failureStreak  = 2
-	avoidBase      = 4 * time.Second
-	avoidDoublings = 3
+	failureStreak  = 3
+	avoidBase      = 2 * time.Second
+	avoidDoublings = 2
+	// hopelessJob is the number of executors on which tasks of a job have
+	// failed from which on the job, and not the executor, is at fault.
+	hopelessJob = 2
 )
 
 // find returns the executor of a target while that life is current.
@@ -287,9 +290,10 @@
 func (p *Plan) taskFailed(now time.Time, e *executor, t *task, r *run) {
 	j := t.group.job
 	t.failures++
-	t.lastFailed = e.ID
+	t.failOn(e)
 	p.touch(j)
-	if e.failedJob != j.spec.ID {
+	j.failOn(e)
+	if e.failedJob != j.spec.ID && len(j.failedOn) < hopelessJob {
 		e.failures++
 		e.failedJob = j.spec.ID
 	}
--- a/decision/poolplan/watch.go
+++ b/decision/poolplan/watch.go
@@ -52,7 +52,7 @@
 }
 
 func (p *Plan) stalledOn(now time.Time, e *executor, r *run) {
-	r.task.lastFailed = e.ID
+	r.task.failOn(e)
 	e.failures++
 	if e.failures >= failureStreak {
 		p.avoid(now, e, "tasks stand still")
--- a/services/pools/records.go
+++ b/services/pools/records.go
@@ -27,6 +27,8 @@
 	executors []poolplan.Executor
 	cordons   []string
 	version   int64
+	// term is the record of the owner's term.
+	term []services.Record
 }
 
 type loadedJob struct {
@@ -121,6 +123,8 @@
 	for i := range records {
 		r := &records[i]
 		switch id, kind := jobrecord.Parse(r.Key); kind {
+		case jobrecord.KindOther:
+			state.term = append(state.term, *r)
 		case jobrecord.KindCancel:
 			state.cancelled = append(state.cancelled, id)
 		case jobrecord.KindJob:
@@ -161,6 +165,9 @@
 		m.loadAt = p.now.Add(loadRetry)
 		return
 	}
+	if p.superseded(m, e.state.term) {
+		return
+	}
 	plan := poolplan.New(m.pool, m.tenure.Term, m.tenure.RenewedAt, p.s.settings.Params)
 	plan.SetCatalog(p.catalog)
 	for _, x := range e.state.executors {
@@ -221,12 +228,30 @@
 		p.send(p.s.store, reloadCall{e.poolRef})
 		return
 	}
+	if p.superseded(m, e.changes.Records) {
+		return
+	}
 	m.version = max(m.version, e.changes.Version)
 	var state poolState
 	p.s.readJobs(&state, e.changes.Records, nil)
 	p.addJobs(m, state)
 }
 
+// superseded gives the pool up when the records show a later owner. Jobs that
+// are listed with it belong to that owner.
+func (p *planner) superseded(m *manager, records []services.Record) bool {
+	for i := range records {
+		r := &records[i]
+		if r.RecordKey == m.tenure.Condition.RecordKey && r.Version > m.tenure.Condition.Version {
+			p.s.log.Warn().Str("pool", m.pool).Int("term", m.tenure.Term).Int64("version", r.Version).Msg("the store has a later owner")
+			p.s.ownership.Lost(m.tenure)
+			delete(p.pools, m.pool)
+			return true
+		}
+	}
+	return false
+}
+
 // addJobs adds jobs that were recorded after this process took the pool over.
 func (p *planner) addJobs(m *manager, state poolState) {
 	for _, j := range state.specs {
@@ -259,6 +284,9 @@
 		m.loadAt = p.now.Add(loadRetry)
 		return
 	}
+	if p.superseded(m, e.state.term) {
+		return
+	}
 	m.version = e.state.version
 	p.addJobs(m, e.state)
 }
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -86,9 +86,11 @@
 	return services.RecordKey{Table: TableOwners, Part: pool, Key: keyOwner}
 }
 
-// Term is the key of the record that changes only when the owner does.
+// Term is the key of the record that changes only when the owner does. It is in
+// the table of the pool's jobs, so that an owner that follows these sees its
+// successor's claim before any job that was recorded after it.
 func Term(pool string) services.RecordKey {
-	return services.RecordKey{Table: TablePools, Part: pool, Key: keyTerm}
+	return services.RecordKey{Table: TableJobs(pool), Part: pool, Key: keyTerm}
 }
 
 // Executors is the key of the executors that owners of the pool have used.
