Carry out waves of maintenance

Change: decision/upkeep chooses which machines are emptied and when: idle pools first, as many at once as the time left needs. services/upkeep writes cordons, which the owners of the pools follow, and maintains what they report as empty.

--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -24,6 +24,9 @@
 	ClockMs int64
 	// Cordoned executors get no new work and are emptied.
 	Cordoned bool
+	// Leaving executors get no new service tasks, and those that they have
+	// move away.
+	Leaving bool
 }
 
 // executor is what the plan knows of one life of an executor.
@@ -163,6 +166,49 @@
 	return float64(e.clock)+elapsed > float64(e.leaseUntil+lapseMargin.Milliseconds())
 }
 
+// Use is how much of an executor is in use.
+type Use struct {
+	MilliCPU        int64
+	Tasks, Services int
+	// Empty tells that it is cordoned, that nothing runs on it, and that
+	// nothing will start.
+	Empty bool
+}
+
+// Uses returns the use of each listed executor by its identifier.
+func (p *Plan) Uses() map[string]Use {
+	uses := make(map[string]Use, len(p.executors))
+	for id, e := range p.executors {
+		if !e.listed {
+			continue
+		}
+		u := Use{MilliCPU: e.used.MilliCPU, Tasks: len(e.runs)}
+		for _, r := range e.runs {
+			if r.task.group.step.Service {
+				u.Services++
+			}
+		}
+		u.Empty = e.Cordoned && len(e.runs) == 0 && (e.fenced || !e.inherited) && p.settled
+		uses[id] = u
+	}
+	return uses
+}
+
+// Load returns the processor demand of what runs and what could run now, and
+// the capacity of the executors that are in service, in thousandths.
+func (p *Plan) Load() (demand, capacity int64) {
+	_, want := p.Use()
+	for _, r := range want {
+		demand += r.MilliCPU
+	}
+	for _, e := range p.executors {
+		if e.accepts() {
+			capacity += e.Capacity.MilliCPU
+		}
+	}
+	return demand, capacity
+}
+
 // SetExecutors replaces the registry's view of the pool. Executors that are
 // not listed any more keep their runs until these are certainly over.
 func (p *Plan) SetExecutors(now time.Time, listed []Executor) {
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -238,6 +238,9 @@
 		if len(t.failedOn) < len(candidates) && slices.Contains(t.failedOn, e.ID) {
 			continue
 		}
+		if g.step.Service && e.Leaving {
+			continue
+		}
 		if !scale(demand, n+1).Fits(e.free()) || !g.allows(e, int(n)) {
 			continue
 		}
@@ -358,8 +361,8 @@
 				p.stop(now, r, r.stopReason)
 			case r.state == runRunning && r.task.group.step.Service && e.Draining:
 				p.stop(now, r, "executor is draining")
-			case r.state == runRunning && r.task.group.step.Service && e.Cordoned && p.mayInterrupt(now, r):
-				p.stop(now, r, "executor is cordoned")
+			case r.state == runRunning && r.task.group.step.Service && (e.Cordoned || e.Leaving) && p.mayInterrupt(now, r):
+				p.stop(now, r, "executor is going to be emptied")
 			}
 		}
 	}
--- a/fleethost/fleethost.go
+++ b/fleethost/fleethost.go
@@ -22,6 +22,7 @@
 	"fuchsiafront.example/fuchsiafront/services/metrics"
 	"fuchsiafront.example/fuchsiafront/services/ownership"
 	"fuchsiafront.example/fuchsiafront/services/pools"
+	"fuchsiafront.example/fuchsiafront/services/upkeep"
 )
 
 const (
@@ -62,6 +63,10 @@
 		Host: settings.NodeName, Incarnation: clock().UnixNano(), Power: settings.Limits.CPUShare,
 	}, clock))
 	k.Register(services.NamePools, pools.New(pools.Settings{Params: params(settings), KeepEnded: keepEnded(settings)}, clock))
+	k.Register(services.NameUpkeep, upkeep.New(upkeep.Settings{
+		Host: settings.NodeName, Maintenance: platform.Seconds(settings.Bounds.MaintenanceS),
+		OrderLease: platform.Milliseconds(settings.Bounds.OrderLeaseMs),
+	}, clock))
 	k.Register(services.NameJobDesk, jobdesk.New(clock))
 	k.Register(services.NameJobFront, platform.NewJobFront(h.adapter, clock))
 	return h, nil
--- a/services/ownership/claim.go
+++ b/services/ownership/claim.go
@@ -49,7 +49,7 @@
 	p.record, p.version = record, version
 	p.renewAt = p.claimedAt.Add(ownership.RenewEvery)
 	p.tenure = &services.Tenure{
-		Pool: p.name, Term: record.Term, Fence: version, RenewedAt: p.claimedAt, TakenAt: version,
+		Pool: p.name, Term: record.Term, Fence: version, RenewedAt: p.claimedAt, ClaimedAt: p.claimedAt, TakenAt: version,
 		Condition: services.RecordCondition{RecordKey: jobrecord.Term(p.name), Version: version},
 	}
 	s.publish()
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -15,7 +15,7 @@
 	registryEvery = time.Second
 	// statusEvery separates publications of a pool's status; the number of
 	// pending jobs may be 2 s old.
-	statusEvery = 700 * time.Millisecond
+	statusEvery = 400 * time.Millisecond
 	// saveRetry separates saves while the store does not take them.
 	saveRetry = 150 * time.Millisecond
 	// loadRetry separates attempts to load a pool.
@@ -61,6 +61,8 @@
 	statusAt  time.Time
 	published string
 	cordoned  map[string]bool
+	leaving   map[string]bool
+	cordonVer int64
 	expireAt  time.Time
 }
 
@@ -129,7 +131,7 @@
 	}
 	for name, t := range tenures {
 		if name != services.PoolMachines && p.pools[name] == nil {
-			p.pools[name] = &manager{pool: name, tenure: t, cordoned: make(map[string]bool)}
+			p.pools[name] = &manager{pool: name, tenure: t}
 		}
 	}
 }
--- a/services/pools/records.go
+++ b/services/pools/records.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
@@ -25,7 +26,7 @@
 	specs     []loadedJob
 	cancelled []string
 	executors []poolplan.Executor
-	cordons   []string
+	cordons   *services.Record
 	version   int64
 	// term is the record of the owner's term.
 	term []services.Record
@@ -124,6 +125,10 @@
 		r := &records[i]
 		switch id, kind := jobrecord.Parse(r.Key); kind {
 		case jobrecord.KindOther:
+			if r.RecordKey == jobrecord.Cordons(r.Part) {
+				state.cordons = r
+				continue
+			}
 			state.term = append(state.term, *r)
 		case jobrecord.KindCancel:
 			state.cancelled = append(state.cancelled, id)
@@ -139,15 +144,11 @@
 }
 
 func (s *Service) readPoolRecord(pool string, state *poolState, r *services.Record) {
-	var err error
-	switch r.RecordKey {
-	case jobrecord.Executors(pool):
-		state.executors, err = jobrecord.DecodeExecutors(r.Value)
-	case jobrecord.Cordons(pool):
-		var c jobrecord.CordonRecord
-		err = json.Unmarshal(r.Value, &c)
-		state.cordons = c.Machines
+	if r.RecordKey != jobrecord.Executors(pool) {
+		return
 	}
+	var err error
+	state.executors, err = jobrecord.DecodeExecutors(r.Value)
 	if err != nil {
 		s.log.Error().Err(err).Str("record", r.Key).Msg("record cannot be read; left out")
 	}
@@ -180,7 +181,7 @@
 		plan.CancelJob(p.now, id)
 	}
 	m.plan, m.loaded, m.version = plan, true, e.state.version
-	m.cordon(e.state.cordons)
+	p.cordon(m, e.state.cordons)
 	p.s.log.Info().Str("pool", m.pool).Int("term", m.tenure.Term).Int64("fence", m.tenure.Fence).Int("jobs", len(e.state.specs)).
 		Int("executors", len(e.state.executors)).Dur("age", p.now.Sub(m.tenure.RenewedAt)).Msg("pool loaded")
 	p.applyRegistry(m)
@@ -262,6 +263,10 @@
 	for _, id := range state.cancelled {
 		m.plan.CancelJob(p.now, id)
 	}
+	if state.cordons != nil {
+		p.cordon(m, state.cordons)
+		p.applyRegistry(m)
+	}
 }
 
 type reloadCall struct{ poolRef }
@@ -446,18 +451,33 @@
 			continue
 		}
 		info := x.Executor
-		info.Cordoned = m.cordoned[x.Machine]
+		info.Cordoned, info.Leaving = m.cordoned[x.Machine], m.leaving[x.Machine]
 		listed = append(listed, info)
 	}
 	m.plan.SetExecutors(p.now, listed)
 }
 
-// cordon replaces the machines to empty.
-func (m *manager) cordon(machines []string) {
-	m.cordoned = make(map[string]bool, len(machines))
-	for _, name := range machines {
-		m.cordoned[name] = true
+// cordon takes in the record of the machines to empty.
+func (p *planner) cordon(m *manager, r *services.Record) {
+	if r == nil || r.Version <= m.cordonVer {
+		return
+	}
+	var c jobrecord.CordonRecord
+	if err := json.Unmarshal(r.Value, &c); err != nil {
+		p.s.log.Error().Err(err).Str("pool", m.pool).Msg("cordons cannot be read; those in force stay")
+		return
 	}
+	m.cordonVer = r.Version
+	m.cordoned, m.leaving = setOf(c.Machines), setOf(c.Leave)
+	p.s.log.Info().Str("pool", m.pool).Int64("version", r.Version).Strs("machines", c.Machines).Int("leave", len(c.Leave)).Msg("machines to empty")
+}
+
+func setOf(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
+	}
+	return set
 }
 
 type statusCall struct {
@@ -491,7 +511,21 @@
 
 func (p *planner) statusRecord(m *manager) jobrecord.StatusRecord {
 	pending, begun := m.plan.Pending()
-	return jobrecord.StatusRecord{Term: m.tenure.Term, Pending: pending, Begun: begun}
+	record := jobrecord.StatusRecord{Term: m.tenure.Term, Pending: pending, Begun: begun, Machines: make(map[string]jobrecord.MachineUse)}
+	record.Demand, record.Capacity = m.plan.Load()
+	uses := m.plan.Uses()
+	for _, x := range p.registry {
+		u, ok := uses[x.ID]
+		if !ok || x.Service != m.pool {
+			continue
+		}
+		record.Machines[x.Machine] = jobrecord.MachineUse{MilliCPU: u.MilliCPU, Tasks: u.Tasks, Services: u.Services}
+		if u.Empty {
+			record.Empty = append(record.Empty, x.Machine)
+		}
+	}
+	slices.Sort(record.Empty)
+	return record
 }
 
 func (c statusCall) run(ctx context.Context, s *Service) event {
--- a/services/records.go
+++ b/services/records.go
@@ -225,6 +225,8 @@
 	Condition RecordCondition
 	// RenewedAt is when the last confirmed renewal was sent.
 	RenewedAt time.Time
+	// ClaimedAt is when the claim was sent.
+	ClaimedAt time.Time
 	// TakenAt is the version at which this process took the pool over.
 	TakenAt int64
 }
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
 	"time"
 
@@ -38,6 +39,7 @@
 	keyExecutors = "executors"
 	keyStatus    = "status"
 	keyCordons   = "cordons"
+	prefixWave   = "wave/"
 
 	suffixJob      = "/job"
 	suffixCancel   = "/cancel"
@@ -103,9 +105,15 @@
 	return services.RecordKey{Table: TablePools, Part: pool, Key: keyStatus}
 }
 
-// Cordons is the key of the machines that the owner of the pool has to empty.
+// Cordons is the key of the machines that the owner of the pool has to empty. It
+// is in the table that the owner follows.
 func Cordons(pool string) services.RecordKey {
-	return services.RecordKey{Table: TablePools, Part: pool, Key: keyCordons}
+	return services.RecordKey{Table: TableJobs(pool), Part: pool, Key: keyCordons}
+}
+
+// Wave is the key of the progress of a wave of maintenance.
+func Wave(number int) services.RecordKey {
+	return services.RecordKey{Table: TablePools, Part: services.PoolMachines, Key: prefixWave + strconv.Itoa(number)}
 }
 
 // Limit is the key of the division of a tenant's maximum.
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -45,9 +45,19 @@
 	Services int   `json:"services,omitempty"`
 }
 
-// CordonRecord lists the machines that the owner of a pool has to empty.
+// CordonRecord tells the owner of a pool which machines to empty.
 type CordonRecord struct {
+	// Machines get no new work at all.
 	Machines []string `json:"machines"`
+	// Leave lists machines that service tasks should leave.
+	Leave []string `json:"leave,omitempty"`
+}
+
+// WaveRecord is the progress of a wave.
+type WaveRecord struct {
+	// Done lists the machines whose maintenance has begun.
+	Done      []string `json:"done"`
+	Completed bool     `json:"completed,omitempty"`
 }
 
 type executorRecord struct {
