Order waiting work by what it can still be worth

Change: the expected duration is the mean learned for the queue, with the weight that the estimates deserve; jobs are on time, late or worthless in that order. A service task prefers executors that stay, but takes others.

--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -17,7 +17,6 @@
 	cancelled   bool
 	occurrences []*occurrence
 	progress    workload.Progress
-	objective   time.Time
 	begun       bool
 	saving      bool
 	dirty       bool
@@ -51,6 +50,8 @@
 	done    int
 	ready   bool
 	readyAt time.Time
+	// lateness is the class of the group when the order was last made.
+	lateness int
 	// gangAttempt is the attempt that the members of a gang share.
 	gangAttempt int
 	advice      *advice
@@ -154,7 +155,6 @@
 			j.begun = true
 		}
 	}
-	j.objective = p.objective(j)
 	p.jobs[spec.ID] = j
 	p.regroup = true
 	p.endIfComplete(now, j)
@@ -181,35 +181,6 @@
 	t.group.job.occurrences[t.group.number].left--
 }
 
-// objective returns when the job has to be complete to be on time.
-func (p *Plan) objective(j *job) time.Time {
-	slack, target := 1.5, time.Second
-	if p.catalog != nil {
-		if q, ok := p.catalog.Queue(j.spec.Queue); ok {
-			slack, target = q.Slack, q.LatencyTarget
-		}
-	}
-	return j.spec.Accepted.Add(time.Duration(float64(chain(j.spec.Steps, 0))*slack) + target)
-}
-
-// chain returns the longest chain of estimated work from the steps on that are
-// numbered first or higher.
-func chain(steps []workload.Step, first int) time.Duration {
-	ends := make([]time.Duration, len(steps))
-	var longest time.Duration
-	for i := first; i < len(steps); i++ {
-		var begin time.Duration
-		for _, a := range steps[i].After {
-			if a >= first && a < i {
-				begin = max(begin, ends[a])
-			}
-		}
-		ends[i] = begin + steps[i].Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // CancelJob ends a job; its runs are stopped.
 func (p *Plan) CancelJob(now time.Time, id string) {
 	j := p.jobs[id]
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -15,6 +15,9 @@
 	weightFar = 4000
 	// weightMixed is added where fillers and service tasks would meet.
 	weightMixed = 2000
+	// weightLeaving is added for a service task on an executor that is going to
+	// be emptied.
+	weightLeaving = 6000
 )
 
 // refreshGroups renews the list of groups that may start tasks, in the order in
@@ -33,7 +36,10 @@
 			p.addGroups(now, j, o)
 		}
 	}
-	slices.SortFunc(p.groups, func(a, b *group) int { return p.compareGroups(now, a, b) })
+	for _, g := range p.groups {
+		g.lateness = p.lateness(now, g)
+	}
+	slices.SortFunc(p.groups, p.compareGroups)
 }
 
 // dueSoon reports whether the order of the groups changes with time alone.
@@ -77,10 +83,10 @@
 
 // compareGroups orders groups: first the jobs that can still be on time, then
 // by priority, then jobs under way, then the oldest.
-func (p *Plan) compareGroups(now time.Time, a, b *group) int {
+func (p *Plan) compareGroups(a, b *group) int {
 	if a.job != b.job {
 		return cmp.Or(
-			cmp.Compare(p.lateness(now, a), p.lateness(now, b)),
+			cmp.Compare(a.lateness, b.lateness),
 			cmp.Compare(p.priority(a.job), p.priority(b.job)),
 			a.job.spec.Accepted.Compare(b.job.spec.Accepted),
 			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
@@ -89,17 +95,29 @@
 	return cmp.Or(cmp.Compare(a.number, b.number), cmp.Compare(a.stepNo, b.stepNo))
 }
 
-// lateness is zero while the group's job can be complete within its objective.
-// Service work is never late.
+// Classes of groups by what their job can still be worth.
+const (
+	onTime = iota
+	late
+	worthless
+)
+
+// lateness tells whether the group's job can still be complete on time, or at
+// least late. Service work is never late.
 func (p *Plan) lateness(now time.Time, g *group) int {
 	j := g.job
 	if j.spec.Times > 0 || g.step.Service {
-		return 0
+		return onTime
 	}
-	if now.Add(chain(j.spec.Steps, g.stepNo)).After(j.objective) {
-		return 1
+	allowance := p.allowance(j.spec)
+	end := now.Add(p.remaining(j.spec, g.stepNo))
+	switch {
+	case !end.After(j.spec.Accepted.Add(allowance)):
+		return onTime
+	case !end.After(j.spec.Accepted.Add(lateFactor * allowance)):
+		return late
 	}
-	return 0
+	return worthless
 }
 
 func (p *Plan) priority(j *job) int {
@@ -238,9 +256,6 @@
 		if len(t.failedOn) < len(candidates) && slices.Contains(t.failedOn, e.ID) {
 			continue
 		}
-		if g.step.Service && e.Leaving {
-			continue
-		}
 		if !scale(demand, n+1).Fits(e.free()) || !g.allows(e, int(n)) {
 			continue
 		}
@@ -254,7 +269,11 @@
 
 // cost is lower the better the executor suits the task.
 func (p *Plan) cost(g *group, t *task, e *executor) int64 {
-	cost := e.used.MilliCPU * 1000 / max(e.Capacity.MilliCPU, 1)
+	cost := int64(0)
+	if g.step.Service && e.Leaving {
+		cost += weightLeaving
+	}
+	cost += e.used.MilliCPU * 1000 / max(e.Capacity.MilliCPU, 1)
 	if g.step.DataRack != "" && g.step.DataRack != e.Rack {
 		cost += weightFar
 	}
@@ -361,13 +380,24 @@
 				p.stop(now, r, r.stopReason)
 			case r.state == runRunning && r.task.group.step.Service && e.Draining:
 				p.stop(now, r, "executor is draining")
-			case r.state == runRunning && r.task.group.step.Service && (e.Cordoned || e.Leaving) && p.mayInterrupt(now, r):
+			case r.state == runRunning && r.task.group.step.Service && (e.Cordoned || e.Leaving) && p.mayInterrupt(now, r) && p.hasPlace(r.task.group):
 				p.stop(now, r, "executor is going to be emptied")
 			}
 		}
 	}
 }
 
+// hasPlace reports whether a service task could start on an executor that stays.
+func (p *Plan) hasPlace(g *group) bool {
+	demand := g.step.Demand()
+	for _, e := range p.executors {
+		if e.accepts() && !e.Leaving && demand.Fits(e.free()) && g.allows(e, 0) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayInterrupt reports whether a service task may be away now: all the others
 // of its step have been at work for the notice time.
 func (p *Plan) mayInterrupt(now time.Time, r *run) bool {
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -78,6 +78,8 @@
 	// advising counts the open calls for advice.
 	advising int
 	events   []Event
+	// learned holds the durations of tasks by queue.
+	learned map[string]*durations
 }
 
 // Event is a decision or a change of belief worth a line in the log.
@@ -102,6 +104,7 @@
 		limits:    make(map[string]fleet.Resources),
 		used:      make(map[string]fleet.Resources),
 		unsaved:   make(map[string]*job),
+		learned:   make(map[string]*durations),
 		takeover:  now,
 		settled:   term <= 1,
 	}
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -254,6 +254,7 @@
 		if t.group.step.Service {
 			break
 		}
+		p.learn(now, run)
 		p.taskDone(now, t)
 		p.mark(e, j, end.Number)
 		p.endIfComplete(now, j)
@@ -290,9 +291,11 @@
 func (p *Plan) taskFailed(now time.Time, e *executor, t *task, r *run) {
 	j := t.group.job
 	t.failures++
-	t.failOn(e)
 	p.touch(j)
-	j.failOn(e)
+	if !t.group.step.Service {
+		t.failOn(e)
+		j.failOn(e)
+	}
 	if e.failedJob != j.spec.ID && len(j.failedOn) < hopelessJob {
 		e.failures++
 		e.failedJob = j.spec.ID
