Move machines between pools with the demand

Change: decision/sizing sends standby machines and idle pools' machines to pools whose work could use them, and what is left over back to standby. The status of a pool brings the next decision forward. Two faults found on the way: a machine was moved on the word of an owner about an earlier cordon, and each report asked for in vain extended the lease after which a gone executor's tasks start again (LOST); the latter has a test.

Ruled out for now: parking machines of a pool's usual number.

--- a/decision/poolplan/hold.go
+++ b/decision/poolplan/hold.go
@@ -63,7 +63,9 @@
 	if len(e.runs) == 0 || !e.reachable() || len(e.unsavedEnds) > 0 || !e.fenced {
 		h.Wait = 0
 	}
-	if len(e.runs) > 0 {
+	if len(e.runs) > 0 && e.silent == 0 {
+		// A lease that may not arrive would only put off the time at which
+		// the runs of a silent executor are certainly over.
 		h.LeaseUntil = e.lease(now, p.leaseTerm())
 	}
 	if h.LeaseUntil > 0 {
--- /dev/null
+++ b/decision/poolplan/silence_test.go
@@ -0,0 +1,29 @@
+package poolplan
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a task that waits for ever for an executor that is gone: each
+// report asked for in vain extended the lease that had to run out.
+func TestTaskOfGoneExecutorStartsAgain(t *testing.T) {
+	w := newWorld(t, 1)
+	w.register("1")
+	w.job("a", false, step(1))
+	w.step()
+	w.plan.StartDone(w.now, w.takeStart(), w.outcome(Accepted))
+	w.register("2")
+	begin := w.now
+	for len(w.starts) == 0 {
+		w.pass(100 * time.Millisecond)
+		for range len(w.holds) {
+			w.plan.HoldDone(w.now, w.takeHold(), Report{Outcome: w.outcome(NotSent)})
+		}
+		assert.Assert(t, w.now.Sub(begin) < 20*time.Second, "the task does not start again")
+	}
+	assert.Assert(t, w.now.Sub(begin) >= testParams.HoldMax-testParams.HoldMax/20, "started after %v, within the lease", w.now.Sub(begin))
+	assert.Equal(t, w.takeStart().Executor, "2")
+}
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -12,10 +12,10 @@
 // Intervals of the planner.
 const (
 	// registryEvery separates reads of the registry of executors.
-	registryEvery = time.Second
+	registryEvery = 500 * time.Millisecond
 	// statusEvery separates publications of a pool's status; the number of
 	// pending jobs may be 2 s old.
-	statusEvery = 400 * time.Millisecond
+	statusEvery = 250 * time.Millisecond
 	// saveRetry separates saves while the store does not take them.
 	saveRetry = 150 * time.Millisecond
 	// loadRetry separates attempts to load a pool.
--- a/services/pools/records.go
+++ b/services/pools/records.go
@@ -511,7 +511,7 @@
 
 func (p *planner) statusRecord(m *manager) jobrecord.StatusRecord {
 	pending, begun := m.plan.Pending()
-	record := jobrecord.StatusRecord{Term: m.tenure.Term, Pending: pending, Begun: begun, Machines: make(map[string]jobrecord.MachineUse)}
+	record := jobrecord.StatusRecord{Term: m.tenure.Term, Cordons: m.cordonVer, Pending: pending, Begun: begun, Machines: make(map[string]jobrecord.MachineUse)}
 	record.Demand, record.Capacity = m.plan.Load()
 	uses := m.plan.Uses()
 	for _, x := range p.registry {
--- /dev/null
+++ b/services/upkeep/moves.go
@@ -0,0 +1,149 @@
+package upkeep
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/sizing"
+	"fuchsiafront.example/fuchsiafront/decision/upkeep"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
+)
+
+// arrivalLimit is how long a machine may be on its way before it counts as a
+// part of the pool that the list names.
+const arrivalLimit = 6 * time.Second
+
+// transit is a move under way.
+type transit struct {
+	to string
+	at time.Time
+}
+
+// homes are the usual numbers of machines of the pools.
+type homes struct {
+	record  jobrecord.HomesRecord
+	version int64
+	loaded  bool
+}
+
+// loadHomes reads the usual sizes of the pools, and writes them when this is
+// the first owner.
+func (s *Service) loadHomes(ctx context.Context, machines []services.Machine) bool {
+	if s.homes.loaded {
+		return true
+	}
+	key := jobrecord.Homes()
+	record, version, err := readRecord[jobrecord.HomesRecord](ctx, s.records, key)
+	if err != nil {
+		return false
+	}
+	if version == 0 {
+		record.Pools = make(map[string]int)
+		for _, m := range machines {
+			record.Pools[m.Pool]++
+		}
+		var ok bool
+		if version, ok = s.write(ctx, key, 0, record); !ok {
+			return false
+		}
+	}
+	s.homes = homes{record, version, true}
+	return true
+}
+
+// planMoves returns the moves that the pools need.
+func (s *Service) planMoves(now time.Time, list []services.Machine, maintenance upkeep.Plan) sizing.Plan {
+	catalog := s.catalogs.Catalog()
+	pools := make(map[string]sizing.Pool, len(catalog.Services))
+	var machines []sizing.Machine
+	size := make(map[string][]int64)
+	for _, m := range list {
+		size[m.Pool] = append(size[m.Pool], m.Capacity.MilliCPU)
+		status := s.statuses[m.Pool]
+		use := status.Machines[m.Name]
+		_, moving := s.moving[m.Name]
+		_, away := s.ordered[m.Name]
+		machines = append(machines, sizing.Machine{
+			Name: m.Name, Pool: m.Pool, Free: s.empty(m),
+			Movable:  m.State == services.MachineUp && !moving && !away && !maintenance.Cordon[m.Name],
+			Cordoned: s.moveCordon[m.Name], Tasks: use.Tasks, Services: use.Services,
+		})
+	}
+	for name, service := range catalog.Services {
+		status := s.statuses[name]
+		p := sizing.Pool{Standby: service.Standby, Home: s.homes.record.Pools[name], Demand: status.Demand, MachineSize: mean(size[name])}
+		for _, t := range s.moving {
+			if t.to == name {
+				p.Incoming++
+			}
+		}
+		p.QuietFor = s.quiet(now, name, status)
+		pools[name] = p
+	}
+	return sizing.Decide(pools, machines)
+}
+
+// quiet returns how long a pool has used less than half of its capacity.
+func (s *Service) quiet(now time.Time, pool string, status jobrecord.StatusRecord) time.Duration {
+	if status.Demand*2 > status.Capacity {
+		delete(s.quietSince, pool)
+		return 0
+	}
+	since, ok := s.quietSince[pool]
+	if !ok {
+		s.quietSince[pool] = now
+		return 0
+	}
+	return now.Sub(since)
+}
+
+func mean(values []int64) int64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sum := int64(0)
+	for _, v := range values {
+		sum += v
+	}
+	return sum / int64(len(values))
+}
+
+// settleMoves forgets the moves that have ended.
+func (s *Service) settleMoves(now time.Time, list []services.Machine) {
+	at := make(map[string]services.Machine, len(list))
+	for _, m := range list {
+		at[m.Name] = m
+	}
+	maps.DeleteFunc(s.moving, func(name string, t transit) bool {
+		m, ok := at[name]
+		arrived := ok && m.Pool == t.to && m.State == services.MachineUp
+		return arrived || now.Sub(t.at) > arrivalLimit
+	})
+}
+
+// move orders moves.
+func (s *Service) move(ctx context.Context, now time.Time, moves []sizing.Move) {
+	if !s.mayOrder(now) {
+		return
+	}
+	for _, m := range moves {
+		order := services.MachineOrder{Machine: m.Machine, Holder: s.settings.Host, Fence: s.tenure.Fence}
+		err := s.machines.MoveMachine(ctx, order, m.To)
+		s.moves.Inc(1)
+		s.log.Info().Err(err).Str("machine", m.Machine).Str("from", m.From).Str("to", m.To).Int64("demand", s.statuses[m.To].Demand).
+			Int64("capacity", s.statuses[m.To].Capacity).Int64("fence", s.tenure.Fence).Msg("move ordered")
+		switch {
+		case err == nil || !fault.IsNotRun(err):
+			s.moving[m.Machine] = transit{m.To, now}
+		case fault.ReasonOf(err) == fault.ReasonSuperseded:
+			s.refused.Inc(1)
+			s.ownership.Lost(s.tenure)
+			return
+		default:
+			s.refused.Inc(1)
+		}
+	}
+}
--- a/services/upkeep/upkeep.go
+++ b/services/upkeep/upkeep.go
@@ -1,9 +1,10 @@
-// Package upkeep is the service that carries out waves of maintenance. The
-// process that owns services.PoolMachines does this for all pools; the duty
-// upkeep.plan owns its state.
+// Package upkeep is the service that carries out waves of maintenance and moves
+// machines between pools. The process that owns services.PoolMachines does this
+// for all pools; the duty upkeep.plan owns its state.
 //
 // Machines are cordoned by a record that the owner of their pool follows. The
-// owner publishes which of them are empty, and only those are maintained.
+// owner publishes which of them are empty, and only those, and machines of
+// standby pools, are maintained or moved.
 package upkeep
 
 import (
@@ -24,8 +25,13 @@
 )
 
 const (
-	// roundEvery separates decisions while there is something to do.
+	// roundEvery is the longest time between two decisions. A change of a
+	// pool's status brings the next one forward.
 	roundEvery = 400 * time.Millisecond
+	// roundPause is the shortest time between two decisions.
+	roundPause = 100 * time.Millisecond
+	// listEvery separates reads of the list of machines.
+	listEvery = 400 * time.Millisecond
 	// emptying is how long a machine usually takes until nothing runs on it:
 	// the tasks of the deployments take up to 3 s.
 	emptying = 2500 * time.Millisecond
@@ -59,6 +65,7 @@
 	ownership services.Ownership
 	orders    tally.Counter
 	refused   tally.Counter
+	moves     tally.Counter
 
 	// The rest is owned by the duty.
 	tenure   services.Tenure
@@ -66,6 +73,14 @@
 	cordons  map[string]poolCordon
 	ordered  map[string]time.Time
 	statuses map[string]jobrecord.StatusRecord
+	// version is where the next look at the pools' records resumes.
+	version    int64
+	homes      homes
+	moving     map[string]transit
+	moveCordon map[string]bool
+	quietSince map[string]time.Time
+	list       []services.Machine
+	listAt     time.Time
 }
 
 // waveState is the progress of one wave.
@@ -82,7 +97,21 @@
 type poolCordon struct {
 	record  jobrecord.CordonRecord
 	version int64
-	loaded  bool
+	// since is the version from which on each machine has been cordoned
+	// without a break.
+	since map[string]int64
+}
+
+// next returns the cordon after another record was written.
+func (c poolCordon) next(record jobrecord.CordonRecord, version int64) poolCordon {
+	since := make(map[string]int64, len(record.Machines))
+	for _, m := range record.Machines {
+		since[m] = version
+		if old, ok := c.since[m]; ok {
+			since[m] = old
+		}
+	}
+	return poolCordon{record, version, since}
 }
 
 // New returns the service.
@@ -96,12 +125,19 @@
 	s.waves = make(map[int]*waveState)
 	s.cordons = make(map[string]poolCordon)
 	s.ordered = make(map[string]time.Time)
+	s.statuses = make(map[string]jobrecord.StatusRecord)
+	s.version = 0
+	s.homes = homes{}
+	s.moving = make(map[string]transit)
+	s.moveCordon = make(map[string]bool)
+	s.quietSince = make(map[string]time.Time)
 }
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(c *kernel.Context) error {
 	s.log = c.Log
 	s.orders = c.Scope.Counter("maintenance_orders_total")
+	s.moves = c.Scope.Counter("machine_moves_total")
 	s.refused = c.Scope.Counter("maintenance_orders_refused_total")
 	var err error
 	if s.records, err = kernel.Lookup[services.Records](c, services.NamePlatform); err != nil {
@@ -124,90 +160,104 @@
 }
 
 func (s *Service) plan(ctx context.Context) {
-	ticker := time.NewTicker(roundEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.round(ctx)
+	for ctx.Err() == nil {
+		wait := roundEvery
+		if s.round(ctx) {
+			wait = roundPause
 		}
+		pause(ctx, wait)
 	}
 }
 
-// round does what the waves need while this process owns the machines.
-func (s *Service) round(ctx context.Context) {
+// round does what waves and pools need while this process owns the machines.
+// It reports whether the next look at the pools waits for a change by itself.
+func (s *Service) round(ctx context.Context) bool {
 	t, ok := s.ownership.Tenures()[services.PoolMachines]
-	if !ok {
-		return
+	catalog := s.catalogs.Catalog()
+	if !ok || catalog == nil {
+		return false
 	}
 	if t.Term != s.tenure.Term {
 		s.reset()
 	}
 	s.tenure = t
-	now := s.clock()
-	catalog := s.catalogs.Catalog()
-	if catalog == nil || !s.loadWaves(ctx, now) {
-		return
+	if err := s.readPools(ctx); err != nil {
+		s.log.Debug().Err(err).Msg("status of the pools not read")
+		return false
 	}
+	now := s.clock()
+	s.loadWaves(ctx, now)
 	machines, err := s.look(ctx, now)
 	if err != nil {
 		s.log.Debug().Err(err).Msg("machines not listed")
-		return
+		return false
 	}
-	for name := range catalog.Services {
-		if err := s.loadPool(ctx, name); err != nil {
-			s.log.Debug().Err(err).Str("pool", name).Msg("pool status not read")
-			return
-		}
+	if !s.loadHomes(ctx, machines) {
+		return false
 	}
+	s.act(ctx, now, machines)
+	return true
+}
+
+// act decides and carries out.
+func (s *Service) act(ctx context.Context, now time.Time, machines []services.Machine) {
+	s.settleMoves(now, machines)
 	plan := upkeep.Decide(now, s.openWaves(), s.describe(now, machines), s.loads(), s.cordoned(), upkeep.Params{
 		Maintenance: s.settings.Maintenance, Emptying: emptying,
 	})
-	s.writeCordons(ctx, machines, plan)
+	moves := s.planMoves(now, machines, plan)
+	s.moveCordon = moves.Cordon
+	cordon := maps.Clone(plan.Cordon)
+	maps.Copy(cordon, moves.Cordon)
+	for _, m := range moves.Moves {
+		cordon[m.Machine] = true
+	}
+	s.writeCordons(ctx, machines, cordon, plan.Leave)
 	s.order(ctx, now, plan.Orders)
+	s.move(ctx, now, moves.Moves)
 	s.report(ctx, plan.Completed)
 }
 
-// loadWaves reads the progress of waves that are new to this process. It
-// reports whether there is a wave to work on.
-func (s *Service) loadWaves(ctx context.Context, now time.Time) bool {
-	open := false
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// mayOrder reports whether this process may give orders for machines: its
+// ownership is fresh, and the process before it has given none for a while.
+func (s *Service) mayOrder(now time.Time) bool {
+	return now.Sub(s.tenure.RenewedAt) <= renewedWithin && now.Sub(s.tenure.ClaimedAt) >= s.settings.OrderLease
+}
+
+// loadWaves reads the progress of waves that are new to this process.
+func (s *Service) loadWaves(ctx context.Context, now time.Time) {
 	for _, w := range s.catalogs.Waves() {
 		state := s.waves[w.Number]
 		if state == nil {
 			state = &waveState{seen: now, done: make(map[string]bool)}
 			s.waves[w.Number] = state
 		}
-		if !state.loaded && !s.loadWave(ctx, w.Number, state) {
-			continue
+		if !state.loaded {
+			s.loadWave(ctx, w.Number, state)
 		}
-		open = open || !state.complete
 	}
-	return open || s.anyCordon()
 }
 
-func (s *Service) loadWave(ctx context.Context, number int, state *waveState) bool {
+func (s *Service) loadWave(ctx context.Context, number int, state *waveState) {
 	record, version, err := readRecord[jobrecord.WaveRecord](ctx, s.records, jobrecord.Wave(number))
 	if err != nil {
 		s.log.Debug().Err(err).Int("wave", number).Msg("progress of the wave not read")
-		return false
+		return
 	}
 	for _, m := range record.Done {
 		state.done[m] = true
 	}
 	state.complete, state.version, state.loaded = record.Completed, version, true
-	return true
-}
-
-func (s *Service) anyCordon() bool {
-	for _, c := range s.cordons {
-		if len(c.record.Machines)+len(c.record.Leave) > 0 {
-			return true
-		}
-	}
-	return false
 }
 
 func (s *Service) openWaves() []upkeep.Wave {
@@ -226,10 +276,14 @@
 
 // look lists the machines. One whose maintenance has ended may be ordered again.
 func (s *Service) look(ctx context.Context, now time.Time) ([]services.Machine, error) {
+	if now.Sub(s.listAt) < listEvery {
+		return s.list, nil
+	}
 	machines, err := s.machines.ListMachines(ctx)
 	if err != nil {
 		return nil, err
 	}
+	s.list, s.listAt = machines, now
 	for _, m := range machines {
 		at, ok := s.ordered[m.Name]
 		if ok && m.State == services.MachineUp && now.Sub(at) > s.settings.Maintenance+awayMargin {
@@ -239,25 +293,54 @@
 	return machines, nil
 }
 
-// loadPool reads what the pool's owner publishes, and its cordons once.
-func (s *Service) loadPool(ctx context.Context, pool string) error {
-	status, _, err := readRecord[jobrecord.StatusRecord](ctx, s.records, jobrecord.Status(pool))
-	if err != nil {
-		return err
+// readPools reads what the owners of the pools publish: everything at first,
+// and then the changes, for which it waits.
+func (s *Service) readPools(ctx context.Context) error {
+	if s.version > 0 {
+		changes, err := s.records.Changes(ctx, jobrecord.TablePools, s.version, roundEvery)
+		if err != nil {
+			return err
+		}
+		if !changes.Forgotten {
+			s.version = max(s.version, changes.Version)
+			for i := range changes.Records {
+				s.learnStatus(&changes.Records[i])
+			}
+			return nil
+		}
 	}
-	if s.statuses == nil {
-		s.statuses = make(map[string]jobrecord.StatusRecord)
+	version := int64(0)
+	for pool := range s.catalogs.Catalog().Services {
+		page, err := s.records.Scan(ctx, services.RecordRange{Table: jobrecord.TablePools, Part: pool})
+		if err != nil {
+			return err
+		}
+		if version == 0 || page.Version < version {
+			version = page.Version
+		}
+		for i := range page.Records {
+			s.learnStatus(&page.Records[i])
+		}
+		record, at, err := readRecord[jobrecord.CordonRecord](ctx, s.records, jobrecord.Cordons(pool))
+		if err != nil {
+			return err
+		}
+		s.cordons[pool] = poolCordon{}.next(record, at)
 	}
-	s.statuses[pool] = status
-	if s.cordons[pool].loaded {
-		return nil
+	s.version = version
+	return nil
+}
+
+func (s *Service) learnStatus(r *services.Record) {
+	if r.RecordKey != jobrecord.Status(r.Part) {
+		return
 	}
-	record, version, err := readRecord[jobrecord.CordonRecord](ctx, s.records, jobrecord.Cordons(pool))
-	if err != nil {
-		return err
+	var status jobrecord.StatusRecord
+	if err := json.Unmarshal(r.Value, &status); err != nil {
+		s.log.Error().Err(err).Str("pool", r.Part).Msg("status cannot be read; the last one stays")
+		return
 	}
-	s.cordons[pool] = poolCordon{record, version, true}
-	return nil
+	s.statuses[r.Part] = status
 }
 
 // readRecord reads one record; a missing one is zero.
@@ -281,13 +364,22 @@
 		_, ordered := s.ordered[m.Name]
 		machines = append(machines, upkeep.Machine{
 			Name: m.Name, Pool: m.Pool, Up: m.State == services.MachineUp && !ordered,
-			Away: m.State == services.MachineInUpkeep || ordered, Empty: slices.Contains(status.Empty, m.Name),
+			Away: m.State == services.MachineInUpkeep || ordered, Empty: s.empty(m),
 			Standby: catalog.Services[m.Pool].Standby, Tasks: use.Tasks, Services: use.Services,
 		})
 	}
 	return machines
 }
 
+// empty reports whether the owner of the machine's pool has emptied it for the
+// cordon in force. What it said of an earlier cordon does not count, because the
+// machine may have got work in between.
+func (s *Service) empty(m services.Machine) bool {
+	status := s.statuses[m.Pool]
+	since, ok := s.cordons[m.Pool].since[m.Name]
+	return ok && status.Cordons >= since && slices.Contains(status.Empty, m.Name)
+}
+
 func (s *Service) loads() map[string]upkeep.PoolLoad {
 	loads := make(map[string]upkeep.PoolLoad, len(s.statuses))
 	for pool, status := range s.statuses {
@@ -307,14 +399,14 @@
 }
 
 // writeCordons tells the owners of the pools which machines to empty.
-func (s *Service) writeCordons(ctx context.Context, machines []services.Machine, plan upkeep.Plan) {
+func (s *Service) writeCordons(ctx context.Context, machines []services.Machine, cordon, leave map[string]bool) {
 	next := make(map[string]jobrecord.CordonRecord)
 	for _, m := range machines {
 		r := next[m.Pool]
-		if plan.Cordon[m.Name] {
+		if cordon[m.Name] {
 			r.Machines = append(r.Machines, m.Name)
 		}
-		if plan.Leave[m.Name] {
+		if leave[m.Name] {
 			r.Leave = append(r.Leave, m.Name)
 		}
 		next[m.Pool] = r
@@ -333,10 +425,11 @@
 	}
 	version, ok := s.write(ctx, jobrecord.Cordons(pool), old.version, next)
 	if !ok {
-		delete(s.cordons, pool)
+		// All records are read again before the next decision.
+		s.version = 0
 		return
 	}
-	s.cordons[pool] = poolCordon{next, version, true}
+	s.cordons[pool] = old.next(next, version)
 	s.log.Info().Str("pool", pool).Strs("machines", next.Machines).Int("leave", len(next.Leave)).Int64("version", version).Msg("cordons written")
 }
 
@@ -360,7 +453,7 @@
 
 // order begins maintenances.
 func (s *Service) order(ctx context.Context, now time.Time, orders []upkeep.Order) {
-	if now.Sub(s.tenure.RenewedAt) > renewedWithin || now.Sub(s.tenure.ClaimedAt) < s.settings.OrderLease {
+	if !s.mayOrder(now) {
 		return
 	}
 	changed := make(map[int]bool)
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -40,6 +40,7 @@
 	keyStatus    = "status"
 	keyCordons   = "cordons"
 	prefixWave   = "wave/"
+	keyHomes     = "homes"
 
 	suffixJob      = "/job"
 	suffixCancel   = "/cancel"
@@ -121,6 +122,11 @@
 	return services.RecordKey{Table: TableLimits, Part: PartLimits, Key: tenant}
 }
 
+// Homes is the key of the usual numbers of machines of the pools.
+func Homes() services.RecordKey {
+	return services.RecordKey{Table: TablePools, Part: services.PoolMachines, Key: keyHomes}
+}
+
 // Kind tells what a record in the tables of jobs and progress holds.
 type Kind int
 
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -28,8 +28,10 @@
 	// Begun lists jobs whose tasks have started and whose progress is not
 	// recorded yet.
 	Begun []string `json:"begun,omitempty"`
-	// Empty lists cordoned machines on which nothing runs.
-	Empty []string `json:"empty,omitempty"`
+	// Cordons is the version of the record of cordons that the owner follows,
+	// and Empty lists the machines in it on which nothing runs.
+	Cordons int64    `json:"cordons,omitempty"`
+	Empty   []string `json:"empty,omitempty"`
 	// Demand is the processor demand of work that could run now, in
 	// thousandths, and Capacity what the executors have.
 	Demand   int64 `json:"demand"`
@@ -53,6 +55,12 @@
 	Leave []string `json:"leave,omitempty"`
 }
 
+// HomesRecord holds the usual number of machines of each pool: those that it had
+// when the system started for the first time.
+type HomesRecord struct {
+	Pools map[string]int `json:"pools"`
+}
+
 // WaveRecord is the progress of a wave.
 type WaveRecord struct {
 	// Done lists the machines whose maintenance has begun.
