Wait only for executors that may still run work; do not restart blindly

A service task was moved back and forth between executors that are going to be emptied.

Change: without a fresh renewal no task whose run was lost is started again. Executors of machines or addresses that run a later life are dropped, and the record of executors is renewed when one was. An owner goes on for 5 s without the store, before 12 s. A service task moves only when it has worked for the notice time and when it would start on an executor that stays.

--- a/decision/ownership/ownership.go
+++ b/decision/ownership/ownership.go
@@ -21,8 +21,9 @@
 	TakeoverAfter = 2500 * time.Millisecond
 	// Lapse is how long an owner goes on without a confirmed renewal. The
 	// fencing token stops it earlier wherever its successor has been heard; the
-	// bound is for executors that the successor cannot reach.
-	Lapse = 12 * time.Second
+	// bound is for executors that the successor cannot reach. While the store is
+	// away no work arrives, so that little is lost when it lasts longer.
+	Lapse = 5 * time.Second
 	// loadDelay is added for each pool that the process owns already.
 	loadDelay = 350 * time.Millisecond
 	// spreadDelay is the largest delay drawn from the names of pool and host.
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -12,7 +12,9 @@
 
 // Executor is one life of an executor as the registry shows it.
 type Executor struct {
-	ID       string
+	ID string
+	// Machine is what the executor runs on; empty when not known.
+	Machine  string
 	Born     int64
 	Address  string
 	Zone     string
@@ -299,8 +301,39 @@
 
 func byID(a, b Executor) int { return cmp.Compare(a.ID, b.ID) }
 
+// EndLives drops executors that are not listed any more and whose machine or
+// address runs a later life of another one. all lists the executors of all pools.
+func (p *Plan) EndLives(now time.Time, all []Executor) {
+	var gone []*executor
+	for _, e := range p.executors {
+		if !e.listed {
+			gone = append(gone, e)
+		}
+	}
+	if len(gone) == 0 {
+		return
+	}
+	latest := make(map[string]int64, 2*len(all))
+	for i := range all {
+		latest[all[i].Address] = max(latest[all[i].Address], all[i].Born)
+		if all[i].Machine != "" {
+			latest[all[i].Machine] = max(latest[all[i].Machine], all[i].Born)
+		}
+	}
+	for _, e := range gone {
+		if e.Born > 0 && (latest[e.Address] > e.Born || latest[e.Machine] > e.Born) {
+			p.endLife(now, e, "its machine or address runs another life")
+		}
+	}
+}
+
+// RecordOutdated reports whether the record of executors names some that are
+// certainly gone, for which a later owner would wait.
+func (p *Plan) RecordOutdated() bool { return p.removed }
+
 // Recorded marks executors as known to later owners.
 func (p *Plan) Recorded(recorded []Executor) {
+	p.removed = false
 	for _, info := range recorded {
 		if e := p.executors[info.ID]; e != nil && e.Born == info.Born {
 			e.usable = true
@@ -315,6 +348,7 @@
 		p.lose(now, r, why)
 	}
 	delete(p.executors, e.ID)
+	p.removed = true
 }
 
 func sortedRuns(e *executor) []*run {
@@ -340,6 +374,7 @@
 		}
 		if !e.listed && !e.holding {
 			delete(p.executors, e.ID)
+			p.removed = true
 		}
 	}
 }
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -77,7 +77,8 @@
 	notBefore  time.Time
 	// failedOn lists the executors on which the task failed or stood still.
 	failedOn []string
-	lostAt   time.Time
+	// lost tells that the last run ended without a report.
+	lost bool
 }
 
 func (t *task) id() workload.TaskID {
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -177,7 +177,7 @@
 
 func (p *Plan) placeTasks(now time.Time, g *group, candidates []*executor) {
 	for _, t := range g.tasks {
-		if !t.open() || now.Before(t.notBefore) {
+		if !t.open() || now.Before(t.notBefore) || (t.lost && p.stale) {
 			continue
 		}
 		if !p.withinLimit(g, 1) {
@@ -194,7 +194,7 @@
 // placeGang starts all members of a gang, or none.
 func (p *Plan) placeGang(now time.Time, g *group, candidates []*executor) {
 	for _, t := range g.tasks {
-		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
+		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || (t.lost && p.stale) {
 			return
 		}
 	}
@@ -336,7 +336,7 @@
 
 func (p *Plan) start(now time.Time, t *task, e *executor, attempt int) {
 	g := t.group
-	t.attempts = attempt
+	t.attempts, t.lost = attempt, false
 	r := &run{
 		key:       runKey{t.id(), attempt},
 		task:      t,
@@ -380,28 +380,26 @@
 				p.stop(now, r, r.stopReason)
 			case r.state == runRunning && r.task.group.step.Service && e.Draining:
 				p.stop(now, r, "executor is draining")
-			case r.state == runRunning && r.task.group.step.Service && (e.Cordoned || e.Leaving) && p.mayInterrupt(now, r) && p.hasPlace(r.task.group):
+			case r.state == runRunning && r.task.group.step.Service && (e.Cordoned || e.Leaving) && p.mayInterrupt(now, r) && p.hasPlace(now, r.task):
 				p.stop(now, r, "executor is going to be emptied")
 			}
 		}
 	}
 }
 
-// hasPlace reports whether a service task could start on an executor that stays.
-func (p *Plan) hasPlace(g *group) bool {
-	demand := g.step.Demand()
-	for _, e := range p.executors {
-		if e.accepts() && !e.Leaving && demand.Fits(e.free()) && g.allows(e, 0) {
-			return true
-		}
-	}
-	return false
+// hasPlace reports whether a service task would start on an executor that stays.
+func (p *Plan) hasPlace(now time.Time, t *task) bool {
+	e := p.choose(t.group, t, p.candidates(now), nil)
+	return e != nil && !e.Leaving
 }
 
-// mayInterrupt reports whether a service task may be away now: all the others
-// of its step have been at work for the notice time.
+// mayInterrupt reports whether a service task may be away now: it and all the
+// others of its step have been at work for the notice time.
 func (p *Plan) mayInterrupt(now time.Time, r *run) bool {
 	g := r.task.group
+	if !r.task.atWork(now, p.params.Notice) {
+		return false
+	}
 	if g.step.MaxUnavailable <= 0 {
 		return true
 	}
@@ -417,7 +415,8 @@
 // atWork reports whether a service task has worked for at least d.
 func (t *task) atWork(now time.Time, d time.Duration) bool {
 	for _, r := range t.runs {
-		if r.state == runRunning && r.percent == 100 && now.Sub(r.percentAt) >= d {
+		heard := r.executor.reachable() && now.Sub(r.executor.heardAt) < holdWait+silentRetry
+		if heard && r.state == runRunning && r.percent == 100 && now.Sub(r.percentAt) >= d {
 			return true
 		}
 	}
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -73,6 +73,10 @@
 	unsaved   map[string]*job
 	deposed   bool
 	takeover  time.Time
+	// stale tells that a later owner may exist.
+	stale bool
+	// removed tells that an executor was dropped since the last record.
+	removed bool
 	// settled tells that no run of an earlier owner can be alive unseen.
 	settled bool
 	// advising counts the open calls for advice.
@@ -120,6 +124,11 @@
 // without an entry may start nothing.
 func (p *Plan) SetLimits(limits map[string]fleet.Resources) { p.limits = limits }
 
+// SetCurrent tells whether no later owner can exist. While one can, a task whose
+// run was lost without a report is not started again: the later owner may have
+// seen its end.
+func (p *Plan) SetCurrent(current bool) { p.stale = !current }
+
 // Deposed reports whether an executor has seen a later owner.
 func (p *Plan) Deposed() bool { return p.deposed }
 
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -73,7 +73,7 @@
 			return
 		}
 		p.silence(now, e)
-		p.lose(now, r, "executor unreachable")
+		p.neverBegan(now, r, "executor unreachable")
 	case RefusedOld:
 		r.task.attempts = max(r.task.attempts, s.Attempt)
 		p.lose(now, r, "attempt is old")
@@ -81,14 +81,14 @@
 		p.endLife(now, e, "another life answers")
 	case RefusedTicket:
 		r.task.group.advice = nil
-		p.lose(now, r, "ticket refused")
+		p.neverBegan(now, r, "ticket refused")
 	case RefusedLate, RefusedRoom, RefusedBusy, RefusedInvalid:
 		e.avoidUntil = now.Add(busyPause)
 		if r.tries > 1 {
 			p.stop(now, r, "start refused after an unanswered one")
 			return
 		}
-		p.lose(now, r, "refused: "+o.Answer.String())
+		p.neverBegan(now, r, "refused: "+o.Answer.String())
 	}
 }
 
@@ -405,11 +405,17 @@
 // lose gives up a run that has ended without a report. Its task starts again.
 func (p *Plan) lose(now time.Time, r *run, why string) {
 	p.drop(r)
-	r.task.lostAt = now
+	r.task.lost = true
 	p.regroup = true
 	p.note(Event{What: "run lost", Job: r.key.task.Job, Task: r.key.task.String(), Peer: r.executor.ID, Reason: why, Age: now.Sub(r.orderedAt)})
 }
 
+// neverBegan gives up a run that its executor has not begun.
+func (p *Plan) neverBegan(now time.Time, r *run, why string) {
+	p.lose(now, r, why)
+	r.task.lost = false
+}
+
 // drop removes a run and frees what it took.
 func (p *Plan) drop(r *run) {
 	if r.executor.runs[r.key] != r {
--- a/decision/poolplan/takeover_test.go
+++ b/decision/poolplan/takeover_test.go
@@ -64,3 +64,28 @@
 	assert.Assert(t, w.now.Sub(begin) > earliest, "started after %v; leases of the earlier owner may last %v", w.now.Sub(begin), earliest)
 	assert.Assert(t, w.starts[0].Attempt > attemptsPerTerm, "attempt %d may have been used by the earlier owner", w.starts[0].Attempt)
 }
+
+// Guards against a new owner that waits for the leases of executors whose
+// machines have been moved or maintained since, and run another one now.
+func TestLifeOfReusedMachineIsOver(t *testing.T) {
+	w := newWorld(t, 2)
+	old := executorInfo("1")
+	old.Machine = "m"
+	w.plan.Inherit(w.now, old)
+	w.job("a", true, step(1))
+	w.register("2")
+	w.step()
+	assert.Equal(t, len(w.starts), 0)
+	next := executorInfo("3")
+	next.Machine, next.Born = "m", 2000
+	w.plan.EndLives(w.now, []Executor{next, executorInfo("2")})
+	for range len(w.holds) {
+		w.report(w.takeHold(), nil)
+	}
+	w.pass(100 * time.Millisecond)
+	for range len(w.holds) {
+		w.report(w.takeHold(), nil)
+	}
+	assert.Equal(t, w.takeStart().Executor, "2")
+	assert.Assert(t, w.plan.RecordOutdated(), "the record still names the old life")
+}
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -22,6 +22,9 @@
 	loadRetry = 300 * time.Millisecond
 	// backlogLimit bounds the calls that wait for room in a ring.
 	backlogLimit = 4096
+	// currentFor is how long after its last confirmed renewal an owner can be
+	// sure to have no successor; the margin covers the way of an order.
+	currentFor = ownership.TakeoverAfter - 300*time.Millisecond
 	// eventBurst is how many waiting events are handled before the next step.
 	eventBurst = 64
 )
@@ -34,7 +37,9 @@
 	pools   map[string]*manager
 	backlog []queued
 
-	registry     []services.RegisteredExecutor
+	registry []services.RegisteredExecutor
+	// lives are the executors of the registry, of all pools.
+	lives        []poolplan.Executor
 	registryBusy bool
 	registryAt   time.Time
 	limits       limiter
@@ -188,6 +193,7 @@
 		p.logEvents(m)
 		return idleWait
 	}
+	m.plan.SetCurrent(p.now.Sub(m.tenure.RenewedAt) < currentFor)
 	for _, o := range m.plan.Step(p.now) {
 		p.order(m, o)
 	}
--- a/services/pools/records.go
+++ b/services/pools/records.go
@@ -370,7 +370,7 @@
 
 // record makes the executors durable that this owner is going to use.
 func (p *planner) record(m *manager) {
-	if m.busy.record || len(m.plan.Unrecorded()) == 0 {
+	if m.busy.record || len(m.plan.Unrecorded()) == 0 && !m.plan.RecordOutdated() {
 		return
 	}
 	m.busy.record = true
@@ -433,6 +433,10 @@
 		return
 	}
 	p.registry = e.executors
+	p.lives = p.lives[:0]
+	for _, x := range e.executors {
+		p.lives = append(p.lives, x.Executor)
+	}
 	for _, m := range p.pools {
 		if m.loaded {
 			p.applyRegistry(m)
@@ -455,6 +459,7 @@
 		listed = append(listed, info)
 	}
 	m.plan.SetExecutors(p.now, listed)
+	m.plan.EndLives(p.now, p.lives)
 }
 
 // cordon takes in the record of the machines to empty.
--- a/services/records.go
+++ b/services/records.go
@@ -129,7 +129,6 @@
 type RegisteredExecutor struct {
 	poolplan.Executor
 	Service string
-	Machine string
 	// Sequence rises with each report of the executor's life.
 	Sequence int64
 }
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -71,6 +71,7 @@
 type executorRecord struct {
 	ID       string          `json:"id"`
 	Born     int64           `json:"born,omitempty"`
+	Machine  string          `json:"machine,omitempty"`
 	Address  string          `json:"addr"`
 	Zone     string          `json:"zone,omitempty"`
 	Labels   []string        `json:"labels,omitempty"`
@@ -82,7 +83,7 @@
 func EncodeExecutors(list []poolplan.Executor) ([]byte, error) {
 	records := make([]executorRecord, 0, len(list))
 	for _, e := range list {
-		records = append(records, executorRecord{ID: e.ID, Born: e.Born, Address: e.Address, Zone: e.Zone, Labels: e.Labels, Rack: e.Rack, Capacity: e.Capacity})
+		records = append(records, executorRecord{ID: e.ID, Born: e.Born, Machine: e.Machine, Address: e.Address, Zone: e.Zone, Labels: e.Labels, Rack: e.Rack, Capacity: e.Capacity})
 	}
 	return json.Marshal(records)
 }
@@ -95,7 +96,7 @@
 	}
 	list := make([]poolplan.Executor, 0, len(records))
 	for _, r := range records {
-		list = append(list, poolplan.Executor{ID: r.ID, Born: r.Born, Address: r.Address, Zone: r.Zone, Labels: r.Labels, Rack: r.Rack, Capacity: r.Capacity})
+		list = append(list, poolplan.Executor{ID: r.ID, Born: r.Born, Machine: r.Machine, Address: r.Address, Zone: r.Zone, Labels: r.Labels, Rack: r.Rack, Capacity: r.Capacity})
 	}
 	return list, nil
 }
