Spread the records of jobs over parts of the store

Cause: the store carries out the transactions of one part one after another.

Change: jobs and cancellations are in twelve parts a pool, the status in one of its own; only what proves ownership shares the pool's part.

--- a/services/jobdesk/jobdesk.go
+++ b/services/jobdesk/jobdesk.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -120,7 +121,6 @@
 // job is what the store holds of a job.
 type job struct {
 	pool      string
-	tenant    string
 	state     workload.State
 	cancelled bool
 }
@@ -144,49 +144,47 @@
 }
 
 func (s *Service) findIn(ctx context.Context, pool, id string) (*job, error) {
-	shown, err := s.scan(ctx, jobrecord.ProgressRange(pool, id))
-	if err != nil {
-		return nil, err
-	}
 	j := &job{pool: pool}
-	known := false
-	for i := range shown {
-		switch _, kind := jobrecord.Parse(shown[i].Key); kind {
-		case jobrecord.KindCancel:
-			j.cancelled, known = true, true
-		case jobrecord.KindProgress:
-			p, err := jobrecord.DecodeProgress(id, shown[i].Value)
-			if err != nil {
-				return nil, fault.New(&fault.NotRun, fault.ReasonMalformed, "read progress", pool, "%w", err)
-			}
-			j.state, known = p.State, true
-		}
+	begun, err := s.readProgress(ctx, j, id)
+	if err != nil || j.state.Ended() {
+		return j, err
 	}
-	if known {
-		return j, nil
-	}
-	return s.findUnbegun(ctx, pool, id)
-}
-
-// findUnbegun looks up a job without recorded progress.
-func (s *Service) findUnbegun(ctx context.Context, pool, id string) (*job, error) {
 	records, err := s.scan(ctx, jobrecord.JobRange(pool, id))
 	if err != nil || len(records) == 0 {
 		return nil, err
 	}
-	j := &job{pool: pool}
+	for i := range records {
+		if _, kind := jobrecord.Parse(records[i].Key); kind == jobrecord.KindCancel {
+			j.cancelled = true
+		}
+	}
+	if begun || j.cancelled {
+		return j, nil
+	}
 	status, err := s.status(ctx, pool)
 	if err != nil {
 		return nil, err
 	}
-	for _, begun := range status.Begun {
-		if begun == id {
-			j.state = workload.Running
-		}
+	if slices.Contains(status.Begun, id) {
+		j.state = workload.Running
 	}
 	return j, nil
 }
 
+// readProgress reports whether there is recorded progress of the job.
+func (s *Service) readProgress(ctx context.Context, j *job, id string) (bool, error) {
+	records, err := s.scan(ctx, jobrecord.ProgressRange(j.pool, id))
+	if err != nil || len(records) == 0 {
+		return false, err
+	}
+	p, err := jobrecord.DecodeProgress(id, records[0].Value)
+	if err != nil {
+		return false, fault.New(&fault.NotRun, fault.ReasonMalformed, "read progress", j.pool, "%w", err)
+	}
+	j.state = p.State
+	return true, nil
+}
+
 // scan reads a range, and once more when the store did not answer.
 func (s *Service) scan(ctx context.Context, r services.RecordRange) ([]services.Record, error) {
 	start := s.clock()
@@ -238,11 +236,7 @@
 	if j.cancelled || j.state.Ended() {
 		return true, nil
 	}
-	value := []byte("{}")
-	tx := services.RecordTx{Writes: []services.RecordWrite{
-		{RecordKey: jobrecord.Cancel(j.pool, id), Value: value},
-		{RecordKey: jobrecord.ShownCancel(j.pool, id), Value: value},
-	}}
+	tx := services.RecordTx{Writes: []services.RecordWrite{{RecordKey: jobrecord.Cancel(j.pool, id), Value: []byte("{}")}}}
 	commit, err := s.commit(ctx, tx, "cancel")
 	s.log.Info().Err(err).Str("job", id).Str("queue", q.Name).Int64("version", commit.Version).Msg("job cancelled")
 	return true, err
--- a/services/pools/expire.go
+++ b/services/pools/expire.go
@@ -8,13 +8,8 @@
 	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
 )
 
-const (
-	// expireEvery separates looks for jobs that ended long ago.
-	expireEvery = time.Minute
-	// expirePerCommit bounds the jobs that one transaction deletes; each has
-	// up to four records, and the store takes 100 entries.
-	expirePerCommit = 24
-)
+// expireEvery separates looks for jobs that ended long ago.
+const expireEvery = time.Minute
 
 type expireCall struct {
 	poolRef
@@ -52,28 +47,29 @@
 		}
 	}
 	deleted := 0
-	for len(old) > 0 {
-		batch := old[:min(len(old), expirePerCommit)]
-		old = old[len(batch):]
-		commit, err := s.records.Commit(ctx, deletion(c, batch))
-		if err != nil || !commit.Committed {
+	for _, id := range old {
+		if err := s.expire(ctx, c, id); err != nil {
 			return expireDone{c, deleted, err}
 		}
-		deleted += len(batch)
+		deleted++
 	}
 	return expireDone{c, deleted, nil}
 }
 
-func deletion(c expireCall, jobs []string) services.RecordTx {
-	tx := services.RecordTx{Conditions: []services.RecordCondition{c.condition}}
-	for _, id := range jobs {
-		for _, key := range []services.RecordKey{
-			jobrecord.Job(c.pool, id), jobrecord.Cancel(c.pool, id), jobrecord.ShownCancel(c.pool, id), jobrecord.Progress(c.pool, id),
-		} {
-			tx.Writes = append(tx.Writes, services.RecordWrite{RecordKey: key, Delete: true})
-		}
+// expire deletes a job and then its progress. In the other order a job would
+// be left that looks as if it had not begun.
+func (s *Service) expire(ctx context.Context, c expireCall, id string) error {
+	if _, err := s.records.Commit(ctx, services.RecordTx{Writes: []services.RecordWrite{
+		{RecordKey: jobrecord.Job(c.pool, id), Delete: true},
+		{RecordKey: jobrecord.Cancel(c.pool, id), Delete: true},
+	}}); err != nil {
+		return err
 	}
-	return tx
+	_, err := s.records.Commit(ctx, services.RecordTx{
+		Conditions: []services.RecordCondition{c.condition},
+		Writes:     []services.RecordWrite{{RecordKey: jobrecord.Progress(c.pool, id), Delete: true}},
+	})
+	return err
 }
 
 func (e expireDone) handle(p *planner) {
--- a/services/pools/records.go
+++ b/services/pools/records.go
@@ -62,7 +62,7 @@
 
 func (s *Service) loadPool(ctx context.Context, pool string) (poolState, error) {
 	var state poolState
-	jobs, version, err := s.scanAll(ctx, services.RecordRange{Table: jobrecord.TableJobs(pool), Part: pool})
+	jobs, version, err := s.scanJobs(ctx, pool)
 	if err != nil {
 		return state, err
 	}
@@ -82,6 +82,24 @@
 	return state, nil
 }
 
+// scanJobs reads all parts of the table of a pool's jobs. The version is that of
+// the first page, so that changes can be followed from there without a gap.
+func (s *Service) scanJobs(ctx context.Context, pool string) ([]services.Record, int64, error) {
+	var all []services.Record
+	first := int64(0)
+	for _, part := range jobrecord.PartsOfJobs(pool) {
+		records, version, err := s.scanAll(ctx, services.RecordRange{Table: jobrecord.TableJobs(pool), Part: part})
+		if err != nil {
+			return nil, 0, err
+		}
+		if first == 0 {
+			first = version
+		}
+		all = append(all, records...)
+	}
+	return all, first, nil
+}
+
 // scanAll reads all pages of a range. The version is that of the first page, so
 // that changes can be followed from there without a gap.
 func (s *Service) scanAll(ctx context.Context, r services.RecordRange) ([]services.Record, int64, error) {
@@ -487,8 +505,7 @@
 
 type statusCall struct {
 	poolRef
-	condition services.RecordCondition
-	value     []byte
+	value []byte
 }
 
 type statusDone struct {
@@ -511,7 +528,7 @@
 		return
 	}
 	m.busy.status = true
-	p.send(p.s.store, statusCall{poolRef{m.pool, m.tenure.Term, m.tenure.Fence}, m.tenure.Condition, value})
+	p.send(p.s.store, statusCall{poolRef{m.pool, m.tenure.Term, m.tenure.Fence}, value})
 }
 
 func (p *planner) statusRecord(m *manager) jobrecord.StatusRecord {
@@ -534,9 +551,9 @@
 }
 
 func (c statusCall) run(ctx context.Context, s *Service) event {
+	// The status has no condition: readers leave out that of an earlier term.
 	commit, err := s.records.Commit(ctx, services.RecordTx{
-		Conditions: []services.RecordCondition{c.condition},
-		Writes:     []services.RecordWrite{{RecordKey: jobrecord.Status(c.pool), Value: c.value}},
+		Writes: []services.RecordWrite{{RecordKey: jobrecord.Status(c.pool), Value: c.value}},
 	})
 	if err != nil {
 		s.log.Debug().Err(err).Str("pool", c.pool).Msg("status not published")
--- a/services/upkeep/upkeep.go
+++ b/services/upkeep/upkeep.go
@@ -304,14 +304,16 @@
 		if !changes.Forgotten {
 			s.version = max(s.version, changes.Version)
 			for i := range changes.Records {
-				s.learnStatus(&changes.Records[i])
+				for pool := range s.catalogs.Catalog().Services {
+					s.learnStatus(pool, &changes.Records[i])
+				}
 			}
 			return nil
 		}
 	}
 	version := int64(0)
 	for pool := range s.catalogs.Catalog().Services {
-		page, err := s.records.Scan(ctx, services.RecordRange{Table: jobrecord.TablePools, Part: pool})
+		page, err := s.records.Scan(ctx, services.RecordRange{Table: jobrecord.TablePools, Part: jobrecord.Status(pool).Part})
 		if err != nil {
 			return err
 		}
@@ -319,7 +321,7 @@
 			version = page.Version
 		}
 		for i := range page.Records {
-			s.learnStatus(&page.Records[i])
+			s.learnStatus(pool, &page.Records[i])
 		}
 		record, at, err := readRecord[jobrecord.CordonRecord](ctx, s.records, jobrecord.Cordons(pool))
 		if err != nil {
@@ -331,16 +333,18 @@
 	return nil
 }
 
-func (s *Service) learnStatus(r *services.Record) {
-	if r.RecordKey != jobrecord.Status(r.Part) {
+func (s *Service) learnStatus(pool string, r *services.Record) {
+	if r.RecordKey != jobrecord.Status(pool) {
 		return
 	}
 	var status jobrecord.StatusRecord
 	if err := json.Unmarshal(r.Value, &status); err != nil {
-		s.log.Error().Err(err).Str("pool", r.Part).Msg("status cannot be read; the last one stays")
+		s.log.Error().Err(err).Str("pool", pool).Msg("status cannot be read; the last one stays")
 		return
 	}
-	s.statuses[r.Part] = status
+	if status.Term >= s.statuses[pool].Term {
+		s.statuses[pool] = status
+	}
 }
 
 // readRecord reads one record; a missing one is zero.
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -1,8 +1,11 @@
 // Package jobrecord defines how jobs, their progress and the state of pools are
 // kept in the platform's store: tables, keys and encodings.
 //
-// All records of a pool share the part that is named after the pool, so that
-// they can change in one transaction.
+// What only a pool's owner writes shares the part that is named after the pool,
+// so that it can change in one transaction with the proof of ownership. Jobs and
+// cancellations, which every host writes, and the status of the pool are in parts
+// of their own: the store carries out the transactions of one part one after
+// another, and a slow store takes half a second for each.
 package jobrecord
 
 import (
@@ -11,6 +14,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
 	"fuchsiafront.example/fuchsiafront/decision/workload"
@@ -38,6 +42,7 @@
 	keyTerm      = "term"
 	keyExecutors = "executors"
 	keyStatus    = "status"
+	partStatus   = "/status"
 	keyCordons   = "cordons"
 	prefixWave   = "wave/"
 	keyHomes     = "homes"
@@ -53,20 +58,34 @@
 // the store's list of changes can only be asked for by table.
 func TableJobs(pool string) string { return tableJobsPrefix + pool }
 
+// jobParts is the number of parts over which the jobs of a pool are spread.
+const jobParts = 12
+
+// jobPart returns the part that holds a job.
+func jobPart(pool, id string) string {
+	return partOf(pool, int(xxhash.Sum64String(id)%jobParts))
+}
+
+func partOf(pool string, n int) string { return pool + "/" + strconv.Itoa(n) }
+
+// PartsOfJobs returns all parts of a pool's table of jobs, that of the owner's
+// records last.
+func PartsOfJobs(pool string) []string {
+	parts := make([]string, 0, jobParts+1)
+	for n := range jobParts {
+		parts = append(parts, partOf(pool, n))
+	}
+	return append(parts, pool)
+}
+
 // Job is the key of a job.
 func Job(pool, id string) services.RecordKey {
-	return services.RecordKey{Table: TableJobs(pool), Part: pool, Key: id + suffixJob}
+	return services.RecordKey{Table: TableJobs(pool), Part: jobPart(pool, id), Key: id + suffixJob}
 }
 
-// Cancel is the key of a job's cancellation in the table that the pool's owner
-// follows.
+// Cancel is the key of a job's cancellation.
 func Cancel(pool, id string) services.RecordKey {
-	return services.RecordKey{Table: TableJobs(pool), Part: pool, Key: id + suffixCancel}
-}
-
-// ShownCancel is the key of a job's cancellation beside its progress.
-func ShownCancel(pool, id string) services.RecordKey {
-	return services.RecordKey{Table: TableProgress, Part: pool, Key: id + suffixCancel}
+	return services.RecordKey{Table: TableJobs(pool), Part: jobPart(pool, id), Key: id + suffixCancel}
 }
 
 // Progress is the key of a job's progress.
@@ -74,14 +93,14 @@
 	return services.RecordKey{Table: TableProgress, Part: pool, Key: id + suffixProgress}
 }
 
-// ProgressRange selects a job's progress and its cancellation.
+// ProgressRange selects a job's progress.
 func ProgressRange(pool, id string) services.RecordRange {
 	return services.RecordRange{Table: TableProgress, Part: pool, From: id + "/", To: id + suffixEnd}
 }
 
 // JobRange selects a job and its cancellation.
 func JobRange(pool, id string) services.RecordRange {
-	return services.RecordRange{Table: TableJobs(pool), Part: pool, From: id + "/", To: id + suffixEnd}
+	return services.RecordRange{Table: TableJobs(pool), Part: jobPart(pool, id), From: id + "/", To: id + suffixEnd}
 }
 
 // Owner is the key of a pool's owner.
@@ -103,7 +122,7 @@
 
 // Status is the key of what the owner publishes of its pool.
 func Status(pool string) services.RecordKey {
-	return services.RecordKey{Table: TablePools, Part: pool, Key: keyStatus}
+	return services.RecordKey{Table: TablePools, Part: pool + partStatus, Key: keyStatus}
 }
 
 // Cordons is the key of the machines that the owner of the pool has to empty. It
