Finish waves in time and give spare machines back sooner

The service tasks of one step left cordoned machines one every 6 s, because each had to work for the whole notice time before the next.

Ruled out: too few machines out at once; the pool had room.

Change: the others of a step have to be at work by a fresh report, for half a second. Machines beyond a pool's usual number go back after one quiet second.

--- a/decision/poolplan/harness_test.go
+++ b/decision/poolplan/harness_test.go
@@ -13,7 +13,7 @@
 
 var testParams = Params{
 	HoldMax: 6 * time.Second, OwnerLapse: 12 * time.Second, RemoteFactor: 3,
-	GangTimeout: 3 * time.Second, Impact: 4 * time.Second, Notice: 4500 * time.Millisecond,
+	GangTimeout: 3 * time.Second, Impact: 4 * time.Second,
 }
 
 // world drives a plan in virtual time. Orders are kept until a test answers
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -393,11 +393,16 @@
 	return e != nil && !e.Leaving
 }
 
-// mayInterrupt reports whether a service task may be away now: it and all the
-// others of its step have been at work for the notice time.
+// workSettled is how long a service task must have worked to count as at work
+// when another one of its step is interrupted. Reports are up to holdWait old;
+// an absence that is longer than the platform's notice time would show in them.
+const workSettled = 500 * time.Millisecond
+
+// mayInterrupt reports whether a service task may be away now: it is at work,
+// and with it fewer of its step than the bound would be away.
 func (p *Plan) mayInterrupt(now time.Time, r *run) bool {
 	g := r.task.group
-	if !r.task.atWork(now, p.params.Notice) {
+	if !r.task.atWork(now, workSettled) {
 		return false
 	}
 	if g.step.MaxUnavailable <= 0 {
@@ -405,7 +410,7 @@
 	}
 	away := 0
 	for _, t := range g.tasks {
-		if t != r.task && !t.atWork(now, p.params.Notice) {
+		if t != r.task && !t.atWork(now, workSettled) {
 			away++
 		}
 	}
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -27,8 +27,6 @@
 	// Impact is how long a service task may be over its target because of
 	// fillers.
 	Impact time.Duration
-	// Notice is how long before a stop other service tasks must have worked.
-	Notice time.Duration
 }
 
 // Timing of the plan.
--- a/decision/sizing/sizing.go
+++ b/decision/sizing/sizing.go
@@ -26,7 +26,7 @@
 	// quietTime is how long a pool has more than it needs before machines go
 	// back to the standby pool. A move and the way back cost as much as two
 	// seconds of a machine.
-	quietTime = 2500 * time.Millisecond
+	quietTime = time.Second
 	// movesAtOnce bounds the machines that are on their way to one pool.
 	movesAtOnce = 10
 )
--- a/fleethost/fleethost.go
+++ b/fleethost/fleethost.go
@@ -78,7 +78,6 @@
 		RemoteFactor: s.Bounds.RemoteFactor,
 		GangTimeout:  platform.Milliseconds(s.Bounds.GangTimeoutMs),
 		Impact:       platform.Milliseconds(s.Bounds.ImpactMs),
-		Notice:       platform.Milliseconds(s.Bounds.NoticeMs),
 	}
 }
 
