Let a restarted host claim its own pools at once

Change: an owner record of an earlier process of the same host is claimed without the wait, because a host runs one process at a time.

--- a/decision/ownership/ownership.go
+++ b/decision/ownership/ownership.go
@@ -39,9 +39,12 @@
 type Record struct {
 	Holder string
 	// Mine tells that this process owns the pool.
-	Mine     bool
-	Absent   bool
-	Released bool
+	Mine bool
+	// Predecessor tells that an earlier process of this host owns it. A host
+	// runs one process at a time, so that the earlier one has ended.
+	Predecessor bool
+	Absent      bool
+	Released    bool
 	// Unchanged is how long the record has been seen unchanged.
 	Unchanged time.Duration
 	// Free is how long the pool has been known to have no owner.
@@ -61,6 +64,9 @@
 	if r.Mine {
 		return false, ""
 	}
+	if r.Predecessor {
+		return true, "an earlier process of this host owns it"
+	}
 	delay := Delay(pool, h)
 	if r.Absent || r.Released {
 		return r.Free >= delay, "no owner"
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -108,9 +108,7 @@
 	figure     int
 	pace       int
 	paceAt     time.Time
-	overSince  time.Time
 	checkpoint string
-	ticket     string
 	stopAsked  time.Time
 	stopReason string
 	stopBusy   bool
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -51,9 +51,7 @@
 	ready   bool
 	readyAt time.Time
 	// lateness is the class of the group when the order was last made.
-	lateness int
-	// gangAttempt is the attempt that the members of a gang share.
-	gangAttempt int
+	lateness    int
 	advice      *advice
 	adviceAsked time.Time
 }
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -46,9 +46,6 @@
 	clockDrift = 0.02
 	// lapseMargin covers the time that an executor takes to end what lapsed.
 	lapseMargin = 500 * time.Millisecond
-	// lateOrder is the longest delay after which an unanswered order may still
-	// be carried out, from the platform's list of troubles.
-	lateOrder = 12 * time.Second
 	// attemptsPerTerm separates the attempt numbers of successive owners,
 	// because an owner does not know all attempts of the one before.
 	attemptsPerTerm = 64
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -191,7 +191,7 @@
 		info := e.Executor
 		p.endLife(now, e, "executor started again")
 		info.Born = r.Born
-		e = p.addExecutor(now, info, false)
+		p.addExecutor(now, info, false)
 		return
 	}
 	if e.Born == 0 {
--- a/services/ownership/claim.go
+++ b/services/ownership/claim.go
@@ -17,11 +17,12 @@
 		return
 	}
 	record := ownership.Record{
-		Holder:    p.record.Holder,
-		Absent:    p.version == 0,
-		Released:  p.record.Released,
-		Unchanged: p.unchanged,
-		Free:      p.free,
+		Holder:      p.record.Holder,
+		Predecessor: p.record.Holder == s.settings.Host && p.record.Incarnation != s.settings.Incarnation && !p.record.Released,
+		Absent:      p.version == 0,
+		Released:    p.record.Released,
+		Unchanged:   p.unchanged,
+		Free:        p.free,
 	}
 	ok, reason := ownership.Claim(p.name, record, s.host())
 	if !ok {
--- a/services/pools/pools.go
+++ b/services/pools/pools.go
@@ -76,12 +76,12 @@
 
 // meters measure what the service does.
 type meters struct {
-	starts, stops, moved tally.Counter
-	orderTime            tally.Histogram
-	waited               tally.Histogram
-	storeTime            tally.Histogram
-	running, waiting     tally.Gauge
-	events               tally.Scope
+	starts, stops    tally.Counter
+	orderTime        tally.Histogram
+	waited           tally.Histogram
+	storeTime        tally.Histogram
+	running, waiting tally.Gauge
+	events           tally.Scope
 }
 
 // New returns the service.
