--- /dev/null
+++ b/fleethost/cluster_test.go
@@ -0,0 +1,160 @@
+package fleethost
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/standin/fleetplatform"
+)
+
+// settingsFile is what the platform hands to a host, less what does not matter
+// here.
+const settingsFile = `
+node-name = %q
+zone = "z1"
+ip = "127.0.0.1"
+[bind-addrs]
+frontend = %q
+ready = %q
+[limits]
+cpu-share = 0.4
+memory-mb = 284
+[bounds]
+grace-s = 6
+hold-max-ms = 3000
+lease-ms = 1000
+status_s = 120
+maintenance-s = 1
+[platform]
+address = %q
+[cloud-api]
+address = %q
+`
+
+const (
+	testHost   = "jobs.example"
+	testPrefix = "/q/"
+	testKey    = "key-1"
+	// servedWithin bounds every wait for the system; a takeover takes 3.5 s and
+	// the leases of an earlier owner 8.7 s.
+	servedWithin = 30 * time.Second
+)
+
+// host is a fleet host in this process.
+type host struct {
+	jobs, ready string
+	stop        context.CancelFunc
+	ended       chan error
+}
+
+type cluster struct {
+	t     *testing.T
+	fleet *fleetplatform.Fleet
+	hosts []*host
+}
+
+func startCluster(t *testing.T, hosts, executors int, work time.Duration) *cluster {
+	t.Helper()
+	c := &cluster{t: t, fleet: fleetplatform.Start(executors, work)}
+	t.Cleanup(c.fleet.Close)
+	c.fleet.Configure(1, testHost, testPrefix, testKey)
+	for i := range hosts {
+		c.hosts = append(c.hosts, c.startHost(fmt.Sprintf("h%d", i)))
+	}
+	for _, h := range c.hosts {
+		c.eventually("the host is ready", func() bool {
+			resp, err := http.Get("http://" + h.ready + "/fuchsiafront/readyz")
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		})
+	}
+	return c
+}
+
+// freeAddress returns a loopback address with a port that the kernel chose.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (c *cluster) startHost(name string) *host {
+	c.t.Helper()
+	h := &host{jobs: freeAddress(c.t), ready: freeAddress(c.t), ended: make(chan error, 1)}
+	path := filepath.Join(c.t.TempDir(), "node.toml")
+	text := fmt.Sprintf(settingsFile, name, h.jobs, h.ready, c.fleet.Address(), c.fleet.Address())
+	assert.NilError(c.t, os.WriteFile(path, []byte(text), 0o600))
+	process, err := New(path, zerolog.InfoLevel, io.Discard, time.Now)
+	assert.NilError(c.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	go func() { h.ended <- process.Serve(ctx) }()
+	c.t.Cleanup(func() {
+		cancel()
+		<-h.ended
+		h.ended <- nil
+	})
+	return h
+}
+
+func (c *cluster) eventually(what string, ok func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(servedWithin)
+	for !ok() {
+		assert.Assert(c.t, time.Now().Before(deadline), "not within %v: %s", servedWithin, what)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// call makes one client's call and returns the status, or zero without one.
+func (c *cluster) call(h *host, method, id, key string, body any) (int, map[string]any) {
+	encoded, err := json.Marshal(body)
+	assert.NilError(c.t, err)
+	req, err := http.NewRequest(method, "http://"+h.jobs+testPrefix+id, bytes.NewReader(encoded))
+	assert.NilError(c.t, err)
+	req.Host = testHost
+	req.Header.Set("Authorization", "Token "+key)
+	req.Header.Set("X-Fuchsiafront-Deadline-Ms", "3000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	var answer map[string]any
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		return resp.StatusCode, nil
+	}
+	return resp.StatusCode, answer
+}
+
+// twoSteps is a job of a step with three tasks and one that follows it.
+func twoSteps() map[string]any {
+	return map[string]any{"spec": "text", "phases": []map[string]any{
+		{"count": 3, "cpu": 500, "mem-mb": 128, "estimate-ms": 100},
+		{"count": 2, "cpu": 500, "mem-mb": 128, "estimate-ms": 100, "after": []int{0}},
+	}}
+}
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
+
+func (c *cluster) completed(h *host, id string) bool {
+	status, answer := c.call(h, http.MethodGet, id, testKey, nil)
+	return status == http.StatusOK && answer["state"] == "completed"
+}
--- a/fleethost/fleethost.go
+++ b/fleethost/fleethost.go
@@ -87,14 +87,19 @@
 
 // Run serves until the process is told to stop.
 func (h *Host) Run() error {
-	settings := h.adapter.Settings()
-	debug.SetMemoryLimit(settings.Limits.MemoryMB << 20 * memoryShare / 100)
+	debug.SetMemoryLimit(h.adapter.Settings().Limits.MemoryMB << 20 * memoryShare / 100)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer cancel()
 	signal.Ignore(syscall.SIGPIPE)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	go h.reloadOn(ctx, reload)
+	return h.Serve(ctx)
+}
+
+// Serve serves until ctx ends, and then stops within the platform's grace time.
+func (h *Host) Serve(ctx context.Context) error {
+	settings := h.adapter.Settings()
 	h.log.Info().Str("zone", settings.Zone).Str("jobs", settings.Listen.Jobs).Str("store", settings.Store.Address).
 		Float64("cpu_share", settings.Limits.CPUShare).Int64("memory_mb", settings.Limits.MemoryMB).Msg("starting")
 	return h.kernel.Run(ctx, platform.Seconds(settings.Bounds.GraceS)-stopMargin)
--- /dev/null
+++ b/standin/fleetplatform/fleet.go
@@ -0,0 +1,139 @@
+package fleetplatform
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+)
+
+// beat separates the liveness reports of executors.
+const beat = 500 * time.Millisecond
+
+// Fleet is a store with executors of one service, on loopback addresses.
+type Fleet struct {
+	Store   *Store
+	Record  *Record
+	Service string
+
+	platform  *httptest.Server
+	mu        sync.Mutex
+	executors map[string]*served
+	stop      chan struct{}
+	beats     sync.WaitGroup
+}
+
+// served is an executor with its server.
+type served struct {
+	executor *Executor
+	server   *httptest.Server
+}
+
+// Start returns a fleet with n executors whose tasks take work each.
+func Start(n int, work time.Duration) *Fleet {
+	f := &Fleet{Store: NewStore(), Record: new(Record), Service: "svc", executors: make(map[string]*served), stop: make(chan struct{})}
+	mux := http.NewServeMux()
+	f.Store.Register(mux)
+	mux.HandleFunc("GET /fuchsiafront/machines", f.serveMachines)
+	f.platform = httptest.NewServer(mux)
+	for i := range n {
+		f.AddExecutor(fmt.Sprintf("i-%d", i), work)
+	}
+	f.beats.Go(f.beat)
+	return f
+}
+
+// Close ends the fleet.
+func (f *Fleet) Close() {
+	close(f.stop)
+	f.beats.Wait()
+	f.platform.CloseClientConnections()
+	f.platform.Close()
+	for id := range f.executors {
+		f.KillExecutor(id)
+	}
+}
+
+// Address returns the address of the store and of the machine list.
+func (f *Fleet) Address() string { return address(f.platform) }
+
+func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+
+// AddExecutor starts an executor.
+func (f *Fleet) AddExecutor(id string, work time.Duration) *Executor {
+	e := NewExecutor(id, work, f.Record)
+	mux := http.NewServeMux()
+	e.Register(mux)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.executors[id] = &served{e, httptest.NewServer(mux)}
+	return e
+}
+
+// Executor returns an executor by its identifier.
+func (f *Fleet) Executor(id string) *Executor {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.executors[id].executor
+}
+
+// KillExecutor ends an executor without a word.
+func (f *Fleet) KillExecutor(id string) {
+	f.mu.Lock()
+	s := f.executors[id]
+	delete(f.executors, id)
+	f.mu.Unlock()
+	s.server.CloseClientConnections()
+	s.server.Close()
+	s.executor.mu.Lock()
+	defer s.executor.mu.Unlock()
+	for _, run := range s.executor.runs {
+		s.executor.finish(run, "gone")
+	}
+}
+
+// beat writes the entries of all executors until the fleet is closed.
+func (f *Fleet) beat() {
+	ticker := time.NewTicker(beat)
+	defer ticker.Stop()
+	for sequence := 1; ; sequence++ {
+		f.mu.Lock()
+		for id, s := range f.executors {
+			f.Store.Put("servers", "", id, s.executor.Entry(f.Service, address(s.server), sequence))
+		}
+		f.mu.Unlock()
+		select {
+		case <-f.stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Configure writes a configuration with one queue.
+func (f *Fleet) Configure(version int, host, prefix string, keys ...string) {
+	f.Store.Put("op", "", "config", map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "queue", "host": host, "path-prefix": prefix, "service": f.Service, "max-attempts": 3,
+			"slack-factor": 1.6, "target-latency-ms": 600, "timeout-ms": 3000,
+		}},
+		"services": []map[string]any{{"name": f.Service, "health-path": "/healthz", "max-conns": 64}},
+		"tenants":  []map[string]any{{"name": "tenant", "api-keys": keys, "weight": 1, "maximum": map[string]any{"cpu": 100000, "mem-mb": 100000}}},
+	})
+}
+
+func (f *Fleet) serveMachines(w http.ResponseWriter, _ *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	machines := []map[string]any{}
+	for id := range f.executors {
+		machines = append(machines, map[string]any{
+			"machine": "m-" + id, "pool": f.Service, "state": "up", "zone": "z1", "id": id,
+			"capacity": map[string]any{"cpu": 4000, "mem-mb": 8192, "gpu": 0},
+		})
+	}
+	answer(w, http.StatusOK, map[string]any{"machines": machines, "next-token": nil})
+}
--- /dev/null
+++ b/standin/fleetplatform/store.go
@@ -0,0 +1,275 @@
+// Package fleetplatform is a stand-in for the users' platform: store, executors
+// and machine list over their published protocol, with faults to inject. Tests
+// and the soak share it.
+package fleetplatform
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// historyRows is the number of changes after which old ones are forgotten.
+const historyRows = 4096
+
+// Row is one row of the store as the protocol shows it.
+type Row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version int64  `json:"ver"`
+	Removed bool   `json:"removed,omitempty"`
+}
+
+type rowKey struct{ table, part, key string }
+
+func (r *Row) id() rowKey { return rowKey{r.Table, r.Part, r.Key} }
+
+// Store is the transactional store. Its methods may be used concurrently.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[rowKey]Row
+	history []Row
+	floor   int64
+	version int64
+	changed chan struct{}
+	down    bool
+	lost    int
+	commits int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{rows: make(map[rowKey]Row), changed: make(chan struct{})}
+}
+
+// SetDown makes the store refuse all calls, or serve them again.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// LoseReplies makes the store carry out the next n transactions without
+// answering them.
+func (s *Store) LoseReplies(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = n
+}
+
+// Forget drops the history.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.floor = nil, s.version
+}
+
+// Commits returns the number of transactions carried out.
+func (s *Store) Commits() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.commits
+}
+
+// Put writes one row, as the operator or an executor does.
+func (s *Store) Put(table, part, key string, value any) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.PutBytes(table, part, key, encoded)
+}
+
+// PutBytes writes one row with any bytes, as another writer may.
+func (s *Store) PutBytes(table, part, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply([]Row{{Table: table, Part: part, Key: key, Value: value}})
+}
+
+// Remove deletes one row.
+func (s *Store) Remove(table, part, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply([]Row{{Table: table, Part: part, Key: key, Removed: true}})
+}
+
+// apply writes rows at one new version. The caller holds the lock.
+func (s *Store) apply(rows []Row) {
+	s.version++
+	for _, r := range rows {
+		r.Version = s.version
+		if r.Removed {
+			delete(s.rows, r.id())
+		} else {
+			s.rows[r.id()] = r
+		}
+		s.history = append(s.history, r)
+	}
+	if extra := len(s.history) - historyRows; extra > 0 {
+		s.floor = s.history[extra-1].Version
+		s.history = slices.Clone(s.history[extra:])
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Register adds the store's calls to a mux.
+func (s *Store) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /fuchsiafront/rows-tx", s.serveCommit)
+	mux.HandleFunc("GET /fuchsiafront/rows-get", s.serveScan)
+	mux.HandleFunc("GET /fuchsiafront/rows-feed", s.serveChanges)
+}
+
+type commitBody struct {
+	Conditions []Row `json:"precondition"`
+	Sets       []Row `json:"set-keys"`
+	Removes    []Row `json:"remove"`
+}
+
+func (s *Store) serveCommit(w http.ResponseWriter, r *http.Request) {
+	var body commitBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || !body.onePart() {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	if s.down {
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	current, ok := s.check(body.Conditions)
+	if ok {
+		s.commits++
+		for i := range body.Removes {
+			body.Removes[i].Removed = true
+		}
+		s.apply(append(body.Sets, body.Removes...))
+	}
+	version := s.version
+	lose := s.lost > 0
+	if lose {
+		s.lost--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	if !ok {
+		answer(w, http.StatusPreconditionFailed, map[string]any{"rows": current, "ver": version})
+		return
+	}
+	answer(w, http.StatusOK, map[string]any{"ver": version})
+}
+
+// onePart reports whether all entries share a part.
+func (b *commitBody) onePart() bool {
+	all := slices.Concat(b.Conditions, b.Sets, b.Removes)
+	for i := range all {
+		if all[i].Part != all[0].Part {
+			return false
+		}
+	}
+	return len(all) > 0 && len(all) <= 100
+}
+
+func (s *Store) check(conditions []Row) (current []Row, ok bool) {
+	ok = true
+	for i := range conditions {
+		row, exists := s.rows[conditions[i].id()]
+		if exists {
+			current = append(current, row)
+		}
+		ok = ok && row.Version == conditions[i].Version
+	}
+	return current, ok
+}
+
+func (s *Store) serveScan(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil || limit <= 0 {
+		limit = 500
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	var rows []Row
+	for id, row := range s.rows {
+		if id.table == q.Get("table") && id.part == q.Get("part") && id.key >= q.Get("from") && (q.Get("target") == "" || id.key < q.Get("target")) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
+	more := len(rows) > limit
+	answer(w, http.StatusOK, map[string]any{"rows": rows[:min(len(rows), limit)], "has-more": more, "ver": s.version})
+}
+
+func (s *Store) serveChanges(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.ParseInt(q.Get("after"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, err := strconv.Atoi(q.Get("wait-ms"))
+	if err != nil {
+		wait = 0
+	}
+	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timeout.Stop()
+	for {
+		status, rows, version, changed := s.changes(q.Get("table"), after)
+		if status != http.StatusOK {
+			w.WriteHeader(status)
+			return
+		}
+		if len(rows) > 0 {
+			answer(w, http.StatusOK, map[string]any{"rows": rows, "ver": version})
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-timeout.C:
+			answer(w, http.StatusOK, map[string]any{"rows": []Row{}, "ver": version})
+			return
+		}
+	}
+}
+
+func (s *Store) changes(table string, after int64) (status int, rows []Row, version int64, changed chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return http.StatusServiceUnavailable, nil, 0, nil
+	case after < s.floor:
+		return http.StatusGone, nil, 0, nil
+	}
+	for i := range s.history {
+		if r := s.history[i]; r.Table == table && r.Version > after {
+			rows = append(rows, r)
+		}
+	}
+	return http.StatusOK, rows, s.version, s.changed
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
