--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -223,6 +223,7 @@
 		}
 		if e.listed {
 			e.listed = false
+			p.regroup = true
 			p.note(Event{What: "executor left the registry", Peer: id})
 		}
 	}
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -98,7 +98,8 @@
 }
 
 // open reports whether the task needs another run. A speculative one gets a
-// copy while nothing is heard of its run.
+// copy once its executor has left the registry and does not answer. Silence alone
+// may be this host's own.
 func (t *task) open() bool {
 	if t.done {
 		return false
@@ -106,7 +107,11 @@
 	if len(t.runs) == 0 {
 		return true
 	}
-	return t.group.step.Speculative && len(t.runs) == 1 && !t.runs[0].executor.reachable()
+	if !t.group.step.Speculative || len(t.runs) > 1 {
+		return false
+	}
+	e := t.runs[0].executor
+	return !e.listed && !e.reachable()
 }
 
 func (t *task) failOn(e *executor) {
