--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -89,9 +90,21 @@
 	if s.LogLevel != "" && !slices.Contains(logLevels, s.LogLevel) {
 		c.Reject("--log-level", s.LogLevel)
 	}
+	if s.Boot != "" && !readable(s.Boot) {
+		c.Reject("--boot", s.Boot)
+	}
 	return c.Err()
 }
 
+// readable reports whether a file can be opened.
+func readable(path string) bool {
+	f, err := os.Open(path)
+	if err != nil {
+		return false
+	}
+	return f.Close() == nil
+}
+
 // maxBodyBytes is the largest value of --max-body-bytes: 1 GiB.
 const maxBodyBytes = 1 << 30
 
