Wait for the report after a repeated start of an ended run

Change: after an unanswered start, a refusal as old only means that the next report tells what became of the run.

Result: TestRepeatedStartOfEndedRun fails before and passes now.

--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -75,8 +75,7 @@
 		p.silence(now, e)
 		p.neverBegan(now, r, "executor unreachable")
 	case RefusedOld:
-		r.task.attempts = max(r.task.attempts, s.Attempt)
-		p.lose(now, r, "attempt is old")
+		p.oldAttempt(now, r)
 	case WrongLife:
 		p.endLife(now, e, "another life answers")
 	case RefusedTicket:
@@ -92,6 +91,20 @@
 	}
 }
 
+// oldAttempt handles a start that the executor refuses because this attempt or
+// a later one has ended there. After an unanswered start that may be the end of
+// this very run, which the next report lists.
+func (p *Plan) oldAttempt(now time.Time, r *run) {
+	if r.tries == 1 {
+		p.neverBegan(now, r, "attempt is old")
+		return
+	}
+	if r.state == runStarting {
+		r.state, r.percentAt = runRunning, now
+	}
+	r.confirmed = now
+}
+
 // startOfUnknownRun handles the answer to a start whose run was given up.
 func (p *Plan) startOfUnknownRun(now time.Time, e *executor, o Outcome) {
 	if o.Answer == RefusedFence {
--- a/decision/poolplan/silence_test.go
+++ b/decision/poolplan/silence_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/decision/workload"
 )
 
 // Guards against a task that waits for ever for an executor that is gone: each
@@ -53,3 +55,25 @@
 	pass(time.Second)
 	assert.Equal(t, w.takeStart().Executor, "2")
 }
+
+// Guards against a second run of a task that has ended: the answer to its start
+// was late, and the repeat of the start was refused because the run was over.
+func TestRepeatedStartOfEndedRun(t *testing.T) {
+	w := newWorld(t, 1)
+	w.register("1")
+	w.job("a", false, step(1))
+	w.step()
+	first := w.takeStart()
+	w.plan.StartDone(w.now, first, w.outcome(NoAnswer))
+	w.step()
+	repeat := w.takeStart()
+	assert.Equal(t, repeat.Attempt, first.Attempt)
+	w.now = w.now.Add(time.Second)
+	w.plan.StartDone(w.now, repeat, w.outcome(RefusedOld))
+	w.step()
+	assert.Equal(t, len(w.starts), 0, "started again before a report")
+	w.now = w.now.Add(100 * time.Millisecond)
+	w.report(Hold{Target: first.Target}, nil, EndReport{Number: 1, Task: first.Task, Attempt: first.Attempt, Ending: EndedDone})
+	assert.Equal(t, len(w.starts), 0)
+	assert.Equal(t, w.plan.Saves(1)[0].Progress.State, workload.Completed)
+}
