--- /dev/null
+++ b/decision/poolplan/order.go
@@ -0,0 +1,114 @@
+package poolplan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// refreshGroups renews the list of groups that may start tasks, in the order in
+// which they are served.
+func (p *Plan) refreshGroups(now time.Time) {
+	if !p.regroup && !p.dueSoon(now) {
+		return
+	}
+	p.regroup = false
+	p.groups = p.groups[:0]
+	for _, j := range p.jobs {
+		if j.cancelled || j.progress.State.Ended() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			p.addGroups(now, j, o)
+		}
+	}
+	for _, g := range p.groups {
+		g.lateness = p.lateness(now, g)
+	}
+	slices.SortFunc(p.groups, p.compareGroups)
+}
+
+// dueSoon reports whether the order of the groups changes with time alone.
+func (p *Plan) dueSoon(now time.Time) bool {
+	for _, j := range p.jobs {
+		if j.spec.Times > 0 && !j.progress.State.Ended() {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Plan) addGroups(now time.Time, j *job, o *occurrence) {
+	if o.left == 0 || now.Before(j.spec.Due(o.number)) {
+		return
+	}
+	for _, g := range o.groups {
+		if g.done == len(g.tasks) || !o.dependenciesDone(g) {
+			continue
+		}
+		if !g.ready {
+			g.ready, g.readyAt = true, now
+		}
+		if g.waiting() > 0 {
+			p.groups = append(p.groups, g)
+		}
+	}
+}
+
+func (o *occurrence) dependenciesDone(g *group) bool {
+	for _, a := range g.step.After {
+		if a < 0 || a >= len(o.groups) {
+			continue
+		}
+		if dep := o.groups[a]; dep.done < len(dep.tasks) {
+			return false
+		}
+	}
+	return true
+}
+
+// compareGroups orders groups: first the jobs that can still be on time, then
+// by priority, then jobs under way, then the oldest.
+func (p *Plan) compareGroups(a, b *group) int {
+	if a.job != b.job {
+		return cmp.Or(
+			cmp.Compare(a.lateness, b.lateness),
+			cmp.Compare(p.priority(a.job), p.priority(b.job)),
+			a.job.spec.Accepted.Compare(b.job.spec.Accepted),
+			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
+		)
+	}
+	return cmp.Or(cmp.Compare(a.number, b.number), cmp.Compare(a.stepNo, b.stepNo))
+}
+
+// Classes of groups by what their job can still be worth.
+const (
+	onTime = iota
+	late
+	worthless
+)
+
+// lateness tells whether the group's job can still be complete on time, or at
+// least late. Service work is never late.
+func (p *Plan) lateness(now time.Time, g *group) int {
+	j := g.job
+	if j.spec.Times > 0 || g.step.Service {
+		return onTime
+	}
+	allowance := p.allowance(j.spec)
+	end := now.Add(p.remaining(j.spec, g.stepNo))
+	switch {
+	case !end.After(j.spec.Accepted.Add(allowance)):
+		return onTime
+	case !end.After(j.spec.Accepted.Add(lateFactor * allowance)):
+		return late
+	}
+	return worthless
+}
+
+func (p *Plan) priority(j *job) int {
+	if q, ok := p.catalog.Queue(j.spec.Queue); ok {
+		return q.Priority
+	}
+	return 0
+}
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -1,7 +1,6 @@
 package poolplan
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -20,113 +19,6 @@
 	weightLeaving = 6000
 )
 
-// refreshGroups renews the list of groups that may start tasks, in the order in
-// which they are served.
-func (p *Plan) refreshGroups(now time.Time) {
-	if !p.regroup && !p.dueSoon(now) {
-		return
-	}
-	p.regroup = false
-	p.groups = p.groups[:0]
-	for _, j := range p.jobs {
-		if j.cancelled || j.progress.State.Ended() {
-			continue
-		}
-		for _, o := range j.occurrences {
-			p.addGroups(now, j, o)
-		}
-	}
-	for _, g := range p.groups {
-		g.lateness = p.lateness(now, g)
-	}
-	slices.SortFunc(p.groups, p.compareGroups)
-}
-
-// dueSoon reports whether the order of the groups changes with time alone.
-func (p *Plan) dueSoon(now time.Time) bool {
-	for _, j := range p.jobs {
-		if j.spec.Times > 0 && !j.progress.State.Ended() {
-			return true
-		}
-	}
-	return false
-}
-
-func (p *Plan) addGroups(now time.Time, j *job, o *occurrence) {
-	if o.left == 0 || now.Before(j.spec.Due(o.number)) {
-		return
-	}
-	for _, g := range o.groups {
-		if g.done == len(g.tasks) || !o.dependenciesDone(g) {
-			continue
-		}
-		if !g.ready {
-			g.ready, g.readyAt = true, now
-		}
-		if g.waiting() > 0 {
-			p.groups = append(p.groups, g)
-		}
-	}
-}
-
-func (o *occurrence) dependenciesDone(g *group) bool {
-	for _, a := range g.step.After {
-		if a < 0 || a >= len(o.groups) {
-			continue
-		}
-		if dep := o.groups[a]; dep.done < len(dep.tasks) {
-			return false
-		}
-	}
-	return true
-}
-
-// compareGroups orders groups: first the jobs that can still be on time, then
-// by priority, then jobs under way, then the oldest.
-func (p *Plan) compareGroups(a, b *group) int {
-	if a.job != b.job {
-		return cmp.Or(
-			cmp.Compare(a.lateness, b.lateness),
-			cmp.Compare(p.priority(a.job), p.priority(b.job)),
-			a.job.spec.Accepted.Compare(b.job.spec.Accepted),
-			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
-		)
-	}
-	return cmp.Or(cmp.Compare(a.number, b.number), cmp.Compare(a.stepNo, b.stepNo))
-}
-
-// Classes of groups by what their job can still be worth.
-const (
-	onTime = iota
-	late
-	worthless
-)
-
-// lateness tells whether the group's job can still be complete on time, or at
-// least late. Service work is never late.
-func (p *Plan) lateness(now time.Time, g *group) int {
-	j := g.job
-	if j.spec.Times > 0 || g.step.Service {
-		return onTime
-	}
-	allowance := p.allowance(j.spec)
-	end := now.Add(p.remaining(j.spec, g.stepNo))
-	switch {
-	case !end.After(j.spec.Accepted.Add(allowance)):
-		return onTime
-	case !end.After(j.spec.Accepted.Add(lateFactor * allowance)):
-		return late
-	}
-	return worthless
-}
-
-func (p *Plan) priority(j *job) int {
-	if q, ok := p.catalog.Queue(j.spec.Queue); ok {
-		return q.Priority
-	}
-	return 0
-}
-
 // place starts as many tasks as there is room for.
 func (p *Plan) place(now time.Time) {
 	if p.catalog == nil {
@@ -370,64 +262,6 @@
 	p.orders = append(p.orders, s)
 }
 
-// relocate moves service tasks off executors that leave, and repeats stops that
-// have no effect yet.
-func (p *Plan) relocate(now time.Time) {
-	for _, e := range p.executors {
-		for _, r := range e.runs {
-			switch {
-			case r.state == runStopping:
-				p.stop(now, r, r.stopReason)
-			case r.state == runRunning && r.task.group.step.Service && e.Draining:
-				p.stop(now, r, "executor is draining")
-			case r.state == runRunning && r.task.group.step.Service && (e.Cordoned || e.Leaving) && p.mayInterrupt(now, r) && p.hasPlace(now, r.task):
-				p.stop(now, r, "executor is going to be emptied")
-			}
-		}
-	}
-}
-
-// hasPlace reports whether a service task would start on an executor that stays.
-func (p *Plan) hasPlace(now time.Time, t *task) bool {
-	e := p.choose(t.group, t, p.candidates(now), nil)
-	return e != nil && !e.Leaving
-}
-
-// workSettled is how long a service task must have worked to count as at work
-// when another one of its step is interrupted. Reports are up to holdWait old;
-// an absence that is longer than the platform's notice time would show in them.
-const workSettled = 500 * time.Millisecond
-
-// mayInterrupt reports whether a service task may be away now: it is at work,
-// and with it fewer of its step than the bound would be away.
-func (p *Plan) mayInterrupt(now time.Time, r *run) bool {
-	g := r.task.group
-	if !r.task.atWork(now, workSettled) {
-		return false
-	}
-	if g.step.MaxUnavailable <= 0 {
-		return true
-	}
-	away := 0
-	for _, t := range g.tasks {
-		if t != r.task && !t.atWork(now, workSettled) {
-			away++
-		}
-	}
-	return away < g.step.MaxUnavailable
-}
-
-// atWork reports whether a service task has worked for at least d.
-func (t *task) atWork(now time.Time, d time.Duration) bool {
-	for _, r := range t.runs {
-		heard := r.executor.reachable() && now.Sub(r.executor.heardAt) < holdWait+silentRetry
-		if heard && r.state == runRunning && r.percent == 100 && now.Sub(r.percentAt) >= d {
-			return true
-		}
-	}
-	return false
-}
-
 // Next returns when Step should be called again for want of other events.
 func (p *Plan) Next(now time.Time) time.Time {
 	next := now.Add(idleTick)
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -88,7 +88,7 @@
 		state, err := s.read(ctx, version)
 		if err != nil {
 			s.age.Update(s.clock().Sub(s.view.Load().readAt).Seconds())
-			pause(ctx, retryPause)
+			services.Pause(ctx, retryPause)
 			continue
 		}
 		if state.Forgotten {
@@ -135,13 +135,3 @@
 		r.OfferLatest(struct{}{})
 	}
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/services/claims/objects.go
+++ b/services/claims/objects.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/services"
 )
 
 const (
@@ -51,22 +52,10 @@
 			break
 		}
 		s.count("retried_total", stepObject, fault.ReasonOf(err))
-		if !pause(ctx, objectRetry) {
+		if !services.Pause(ctx, objectRetry) {
 			break
 		}
 	}
 	s.count("refused_total", stepObject, fault.ReasonAnswerLost)
 	return e.withoutAnswer()
 }
-
-// pause waits for d and reports whether ctx is still in force.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/services/jobdesk/jobdesk.go
+++ b/services/jobdesk/jobdesk.go
@@ -102,7 +102,7 @@
 		if !unsure && s.clock().Sub(start) > refuseAfter {
 			return commit, err
 		}
-		if !s.timeLeft(ctx) || !pause(ctx, retryPause) {
+		if !s.timeLeft(ctx) || !services.Pause(ctx, retryPause) {
 			if unsure {
 				return commit, fault.New(&fault.Unknown, reason, step, "", "%w", err)
 			}
@@ -193,7 +193,7 @@
 		if err == nil {
 			return page.Records, nil
 		}
-		if s.clock().Sub(start) > refuseAfter || !s.timeLeft(ctx) || !pause(ctx, retryPause) {
+		if s.clock().Sub(start) > refuseAfter || !s.timeLeft(ctx) || !services.Pause(ctx, retryPause) {
 			return nil, err
 		}
 		s.metrics.Retried("scan", fault.ReasonOf(err))
@@ -247,15 +247,3 @@
 	status, err := s.status(ctx, q.Service)
 	return status.Pending[q.Name], err
 }
-
-// pause waits for d and reports whether ctx still lasts.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/services/pools/expire.go
+++ b/services/pools/expire.go
@@ -36,7 +36,7 @@
 }
 
 func (c expireCall) run(ctx context.Context, s *Service) event {
-	records, _, err := s.scanAll(ctx, services.RecordRange{Table: jobrecord.TableProgress, Part: c.pool})
+	records, _, err := services.ScanAll(ctx, s.records, services.RecordRange{Table: jobrecord.TableProgress, Part: c.pool})
 	if err != nil {
 		return expireDone{c, 0, err}
 	}
--- a/services/pools/limits.go
+++ b/services/pools/limits.go
@@ -159,7 +159,7 @@
 }
 
 func (limitsLoad) run(ctx context.Context, s *Service) event {
-	records, _, err := s.scanAll(ctx, services.RecordRange{Table: jobrecord.TableLimits, Part: jobrecord.PartLimits})
+	records, _, err := services.ScanAll(ctx, s.records, services.RecordRange{Table: jobrecord.TableLimits, Part: jobrecord.PartLimits})
 	return limitsLoaded{records, err}
 }
 
--- /dev/null
+++ b/services/pools/registry.go
@@ -0,0 +1,138 @@
+package pools
+
+import (
+	"context"
+	"encoding/json"
+
+	"fuchsiafront.example/fuchsiafront/decision/poolplan"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
+)
+
+type recordCall struct {
+	poolRef
+	condition services.RecordCondition
+	all       []poolplan.Executor
+}
+
+type recordDone struct {
+	recordCall
+	ok bool
+}
+
+// record makes the executors durable that this owner is going to use.
+func (p *planner) record(m *manager) {
+	if m.busy.record || len(m.plan.Unrecorded()) == 0 && !m.plan.RecordOutdated() {
+		return
+	}
+	m.busy.record = true
+	p.send(p.s.store, recordCall{poolRef{m.pool, m.tenure.Term, m.tenure.Fence}, m.tenure.Condition, m.plan.Recordable()})
+}
+
+func (c recordCall) run(ctx context.Context, s *Service) event {
+	value, err := jobrecord.EncodeExecutors(c.all)
+	if err != nil {
+		s.log.Error().Err(err).Str("pool", c.pool).Msg("executors cannot be encoded")
+		return recordDone{c, false}
+	}
+	commit, err := s.records.Commit(ctx, services.RecordTx{
+		Conditions: []services.RecordCondition{c.condition},
+		Writes:     []services.RecordWrite{{RecordKey: jobrecord.Executors(c.pool), Value: value}},
+	})
+	if err != nil {
+		s.log.Warn().Err(err).Str("pool", c.pool).Msg("executors not recorded")
+		services.Pause(ctx, saveRetry)
+	}
+	return recordDone{c, err == nil && commit.Committed}
+}
+
+func (e recordDone) handle(p *planner) {
+	m := p.manager(e.pool, e.term)
+	if m == nil {
+		return
+	}
+	m.busy.record = false
+	if e.ok && m.plan != nil {
+		m.plan.Recorded(e.all)
+	}
+}
+
+// readRegistry asks for the registry of executors.
+func (p *planner) readRegistry() {
+	if p.registryBusy || len(p.pools) == 0 || p.now.Sub(p.registryAt) < registryEvery {
+		return
+	}
+	p.registryBusy, p.registryAt = true, p.now
+	p.send(p.s.store, registryCall{})
+}
+
+type registryCall struct{}
+
+type registryDone struct {
+	executors []services.RegisteredExecutor
+	err       error
+}
+
+func (registryCall) run(ctx context.Context, s *Service) event {
+	list, err := s.registry.ListExecutors(ctx)
+	return registryDone{list, err}
+}
+
+func (e registryDone) handle(p *planner) {
+	p.registryBusy = false
+	p.now = p.s.clock()
+	if e.err != nil {
+		return
+	}
+	p.registry = e.executors
+	p.lives = p.lives[:0]
+	for _, x := range e.executors {
+		p.lives = append(p.lives, x.Executor)
+	}
+	for _, m := range p.pools {
+		if m.loaded {
+			p.applyRegistry(m)
+		}
+	}
+}
+
+// applyRegistry tells a pool's plan which executors there are.
+func (p *planner) applyRegistry(m *manager) {
+	if p.registry == nil {
+		return
+	}
+	var listed []poolplan.Executor
+	for _, x := range p.registry {
+		if x.Service != m.pool {
+			continue
+		}
+		info := x.Executor
+		info.Cordoned, info.Leaving = m.cordoned[x.Machine], m.leaving[x.Machine]
+		listed = append(listed, info)
+	}
+	m.plan.SetExecutors(p.now, listed)
+	m.plan.EndLives(p.now, p.lives)
+}
+
+// cordon takes in the record of the machines to empty.
+func (p *planner) cordon(m *manager, r *services.Record) {
+	if r == nil || r.Version <= m.cordonVer {
+		return
+	}
+	var c jobrecord.CordonRecord
+	if err := json.Unmarshal(r.Value, &c); err != nil {
+		p.s.log.Error().Err(err).Str("pool", m.pool).Msg("cordons cannot be read; those in force stay")
+		return
+	}
+	m.cordonVer = r.Version
+	m.cordoned, m.leaving = setOf(c.Machines), setOf(c.Leave)
+	p.s.log.Info().Str("pool", m.pool).Int64("version", r.Version).Strs("machines", c.Machines).Int("leave", len(c.Leave)).Msg("machines to empty")
+}
+
+func setOf(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
+	}
+	return set
+}
--- a/services/rights/balance.go
+++ b/services/rights/balance.go
@@ -284,7 +284,7 @@
 		}
 		b.s.count("retried_total", stepBalance, fault.ReasonConflict)
 		plans = b.decideAnew(ctx, view, plans, members, result.Current, start)
-		pause(ctx, jitter(minBackoff))
+		services.Pause(ctx, jitter(minBackoff))
 	}
 }
 
@@ -367,13 +367,3 @@
 	}
 	b.s.peers.SetLoads(loads)
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/services/upkeep/upkeep.go
+++ b/services/upkeep/upkeep.go
@@ -9,16 +9,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
 	"fuchsiafront.example/fuchsiafront/decision/upkeep"
-	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/services"
 	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
@@ -83,37 +80,6 @@
 	listAt     time.Time
 }
 
-// waveState is the progress of one wave.
-type waveState struct {
-	seen     time.Time
-	done     map[string]bool
-	complete bool
-	version  int64
-	loaded   bool
-	reported string
-}
-
-// poolCordon is the record of one pool's cordons as it was last written.
-type poolCordon struct {
-	record  jobrecord.CordonRecord
-	version int64
-	// since is the version from which on each machine has been cordoned
-	// without a break.
-	since map[string]int64
-}
-
-// next returns the cordon after another record was written.
-func (c poolCordon) next(record jobrecord.CordonRecord, version int64) poolCordon {
-	since := make(map[string]int64, len(record.Machines))
-	for _, m := range record.Machines {
-		since[m] = version
-		if old, ok := c.since[m]; ok {
-			since[m] = old
-		}
-	}
-	return poolCordon{record, version, since}
-}
-
 // New returns the service.
 func New(s Settings, clock services.Clock) *Service {
 	service := &Service{settings: s, clock: clock}
@@ -165,7 +131,7 @@
 		if s.round(ctx) {
 			wait = roundPause
 		}
-		pause(ctx, wait)
+		services.Pause(ctx, wait)
 	}
 }
 
@@ -218,308 +184,8 @@
 	s.report(ctx, plan.Completed)
 }
 
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // mayOrder reports whether this process may give orders for machines: its
 // ownership is fresh, and the process before it has given none for a while.
 func (s *Service) mayOrder(now time.Time) bool {
 	return now.Sub(s.tenure.RenewedAt) <= renewedWithin && now.Sub(s.tenure.ClaimedAt) >= s.settings.OrderLease
 }
-
-// loadWaves reads the progress of waves that are new to this process.
-func (s *Service) loadWaves(ctx context.Context, now time.Time) {
-	for _, w := range s.catalogs.Waves() {
-		state := s.waves[w.Number]
-		if state == nil {
-			state = &waveState{seen: now, done: make(map[string]bool)}
-			s.waves[w.Number] = state
-		}
-		if !state.loaded {
-			s.loadWave(ctx, w.Number, state)
-		}
-	}
-}
-
-func (s *Service) loadWave(ctx context.Context, number int, state *waveState) {
-	record, version, err := readRecord[jobrecord.WaveRecord](ctx, s.records, jobrecord.Wave(number))
-	if err != nil {
-		s.log.Debug().Err(err).Int("wave", number).Msg("progress of the wave not read")
-		return
-	}
-	for _, m := range record.Done {
-		state.done[m] = true
-	}
-	state.complete, state.version, state.loaded = record.Completed, version, true
-}
-
-func (s *Service) openWaves() []upkeep.Wave {
-	var waves []upkeep.Wave
-	for _, w := range s.catalogs.Waves() {
-		state := s.waves[w.Number]
-		if state == nil || !state.loaded || state.complete {
-			continue
-		}
-		waves = append(waves, upkeep.Wave{
-			Number: w.Number, MaxDown: w.MaxDown, Deadline: state.seen.Add(w.Duration), Machines: w.Machines, Done: state.done,
-		})
-	}
-	return waves
-}
-
-// look lists the machines. One whose maintenance has ended may be ordered again.
-func (s *Service) look(ctx context.Context, now time.Time) ([]services.Machine, error) {
-	if now.Sub(s.listAt) < listEvery {
-		return s.list, nil
-	}
-	machines, err := s.machines.ListMachines(ctx)
-	if err != nil {
-		return nil, err
-	}
-	s.list, s.listAt = machines, now
-	for _, m := range machines {
-		at, ok := s.ordered[m.Name]
-		if ok && m.State == services.MachineUp && now.Sub(at) > s.settings.Maintenance+awayMargin {
-			delete(s.ordered, m.Name)
-		}
-	}
-	return machines, nil
-}
-
-// readPools reads what the owners of the pools publish: everything at first,
-// and then the changes, for which it waits.
-func (s *Service) readPools(ctx context.Context) error {
-	if s.version > 0 {
-		changes, err := s.records.Changes(ctx, jobrecord.TablePools, s.version, roundEvery)
-		if err != nil {
-			return err
-		}
-		if !changes.Forgotten {
-			s.version = max(s.version, changes.Version)
-			for i := range changes.Records {
-				for pool := range s.catalogs.Catalog().Services {
-					s.learnStatus(pool, &changes.Records[i])
-				}
-			}
-			return nil
-		}
-	}
-	version := int64(0)
-	for pool := range s.catalogs.Catalog().Services {
-		page, err := s.records.Scan(ctx, services.RecordRange{Table: jobrecord.TablePools, Part: jobrecord.Status(pool).Part})
-		if err != nil {
-			return err
-		}
-		if version == 0 || page.Version < version {
-			version = page.Version
-		}
-		for i := range page.Records {
-			s.learnStatus(pool, &page.Records[i])
-		}
-		record, at, err := readRecord[jobrecord.CordonRecord](ctx, s.records, jobrecord.Cordons(pool))
-		if err != nil {
-			return err
-		}
-		s.cordons[pool] = poolCordon{}.next(record, at)
-	}
-	s.version = version
-	return nil
-}
-
-func (s *Service) learnStatus(pool string, r *services.Record) {
-	if r.RecordKey != jobrecord.Status(pool) {
-		return
-	}
-	var status jobrecord.StatusRecord
-	if err := json.Unmarshal(r.Value, &status); err != nil {
-		s.log.Error().Err(err).Str("pool", pool).Msg("status cannot be read; the last one stays")
-		return
-	}
-	if status.Term >= s.statuses[pool].Term {
-		s.statuses[pool] = status
-	}
-}
-
-// readRecord reads one record; a missing one is zero.
-func readRecord[T any](ctx context.Context, records services.Records, key services.RecordKey) (value T, version int64, err error) {
-	page, err := records.Scan(ctx, services.RecordRange{Table: key.Table, Part: key.Part, From: key.Key, Limit: 1})
-	if err != nil || len(page.Records) == 0 || page.Records[0].Key != key.Key {
-		return value, 0, err
-	}
-	if err := json.Unmarshal(page.Records[0].Value, &value); err != nil {
-		return value, 0, fault.New(&fault.NotRun, fault.ReasonMalformed, "read record", key.Part+"/"+key.Key, "%w", err)
-	}
-	return value, page.Records[0].Version, nil
-}
-
-func (s *Service) describe(now time.Time, list []services.Machine) []upkeep.Machine {
-	catalog := s.catalogs.Catalog()
-	machines := make([]upkeep.Machine, 0, len(list))
-	for _, m := range list {
-		status := s.statuses[m.Pool]
-		use := status.Machines[m.Name]
-		_, ordered := s.ordered[m.Name]
-		machines = append(machines, upkeep.Machine{
-			Name: m.Name, Pool: m.Pool, Up: m.State == services.MachineUp && !ordered,
-			Away: m.State == services.MachineInUpkeep || ordered, Empty: s.empty(m),
-			Standby: catalog.Services[m.Pool].Standby, Tasks: use.Tasks, Services: use.Services,
-		})
-	}
-	return machines
-}
-
-// empty reports whether the owner of the machine's pool has emptied it for the
-// cordon in force. What it said of an earlier cordon does not count, because the
-// machine may have got work in between.
-func (s *Service) empty(m services.Machine) bool {
-	status := s.statuses[m.Pool]
-	since, ok := s.cordons[m.Pool].since[m.Name]
-	return ok && status.Cordons >= since && slices.Contains(status.Empty, m.Name)
-}
-
-func (s *Service) loads() map[string]upkeep.PoolLoad {
-	loads := make(map[string]upkeep.PoolLoad, len(s.statuses))
-	for pool, status := range s.statuses {
-		loads[pool] = upkeep.PoolLoad{Demand: status.Demand, Capacity: status.Capacity}
-	}
-	return loads
-}
-
-func (s *Service) cordoned() map[string]bool {
-	set := make(map[string]bool)
-	for _, c := range s.cordons {
-		for _, m := range c.record.Machines {
-			set[m] = true
-		}
-	}
-	return set
-}
-
-// writeCordons tells the owners of the pools which machines to empty.
-func (s *Service) writeCordons(ctx context.Context, machines []services.Machine, cordon, leave map[string]bool) {
-	next := make(map[string]jobrecord.CordonRecord)
-	for _, m := range machines {
-		r := next[m.Pool]
-		if cordon[m.Name] {
-			r.Machines = append(r.Machines, m.Name)
-		}
-		if leave[m.Name] {
-			r.Leave = append(r.Leave, m.Name)
-		}
-		next[m.Pool] = r
-	}
-	for _, pool := range slices.Sorted(maps.Keys(s.cordons)) {
-		s.writeCordon(ctx, pool, next[pool])
-	}
-}
-
-func (s *Service) writeCordon(ctx context.Context, pool string, next jobrecord.CordonRecord) {
-	old := s.cordons[pool]
-	slices.Sort(next.Machines)
-	slices.Sort(next.Leave)
-	if slices.Equal(old.record.Machines, next.Machines) && slices.Equal(old.record.Leave, next.Leave) {
-		return
-	}
-	version, ok := s.write(ctx, jobrecord.Cordons(pool), old.version, next)
-	if !ok {
-		// All records are read again before the next decision.
-		s.version = 0
-		return
-	}
-	s.cordons[pool] = old.next(next, version)
-	s.log.Info().Str("pool", pool).Strs("machines", next.Machines).Int("leave", len(next.Leave)).Int64("version", version).Msg("cordons written")
-}
-
-// write replaces a record whose version is known.
-func (s *Service) write(ctx context.Context, key services.RecordKey, version int64, value any) (int64, bool) {
-	encoded, err := json.Marshal(value)
-	if err != nil {
-		s.log.Error().Err(err).Str("record", key.Key).Msg("record cannot be encoded")
-		return 0, false
-	}
-	commit, err := s.records.Commit(ctx, services.RecordTx{
-		Conditions: []services.RecordCondition{{RecordKey: key, Version: version}},
-		Writes:     []services.RecordWrite{{RecordKey: key, Value: encoded}},
-	})
-	if err != nil || !commit.Committed {
-		s.log.Warn().Err(err).Str("record", key.Part+"/"+key.Key).Msg("record not written; it is read again")
-		return 0, false
-	}
-	return commit.Version, true
-}
-
-// order begins maintenances.
-func (s *Service) order(ctx context.Context, now time.Time, orders []upkeep.Order) {
-	if !s.mayOrder(now) {
-		return
-	}
-	changed := make(map[int]bool)
-	for _, o := range orders {
-		err := s.machines.MaintainMachine(ctx, services.MachineOrder{Machine: o.Machine, Holder: s.settings.Host, Fence: s.tenure.Fence}, o.Wave)
-		s.orders.Inc(1)
-		s.log.Info().Err(err).Str("machine", o.Machine).Int("wave", o.Wave).Int64("fence", s.tenure.Fence).Msg("maintenance ordered")
-		switch {
-		case err == nil:
-			s.waves[o.Wave].done[o.Machine] = true
-			s.ordered[o.Machine] = now
-			changed[o.Wave] = true
-		case fault.ReasonOf(err) == fault.ReasonSuperseded:
-			s.refused.Inc(1)
-			s.ownership.Lost(s.tenure)
-			return
-		case !fault.IsNotRun(err):
-			s.ordered[o.Machine] = now
-		default:
-			s.refused.Inc(1)
-		}
-	}
-	for number := range changed {
-		s.saveWave(ctx, number)
-	}
-}
-
-func (s *Service) saveWave(ctx context.Context, number int) {
-	state := s.waves[number]
-	record := jobrecord.WaveRecord{Done: slices.Sorted(maps.Keys(state.done)), Completed: state.complete}
-	version, ok := s.write(ctx, jobrecord.Wave(number), state.version, record)
-	if !ok {
-		state.loaded = false
-		return
-	}
-	state.version = version
-}
-
-// report tells the operator how far the waves are.
-func (s *Service) report(ctx context.Context, completed []int) {
-	for _, w := range s.catalogs.Waves() {
-		state := s.waves[w.Number]
-		if state == nil || !state.loaded {
-			continue
-		}
-		done := state.complete || slices.Contains(completed, w.Number)
-		text := "running"
-		if done {
-			text = "completed"
-		}
-		if state.reported == text {
-			continue
-		}
-		if err := s.operator.ReportWave(ctx, w.Number, done); err != nil {
-			s.log.Warn().Err(err).Int("wave", w.Number).Msg("wave not reported")
-			continue
-		}
-		state.reported = text
-		s.log.Info().Int("wave", w.Number).Str("state", text).Int("machines", len(w.Machines)).Dur("age", s.clock().Sub(state.seen)).Msg("wave reported")
-		if done && !state.complete {
-			state.complete = true
-			s.saveWave(ctx, w.Number)
-		}
-	}
-}
--- /dev/null
+++ b/services/upkeep/waves.go
@@ -0,0 +1,132 @@
+package upkeep
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/upkeep"
+	"fuchsiafront.example/fuchsiafront/fault"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
+)
+
+// waveState is the progress of one wave.
+type waveState struct {
+	seen     time.Time
+	done     map[string]bool
+	complete bool
+	version  int64
+	loaded   bool
+	reported string
+}
+
+// loadWaves reads the progress of waves that are new to this process.
+func (s *Service) loadWaves(ctx context.Context, now time.Time) {
+	for _, w := range s.catalogs.Waves() {
+		state := s.waves[w.Number]
+		if state == nil {
+			state = &waveState{seen: now, done: make(map[string]bool)}
+			s.waves[w.Number] = state
+		}
+		if !state.loaded {
+			s.loadWave(ctx, w.Number, state)
+		}
+	}
+}
+
+func (s *Service) loadWave(ctx context.Context, number int, state *waveState) {
+	record, version, err := readRecord[jobrecord.WaveRecord](ctx, s.records, jobrecord.Wave(number))
+	if err != nil {
+		s.log.Debug().Err(err).Int("wave", number).Msg("progress of the wave not read")
+		return
+	}
+	for _, m := range record.Done {
+		state.done[m] = true
+	}
+	state.complete, state.version, state.loaded = record.Completed, version, true
+}
+
+func (s *Service) openWaves() []upkeep.Wave {
+	var waves []upkeep.Wave
+	for _, w := range s.catalogs.Waves() {
+		state := s.waves[w.Number]
+		if state == nil || !state.loaded || state.complete {
+			continue
+		}
+		waves = append(waves, upkeep.Wave{
+			Number: w.Number, MaxDown: w.MaxDown, Deadline: state.seen.Add(w.Duration), Machines: w.Machines, Done: state.done,
+		})
+	}
+	return waves
+}
+
+// order begins maintenances.
+func (s *Service) order(ctx context.Context, now time.Time, orders []upkeep.Order) {
+	if !s.mayOrder(now) {
+		return
+	}
+	changed := make(map[int]bool)
+	for _, o := range orders {
+		err := s.machines.MaintainMachine(ctx, services.MachineOrder{Machine: o.Machine, Holder: s.settings.Host, Fence: s.tenure.Fence}, o.Wave)
+		s.orders.Inc(1)
+		s.log.Info().Err(err).Str("machine", o.Machine).Int("wave", o.Wave).Int64("fence", s.tenure.Fence).Msg("maintenance ordered")
+		switch {
+		case err == nil:
+			s.waves[o.Wave].done[o.Machine] = true
+			s.ordered[o.Machine] = now
+			changed[o.Wave] = true
+		case fault.ReasonOf(err) == fault.ReasonSuperseded:
+			s.refused.Inc(1)
+			s.ownership.Lost(s.tenure)
+			return
+		case !fault.IsNotRun(err):
+			s.ordered[o.Machine] = now
+		default:
+			s.refused.Inc(1)
+		}
+	}
+	for number := range changed {
+		s.saveWave(ctx, number)
+	}
+}
+
+func (s *Service) saveWave(ctx context.Context, number int) {
+	state := s.waves[number]
+	record := jobrecord.WaveRecord{Done: slices.Sorted(maps.Keys(state.done)), Completed: state.complete}
+	version, ok := s.write(ctx, jobrecord.Wave(number), state.version, record)
+	if !ok {
+		state.loaded = false
+		return
+	}
+	state.version = version
+}
+
+// report tells the operator how far the waves are.
+func (s *Service) report(ctx context.Context, completed []int) {
+	for _, w := range s.catalogs.Waves() {
+		state := s.waves[w.Number]
+		if state == nil || !state.loaded {
+			continue
+		}
+		done := state.complete || slices.Contains(completed, w.Number)
+		text := "running"
+		if done {
+			text = "completed"
+		}
+		if state.reported == text {
+			continue
+		}
+		if err := s.operator.ReportWave(ctx, w.Number, done); err != nil {
+			s.log.Warn().Err(err).Int("wave", w.Number).Msg("wave not reported")
+			continue
+		}
+		state.reported = text
+		s.log.Info().Int("wave", w.Number).Str("state", text).Int("machines", len(w.Machines)).Dur("age", s.clock().Sub(state.seen)).Msg("wave reported")
+		if done && !state.complete {
+			state.complete = true
+			s.saveWave(ctx, w.Number)
+		}
+	}
+}
