Soak real processes under random faults

A seeded soak of daemons as separate processes against the stand-in: kills, graceful stops, freezes, reloads, a store that is down, loses replies or its history, silent executors, new configurations, entries of other writers, up to three at once. It checks that every accepted job completes, that no task runs twice at once or again, and that no refused job runs. The loopback proxy (delay, reset, one-way cut) is not built yet.

--- /dev/null
+++ b/soak/process_test.go
@@ -0,0 +1,220 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/standin/fleetplatform"
+)
+
+const (
+	testHost   = "jobs.example"
+	testPrefix = "/q/"
+	testKey    = "key-1"
+	jobBody    = `{"spec":"x","phases":[{"count":2,"cpu":500,"mem-mb":64,"estimate-ms":250},{"count":1,"cpu":500,"mem-mb":64,"estimate-ms":250,"after":[0]}]}`
+	// callTimeout is how long a client waits; a frozen host does not answer.
+	callTimeout = 3 * time.Second
+)
+
+const settingsFile = `
+node-name = %q
+zone = "z1"
+ip = "127.0.0.1"
+[bind-addrs]
+frontend = %q
+ready = %q
+[limits]
+cpu-share = 0.4
+memory-mb = 284
+[bounds]
+grace-s = 6
+hold-max-ms = 3000
+lease-ms = 1000
+status_s = 120
+maintenance-s = 1
+[platform]
+address = %q
+[cloud-api]
+address = %q
+`
+
+// soak is the state of one run.
+type soak struct {
+	t         *testing.T
+	fleet     *fleetplatform.Fleet
+	random    *rand.Rand
+	hosts     []*process
+	executors []string
+	client    *http.Client
+	version   int
+
+	// The client's duty owns these until it has ended.
+	accepted, refused map[string]bool
+	unknown           int
+}
+
+// process is one daemon that is started again when it ends.
+type process struct {
+	t            *testing.T
+	binary, path string
+	jobs, ready  string
+	mu           sync.Mutex
+	command      *exec.Cmd
+	closed       bool
+	ended        chan struct{}
+}
+
+func newSoak(t *testing.T, binary string, seed uint64, hosts int) *soak {
+	s := &soak{
+		t: t, fleet: fleetplatform.Start(executorCount, work), random: rand.New(rand.NewPCG(seed, 0)),
+		client: &http.Client{Timeout: callTimeout}, version: 1,
+		accepted: make(map[string]bool), refused: make(map[string]bool),
+	}
+	t.Cleanup(s.fleet.Close)
+	for n := range executorCount {
+		s.executors = append(s.executors, fmt.Sprintf("i-%d", n))
+	}
+	s.fleet.Configure(1, testHost, testPrefix, testKey)
+	for n := range hosts {
+		p := &process{t: t, binary: binary, jobs: freeAddress(t), ready: freeAddress(t), path: filepath.Join(t.TempDir(), "node.toml")}
+		text := fmt.Sprintf(settingsFile, fmt.Sprintf("h%d", n), p.jobs, p.ready, s.fleet.Address(), s.fleet.Address())
+		assert.NilError(t, os.WriteFile(p.path, []byte(text), 0o600))
+		p.ensure()
+		t.Cleanup(p.close)
+		s.hosts = append(s.hosts, p)
+	}
+	return s
+}
+
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// ensure starts the process unless it runs, and lets it go on if it is frozen.
+func (p *process) ensure() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	if p.command != nil {
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		return
+	}
+	command := exec.Command(p.binary)
+	command.Env = append(os.Environ(), "FUCHSIAFRONT_BOOT="+p.path)
+	command.Stdout = io.Discard
+	assert.NilError(p.t, command.Start())
+	ended := make(chan struct{})
+	p.command, p.ended = command, ended
+	go func() {
+		_ = command.Wait()
+		p.mu.Lock()
+		p.command = nil
+		p.mu.Unlock()
+		close(ended)
+		time.Sleep(300 * time.Millisecond)
+		p.ensure()
+	}()
+}
+
+// signal sends a signal to the process that was started here, if it runs.
+func (p *process) signal(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		_ = p.command.Process.Signal(sig)
+	}
+}
+
+// close ends the process for good.
+func (p *process) close() {
+	p.mu.Lock()
+	p.closed = true
+	ended := p.ended
+	p.mu.Unlock()
+	p.signal(syscall.SIGKILL)
+	<-ended
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "HUP": syscall.SIGHUP,
+}
+
+// signalHost sends a signal to a host and returns how to send the other one.
+func (s *soak) signalHost(name, end string) func() {
+	h := s.hosts[s.random.IntN(len(s.hosts))]
+	h.signal(signals[name])
+	return func() {
+		if end != "" {
+			h.signal(signals[end])
+		}
+	}
+}
+
+// waitReady waits until all hosts are ready.
+func (s *soak) waitReady() {
+	s.t.Helper()
+	deadline := time.Now().Add(settleTime)
+	for _, h := range s.hosts {
+		for !s.isReady(h) {
+			assert.Assert(s.t, time.Now().Before(deadline), "host %s is not ready", h.ready)
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+func (s *soak) isReady(h *process) bool {
+	resp, err := s.client.Get("http://" + h.ready + "/fuchsiafront/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// call makes one call and returns the status, or zero when there was none.
+func (s *soak) call(h *process, method, id string, body io.Reader, answer any) int {
+	req, err := http.NewRequest(method, "http://"+h.jobs+testPrefix+id, body)
+	assert.NilError(s.t, err)
+	req.Host = testHost
+	req.Header.Set("Authorization", "Token "+testKey)
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if answer != nil && json.NewDecoder(resp.Body).Decode(answer) != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// state asks all hosts for the state of a job until one answers.
+func (s *soak) state(id string) string {
+	for _, h := range s.hosts {
+		var answer struct {
+			State string `json:"state"`
+		}
+		if s.call(h, http.MethodGet, id, nil, &answer) == http.StatusOK {
+			return answer.State
+		}
+	}
+	return "unanswered"
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,191 @@
+// Package soak runs the daemon as separate processes against the stand-in of the
+// users' platform, injects faults from outside in random series that overlap,
+// and checks the promises from what clients and executors see.
+//
+//	go test ./soak -run TestSoak -soak.seed=7 -soak.time=2m -soak.hosts=6
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/standin/fleetplatform"
+)
+
+var (
+	seed      = flag.Uint64("soak.seed", 1, "seed of the faults")
+	length    = flag.Duration("soak.time", 12*time.Second, "time for which faults are injected")
+	hostCount = flag.Int("soak.hosts", 3, "number of processes")
+)
+
+const (
+	executorCount = 6
+	work          = 250 * time.Millisecond
+	// settleTime is how long after the last fault every accepted job has to be
+	// complete: a takeover, the leases of earlier owners, and the work itself.
+	settleTime = 40 * time.Second
+	jobEvery   = 60 * time.Millisecond
+)
+
+// TestSoak guards against lost, repeated and overlapping work under faults that
+// come in series and overlap.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "fuchsiafrontd")
+	out, err := exec.Command("go", "build", "-o", binary, "../cmd/fuchsiafrontd").CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	s := newSoak(t, binary, *seed, *hostCount)
+	s.waitReady()
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	clients.Go(func() { s.submit(stop) })
+	s.injectFor(*length)
+	close(stop)
+	clients.Wait()
+	s.heal()
+	s.check()
+}
+
+// fault is one kind of trouble. It returns how to end it.
+type fault struct {
+	name   string
+	inject func() (end func())
+}
+
+func (s *soak) faults() []fault {
+	return []fault{
+		{"kill a host", func() func() { return s.signalHost("KILL", "") }},
+		{"stop a host gracefully", func() func() { return s.signalHost("TERM", "") }},
+		{"freeze a host", func() func() { return s.signalHost("STOP", "CONT") }},
+		{"reload a host's settings", func() func() { return s.signalHost("HUP", "") }},
+		{"store down", func() func() { s.fleet.Store.SetDown(true); return func() { s.fleet.Store.SetDown(false) } }},
+		{"store loses replies", func() func() { s.fleet.Store.LoseReplies(1 + s.random.IntN(8)); return func() {} }},
+		{"store forgets its history", func() func() { s.fleet.Store.Forget(); return func() {} }},
+		{"executor falls silent", func() func() {
+			id := s.executors[s.random.IntN(len(s.executors))]
+			s.fleet.Executor(id).SetMute(true)
+			return func() { s.fleet.Executor(id).SetMute(false) }
+		}},
+		{"configuration changes", func() func() {
+			s.version++
+			s.fleet.Configure(s.version, testHost, testPrefix, testKey, fmt.Sprintf("key-%d", s.version))
+			return func() {}
+		}},
+		{"entry of another writer", func() func() {
+			s.fleet.Store.PutBytes("servers", "", "i-other", []byte("{"))
+			return func() { s.fleet.Store.Remove("servers", "", "i-other") }
+		}},
+	}
+}
+
+// injectFor injects faults until d has passed. Up to three overlap.
+func (s *soak) injectFor(d time.Duration) {
+	faults := s.faults()
+	type active struct {
+		name  string
+		until time.Time
+		end   func()
+	}
+	var open []active
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		if len(open) < 3 {
+			f := faults[s.random.IntN(len(faults))]
+			for _, a := range open {
+				if a.name == f.name {
+					f.inject = nil
+				}
+			}
+			if f.inject != nil {
+				lasts := time.Duration(s.random.Int64N(int64(4 * time.Second)))
+				s.t.Logf("%s for %v", f.name, lasts)
+				open = append(open, active{f.name, time.Now().Add(lasts), f.inject()})
+			}
+		}
+		time.Sleep(time.Duration(s.random.Int64N(int64(1500 * time.Millisecond))))
+		kept := open[:0]
+		for _, a := range open {
+			if time.Now().After(a.until) {
+				a.end()
+				continue
+			}
+			kept = append(kept, a)
+		}
+		open = kept
+	}
+	for _, a := range open {
+		a.end()
+	}
+}
+
+// heal brings all processes back.
+func (s *soak) heal() {
+	for _, h := range s.hosts {
+		h.ensure()
+	}
+	s.waitReady()
+}
+
+// check asserts the promises.
+func (s *soak) check() {
+	s.t.Helper()
+	deadline := time.Now().Add(settleTime)
+	for id := range s.accepted {
+		for {
+			state := s.state(id)
+			if state == "completed" {
+				break
+			}
+			assert.Assert(s.t, time.Now().Before(deadline), "seed %d: accepted job %s is %q", *seed, id, state)
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	runs := s.fleet.Record.Runs()
+	assert.Equal(s.t, len(fleetplatform.Overlaps(runs)), 0, "seed %d: %v", *seed, fleetplatform.Overlaps(runs))
+	done := make(map[string]int)
+	ran := make(map[string]bool)
+	for _, r := range runs {
+		ran[fleetplatform.JobOf(r.Task)] = true
+		if r.How == "done" {
+			done[r.Task]++
+		}
+	}
+	for task, n := range done {
+		assert.Assert(s.t, n == 1, "seed %d: task %s was done %d times", *seed, task, n)
+	}
+	for id := range s.refused {
+		assert.Assert(s.t, !ran[id], "seed %d: job %s was refused and has run", *seed, id)
+	}
+	assert.Assert(s.t, len(s.accepted) > 0, "nothing was accepted")
+	s.t.Logf("seed %d: %d accepted, %d refused for good, %d unknown, %d runs, %d transactions",
+		*seed, len(s.accepted), len(s.refused), s.unknown, len(runs), s.fleet.Store.Commits())
+}
+
+// submit hands in jobs until stop is closed. Each is tried once, so that a
+// refusal is the last word about it.
+func (s *soak) submit(stop <-chan struct{}) {
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(jobEvery):
+		}
+		id := fmt.Sprintf("%016x", n)
+		status := s.call(s.hosts[n%len(s.hosts)], http.MethodPost, id, strings.NewReader(jobBody), nil)
+		switch status {
+		case http.StatusOK:
+			s.accepted[id] = true
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			s.refused[id] = true
+		default:
+			s.unknown++
+		}
+	}
+}
