--- a/decision/ownership/ownership.go
+++ b/decision/ownership/ownership.go
@@ -28,8 +28,11 @@
 	loadDelay = 350 * time.Millisecond
 	// spreadDelay is the largest delay drawn from the names of pool and host.
 	spreadDelay = 250 * time.Millisecond
-	// powerDelay is the largest delay of a host with little processor time.
-	powerDelay = 600 * time.Millisecond
+	// powerDelay is the largest delay of a host with little processor time, and
+	// firstPowerDelay the same for a pool that has never had an owner, when
+	// there is time before work arrives.
+	powerDelay      = 600 * time.Millisecond
+	firstPowerDelay = 2 * time.Second
 	// fullPower is the processor share, in cores, from which on a host claims
 	// without that delay.
 	fullPower = 0.8
@@ -67,18 +70,21 @@
 	if r.Predecessor {
 		return true, "an earlier process of this host owns it"
 	}
-	delay := Delay(pool, h)
-	if r.Absent || r.Released {
-		return r.Free >= delay, "no owner"
+	switch {
+	case r.Absent:
+		return r.Free >= delay(pool, h, firstPowerDelay), "no owner yet"
+	case r.Released:
+		return r.Free >= delay(pool, h, powerDelay), "released"
 	}
-	return r.Unchanged >= TakeoverAfter+delay, "owner is silent"
+	return r.Unchanged >= TakeoverAfter+delay(pool, h, powerDelay), "owner is silent"
 }
 
-// Delay returns how long a host waits before it claims a pool that is free.
-func Delay(pool string, h Host) time.Duration {
+// delay returns how long a host waits before it claims a pool that is free.
+// weakest is the delay of a host without processor time.
+func delay(pool string, h Host, weakest time.Duration) time.Duration {
 	draw := float64(xxhash.Sum64String(pool+"\x00"+h.Name)%1024) / 1024
 	weakness := max(0, fullPower-h.Power) / fullPower
 	return time.Duration(h.Owned)*loadDelay +
 		time.Duration(draw*float64(spreadDelay)) +
-		time.Duration(weakness*float64(powerDelay))
+		time.Duration(weakness*float64(weakest))
 }
--- a/decision/ownership/ownership_test.go
+++ b/decision/ownership/ownership_test.go
@@ -25,11 +25,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		host := Host{Name: rapid.String().Draw(t, "host"), Power: rapid.Float64Range(0, 2).Draw(t, "power"), Owned: rapid.IntRange(0, 5).Draw(t, "owned")}
 		pool := rapid.String().Draw(t, "pool")
-		ok, _ := Claim(pool, Record{Holder: "other", Unchanged: TakeoverAfter + Delay(pool, host)}, host)
+		ok, _ := Claim(pool, Record{Holder: "other", Unchanged: TakeoverAfter + delay(pool, host, powerDelay)}, host)
 		assert.Assert(t, ok)
 		loaded := host
 		loaded.Owned++
-		assert.Assert(t, Delay(pool, host) < Delay(pool, loaded))
+		assert.Assert(t, delay(pool, host, powerDelay) < delay(pool, loaded, powerDelay))
 	})
 }
 
@@ -40,3 +40,18 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, reason, "an earlier process of this host owns it")
 }
+
+// Guards against a busy pool on the host with the least processor time: at the
+// start, a strong host takes two pools before a weak one takes its first.
+func TestStrongHostsClaimFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pool := rapid.String().Draw(t, "pool")
+		weak := Host{Name: rapid.String().Draw(t, "weak"), Power: 0.192}
+		strong := Host{Name: rapid.String().Draw(t, "strong"), Power: 0.8, Owned: 2}
+		free := delay(pool, strong, firstPowerDelay)
+		claims, _ := Claim(pool, Record{Absent: true, Free: free}, weak)
+		assert.Assert(t, !claims)
+		claims, _ = Claim(pool, Record{Absent: true, Free: free}, strong)
+		assert.Assert(t, claims)
+	})
+}
