Let pools give away up to two fifths of their machines

Cause: a pool in its turn needs more machines than standby has, while the others are idle.

Change: pools keep 60% of their usual number, before 80%.

--- a/decision/sizing/sizing.go
+++ b/decision/sizing/sizing.go
@@ -22,7 +22,7 @@
 	// difference to needPercent keeps machines from moving back and forth.
 	spareablePercent = 140
 	// keepPercent is the part of its usual number that a pool keeps.
-	keepPercent = 80
+	keepPercent = 60
 	// quietTime is how long a pool has more than it needs before machines go
 	// back to the standby pool. A move and the way back cost as much as two
 	// seconds of a machine.
