Give no work to executors of unknown load; do not add ended jobs again

Change: an inherited executor accepts work after its first report. The plan remembers for two minutes which jobs have ended.

--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -124,9 +124,11 @@
 // reachable reports whether the executor answered the last orders.
 func (e *executor) reachable() bool { return e.silent == 0 && e.unanswered.IsZero() }
 
-// accepts reports whether new work may start here.
+// accepts reports whether new work may start here. What an earlier owner has
+// left on the executor has to be known.
 func (e *executor) accepts() bool {
-	return e.listed && e.usable && !e.Draining && !e.Cordoned && e.reachable()
+	known := e.fenced || !e.inherited
+	return e.listed && e.usable && known && !e.Draining && !e.Cordoned && e.reachable()
 }
 
 // lease returns the end of a lease of d from now on the executor's clock, or
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -138,9 +138,10 @@
 }
 
 // AddJob adds a recorded job. inherited tells that it was recorded before this
-// owner took over. A job that is known already is left as it is.
+// owner took over. A job that is known already, or has ended here a short time
+// ago, is left as it is: its progress may have been read before it ended.
 func (p *Plan) AddJob(now time.Time, spec *workload.Spec, progress workload.Progress, inherited bool) {
-	if p.jobs[spec.ID] != nil || progress.State.Ended() {
+	if _, ended := p.ended[spec.ID]; ended || p.jobs[spec.ID] != nil || progress.State.Ended() {
 		return
 	}
 	j := &job{spec: spec, inherited: inherited, progress: progress}
@@ -211,11 +212,26 @@
 			p.end(now, j, workload.Cancelled)
 		}
 		if left == 0 && !j.dirty && !j.saving {
-			delete(p.jobs, id)
+			p.forget(now, id)
 		}
 	}
 }
 
+// rememberEnded is how long the plan knows that a job has ended. The store shows
+// a change again for as long as it keeps its history, which is 20 s.
+const rememberEnded = 2 * time.Minute
+
+// forget drops a job that has ended and is saved.
+func (p *Plan) forget(now time.Time, id string) {
+	delete(p.jobs, id)
+	p.ended[id] = now
+	if now.Sub(p.prunedAt) < rememberEnded {
+		return
+	}
+	p.prunedAt = now
+	maps.DeleteFunc(p.ended, func(_ string, at time.Time) bool { return now.Sub(at) > rememberEnded })
+}
+
 func (j *job) runs() []*run {
 	var runs []*run
 	for _, o := range j.occurrences {
@@ -330,7 +346,7 @@
 		return
 	}
 	if j.progress.State == workload.Completed {
-		delete(p.jobs, s.Job)
+		p.forget(now, s.Job)
 	}
 }
 
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -60,14 +60,17 @@
 
 	executors map[string]*executor
 	jobs      map[string]*job
-	groups    []*group
-	regroup   bool
-	limits    map[string]fleet.Resources
-	used      map[string]fleet.Resources
-	orders    []Order
-	unsaved   map[string]*job
-	deposed   bool
-	takeover  time.Time
+	// ended holds the jobs that ended a short time ago.
+	ended    map[string]time.Time
+	prunedAt time.Time
+	groups   []*group
+	regroup  bool
+	limits   map[string]fleet.Resources
+	used     map[string]fleet.Resources
+	orders   []Order
+	unsaved  map[string]*job
+	deposed  bool
+	takeover time.Time
 	// stale tells that a later owner may exist.
 	stale bool
 	// removed tells that an executor was dropped since the last record.
@@ -100,6 +103,8 @@
 		params:    params,
 		executors: make(map[string]*executor),
 		jobs:      make(map[string]*job),
+		ended:     make(map[string]time.Time),
+		prunedAt:  now,
 		limits:    make(map[string]fleet.Resources),
 		used:      make(map[string]fleet.Resources),
 		unsaved:   make(map[string]*job),
--- a/decision/poolplan/takeover_test.go
+++ b/decision/poolplan/takeover_test.go
@@ -89,3 +89,16 @@
 	assert.Equal(t, w.takeStart().Executor, "2")
 	assert.Assert(t, w.plan.RecordOutdated(), "the record still names the old life")
 }
+
+// Guards against a start that brings an executor over its capacity, because the
+// new owner does not know yet what the earlier one has left there.
+func TestUnknownLoadGetsNoWork(t *testing.T) {
+	w := newWorld(t, 2)
+	w.plan.Inherit(w.now, executorInfo("1"))
+	w.register("1")
+	w.job("new", false, step(1))
+	w.step()
+	assert.Equal(t, len(w.starts), 0, "no report of the executor has come yet")
+	w.report(w.takeHold(), nil)
+	assert.Equal(t, w.takeStart().Executor, "1")
+}
--- a/fleethost/cluster_test.go
+++ b/fleethost/cluster_test.go
@@ -86,10 +86,13 @@
 	return c
 }
 
-// freeAddress returns a loopback address with a port that the kernel chose.
+// freeAddress returns an address with a port that the kernel chose, on a
+// loopback IP of this process alone: on a shared one, another process could take
+// the port before it is used.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, 1+pid&127))
 	assert.NilError(t, err)
 	defer l.Close()
 	return l.Addr().String()
--- a/services/pools/load.go
+++ b/services/pools/load.go
@@ -117,6 +117,9 @@
 func (s *Service) readJobs(state *poolState, records []services.Record, progress map[string]workload.Progress) {
 	for i := range records {
 		r := &records[i]
+		if r.Removed {
+			continue
+		}
 		switch id, kind := jobrecord.Parse(r.Key); kind {
 		case jobrecord.KindOther:
 			if r.RecordKey == jobrecord.Cordons(r.Part) {
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -71,6 +71,7 @@
 	t            *testing.T
 	binary, path string
 	jobs, ready  string
+	log          io.Writer
 	mu           sync.Mutex
 	command      *exec.Cmd
 	closed       bool
@@ -92,6 +93,7 @@
 		p := &process{t: t, binary: binary, jobs: freeAddress(t), ready: freeAddress(t), path: filepath.Join(t.TempDir(), "node.toml")}
 		text := fmt.Sprintf(settingsFile, fmt.Sprintf("h%d", n), p.jobs, p.ready, s.fleet.Address(), s.fleet.Address())
 		assert.NilError(t, os.WriteFile(p.path, []byte(text), 0o600))
+		p.log = openLog(t, fmt.Sprintf("h%d.log", n))
 		p.ensure()
 		t.Cleanup(p.close)
 		s.hosts = append(s.hosts, p)
@@ -99,8 +101,23 @@
 	return s
 }
 
+// openLog returns where a process writes its log.
+func openLog(t *testing.T, name string) io.Writer {
+	if *logFolder == "" {
+		return io.Discard
+	}
+	f, err := os.Create(filepath.Join(*logFolder, name))
+	assert.NilError(t, err)
+	t.Cleanup(func() { f.Close() })
+	return f
+}
+
+// freeAddress returns an address with a port that the kernel chose, on a
+// loopback IP of this process alone: on a shared one, another process could take
+// the port before it is used.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, 1+pid&127))
 	assert.NilError(t, err)
 	defer l.Close()
 	return l.Addr().String()
@@ -119,7 +136,7 @@
 	}
 	command := exec.Command(p.binary)
 	command.Env = append(os.Environ(), "FUCHSIAFRONT_BOOT="+p.path)
-	command.Stdout = io.Discard
+	command.Stdout, command.Stderr = p.log, p.log
 	assert.NilError(p.t, command.Start())
 	ended := make(chan struct{})
 	p.command, p.ended = command, ended
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,6 +24,7 @@
 var (
 	seed      = flag.Uint64("soak.seed", 1, "seed of the faults")
 	length    = flag.Duration("soak.time", 12*time.Second, "time for which faults are injected")
+	logFolder = flag.String("soak.logs", "", "folder for the logs of the processes; none when empty")
 	hostCount = flag.Int("soak.hosts", 3, "number of processes")
 )
 
