--- a/decision/poolplan/harness_test.go
+++ b/decision/poolplan/harness_test.go
@@ -12,8 +12,7 @@
 )
 
 var testParams = Params{
-	HoldMax: 6 * time.Second, OwnerLapse: 12 * time.Second, RemoteFactor: 3,
-	GangTimeout: 3 * time.Second, Impact: 4 * time.Second,
+	HoldMax: 6 * time.Second, OwnerLapse: 12 * time.Second,
 }
 
 // world drives a plan in virtual time. Orders are kept until a test answers
@@ -30,7 +29,7 @@
 
 func newWorld(t *testing.T, term int) *world {
 	w := &world{t: t, now: time.UnixMilli(1_000_000)}
-	w.plan = New("pool", term, w.now, testParams)
+	w.plan = New(term, w.now, testParams)
 	w.plan.SetCatalog(catalog.New(1, []catalog.Queue{
 		{Name: "queue", Service: "pool", MaxAttempts: 3, Slack: 1.6, LatencyTarget: time.Second},
 	}, []catalog.Service{{Name: "pool"}}, []catalog.Tenant{{Name: "tenant"}}))
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -72,7 +72,6 @@
 	runs     []*run
 	// checkpoint is the newest state that the task can resume from.
 	checkpoint string
-	notBefore  time.Time
 	// failedOn lists the executors on which the task failed or stood still.
 	failedOn []string
 	// lost tells that the last run ended without a report.
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -69,7 +69,7 @@
 
 func (p *Plan) placeTasks(now time.Time, g *group, candidates []*executor) {
 	for _, t := range g.tasks {
-		if !t.open() || now.Before(t.notBefore) || (t.lost && p.stale) {
+		if !t.open() || (t.lost && p.stale) {
 			continue
 		}
 		if !p.withinLimit(g, 1) {
@@ -86,7 +86,7 @@
 // placeGang starts all members of a gang, or none.
 func (p *Plan) placeGang(now time.Time, g *group, candidates []*executor) {
 	for _, t := range g.tasks {
-		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || (t.lost && p.stale) {
+		if t.done || len(t.runs) > 0 || (t.lost && p.stale) {
 			return
 		}
 	}
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -20,13 +20,6 @@
 	// OwnerLapse is the longest time for which an earlier owner of the pool may
 	// go on giving orders after this one took over.
 	OwnerLapse time.Duration
-	// RemoteFactor is how much longer a task takes away from its data.
-	RemoteFactor float64
-	// GangTimeout is how long a gang's task waits for the others.
-	GangTimeout time.Duration
-	// Impact is how long a service task may be over its target because of
-	// fillers.
-	Impact time.Duration
 }
 
 // Timing of the plan.
@@ -53,7 +46,6 @@
 
 // Plan is the state of one pool. It is owned by one duty.
 type Plan struct {
-	pool    string
 	term    int
 	params  Params
 	catalog *catalog.Catalog
@@ -96,9 +88,8 @@
 
 // New returns the plan of an owner that took over at now. term counts the
 // owners that the pool has had, from one.
-func New(pool string, term int, now time.Time, params Params) *Plan {
+func New(term int, now time.Time, params Params) *Plan {
 	return &Plan{
-		pool:      pool,
 		term:      term,
 		params:    params,
 		executors: make(map[string]*executor),
--- a/decision/workload/workload.go
+++ b/decision/workload/workload.go
@@ -80,16 +80,6 @@
 	return s.StartAt.Add(time.Duration(k) * s.Interval)
 }
 
-// HasService reports whether the job lasts until it is cancelled.
-func (s *Spec) HasService() bool {
-	for i := range s.Steps {
-		if s.Steps[i].Service {
-			return true
-		}
-	}
-	return false
-}
-
 // State is what callers see of a job.
 type State int
 
--- a/fleethost/fleethost.go
+++ b/fleethost/fleethost.go
@@ -74,10 +74,7 @@
 
 func params(s *platform.Settings) poolplan.Params {
 	return poolplan.Params{
-		HoldMax:      platform.Milliseconds(s.Bounds.LeaseMaxMs),
-		RemoteFactor: s.Bounds.RemoteFactor,
-		GangTimeout:  platform.Milliseconds(s.Bounds.GangTimeoutMs),
-		Impact:       platform.Milliseconds(s.Bounds.ImpactMs),
+		HoldMax: platform.Milliseconds(s.Bounds.LeaseMaxMs),
 	}
 }
 
--- a/services/pools/load.go
+++ b/services/pools/load.go
@@ -166,7 +166,7 @@
 	if p.superseded(m, e.state.term) {
 		return
 	}
-	plan := poolplan.New(m.pool, m.tenure.Term, m.tenure.RenewedAt, p.s.settings.Params)
+	plan := poolplan.New(m.tenure.Term, m.tenure.RenewedAt, p.s.settings.Params)
 	plan.SetCatalog(p.catalog)
 	for _, x := range e.state.executors {
 		plan.Inherit(p.now, x)
