Count failures by attempt; publish the status under a condition; keep the room of stopping runs

An end that was saved and not acknowledged was counted again by the next owner, so that a job with two failures was shown as failed (LOST).

Ruled out: for LIMIT, work of an earlier owner that is not known yet; that has been mended before.

Change: failures are kept by attempt; the status is written on condition of the version last seen, and a later one ends the tenure; a stopping run keeps its room for half a second after the confirmation.

--- /dev/null
+++ b/decision/poolplan/accounting_test.go
@@ -0,0 +1,47 @@
+package poolplan
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/decision/workload"
+)
+
+// Guards against a job shown as failed although no task has failed so often: an
+// end that was saved and not acknowledged was counted again by the next owner.
+func TestFailureIsCountedOnce(t *testing.T) {
+	w := newWorld(t, 2)
+	w.plan.Inherit(w.now, executorInfo("1"))
+	w.register("1")
+	spec := &workload.Spec{ID: "a", Queue: "queue", Tenant: "tenant", Steps: []workload.Step{step(1)}, Accepted: w.now}
+	w.plan.AddJob(w.now, spec, workload.Progress{Failures: map[workload.TaskName][]int{{}: {1, 2}}, Attempts: 2}, true)
+	w.step()
+	w.report(w.takeHold(), nil,
+		EndReport{Number: 1, Task: taskID("a"), Attempt: 1, Ending: EndedFailed},
+		EndReport{Number: 2, Task: taskID("a"), Attempt: 2, Ending: EndedFailed})
+	assert.Equal(t, w.plan.jobs["a"].progress.State, workload.Queued, "two of three attempts have failed")
+}
+
+// Guards against a start that brings an executor over its capacity: a run that
+// is being stopped is not listed for up to 200 ms and still takes its room.
+func TestStoppingRunKeepsItsRoom(t *testing.T) {
+	w := newWorld(t, 1)
+	w.register("1")
+	w.job("a", false, step(1))
+	w.step()
+	s := w.takeStart()
+	w.plan.StartDone(w.now, s, w.outcome(Accepted))
+	w.now = w.now.Add(time.Second)
+	w.plan.CancelJob(w.now, "a")
+	w.step()
+	assert.Equal(t, len(w.stops), 1)
+	w.plan.StopDone(w.now, w.stops[0], w.outcome(Accepted))
+	w.now = w.now.Add(100 * time.Millisecond)
+	w.report(Hold{Target: s.Target}, nil)
+	assert.Equal(t, w.plan.Runs(), 1, "the stop may not be over yet")
+	w.now = w.now.Add(stopMargin)
+	w.report(Hold{Target: s.Target}, nil)
+	assert.Equal(t, w.plan.Runs(), 0)
+}
--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -13,6 +13,9 @@
 	// vanishMargin is how much later than the confirmation of a start a report
 	// must have been asked for to show that the run is gone.
 	vanishMargin = 50 * time.Millisecond
+	// stopMargin is the same after the confirmation of a stop. A stop takes up
+	// to 200 ms, during which the run may not be listed and takes its room.
+	stopMargin = 500 * time.Millisecond
 )
 
 // find returns the executor of a target while that life is current.
@@ -152,10 +155,10 @@
 		p.note(Event{What: "stop not confirmed", Job: s.Task.Job, Task: s.Task.String(), Peer: e.ID, Reason: o.Answer.String()})
 		return
 	}
-	if r.confirmed.IsZero() {
-		// The run never began, or its end will be listed; the next report
-		// that was asked for from now on tells which.
-		r.confirmed = now
+	// The run never began, or its end will be listed; a report that was asked
+	// for after the time that a stop takes tells which.
+	if r.stoppedAt.IsZero() {
+		r.stoppedAt = now
 	}
 }
 
--- a/decision/poolplan/ending.go
+++ b/decision/poolplan/ending.go
@@ -1,6 +1,7 @@
 package poolplan
 
 import (
+	"slices"
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/workload"
@@ -46,7 +47,7 @@
 		p.mark(e, j, end.Number)
 		p.endIfComplete(now, j)
 	case EndedFailed:
-		p.taskFailed(now, e, t, run)
+		p.taskFailed(now, e, t, end.Attempt)
 		p.mark(e, j, end.Number)
 	default:
 		p.note(Event{What: "run ended", Job: j.spec.ID, Task: end.Task.String(), Peer: e.ID, Reason: end.Ending.String()})
@@ -75,9 +76,12 @@
 	}
 }
 
-func (p *Plan) taskFailed(now time.Time, e *executor, t *task, r *run) {
+func (p *Plan) taskFailed(now time.Time, e *executor, t *task, attempt int) {
 	j := t.group.job
-	t.failures++
+	if slices.Contains(t.failures, attempt) {
+		return
+	}
+	t.failures = append(t.failures, attempt)
 	p.touch(j)
 	if !t.group.step.Service {
 		t.failOn(e)
@@ -98,7 +102,7 @@
 	if q, ok := p.catalog.Queue(j.spec.Queue); ok {
 		limit = q.MaxAttempts
 	}
-	if t.failures >= limit {
+	if len(t.failures) >= limit {
 		p.end(now, j, workload.Failed)
 	}
 }
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -110,6 +110,8 @@
 	paceAt     time.Time
 	checkpoint string
 	stopAsked  time.Time
+	// stoppedAt is when the executor first confirmed a stop.
+	stoppedAt  time.Time
 	stopReason string
 	stopBusy   bool
 }
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -64,10 +64,11 @@
 
 // task is one task of a group.
 type task struct {
-	group    *group
-	index    int
-	done     bool
-	failures int
+	group *group
+	index int
+	done  bool
+	// failures lists the attempts that failed.
+	failures []int
 	attempts int
 	runs     []*run
 	// checkpoint is the newest state that the task can resume from.
@@ -155,7 +156,7 @@
 	}
 	for n, failures := range progress.Failures {
 		if t := j.task(n); t != nil {
-			t.failures, t.attempts = failures, max(failures, progress.Attempts)
+			t.failures, t.attempts = slices.Clone(failures), progress.Attempts
 			j.begun = true
 		}
 	}
@@ -304,7 +305,7 @@
 func (p *Plan) Unsaved() bool { return len(p.unsaved) > 0 }
 
 func (j *job) snapshot() workload.Progress {
-	s := workload.Progress{State: j.progress.State, EndedAt: j.progress.EndedAt, Failures: make(map[workload.TaskName]int)}
+	s := workload.Progress{State: j.progress.State, EndedAt: j.progress.EndedAt, Failures: make(map[workload.TaskName][]int)}
 	if s.State == workload.Queued && j.begun {
 		s.State = workload.Running
 	}
@@ -315,8 +316,8 @@
 				if t.done {
 					s.Done = append(s.Done, t.name())
 				}
-				if t.failures > 0 {
-					s.Failures[t.name()] = t.failures
+				if len(t.failures) > 0 {
+					s.Failures[t.name()] = slices.Clone(t.failures)
 				}
 			}
 		}
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -85,16 +85,25 @@
 		return
 	}
 	for _, known := range sortedRuns(e) {
-		if listed[known.key] || ended[known.key] || known.unanswered || known.confirmed.IsZero() {
-			continue
-		}
-		if known.state == runStarting || r.SentAt.Sub(known.confirmed) < vanishMargin {
+		if listed[known.key] || ended[known.key] || !known.vanished(r.SentAt) {
 			continue
 		}
 		p.lose(now, known, "not listed by its executor")
 	}
 }
 
+// vanished reports whether a run that a report asked for at sentAt does not list
+// is over.
+func (r *run) vanished(sentAt time.Time) bool {
+	switch r.state {
+	case runStopping:
+		return !r.stoppedAt.IsZero() && sentAt.Sub(r.stoppedAt) >= stopMargin
+	case runRunning:
+		return !r.unanswered && !r.confirmed.IsZero() && sentAt.Sub(r.confirmed) >= vanishMargin
+	}
+	return false
+}
+
 // observe records what an executor says of a run.
 func (p *Plan) observe(now time.Time, r *run, report RunReport) {
 	if r.state == runStarting {
--- a/decision/workload/workload.go
+++ b/decision/workload/workload.go
@@ -100,8 +100,10 @@
 	State State
 	// Done holds the tasks that ended well.
 	Done []TaskName
-	// Failures counts the failed runs of tasks that have any.
-	Failures map[TaskName]int
+	// Failures lists the attempts that failed of tasks that have any. They are
+	// kept by number, because an executor lists an end until it is acknowledged,
+	// and a later owner must not count it again.
+	Failures map[TaskName][]int
 	// Attempts is at least the highest attempt number of any task's run that
 	// has ended.
 	Attempts int
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -65,10 +65,12 @@
 	saveAt    time.Time
 	statusAt  time.Time
 	published string
-	cordoned  map[string]bool
-	leaving   map[string]bool
-	cordonVer int64
-	expireAt  time.Time
+	// statusVersion is the version of the status record as last seen.
+	statusVersion int64
+	cordoned      map[string]bool
+	leaving       map[string]bool
+	cordonVer     int64
+	expireAt      time.Time
 }
 
 // busy tells which calls of a pool are under way; there is at most one of each.
--- a/services/pools/status.go
+++ b/services/pools/status.go
@@ -11,12 +11,14 @@
 
 type statusCall struct {
 	poolRef
-	value []byte
+	version int64
+	value   []byte
 }
 
 type statusDone struct {
 	statusCall
-	ok bool
+	commit services.RecordCommit
+	err    error
 }
 
 // status publishes what other processes have to know of the pool.
@@ -34,7 +36,7 @@
 		return
 	}
 	m.busy.status = true
-	p.send(p.s.store, statusCall{poolRef{m.pool, m.tenure.Term, m.tenure.Fence}, value})
+	p.send(p.s.store, statusCall{poolRef{m.pool, m.tenure.Term, m.tenure.Fence}, m.statusVersion, value})
 }
 
 func (p *planner) statusRecord(m *manager) jobrecord.StatusRecord {
@@ -57,14 +59,15 @@
 }
 
 func (c statusCall) run(ctx context.Context, s *Service) event {
-	// The status has no condition: readers leave out that of an earlier term.
+	key := jobrecord.Status(c.pool)
 	commit, err := s.records.Commit(ctx, services.RecordTx{
-		Writes: []services.RecordWrite{{RecordKey: jobrecord.Status(c.pool), Value: c.value}},
+		Conditions: []services.RecordCondition{{RecordKey: key, Version: c.version}},
+		Writes:     []services.RecordWrite{{RecordKey: key, Value: c.value}},
 	})
 	if err != nil {
 		s.log.Debug().Err(err).Str("pool", c.pool).Msg("status not published")
 	}
-	return statusDone{c, err == nil && commit.Committed}
+	return statusDone{c, commit, err}
 }
 
 func (e statusDone) handle(p *planner) {
@@ -73,7 +76,30 @@
 		return
 	}
 	m.busy.status = false
-	if e.ok {
-		m.published = string(e.value)
+	switch {
+	case e.err != nil:
+	case e.commit.Committed:
+		m.published, m.statusVersion = string(e.value), e.commit.Version
+	default:
+		p.learnStatus(m, e.commit.Current)
+	}
+}
+
+// learnStatus takes in the status that another owner has published. That of an
+// earlier one is replaced by the next; that of a later one ends the tenure, so
+// that an owner which comes back does not hide what is pending now.
+func (p *planner) learnStatus(m *manager, current []services.Record) {
+	m.statusVersion = 0
+	for i := range current {
+		var status jobrecord.StatusRecord
+		if err := json.Unmarshal(current[i].Value, &status); err != nil {
+			p.s.log.Error().Err(err).Str("pool", m.pool).Msg("status cannot be read; it is replaced")
+		}
+		m.statusVersion = current[i].Version
+		if status.Term > m.tenure.Term {
+			p.s.log.Warn().Str("pool", m.pool).Int("term", m.tenure.Term).Int("later", status.Term).Msg("a later owner has published its status")
+			p.s.ownership.Lost(m.tenure)
+			delete(p.pools, m.pool)
+		}
 	}
 }
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -250,7 +250,7 @@
 type progressRecord struct {
 	State    int              `json:"s"`
 	Done     map[string][]int `json:"d,omitempty"`
-	Failures map[string]int   `json:"f,omitempty"`
+	Failures map[string][]int `json:"f,omitempty"`
 	Attempts int              `json:"a,omitempty"`
 	EndedAt  int64            `json:"e,omitempty"`
 }
@@ -268,7 +268,7 @@
 		step := stepName(n)
 		r.Done[step] = append(r.Done[step], n.Index)
 	}
-	r.Failures = make(map[string]int, len(p.Failures))
+	r.Failures = make(map[string][]int, len(p.Failures))
 	for n, failures := range p.Failures {
 		r.Failures[n.String()] = failures
 	}
@@ -286,7 +286,7 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return workload.Progress{}, ErrRecord.New("progress of %s: %v", id, err)
 	}
-	p := workload.Progress{State: workload.State(r.State), Attempts: r.Attempts, Failures: make(map[workload.TaskName]int)}
+	p := workload.Progress{State: workload.State(r.State), Attempts: r.Attempts, Failures: make(map[workload.TaskName][]int)}
 	if r.EndedAt > 0 {
 		p.EndedAt = time.UnixMilli(r.EndedAt)
 	}
