--- a/decision/ownership/ownership.go
+++ b/decision/ownership/ownership.go
@@ -24,20 +24,34 @@
 	// bound is for executors that the successor cannot reach. While the store is
 	// away no work arrives, so that little is lost when it lasts longer.
 	Lapse = 5 * time.Second
-	// loadDelay is added for each pool that the process owns already.
-	loadDelay = 350 * time.Millisecond
-	// spreadDelay is the largest delay drawn from the names of pool and host.
-	spreadDelay = 250 * time.Millisecond
-	// powerDelay is the largest delay of a host with little processor time, and
-	// firstPowerDelay the same for a pool that has never had an owner, when
-	// there is time before work arrives.
-	powerDelay      = 600 * time.Millisecond
-	firstPowerDelay = 2 * time.Second
 	// fullPower is the processor share, in cores, from which on a host claims
 	// without that delay.
 	fullPower = 0.8
 )
 
+// spread holds the delays that spread the pools over the hosts.
+type spread struct {
+	// load is added for each pool that the process owns already.
+	load time.Duration
+	// draw is the largest delay drawn from the names of pool and host.
+	draw time.Duration
+	// power is the largest delay of a host with little processor time.
+	power time.Duration
+}
+
+var (
+	// firstSpread is for a pool that has never had an owner, when there is time
+	// before work arrives.
+	firstSpread = spread{load: 350 * time.Millisecond, draw: 250 * time.Millisecond, power: 2 * time.Second}
+	// silentSpread is for a pool whose owner is silent. Hosts look at the owner
+	// records about every 300 ms, and at different times.
+	silentSpread = spread{load: 350 * time.Millisecond, draw: 250 * time.Millisecond, power: 600 * time.Millisecond}
+	// releasedSpread is for a pool that was given up. All hosts see that at the
+	// same time, so that shorter delays tell them apart, and nothing runs the
+	// pool meanwhile.
+	releasedSpread = spread{load: 120 * time.Millisecond, draw: 60 * time.Millisecond, power: 200 * time.Millisecond}
+)
+
 // Record is what is known of a pool's owner.
 type Record struct {
 	Holder string
@@ -72,19 +86,18 @@
 	}
 	switch {
 	case r.Absent:
-		return r.Free >= delay(pool, h, firstPowerDelay), "no owner yet"
+		return r.Free >= firstSpread.delay(pool, h), "no owner yet"
 	case r.Released:
-		return r.Free >= delay(pool, h, powerDelay), "released"
+		return r.Free >= releasedSpread.delay(pool, h), "released"
 	}
-	return r.Unchanged >= TakeoverAfter+delay(pool, h, powerDelay), "owner is silent"
+	return r.Unchanged >= TakeoverAfter+silentSpread.delay(pool, h), "owner is silent"
 }
 
 // delay returns how long a host waits before it claims a pool that is free.
-// weakest is the delay of a host without processor time.
-func delay(pool string, h Host, weakest time.Duration) time.Duration {
+func (s spread) delay(pool string, h Host) time.Duration {
 	draw := float64(xxhash.Sum64String(pool+"\x00"+h.Name)%1024) / 1024
 	weakness := max(0, fullPower-h.Power) / fullPower
-	return time.Duration(h.Owned)*loadDelay +
-		time.Duration(draw*float64(spreadDelay)) +
-		time.Duration(weakness*float64(weakest))
+	return time.Duration(h.Owned)*s.load +
+		time.Duration(draw*float64(s.draw)) +
+		time.Duration(weakness*float64(s.power))
 }
--- a/decision/ownership/ownership_test.go
+++ b/decision/ownership/ownership_test.go
@@ -25,11 +25,11 @@
 	rapid.Check(t, func(t *rapid.T) {
 		host := Host{Name: rapid.String().Draw(t, "host"), Power: rapid.Float64Range(0, 2).Draw(t, "power"), Owned: rapid.IntRange(0, 5).Draw(t, "owned")}
 		pool := rapid.String().Draw(t, "pool")
-		ok, _ := Claim(pool, Record{Holder: "other", Unchanged: TakeoverAfter + delay(pool, host, powerDelay)}, host)
+		ok, _ := Claim(pool, Record{Holder: "other", Unchanged: TakeoverAfter + silentSpread.delay(pool, host)}, host)
 		assert.Assert(t, ok)
 		loaded := host
 		loaded.Owned++
-		assert.Assert(t, delay(pool, host, powerDelay) < delay(pool, loaded, powerDelay))
+		assert.Assert(t, silentSpread.delay(pool, host) < silentSpread.delay(pool, loaded))
 	})
 }
 
@@ -48,10 +48,20 @@
 		pool := rapid.String().Draw(t, "pool")
 		weak := Host{Name: rapid.String().Draw(t, "weak"), Power: 0.192}
 		strong := Host{Name: rapid.String().Draw(t, "strong"), Power: 0.8, Owned: 2}
-		free := delay(pool, strong, firstPowerDelay)
+		free := firstSpread.delay(pool, strong)
 		claims, _ := Claim(pool, Record{Absent: true, Free: free}, weak)
 		assert.Assert(t, !claims)
 		claims, _ = Claim(pool, Record{Absent: true, Free: free}, strong)
 		assert.Assert(t, claims)
 	})
 }
+
+// Guards against a second without an owner each time that hosts are stopped in
+// turn: a released pool is claimed within half a second by a host that owns one.
+func TestReleasedPoolIsClaimedSoon(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		host := Host{Name: rapid.String().Draw(t, "host"), Power: rapid.Float64Range(0.1, 2).Draw(t, "power"), Owned: 1}
+		ok, _ := Claim(rapid.String().Draw(t, "pool"), Record{Released: true, Free: 500 * time.Millisecond}, host)
+		assert.Assert(t, ok)
+	})
+}
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -50,6 +50,9 @@
 	done    int
 	ready   bool
 	readyAt time.Time
+	// waits is why the group waits as it was last noted, at waitNotedAt.
+	waits       wait
+	waitNotedAt time.Time
 	// lateness is the class of the group when the order was last made.
 	lateness    int
 	advice      *advice
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -33,18 +33,21 @@
 		return
 	}
 	for _, g := range p.groups {
-		if g.job.inherited && !p.settled {
-			continue
-		}
-		if !p.advised(now, g, candidates) {
-			continue
-		}
-		if g.step.Gang {
-			p.placeGang(now, g, candidates)
-			continue
-		}
-		p.placeTasks(now, g, candidates)
+		p.noteWait(now, g, p.placeGroup(now, g, candidates))
+	}
+}
+
+// placeGroup starts the tasks of a group and returns why some of them wait.
+func (p *Plan) placeGroup(now time.Time, g *group, candidates []*executor) wait {
+	switch {
+	case g.job.inherited && !p.settled:
+		return waitInherited
+	case !p.advised(now, g, candidates):
+		return waitAdvice
+	case g.step.Gang:
+		return p.placeGang(now, g, candidates)
 	}
+	return p.placeTasks(now, g, candidates)
 }
 
 // candidates returns the executors that accept work, in a fixed order.
@@ -67,35 +70,44 @@
 	return list
 }
 
-func (p *Plan) placeTasks(now time.Time, g *group, candidates []*executor) {
+func (p *Plan) placeTasks(now time.Time, g *group, candidates []*executor) wait {
+	why := waitNone
 	for _, t := range g.tasks {
-		if !t.open() || (t.lost && p.stale) {
+		if !t.open() {
+			continue
+		}
+		if t.lost && p.stale {
+			why = waitSuccessor
 			continue
 		}
 		if !p.withinLimit(g, 1) {
-			return
+			return waitLimit
 		}
 		e := p.choose(g, t, candidates, nil)
 		if e == nil {
-			return
+			return waitRoom
 		}
 		p.start(now, t, e, p.nextAttempt(t))
 	}
+	return why
 }
 
 // placeGang starts all members of a gang, or none.
-func (p *Plan) placeGang(now time.Time, g *group, candidates []*executor) {
+func (p *Plan) placeGang(now time.Time, g *group, candidates []*executor) wait {
 	for _, t := range g.tasks {
-		if t.done || len(t.runs) > 0 || (t.lost && p.stale) {
-			return
+		switch {
+		case t.done || len(t.runs) > 0:
+			return waitMembers
+		case t.lost && p.stale:
+			return waitSuccessor
 		}
 	}
 	if !p.withinLimit(g, int64(len(g.tasks))) {
-		return
+		return waitLimit
 	}
 	places := p.gangPlaces(g, candidates)
 	if places == nil {
-		return
+		return waitRoom
 	}
 	attempt := 0
 	for _, t := range g.tasks {
@@ -104,6 +116,7 @@
 	for i, t := range g.tasks {
 		p.start(now, t, places[i], attempt)
 	}
+	return waitNone
 }
 
 // gangPlaces returns an executor for each member, in one rack if the step asks
--- a/fleethost/fleethost_test.go
+++ b/fleethost/fleethost_test.go
@@ -129,3 +129,16 @@
 	assert.Equal(t, status, http.StatusOK)
 	c.eventually("the job is completed", func() bool { return c.completed(c.hosts[0], jobID(1)) })
 }
+
+// Guards against a save of progress that the store carries out after a later
+// one: it would show a completed job as running again, and a next owner would
+// run its tasks twice.
+func TestLateSaveDoesNotReplaceProgress(t *testing.T) {
+	c := startCluster(t, 1, 3, 200*time.Millisecond)
+	c.fleet.Store.HoldBack("progress", 1)
+	status, _ := c.call(c.hosts[0], http.MethodPost, jobID(1), testKey, twoSteps())
+	assert.Equal(t, status, http.StatusOK)
+	c.eventually("the job is complete", func() bool { return c.completed(c.hosts[0], jobID(1)) })
+	assert.Equal(t, c.fleet.Store.Release(), 1)
+	assert.Assert(t, c.completed(c.hosts[0], jobID(1)), "an earlier save replaced a later one")
+}
--- a/services/ownership/claim.go
+++ b/services/ownership/claim.go
@@ -11,37 +11,75 @@
 	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
 )
 
-// claim takes a pool over if it is this host's turn.
-func (s *Service) claim(ctx context.Context, p *pool) {
-	if !p.known || p.tenure != nil {
-		return
+// write is a change of one owner record.
+type write struct {
+	pool *pool
+	next jobrecord.OwnerRecord
+	// takeover tells that the owner changes.
+	takeover bool
+	reason   string
+	commit   services.RecordCommit
+	err      error
+}
+
+// writeAll carries out the changes at once, and reports whether all have ended.
+func (s *Service) writeAll(ctx context.Context, writes []*write) bool {
+	var calls []func(context.Context)
+	for _, w := range writes {
+		calls = append(calls, func(ctx context.Context) { w.commit, w.err = s.commit(ctx, w) })
 	}
-	record := ownership.Record{
-		Holder:      p.record.Holder,
-		Predecessor: p.record.Holder == s.settings.Host && p.record.Incarnation != s.settings.Incarnation && !p.record.Released,
-		Absent:      p.version == 0,
-		Released:    p.record.Released,
-		Unchanged:   p.unchanged,
-		Free:        p.free,
+	return s.workers.Together(ctx, calls...)
+}
+
+// claimAll takes the pools over for which it is this host's turn.
+func (s *Service) claimAll(ctx context.Context) {
+	host := ownership.Host{Name: s.settings.Host, Power: s.settings.Power, Owned: len(s.Tenures())}
+	now := s.clock()
+	var writes []*write
+	for _, p := range s.pools {
+		if !p.known || p.tenure != nil {
+			continue
+		}
+		record := ownership.Record{
+			Holder:      p.record.Holder,
+			Predecessor: p.record.Holder == s.settings.Host && p.record.Incarnation != s.settings.Incarnation && !p.record.Released,
+			Absent:      p.version == 0,
+			Released:    p.record.Released,
+			Unchanged:   p.unchanged,
+			Free:        p.free,
+		}
+		ok, reason := ownership.Claim(p.name, record, host)
+		if !ok {
+			continue
+		}
+		p.claimedAt = now
+		// The next pool of this round is claimed as if this one was owned.
+		host.Owned++
+		next := jobrecord.OwnerRecord{Holder: s.settings.Host, Incarnation: s.settings.Incarnation, Term: p.record.Term + 1}
+		writes = append(writes, &write{pool: p, next: next, takeover: true, reason: reason})
 	}
-	ok, reason := ownership.Claim(p.name, record, s.host())
-	if !ok {
+	if !s.writeAll(ctx, writes) {
 		return
 	}
-	next := jobrecord.OwnerRecord{Holder: s.settings.Host, Incarnation: s.settings.Incarnation, Term: p.record.Term + 1}
-	p.claimedAt = s.clock()
-	result, err := s.commit(ctx, p, next, true)
-	log := s.log.With().Str("pool", p.name).Int("term", next.Term).Str("reason", reason).Str("from", p.record.Holder).Dur("unchanged", p.unchanged).Logger()
+	for _, w := range writes {
+		s.claimed(w)
+	}
+}
+
+// claimed takes in the answer to a claim.
+func (s *Service) claimed(w *write) {
+	p := w.pool
+	log := s.log.With().Str("pool", p.name).Int("term", w.next.Term).Str("reason", w.reason).Str("from", p.record.Holder).Dur("unchanged", p.unchanged).Logger()
 	switch {
-	case err != nil:
-		log.Warn().Err(err).Msg("claim failed")
-	case !result.Committed:
+	case w.err != nil:
+		log.Warn().Err(w.err).Msg("claim failed")
+	case !w.commit.Committed:
 		log.Info().Msg("another host was first")
-		s.learnCurrent(p, result.Current)
+		s.learnCurrent(p, w.commit.Current)
 		p.unchanged, p.free = 0, 0
 	default:
-		log.Info().Int64("fence", result.Version).Msg("pool taken over")
-		s.take(p, next, result.Version)
+		log.Info().Int64("fence", w.commit.Version).Msg("pool taken over")
+		s.take(p, w.next, w.commit.Version)
 	}
 }
 
@@ -56,23 +94,19 @@
 	s.publish()
 }
 
-func (s *Service) host() ownership.Host {
-	return ownership.Host{Name: s.settings.Host, Power: s.settings.Power, Owned: len(s.Tenures())}
-}
-
 // commit writes the owner record, and the term record when the owner changes.
-func (s *Service) commit(ctx context.Context, p *pool, next jobrecord.OwnerRecord, takeover bool) (services.RecordCommit, error) {
-	value, err := json.Marshal(next)
+func (s *Service) commit(ctx context.Context, w *write) (services.RecordCommit, error) {
+	value, err := json.Marshal(w.next)
 	if err != nil {
-		return services.RecordCommit{}, fault.New(&fault.Invalid, fault.ReasonMalformed, "encode owner", p.name, "%w", err)
+		return services.RecordCommit{}, fault.New(&fault.Invalid, fault.ReasonMalformed, "encode owner", w.pool.name, "%w", err)
 	}
-	key := jobrecord.Owner(p.name)
+	key := jobrecord.Owner(w.pool.name)
 	tx := services.RecordTx{
-		Conditions: []services.RecordCondition{{RecordKey: key, Version: p.version}},
+		Conditions: []services.RecordCondition{{RecordKey: key, Version: w.pool.version}},
 		Writes:     []services.RecordWrite{{RecordKey: key, Value: value}},
 	}
-	if takeover {
-		tx.Writes = append(tx.Writes, services.RecordWrite{RecordKey: jobrecord.Term(p.name), Value: value})
+	if w.takeover {
+		tx.Writes = append(tx.Writes, services.RecordWrite{RecordKey: jobrecord.Term(w.pool.name), Value: value})
 	}
 	return s.records.Commit(ctx, tx)
 }
@@ -86,24 +120,32 @@
 	}
 }
 
-// renew shows that this process is alive.
-func (s *Service) renew(ctx context.Context, p *pool) {
+// renewAll shows that this process is alive.
+func (s *Service) renewAll(ctx context.Context) {
 	now := s.clock()
-	if now.Before(p.renewAt) {
+	var writes []*write
+	for _, p := range s.pools {
+		if p.tenure == nil || now.Before(p.renewAt) {
+			continue
+		}
+		next := p.record
+		next.Renewals++
+		writes = append(writes, &write{pool: p, next: next})
+	}
+	if !s.writeAll(ctx, writes) {
 		return
 	}
-	next := p.record
-	next.Renewals++
-	result, err := s.commit(ctx, p, next, false)
-	switch {
-	case err != nil:
-		s.log.Debug().Err(err).Str("pool", p.name).Dur("age", now.Sub(p.tenure.RenewedAt)).Msg("renewal failed")
-	case result.Committed:
-		p.record, p.version = next, result.Version
-		s.renewed(p, now)
-	default:
-		// An earlier renewal without an answer may have been carried out.
-		s.learnCurrent(p, result.Current)
+	for _, w := range writes {
+		switch {
+		case w.err != nil:
+			s.log.Debug().Err(w.err).Str("pool", w.pool.name).Dur("age", now.Sub(w.pool.tenure.RenewedAt)).Msg("renewal failed")
+		case w.commit.Committed:
+			w.pool.record, w.pool.version = w.next, w.commit.Version
+			s.renewed(w.pool, now)
+		default:
+			// An earlier renewal without an answer may have been carried out.
+			s.learnCurrent(w.pool, w.commit.Current)
+		}
 	}
 }
 
@@ -118,19 +160,30 @@
 
 // release gives all pools up.
 func (s *Service) release(ctx context.Context) {
+	var writes []*write
 	for _, p := range s.pools {
 		if p.tenure == nil {
 			continue
 		}
 		next := p.record
 		next.Released = true
-		result, err := s.commit(ctx, p, next, false)
-		if err != nil {
-			s.log.Warn().Err(err).Str("pool", p.name).Msg("release failed")
-			continue
+		writes = append(writes, &write{pool: p, next: next})
+	}
+	if len(writes) == 0 || !s.writeAll(ctx, writes) {
+		return
+	}
+	for _, w := range writes {
+		switch {
+		case w.err != nil:
+			s.log.Warn().Err(w.err).Str("pool", w.pool.name).Msg("release failed")
+		case w.commit.Committed:
+			s.log.Info().Str("pool", w.pool.name).Int("term", w.pool.tenure.Term).Msg("pool released")
+			w.pool.tenure = nil
+		default:
+			// An earlier renewal without an answer may have been carried out;
+			// the next round releases the record as it is now.
+			s.learnCurrent(w.pool, w.commit.Current)
 		}
-		s.log.Info().Str("pool", p.name).Int("term", p.tenure.Term).Bool("committed", result.Committed).Msg("pool released")
-		p.tenure = nil
-		s.publish()
 	}
+	s.publish()
 }
--- a/services/ownership/ownership.go
+++ b/services/ownership/ownership.go
@@ -18,12 +18,21 @@
 )
 
 const (
-	// pollEvery separates looks at the owner records.
-	pollEvery = 300 * time.Millisecond
+	// lookWait is how long the store may hold back the changes of the owner
+	// records; renewals are due in between.
+	lookWait = 250 * time.Millisecond
+	// lookPause separates looks, so that renewals of several pools share one.
+	lookPause = 60 * time.Millisecond
+	// lookRetry separates looks while the store does not answer.
+	lookRetry = 250 * time.Millisecond
 	// pollGap is the longest time between two looks that still shows that a
 	// record has not changed in between by its owner's fault.
 	pollGap  = 1200 * time.Millisecond
 	lostRing = 16
+	// callDuties is how many owner records are written at once. A store that is
+	// slow takes half a second for each, and a renewal must not wait for others.
+	callDuties = 4
+	callsRing  = 16
 )
 
 // Settings of the service.
@@ -44,8 +53,11 @@
 	catalogs services.Catalogs
 	rings    []*ring.Ring[struct{}]
 	lost     *ring.Ring[services.Tenure]
+	workers  *ring.Workers
 	tenures  atomic.Pointer[map[string]services.Tenure]
-	draining atomic.Bool
+	// serving ends when the pools are to be given up.
+	serving    context.Context
+	endServing context.CancelFunc
 
 	// The rest is owned by the duty.
 	pools    map[string]*pool
@@ -72,6 +84,7 @@
 // New returns the service.
 func New(s Settings, clock services.Clock) *Service {
 	service := &Service{settings: s, clock: clock, pools: make(map[string]*pool)}
+	service.serving, service.endServing = context.WithCancel(context.Background())
 	service.tenures.Store(&map[string]services.Tenure{})
 	return service
 }
@@ -88,7 +101,11 @@
 	if s.catalogs, err = kernel.Lookup[services.Catalogs](c, services.NameCatalog); err != nil {
 		return err
 	}
+	s.workers = ring.NewWorkers("ownership.calls", callsRing, c.Scope)
 	c.Duty("ownership.watch", s.watch)
+	for range callDuties {
+		c.Duty("ownership.calls", s.workers.Perform)
+	}
 	return nil
 }
 
@@ -107,21 +124,47 @@
 
 // Drain gives all pools up, so that other hosts claim them at once.
 func (s *Service) Drain(context.Context) error {
-	s.draining.Store(true)
+	s.endServing()
 	return nil
 }
 
 func (s *Service) watch(ctx context.Context) {
-	ticker := time.NewTicker(pollEvery)
-	defer ticker.Stop()
+	for ctx.Err() == nil {
+		s.forgetLost()
+		pause := lookRetry
+		if s.round(ctx) {
+			pause = lookPause
+		}
+		s.pause(ctx, pause)
+	}
+}
+
+// pause waits for d, and no longer than until the pools are to be given up.
+func (s *Service) pause(ctx context.Context, d time.Duration) {
+	if s.serving.Err() == nil {
+		var cancel context.CancelFunc
+		ctx, cancel = s.whileServing(ctx)
+		defer cancel()
+	}
+	services.Pause(ctx, d)
+}
+
+// whileServing returns a context that ends with ctx, or when the pools are to
+// be given up.
+func (s *Service) whileServing(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(s.serving, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
+// forgetLost drops the tenures that other duties report as ended.
+func (s *Service) forgetLost() {
 	for {
 		select {
-		case <-ctx.Done():
-			return
 		case t := <-s.lost.C():
 			s.forget(t)
-		case <-ticker.C:
-			s.round(ctx)
+		default:
+			return
 		}
 	}
 }
@@ -137,30 +180,27 @@
 	s.publish()
 }
 
-func (s *Service) round(ctx context.Context) {
+// round looks at the owner records, renews and claims. It reports whether the
+// store answered.
+func (s *Service) round(ctx context.Context) bool {
 	catalog := s.catalogs.Catalog()
 	if catalog == nil {
-		return
+		return false
 	}
 	s.addPool(services.PoolMachines)
 	for name := range catalog.Services {
 		s.addPool(name)
 	}
-	if s.draining.Load() {
+	if s.serving.Err() != nil {
 		s.release(ctx)
-		return
+		return false
 	}
 	if err := s.look(ctx); err != nil {
-		return
-	}
-	for _, p := range s.pools {
-		if p.tenure != nil {
-			s.renew(ctx, p)
-		}
-	}
-	for _, p := range s.pools {
-		s.claim(ctx, p)
+		return false
 	}
+	s.renewAll(ctx)
+	s.claimAll(ctx)
+	return true
 }
 
 func (s *Service) addPool(name string) {
@@ -172,11 +212,11 @@
 
 // look reads the owner records, or their changes.
 func (s *Service) look(ctx context.Context) error {
-	now := s.clock()
 	records, err := s.read(ctx)
 	if err != nil {
 		return err
 	}
+	now := s.clock()
 	changed := make(map[string]bool)
 	for i := range records {
 		r := &records[i]
@@ -202,7 +242,9 @@
 
 func (s *Service) read(ctx context.Context) ([]services.Record, error) {
 	if s.version > 0 {
-		changes, err := s.records.Changes(ctx, jobrecord.TableOwners, s.version, 0)
+		ctx, cancel := s.whileServing(ctx)
+		defer cancel()
+		changes, err := s.records.Changes(ctx, jobrecord.TableOwners, s.version, lookWait)
 		if err != nil {
 			return nil, err
 		}
--- a/services/pools/follow.go
+++ b/services/pools/follow.go
@@ -20,7 +20,7 @@
 
 // follow asks for the changes of a pool's jobs.
 func (p *planner) follow(m *manager) {
-	if m.busy.follow || p.now.Before(m.loadAt) {
+	if m.busy.follow || m.loading != nil || p.now.Before(m.loadAt) {
 		return
 	}
 	m.busy.follow = true
@@ -45,8 +45,7 @@
 		return
 	case e.changes.Forgotten:
 		p.s.log.Info().Str("pool", m.pool).Int64("version", e.after).Msg("changes forgotten by the store; reading all jobs")
-		m.busy.follow = true
-		p.send(p.s.store, reloadCall{e.poolRef})
+		p.load(m)
 		return
 	}
 	if p.superseded(m, e.changes.Records) {
@@ -88,30 +87,3 @@
 		p.applyRegistry(m)
 	}
 }
-
-type reloadCall struct{ poolRef }
-
-type reloadDone struct{ loadDone }
-
-func (c reloadCall) run(ctx context.Context, s *Service) event {
-	state, err := s.loadPool(ctx, c.pool)
-	return reloadDone{loadDone{loadCall(c), state, err}}
-}
-
-func (e reloadDone) handle(p *planner) {
-	m := p.manager(e.pool, e.term)
-	if m == nil {
-		return
-	}
-	m.busy.follow = false
-	p.now = p.s.clock()
-	if e.err != nil {
-		m.loadAt = p.now.Add(loadRetry)
-		return
-	}
-	if p.superseded(m, e.state.term) {
-		return
-	}
-	m.version = e.state.version
-	p.addJobs(m, e.state)
-}
--- a/services/pools/limits.go
+++ b/services/pools/limits.go
@@ -222,6 +222,7 @@
 	case e.commit.Committed:
 		for _, c := range e.changes {
 			p.limits.rows[c.tenant] = &division{pools: c.pools, version: e.commit.Version, changedAt: p.now}
+			p.s.log.Info().Str("tenant", c.tenant).Int64("version", e.commit.Version).Interface("pools", c.pools).Msg("limit divided")
 		}
 	case len(e.commit.Current) == 0:
 		p.limits.loaded = false
--- a/services/pools/load.go
+++ b/services/pools/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
@@ -11,6 +12,8 @@
 )
 
 const (
+	// loadCalls is how many calls read the jobs of a pool at once.
+	loadCalls = 16
 	// followWait is how long the store may hold back the changes of a pool.
 	followWait = time.Second
 	// savesPerCommit bounds the jobs of one transaction; the store takes 100
@@ -25,6 +28,9 @@
 	executors []poolplan.Executor
 	cordons   *services.Record
 	version   int64
+	// saves and used are the versions of the record that changes with each save
+	// and of the record of executors.
+	saves, used int64
 	// term is the record of the owner's term.
 	term []services.Record
 }
@@ -35,68 +41,139 @@
 	version  int64
 }
 
-type loadCall struct{ poolRef }
-
-type loadDone struct {
-	loadCall
-	state poolState
-	err   error
+// loading is a reading of a pool that is under way. The parts that hold the jobs
+// are read by several calls at once, and everything else after them: a term
+// record that is read last shows a later owner whose jobs were read.
+type loading struct {
+	waiting int
+	records []services.Record
+	// version is the lowest of all pages, so that changes can be followed from
+	// there without a gap.
+	version int64
+	err     error
 }
 
 // load asks for everything that the store holds of a pool.
 func (p *planner) load(m *manager) {
-	if m.busy.load || p.now.Before(m.loadAt) {
+	if m.loading != nil || p.now.Before(m.loadAt) {
 		return
 	}
-	m.busy.load = true
-	p.send(p.s.store, loadCall{poolRef{m.pool, m.tenure.Term, m.tenure.Fence}})
+	ref := poolRef{m.pool, m.tenure.Term, m.tenure.Fence}
+	parts := jobrecord.PartsOfJobs(m.pool)
+	m.loading = new(loading)
+	for chunk := range slices.Chunk(parts, (len(parts)+loadCalls-1)/loadCalls) {
+		m.loading.waiting++
+		p.send(p.s.store, scanCall{ref, chunk})
+	}
+}
+
+// scanCall reads some of the parts that hold a pool's jobs.
+type scanCall struct {
+	poolRef
+	parts []string
+}
+
+type scanDone struct {
+	scanCall
+	records []services.Record
+	version int64
+	err     error
+}
+
+func (c scanCall) run(ctx context.Context, s *Service) event {
+	done := scanDone{scanCall: c}
+	for _, part := range c.parts {
+		records, version, err := services.ScanAll(ctx, s.records, services.RecordRange{Table: jobrecord.TableJobs(c.pool), Part: part})
+		if err != nil {
+			done.err = err
+			return done
+		}
+		done.records = append(done.records, records...)
+		done.version = lowest(done.version, version)
+	}
+	return done
+}
+
+// lowest returns the lower of two versions, where zero means none.
+func lowest(a, b int64) int64 {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
+
+func (e scanDone) handle(p *planner) {
+	m := p.manager(e.pool, e.term)
+	if m == nil || m.loading == nil {
+		return
+	}
+	l := m.loading
+	l.waiting--
+	l.records = append(l.records, e.records...)
+	l.version = lowest(l.version, e.version)
+	if l.err == nil {
+		l.err = e.err
+	}
+	switch {
+	case l.waiting > 0:
+	case l.err != nil:
+		p.loadFailed(m, l.err)
+	default:
+		p.send(p.s.store, loadCall{e.poolRef, l.records, l.version})
+	}
+}
+
+func (p *planner) loadFailed(m *manager, err error) {
+	p.now = p.s.clock()
+	p.s.log.Warn().Err(err).Str("pool", m.pool).Msg("pool not loaded")
+	m.loading, m.loadAt = nil, p.now.Add(loadRetry)
+}
+
+// loadCall completes a reading once the jobs have been read.
+type loadCall struct {
+	poolRef
+	jobs    []services.Record
+	version int64
+}
+
+type loadDone struct {
+	poolRef
+	state poolState
+	err   error
 }
 
 func (c loadCall) run(ctx context.Context, s *Service) event {
-	state, err := s.loadPool(ctx, c.pool)
-	return loadDone{c, state, err}
+	state, err := s.loadPool(ctx, c)
+	return loadDone{c.poolRef, state, err}
 }
 
-func (s *Service) loadPool(ctx context.Context, pool string) (poolState, error) {
+func (s *Service) loadPool(ctx context.Context, c loadCall) (poolState, error) {
 	var state poolState
-	jobs, version, err := s.scanJobs(ctx, pool)
+	progress, _, err := services.ScanAll(ctx, s.records, services.RecordRange{Table: jobrecord.TableProgress, Part: c.pool})
 	if err != nil {
 		return state, err
 	}
-	progress, _, err := services.ScanAll(ctx, s.records, services.RecordRange{Table: jobrecord.TableProgress, Part: pool})
+	own, _, err := services.ScanAll(ctx, s.records, services.RecordRange{Table: jobrecord.TablePools, Part: c.pool})
 	if err != nil {
 		return state, err
 	}
-	own, _, err := services.ScanAll(ctx, s.records, services.RecordRange{Table: jobrecord.TablePools, Part: pool})
+	owner, _, err := services.ScanAll(ctx, s.records, jobrecord.OwnerRecords(c.pool))
 	if err != nil {
 		return state, err
 	}
-	state.version = version
-	s.readJobs(&state, jobs, s.readProgress(progress))
+	state.version = c.version
+	s.readJobs(&state, append(c.jobs, owner...), s.readProgress(progress))
+	for i := range progress {
+		if progress[i].RecordKey == jobrecord.Saves(c.pool) {
+			state.saves = progress[i].Version
+		}
+	}
 	for i := range own {
-		s.readPoolRecord(pool, &state, &own[i])
+		s.readPoolRecord(c.pool, &state, &own[i])
 	}
 	return state, nil
 }
 
-// scanJobs reads all parts of the table of a pool's jobs. The version is that of
-// the first page, so that changes can be followed from there without a gap.
-func (s *Service) scanJobs(ctx context.Context, pool string) ([]services.Record, int64, error) {
-	var all []services.Record
-	first := int64(0)
-	for _, part := range jobrecord.PartsOfJobs(pool) {
-		records, version, err := services.ScanAll(ctx, s.records, services.RecordRange{Table: jobrecord.TableJobs(pool), Part: part})
-		if err != nil {
-			return nil, 0, err
-		}
-		if first == 0 {
-			first = version
-		}
-		all = append(all, records...)
-	}
-	return all, first, nil
-}
-
 func (s *Service) readProgress(records []services.Record) map[string]workload.Progress {
 	progress := make(map[string]workload.Progress, len(records))
 	for i := range records {
@@ -144,6 +221,7 @@
 	if r.RecordKey != jobrecord.Executors(pool) {
 		return
 	}
+	state.used = r.Version
 	var err error
 	state.executors, err = jobrecord.DecodeExecutors(r.Value)
 	if err != nil {
@@ -156,16 +234,20 @@
 	if m == nil {
 		return
 	}
-	m.busy.load = false
-	p.now = p.s.clock()
 	if e.err != nil {
-		p.s.log.Warn().Err(e.err).Str("pool", m.pool).Msg("pool not loaded")
-		m.loadAt = p.now.Add(loadRetry)
+		p.loadFailed(m, e.err)
 		return
 	}
+	m.loading = nil
+	p.now = p.s.clock()
 	if p.superseded(m, e.state.term) {
 		return
 	}
+	m.version = e.state.version
+	if m.loaded {
+		p.addJobs(m, e.state)
+		return
+	}
 	plan := poolplan.New(m.tenure.Term, m.tenure.RenewedAt, p.s.settings.Params)
 	plan.SetCatalog(p.catalog)
 	for _, x := range e.state.executors {
@@ -177,7 +259,8 @@
 	for _, id := range e.state.cancelled {
 		plan.CancelJob(p.now, id)
 	}
-	m.plan, m.loaded, m.version = plan, true, e.state.version
+	m.plan, m.loaded = plan, true
+	m.savesVersion, m.usedVersion = e.state.saves, e.state.used
 	p.cordon(m, e.state.cordons)
 	p.s.log.Info().Str("pool", m.pool).Int("term", m.tenure.Term).Int64("fence", m.tenure.Fence).Int("jobs", len(e.state.specs)).
 		Int("executors", len(e.state.executors)).Dur("age", p.now.Sub(m.tenure.RenewedAt)).Msg("pool loaded")
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -58,13 +58,18 @@
 	plan   *poolplan.Plan
 	loaded bool
 	loadAt time.Time
-	busy   busy
+	// loading is nil while nothing is read.
+	loading *loading
+	busy    busy
 
 	// version is where the next look at the pool's changes resumes.
-	version   int64
-	saveAt    time.Time
-	statusAt  time.Time
-	published string
+	version int64
+	saveAt  time.Time
+	// savesVersion and usedVersion are the versions of the record that changes
+	// with each save and of the record of executors, as last seen.
+	savesVersion, usedVersion int64
+	statusAt                  time.Time
+	published                 string
 	// statusVersion is the version of the status record as last seen.
 	statusVersion int64
 	cordoned      map[string]bool
@@ -75,7 +80,7 @@
 
 // busy tells which calls of a pool are under way; there is at most one of each.
 type busy struct {
-	load, follow, save, record, status, expire bool
+	follow, save, record, status, expire bool
 }
 
 func newPlanner(s *Service) *planner {
--- a/services/pools/pools.go
+++ b/services/pools/pools.go
@@ -33,8 +33,8 @@
 	// pool has 85.
 	holdDuties = 128
 	// recordDuties carry out calls to the store; one for each pool waits for
-	// changes.
-	recordDuties = 16
+	// changes, and 16 read the jobs of a pool that is taken over.
+	recordDuties = 32
 )
 
 // Settings of the service.
--- a/services/pools/registry.go
+++ b/services/pools/registry.go
@@ -11,13 +11,14 @@
 
 type recordCall struct {
 	poolRef
-	condition services.RecordCondition
-	all       []poolplan.Executor
+	conditions []services.RecordCondition
+	all        []poolplan.Executor
 }
 
 type recordDone struct {
 	recordCall
-	ok bool
+	commit services.RecordCommit
+	err    error
 }
 
 // record makes the executors durable that this owner is going to use.
@@ -26,24 +27,23 @@
 		return
 	}
 	m.busy.record = true
-	p.send(p.s.store, recordCall{poolRef{m.pool, m.tenure.Term, m.tenure.Fence}, m.tenure.Condition, m.plan.Recordable()})
+	conditions := []services.RecordCondition{m.tenure.Condition, {RecordKey: jobrecord.Executors(m.pool), Version: m.usedVersion}}
+	p.send(p.s.store, recordCall{poolRef{m.pool, m.tenure.Term, m.tenure.Fence}, conditions, m.plan.Recordable()})
 }
 
 func (c recordCall) run(ctx context.Context, s *Service) event {
 	value, err := jobrecord.EncodeExecutors(c.all)
 	if err != nil {
-		s.log.Error().Err(err).Str("pool", c.pool).Msg("executors cannot be encoded")
-		return recordDone{c, false}
+		return recordDone{c, services.RecordCommit{}, err}
 	}
 	commit, err := s.records.Commit(ctx, services.RecordTx{
-		Conditions: []services.RecordCondition{c.condition},
+		Conditions: c.conditions,
 		Writes:     []services.RecordWrite{{RecordKey: jobrecord.Executors(c.pool), Value: value}},
 	})
 	if err != nil {
-		s.log.Warn().Err(err).Str("pool", c.pool).Msg("executors not recorded")
 		services.Pause(ctx, saveRetry)
 	}
-	return recordDone{c, err == nil && commit.Committed}
+	return recordDone{c, commit, err}
 }
 
 func (e recordDone) handle(p *planner) {
@@ -52,8 +52,16 @@
 		return
 	}
 	m.busy.record = false
-	if e.ok && m.plan != nil {
+	switch {
+	case e.err != nil:
+		p.s.log.Warn().Err(e.err).Str("pool", e.pool).Msg("executors not recorded")
+	case e.commit.Committed:
+		m.usedVersion = e.commit.Version
 		m.plan.Recorded(e.all)
+	case p.outdated(m, e.commit.Current):
+	default:
+		// An earlier record without an answer was written.
+		m.usedVersion = versionOf(e.commit.Current, jobrecord.Executors(m.pool))
 	}
 }
 
--- a/services/pools/save.go
+++ b/services/pools/save.go
@@ -11,8 +11,8 @@
 
 type saveCall struct {
 	poolRef
-	condition services.RecordCondition
-	saves     []poolplan.Save
+	conditions []services.RecordCondition
+	saves      []poolplan.Save
 }
 
 type saveDone struct {
@@ -31,12 +31,16 @@
 		return
 	}
 	m.busy.save = true
-	p.send(p.s.store, saveCall{poolRef{m.pool, m.tenure.Term, m.tenure.Fence}, m.tenure.Condition, saves})
+	conditions := []services.RecordCondition{m.tenure.Condition, {RecordKey: jobrecord.Saves(m.pool), Version: m.savesVersion}}
+	p.send(p.s.store, saveCall{poolRef{m.pool, m.tenure.Term, m.tenure.Fence}, conditions, saves})
 }
 
 func (c saveCall) run(ctx context.Context, s *Service) event {
 	start := s.clock()
-	tx := services.RecordTx{Conditions: []services.RecordCondition{c.condition}}
+	tx := services.RecordTx{
+		Conditions: c.conditions,
+		Writes:     []services.RecordWrite{{RecordKey: jobrecord.Saves(c.pool), Value: []byte("{}")}},
+	}
 	for i := range c.saves {
 		value, err := jobrecord.EncodeProgress(&c.saves[i].Progress)
 		if err != nil {
@@ -56,16 +60,42 @@
 	}
 	m.busy.save = false
 	p.now = p.s.clock()
-	if e.err != nil {
+	saved := e.err == nil && e.commit.Committed
+	for _, s := range e.saves {
+		m.plan.SaveDone(p.now, s, saved)
+	}
+	switch {
+	case e.err != nil:
 		p.s.log.Warn().Err(e.err).Str("pool", m.pool).Int("jobs", len(e.saves)).Msg("progress not saved")
 		m.saveAt = p.now.Add(saveRetry)
+	case saved:
+		m.savesVersion = e.commit.Version
+	case p.outdated(m, e.commit.Current):
+	default:
+		// An earlier save without an answer was carried out.
+		m.savesVersion = versionOf(e.commit.Current, jobrecord.Saves(m.pool))
+		p.s.log.Info().Str("pool", m.pool).Int64("version", m.savesVersion).Msg("an earlier save was carried out")
 	}
-	for _, s := range e.saves {
-		m.plan.SaveDone(p.now, s, e.err == nil && e.commit.Committed)
+}
+
+// outdated gives the pool up when the records that made a condition fail show
+// that the term has ended.
+func (p *planner) outdated(m *manager, current []services.Record) bool {
+	if versionOf(current, m.tenure.Condition.RecordKey) == m.tenure.Condition.Version {
+		return false
 	}
-	if e.err == nil && !e.commit.Committed {
-		p.s.log.Warn().Str("pool", m.pool).Int("term", m.tenure.Term).Msg("the store has a later owner")
-		p.s.ownership.Lost(m.tenure)
-		delete(p.pools, m.pool)
+	p.s.log.Warn().Str("pool", m.pool).Int("term", m.tenure.Term).Msg("the store has a later owner")
+	p.s.ownership.Lost(m.tenure)
+	delete(p.pools, m.pool)
+	return true
+}
+
+// versionOf returns the version of a record among others; zero when it is absent.
+func versionOf(records []services.Record, key services.RecordKey) int64 {
+	for i := range records {
+		if records[i].RecordKey == key {
+			return records[i].Version
+		}
 	}
+	return 0
 }
--- a/services/upkeep/cordons.go
+++ b/services/upkeep/cordons.go
@@ -49,8 +49,18 @@
 	return set
 }
 
-// writeCordons tells the owners of the pools which machines to empty.
-func (s *Service) writeCordons(ctx context.Context, machines []services.Machine, cordon, leave map[string]bool) {
+// cordonWrite is a change of one pool's record.
+type cordonWrite struct {
+	pool    string
+	old     poolCordon
+	next    jobrecord.CordonRecord
+	version int64
+	ok      bool
+}
+
+// cordonWrites returns the changes that tell the owners of the pools which
+// machines to empty.
+func (s *Service) cordonWrites(machines []services.Machine, cordon, leave map[string]bool) []*cordonWrite {
 	next := make(map[string]jobrecord.CordonRecord)
 	for _, m := range machines {
 		r := next[m.Pool]
@@ -62,24 +72,29 @@
 		}
 		next[m.Pool] = r
 	}
+	var writes []*cordonWrite
 	for _, pool := range slices.Sorted(maps.Keys(s.cordons)) {
-		s.writeCordon(ctx, pool, next[pool])
+		w := &cordonWrite{pool: pool, old: s.cordons[pool], next: next[pool]}
+		slices.Sort(w.next.Machines)
+		slices.Sort(w.next.Leave)
+		if slices.Equal(w.old.record.Machines, w.next.Machines) && slices.Equal(w.old.record.Leave, w.next.Leave) {
+			continue
+		}
+		writes = append(writes, w)
 	}
+	return writes
 }
 
-func (s *Service) writeCordon(ctx context.Context, pool string, next jobrecord.CordonRecord) {
-	old := s.cordons[pool]
-	slices.Sort(next.Machines)
-	slices.Sort(next.Leave)
-	if slices.Equal(old.record.Machines, next.Machines) && slices.Equal(old.record.Leave, next.Leave) {
-		return
-	}
-	version, ok := s.write(ctx, jobrecord.Cordons(pool), old.version, next)
-	if !ok {
+func (w *cordonWrite) perform(ctx context.Context, s *Service) {
+	w.version, w.ok = s.write(ctx, jobrecord.Cordons(w.pool), w.old.version, w.next)
+}
+
+func (w *cordonWrite) apply(s *Service) {
+	if !w.ok {
 		// All records are read again before the next decision.
 		s.version = 0
 		return
 	}
-	s.cordons[pool] = old.next(next, version)
-	s.log.Info().Str("pool", pool).Strs("machines", next.Machines).Int("leave", len(next.Leave)).Int64("version", version).Msg("cordons written")
+	s.cordons[w.pool] = w.old.next(w.next, w.version)
+	s.log.Info().Str("pool", w.pool).Strs("machines", w.next.Machines).Int("leave", len(w.next.Leave)).Int64("version", w.version).Msg("cordons written")
 }
--- /dev/null
+++ b/services/upkeep/intents.go
@@ -0,0 +1,122 @@
+package upkeep
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/sizing"
+	"fuchsiafront.example/fuchsiafront/decision/upkeep"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
+)
+
+// intents is the record of the machines that are ordered away. It is written,
+// on condition that this process still owns the machines, before the orders are
+// given. The next owner reads it after its claim and so knows every machine for
+// which this one may have given an order.
+type intents struct {
+	loaded  bool
+	version int64
+	// inherited holds the machines that earlier owners may have ordered away.
+	inherited map[string]bool
+	// own holds when this process last ordered a machine away.
+	own map[string]time.Time
+}
+
+func (s *Service) loadIntents(ctx context.Context) bool {
+	if s.intents.loaded {
+		return true
+	}
+	record, version, err := readRecord[jobrecord.OrdersRecord](ctx, s.records, jobrecord.Orders())
+	if err != nil {
+		s.log.Debug().Err(err).Msg("orders of the owner before not read")
+		return false
+	}
+	s.intents.loaded, s.intents.version = true, version
+	s.intents.inherited = make(map[string]bool)
+	if s.intents.own == nil {
+		s.intents.own = make(map[string]time.Time)
+	}
+	for _, m := range record.Machines {
+		s.intents.inherited[m] = true
+	}
+	return true
+}
+
+// permitted returns the orders that may be given now.
+func (s *Service) permitted(now time.Time, orders []upkeep.Order, moves []sizing.Move) ([]upkeep.Order, []sizing.Move) {
+	if !s.mayOrder(now) {
+		return nil, nil
+	}
+	leased := now.Sub(s.tenure.ClaimedAt) < s.settings.OrderLease
+	blocked := func(machine string) bool { return leased && s.intents.inherited[machine] }
+	orders = slices.DeleteFunc(slices.Clone(orders), func(o upkeep.Order) bool { return blocked(o.Machine) })
+	moves = slices.DeleteFunc(slices.Clone(moves), func(m sizing.Move) bool { return blocked(m.Machine) })
+	return orders, moves
+}
+
+// intentWrite is a change of the record.
+type intentWrite struct {
+	// added are the machines that were not on the record.
+	added  []string
+	value  []byte
+	commit services.RecordCommit
+	err    error
+}
+
+// intend returns the change that puts the machines of the orders on the record,
+// or nil when they are on it.
+func (s *Service) intend(now time.Time, orders []upkeep.Order, moves []sizing.Move) *intentWrite {
+	w := new(intentWrite)
+	note := func(machine string) {
+		if _, ok := s.intents.own[machine]; !ok {
+			w.added = append(w.added, machine)
+		}
+		s.intents.own[machine] = now
+	}
+	for _, o := range orders {
+		note(o.Machine)
+	}
+	for _, m := range moves {
+		note(m.Machine)
+	}
+	if len(w.added) == 0 {
+		return nil
+	}
+	maps.DeleteFunc(s.intents.own, func(_ string, at time.Time) bool { return now.Sub(at) > s.settings.OrderLease+renewedWithin })
+	machines := slices.Collect(maps.Keys(s.intents.own))
+	if now.Sub(s.tenure.ClaimedAt) < s.settings.OrderLease {
+		machines = slices.AppendSeq(machines, maps.Keys(s.intents.inherited))
+	}
+	slices.Sort(machines)
+	w.value, w.err = json.Marshal(jobrecord.OrdersRecord{Machines: slices.Compact(machines)})
+	return w
+}
+
+func (w *intentWrite) perform(ctx context.Context, s *Service) {
+	if w.err != nil {
+		return
+	}
+	w.commit, w.err = s.records.Commit(ctx, services.RecordTx{
+		Conditions: []services.RecordCondition{s.tenure.Condition, {RecordKey: jobrecord.Orders(), Version: s.intents.version}},
+		Writes:     []services.RecordWrite{{RecordKey: jobrecord.Orders(), Value: w.value}},
+	})
+}
+
+// apply reports whether the machines are on the record. After a failure it is
+// read again.
+func (w *intentWrite) apply(s *Service) bool {
+	if w.err != nil || !w.commit.Committed {
+		s.log.Warn().Err(w.err).Strs("machines", w.added).Msg("orders not recorded; none is given")
+		s.intents.loaded = false
+		for _, machine := range w.added {
+			delete(s.intents.own, machine)
+		}
+		return false
+	}
+	s.intents.version = w.commit.Version
+	return true
+}
--- a/services/upkeep/moves.go
+++ b/services/upkeep/moves.go
@@ -130,24 +130,24 @@
 
 // move orders moves.
 func (s *Service) move(ctx context.Context, now time.Time, moves []sizing.Move) {
-	if !s.mayOrder(now) {
+	errs := make([]error, len(moves))
+	var calls []func(context.Context)
+	for i, m := range moves {
+		order := services.MachineOrder{Machine: m.Machine, Holder: s.settings.Host, Fence: s.tenure.Fence}
+		calls = append(calls, func(ctx context.Context) { errs[i] = s.machines.MoveMachine(ctx, order, m.To) })
+	}
+	if !s.workers.Together(ctx, calls...) {
 		return
 	}
-	for _, m := range moves {
-		order := services.MachineOrder{Machine: m.Machine, Holder: s.settings.Host, Fence: s.tenure.Fence}
-		err := s.machines.MoveMachine(ctx, order, m.To)
+	for i, m := range moves {
 		s.moves.Inc(1)
-		s.log.Info().Err(err).Str("machine", m.Machine).Str("from", m.From).Str("to", m.To).Int64("demand", s.statuses[m.To].Demand).
+		s.log.Info().Err(errs[i]).Str("machine", m.Machine).Str("from", m.From).Str("to", m.To).Int64("demand", s.statuses[m.To].Demand).
 			Int64("capacity", s.statuses[m.To].Capacity).Int64("fence", s.tenure.Fence).Msg("move ordered")
 		switch {
-		case err == nil || !fault.IsNotRun(err):
+		case errs[i] == nil || !fault.IsNotRun(errs[i]):
 			s.moving[m.Machine] = transit{m.To, now}
-		case fault.ReasonOf(err) == fault.ReasonSuperseded:
-			s.refused.Inc(1)
-			s.ownership.Lost(s.tenure)
-			return
 		default:
-			s.refused.Inc(1)
+			s.orderRefused(errs[i])
 		}
 	}
 }
--- a/services/upkeep/upkeep.go
+++ b/services/upkeep/upkeep.go
@@ -15,8 +15,10 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"fuchsiafront.example/fuchsiafront/decision/sizing"
 	"fuchsiafront.example/fuchsiafront/decision/upkeep"
 	"fuchsiafront.example/fuchsiafront/kernel"
+	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
 	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
 )
@@ -35,6 +37,11 @@
 	// awayMargin is added to the time for which a machine that was ordered away
 	// counts as away although the list does not show it yet.
 	awayMargin = 500 * time.Millisecond
+	// callDuties is how many calls of one round are under way at once. A round
+	// writes the cordons of five pools and orders up to ten machines away; a
+	// store that is slow takes half a second for each write.
+	callDuties = 16
+	callsRing  = 64
 	// renewedWithin is how old the last renewal of the ownership may be for an
 	// order, so that a process that has lost it gives none.
 	renewedWithin = 2 * time.Second
@@ -45,8 +52,9 @@
 	Host string
 	// Maintenance is how long a machine is away.
 	Maintenance time.Duration
-	// OrderLease is how long after a takeover no order is given, so that two
-	// processes do not take turns.
+	// OrderLease is how long after a takeover no order is given for a machine
+	// that the owner before may have ordered away, so that two processes do not
+	// take turns.
 	OrderLease time.Duration
 }
 
@@ -63,6 +71,7 @@
 	orders    tally.Counter
 	refused   tally.Counter
 	moves     tally.Counter
+	workers   *ring.Workers
 
 	// The rest is owned by the duty.
 	tenure   services.Tenure
@@ -73,6 +82,7 @@
 	// version is where the next look at the pools' records resumes.
 	version    int64
 	homes      homes
+	intents    intents
 	moving     map[string]transit
 	moveCordon map[string]bool
 	quietSince map[string]time.Time
@@ -94,6 +104,7 @@
 	s.statuses = make(map[string]jobrecord.StatusRecord)
 	s.version = 0
 	s.homes = homes{}
+	s.intents = intents{}
 	s.moving = make(map[string]transit)
 	s.moveCordon = make(map[string]bool)
 	s.quietSince = make(map[string]time.Time)
@@ -121,7 +132,11 @@
 	if s.ownership, err = kernel.Lookup[services.Ownership](c, services.NameOwnership); err != nil {
 		return err
 	}
+	s.workers = ring.NewWorkers("upkeep.calls", callsRing, c.Scope)
 	c.Duty("upkeep.plan", s.plan)
+	for range callDuties {
+		c.Duty("upkeep.calls", s.workers.Perform)
+	}
 	return nil
 }
 
@@ -158,7 +173,7 @@
 		s.log.Debug().Err(err).Msg("machines not listed")
 		return false
 	}
-	if !s.loadHomes(ctx, machines) {
+	if !s.loadHomes(ctx, machines) || !s.loadIntents(ctx) {
 		return false
 	}
 	s.act(ctx, now, machines)
@@ -178,14 +193,37 @@
 	for _, m := range moves.Moves {
 		cordon[m.Machine] = true
 	}
-	s.writeCordons(ctx, machines, cordon, plan.Leave)
-	s.order(ctx, now, plan.Orders)
-	s.move(ctx, now, moves.Moves)
+	orders, moving := s.permitted(now, plan.Orders, moves.Moves)
+	if s.record(ctx, now, s.cordonWrites(machines, cordon, plan.Leave), orders, moving) {
+		s.order(ctx, now, orders)
+		s.move(ctx, now, moving)
+	}
 	s.report(ctx, plan.Completed)
 }
 
+// record writes what the owners of the pools and the next owner of the machines
+// have to know. It reports whether the orders may be given.
+func (s *Service) record(ctx context.Context, now time.Time, cordons []*cordonWrite, orders []upkeep.Order, moves []sizing.Move) bool {
+	var calls []func(context.Context)
+	for _, w := range cordons {
+		calls = append(calls, func(ctx context.Context) { w.perform(ctx, s) })
+	}
+	intend := s.intend(now, orders, moves)
+	if intend != nil {
+		calls = append(calls, func(ctx context.Context) { intend.perform(ctx, s) })
+	}
+	if !s.workers.Together(ctx, calls...) {
+		return false
+	}
+	for _, w := range cordons {
+		w.apply(s)
+	}
+	recorded := intend == nil || intend.apply(s)
+	return recorded && len(orders)+len(moves) > 0 && s.mayOrder(s.clock())
+}
+
 // mayOrder reports whether this process may give orders for machines: its
-// ownership is fresh, and the process before it has given none for a while.
+// ownership is fresh.
 func (s *Service) mayOrder(now time.Time) bool {
-	return now.Sub(s.tenure.RenewedAt) <= renewedWithin && now.Sub(s.tenure.ClaimedAt) >= s.settings.OrderLease
+	return now.Sub(s.tenure.RenewedAt) <= renewedWithin
 }
--- a/services/upkeep/waves.go
+++ b/services/upkeep/waves.go
@@ -64,27 +64,28 @@
 
 // order begins maintenances.
 func (s *Service) order(ctx context.Context, now time.Time, orders []upkeep.Order) {
-	if !s.mayOrder(now) {
+	errs := make([]error, len(orders))
+	var calls []func(context.Context)
+	for i, o := range orders {
+		order := services.MachineOrder{Machine: o.Machine, Holder: s.settings.Host, Fence: s.tenure.Fence}
+		calls = append(calls, func(ctx context.Context) { errs[i] = s.machines.MaintainMachine(ctx, order, o.Wave) })
+	}
+	if !s.workers.Together(ctx, calls...) {
 		return
 	}
 	changed := make(map[int]bool)
-	for _, o := range orders {
-		err := s.machines.MaintainMachine(ctx, services.MachineOrder{Machine: o.Machine, Holder: s.settings.Host, Fence: s.tenure.Fence}, o.Wave)
+	for i, o := range orders {
 		s.orders.Inc(1)
-		s.log.Info().Err(err).Str("machine", o.Machine).Int("wave", o.Wave).Int64("fence", s.tenure.Fence).Msg("maintenance ordered")
+		s.log.Info().Err(errs[i]).Str("machine", o.Machine).Int("wave", o.Wave).Int64("fence", s.tenure.Fence).Msg("maintenance ordered")
 		switch {
-		case err == nil:
+		case errs[i] == nil:
 			s.waves[o.Wave].done[o.Machine] = true
 			s.ordered[o.Machine] = now
 			changed[o.Wave] = true
-		case fault.ReasonOf(err) == fault.ReasonSuperseded:
-			s.refused.Inc(1)
-			s.ownership.Lost(s.tenure)
-			return
-		case !fault.IsNotRun(err):
+		case !fault.IsNotRun(errs[i]):
 			s.ordered[o.Machine] = now
 		default:
-			s.refused.Inc(1)
+			s.orderRefused(errs[i])
 		}
 	}
 	for number := range changed {
@@ -92,6 +93,15 @@
 	}
 }
 
+// orderRefused counts a refused order and gives the machines up when another
+// process owns them by now.
+func (s *Service) orderRefused(err error) {
+	s.refused.Inc(1)
+	if fault.ReasonOf(err) == fault.ReasonSuperseded {
+		s.ownership.Lost(s.tenure)
+	}
+}
+
 func (s *Service) saveWave(ctx context.Context, number int) {
 	state := s.waves[number]
 	record := jobrecord.WaveRecord{Done: slices.Sorted(maps.Keys(state.done)), Completed: state.complete}
--- a/standin/fleetplatform/store.go
+++ b/standin/fleetplatform/store.go
@@ -41,6 +41,10 @@
 	down    bool
 	lost    int
 	commits int
+	// holdTable is the table whose next holdNext transactions are held back.
+	holdTable string
+	holdNext  int
+	held      []commitBody
 }
 
 // NewStore returns an empty store.
@@ -63,6 +67,27 @@
 	s.lost = n
 }
 
+// HoldBack makes the store leave the next n transactions that write to a table
+// without an answer, and carry them out when Release is called.
+func (s *Store) HoldBack(table string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holdTable, s.holdNext = table, n
+}
+
+// Release carries out the transactions that were held back, if their conditions
+// still hold, and returns how many there were.
+func (s *Store) Release() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := len(s.held)
+	for i := range s.held {
+		s.carryOut(&s.held[i])
+	}
+	s.held = nil
+	return n
+}
+
 // Forget drops the history.
 func (s *Store) Forget() {
 	s.mu.Lock()
@@ -145,14 +170,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	current, ok := s.check(body.Conditions)
-	if ok {
-		s.commits++
-		for i := range body.Removes {
-			body.Removes[i].Removed = true
-		}
-		s.apply(append(body.Sets, body.Removes...))
+	if s.holdNext > 0 && body.writes(s.holdTable) {
+		s.holdNext--
+		s.held = append(s.held, body)
+		s.mu.Unlock()
+		panic(http.ErrAbortHandler)
 	}
+	current, ok := s.carryOut(&body)
 	version := s.version
 	lose := s.lost > 0
 	if lose {
@@ -169,6 +193,25 @@
 	answer(w, http.StatusOK, map[string]any{"ver": version})
 }
 
+// carryOut applies a transaction if its conditions hold. The caller holds the
+// lock.
+func (s *Store) carryOut(body *commitBody) (current []Row, ok bool) {
+	if current, ok = s.check(body.Conditions); !ok {
+		return current, false
+	}
+	s.commits++
+	for i := range body.Removes {
+		body.Removes[i].Removed = true
+	}
+	s.apply(append(body.Sets, body.Removes...))
+	return current, true
+}
+
+// writes reports whether a transaction sets rows of a table.
+func (b *commitBody) writes(table string) bool {
+	return slices.ContainsFunc(b.Sets, func(r Row) bool { return r.Table == table })
+}
+
 // onePart reports whether all entries share a part.
 func (b *commitBody) onePart() bool {
 	all := slices.Concat(b.Conditions, b.Sets, b.Removes)
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -46,6 +46,8 @@
 	keyCordons   = "cordons"
 	prefixWave   = "wave/"
 	keyHomes     = "homes"
+	keyOrders    = "orders"
+	keySaves     = "saves"
 
 	suffixJob      = "/job"
 	suffixCancel   = "/cancel"
@@ -58,8 +60,10 @@
 // the store's list of changes can only be asked for by table.
 func TableJobs(pool string) string { return tableJobsPrefix + pool }
 
-// jobParts is the number of parts over which the jobs of a pool are spread.
-const jobParts = 12
+// jobParts is the number of parts over which the jobs of a pool are spread. A
+// store that is slow carries out two transactions of a part in a second, and the
+// queues of a pool bring 45 jobs in a second while it is their turn.
+const jobParts = 64
 
 // jobPart returns the part that holds a job.
 func jobPart(pool, id string) string {
@@ -68,14 +72,19 @@
 
 func partOf(pool string, n int) string { return pool + "/" + strconv.Itoa(n) }
 
-// PartsOfJobs returns all parts of a pool's table of jobs, that of the owner's
-// records last.
+// PartsOfJobs returns the parts that hold the jobs of a pool.
 func PartsOfJobs(pool string) []string {
-	parts := make([]string, 0, jobParts+1)
+	parts := make([]string, 0, jobParts)
 	for n := range jobParts {
 		parts = append(parts, partOf(pool, n))
 	}
-	return append(parts, pool)
+	return parts
+}
+
+// OwnerRecords selects the records that only a pool's owner and the owner of the
+// machines write, in the table of the pool's jobs.
+func OwnerRecords(pool string) services.RecordRange {
+	return services.RecordRange{Table: TableJobs(pool), Part: pool}
 }
 
 // Job is the key of a job.
@@ -93,6 +102,13 @@
 	return services.RecordKey{Table: TableProgress, Part: pool, Key: id + suffixProgress}
 }
 
+// Saves is the key of a record that changes with each save of the pool's
+// progress. Each save requires its version, because the store may carry out a
+// save that it left unanswered after a later one.
+func Saves(pool string) services.RecordKey {
+	return services.RecordKey{Table: TableProgress, Part: pool, Key: keySaves}
+}
+
 // ProgressRange selects a job's progress.
 func ProgressRange(pool, id string) services.RecordRange {
 	return services.RecordRange{Table: TableProgress, Part: pool, From: id + "/", To: id + suffixEnd}
@@ -146,6 +162,11 @@
 	return services.RecordKey{Table: TablePools, Part: services.PoolMachines, Key: keyHomes}
 }
 
+// Orders is the key of the machines that were ordered away a short time ago.
+func Orders() services.RecordKey {
+	return services.RecordKey{Table: TablePools, Part: services.PoolMachines, Key: keyOrders}
+}
+
 // Kind tells what a record in the tables of jobs and progress holds.
 type Kind int
 
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -55,6 +55,13 @@
 	Leave []string `json:"leave,omitempty"`
 }
 
+// OrdersRecord lists the machines that were ordered away a short time ago. It is
+// written before the orders are given, so that the next owner of the machines
+// knows for which of them it has to wait.
+type OrdersRecord struct {
+	Machines []string `json:"machines"`
+}
+
 // HomesRecord holds the usual number of machines of each pool: those that it had
 // when the system started for the first time.
 type HomesRecord struct {
