Give up calls to the store by the time of its answers

Cause: a call whose answer was lost, or whose connection had gone silent, waited for 2 s; renewals and saves stood still for as long (platform_lost, reset connections, platform_down silent). The fixed timeout had to cover a store that is 60 times slower.

--- /dev/null
+++ b/decision/calltime/calltime.go
@@ -0,0 +1,58 @@
+// Package calltime decides how long a call to the platform may go without an
+// answer before it is given up.
+//
+// The timeout follows the answers as RFC 6298 does for retransmissions: a
+// smoothed time plus a multiple of its deviation, doubled while calls time out.
+// A fixed timeout that is long enough for a slow store leaves a call whose
+// answer was lost, or whose connection went silent, waiting for seconds.
+package calltime
+
+import "time"
+
+// Bounds of the timeout.
+const (
+	// Min leaves room for a transaction that waits for others of its part, and
+	// for a host that is short of processor time.
+	Min = 400 * time.Millisecond
+	// Max covers a store that is 60 times slower, which takes 0.7 s for a
+	// transaction, behind a queue of up to 1 s.
+	Max = 2 * time.Second
+	// initial is the timeout before the first answer (RFC 6298, section 2.1).
+	initial = time.Second
+	// maxDoublings is enough to get from Min to Max.
+	maxDoublings = 3
+)
+
+// Estimate is what is known of the answers to one kind of call.
+type Estimate struct {
+	smoothed, deviation time.Duration
+	doublings           int
+}
+
+// Answered returns the estimate after an answer that took d.
+func (e Estimate) Answered(d time.Duration) Estimate {
+	if e.smoothed == 0 {
+		return Estimate{smoothed: d, deviation: d / 2}
+	}
+	diff := (e.smoothed - d).Abs()
+	return Estimate{
+		smoothed:  e.smoothed - e.smoothed/8 + d/8,
+		deviation: e.deviation - e.deviation/4 + diff/4,
+	}
+}
+
+// TimedOut returns the estimate after a call without an answer.
+func (e Estimate) TimedOut() Estimate {
+	e.doublings = min(e.doublings+1, maxDoublings)
+	return e
+}
+
+// Timeout returns how long the next call may take.
+func (e Estimate) Timeout() time.Duration {
+	timeout := initial
+	if e.smoothed > 0 {
+		timeout = e.smoothed + 4*e.deviation
+	}
+	timeout = max(timeout, Min) << e.doublings
+	return min(timeout, Max)
+}
