Let successors take over sooner and wait less; count a wave's time from its first owner

Change: renewals every 0.5 s, takeover after 1.8 s plus three answer times of the store; all leases of an owner end 6 s after its last renewal, and the time for which it was silent counts against the wait; a job that is recorded while the owner is silent names the owner record, and that owner starts it only after another renewal, so that a successor may start it at once. The record of a wave holds the store's clock when it was first seen. A wave hurries 5 s before its end (3 s before). Ruled out: shorter caps; a store that is away for 4.5 s would end all work.

--- a/decision/calltime/calltime.go
+++ b/decision/calltime/calltime.go
@@ -47,6 +47,9 @@
 	return e
 }
 
+// Smoothed returns how long answers have taken lately; zero before the first.
+func (e Estimate) Smoothed() time.Duration { return e.smoothed }
+
 // Timeout returns how long the next call may take.
 func (e Estimate) Timeout() time.Duration {
 	timeout := initial
--- a/decision/ownership/ownership.go
+++ b/decision/ownership/ownership.go
@@ -15,15 +15,28 @@
 // Timing of ownership.
 const (
 	// RenewEvery separates renewals.
-	RenewEvery = time.Second
-	// TakeoverAfter is how long a record stays unchanged before its pool is
-	// claimed. It covers two lost renewals.
-	TakeoverAfter = 2500 * time.Millisecond
+	RenewEvery = 500 * time.Millisecond
+	// takeoverAfter is how long a record stays unchanged before its pool is
+	// claimed while the store answers at once. It covers two lost renewals.
+	takeoverAfter = 1800 * time.Millisecond
+	// silentAfter is the same before the owner counts as silent.
+	silentAfter = time.Second
+	// responses is how many times that an answer of the store takes are added:
+	// a renewal and the look at it each wait for one, and a look that finds no
+	// change may have been under way before the renewal.
+	responses = 3
+	// CurrentFor is how long after its last confirmed renewal an owner can be
+	// sure to have no successor; the margin covers the way of an order.
+	CurrentFor = takeoverAfter - 300*time.Millisecond
+	// LeaseCap is when, after the last confirmed renewal, all leases end that an
+	// owner grants. A successor waits that long for executors that it cannot
+	// reach; a store that is away for longer ends all work.
+	LeaseCap = 6 * time.Second
 	// Lapse is how long an owner goes on without a confirmed renewal. The
 	// fencing token stops it earlier wherever its successor has been heard; the
 	// bound is for executors that the successor cannot reach. While the store is
 	// away no work arrives, so that little is lost when it lasts longer.
-	Lapse = 5 * time.Second
+	Lapse = 4500 * time.Millisecond
 	// fullPower is the processor share, in cores, from which on a host claims
 	// without that delay.
 	fullPower = 0.8
@@ -44,14 +57,22 @@
 	// before work arrives.
 	firstSpread = spread{load: 350 * time.Millisecond, draw: 250 * time.Millisecond, power: 2 * time.Second}
 	// silentSpread is for a pool whose owner is silent. Hosts look at the owner
-	// records about every 300 ms, and at different times.
-	silentSpread = spread{load: 350 * time.Millisecond, draw: 250 * time.Millisecond, power: 600 * time.Millisecond}
+	// records every 200 ms, and at different times.
+	silentSpread = spread{load: 220 * time.Millisecond, draw: 200 * time.Millisecond, power: 300 * time.Millisecond}
 	// releasedSpread is for a pool that was given up. All hosts see that at the
 	// same time, so that shorter delays tell them apart, and nothing runs the
 	// pool meanwhile.
 	releasedSpread = spread{load: 120 * time.Millisecond, draw: 60 * time.Millisecond, power: 200 * time.Millisecond}
 )
 
+// TakeoverAfter returns how long a record stays unchanged before its pool is
+// claimed, for a store that takes response for an answer.
+func TakeoverAfter(response time.Duration) time.Duration { return takeoverAfter + responses*response }
+
+// SilentAfter returns how long a record stays unchanged before its owner counts
+// as silent.
+func SilentAfter(response time.Duration) time.Duration { return silentAfter + responses*response }
+
 // Record is what is known of a pool's owner.
 type Record struct {
 	Holder string
@@ -74,6 +95,8 @@
 	// Power is the processor share of the host, in cores.
 	Power float64
 	Owned int
+	// Response is how long the store takes for an answer.
+	Response time.Duration
 }
 
 // Claim reports whether the host claims the pool, and why.
@@ -90,7 +113,7 @@
 	case r.Released:
 		return r.Free >= releasedSpread.delay(pool, h), "released"
 	}
-	return r.Unchanged >= TakeoverAfter+silentSpread.delay(pool, h), "owner is silent"
+	return r.Unchanged >= TakeoverAfter(h.Response)+silentSpread.delay(pool, h), "owner is silent"
 }
 
 // delay returns how long a host waits before it claims a pool that is free.
--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -121,7 +121,7 @@
 	}
 	r.tries++
 	r.unanswered = true
-	s.LeaseUntil = max(s.LeaseUntil, e.lease(now, p.leaseTerm()))
+	s.LeaseUntil = max(s.LeaseUntil, e.lease(now, p.leaseTerm(now)))
 	e.grant(now, s.LeaseUntil)
 	s.Reason = "repeat"
 	p.orders = append(p.orders, s)
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -134,9 +134,9 @@
 }
 
 // lease returns the end of a lease of d from now on the executor's clock, or
-// zero when its clock is not known.
+// zero when its clock is not known or d is over.
 func (e *executor) lease(now time.Time, d time.Duration) int64 {
-	if e.clockAt.IsZero() {
+	if e.clockAt.IsZero() || d <= 0 {
 		return 0
 	}
 	return e.clock + now.Sub(e.clockAt).Milliseconds() + d.Milliseconds()
--- a/decision/poolplan/hold.go
+++ b/decision/poolplan/hold.go
@@ -8,8 +8,10 @@
 const stopRetry = 500 * time.Millisecond
 
 // leaseTerm is the lease that is asked for. It leaves room for the difference
-// between the clocks.
-func (p *Plan) leaseTerm() time.Duration { return p.params.HoldMax - p.params.HoldMax/20 }
+// between the clocks, and ends before a successor takes it for over.
+func (p *Plan) leaseTerm(now time.Time) time.Duration {
+	return min(p.params.HoldMax-p.params.HoldMax/20, p.renewedAt.Add(p.params.LeaseCap).Sub(now))
+}
 
 // pending notes an end that is not durable yet.
 func (e *executor) pending(number int64) {
@@ -66,7 +68,7 @@
 	if len(e.runs) > 0 && e.silent == 0 {
 		// A lease that may not arrive would only put off the time at which
 		// the runs of a silent executor are certainly over.
-		h.LeaseUntil = e.lease(now, p.leaseTerm())
+		h.LeaseUntil = e.lease(now, p.leaseTerm(now))
 	}
 	if h.LeaseUntil > 0 {
 		e.grant(now, h.LeaseUntil)
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -42,6 +42,8 @@
 	switch {
 	case g.job.inherited && !p.settled:
 		return waitInherited
+	case g.job.spec.SilentOwner > 0 && p.renewal <= g.job.spec.SilentOwner:
+		return waitRenewal
 	case !p.advised(now, g, candidates):
 		return waitAdvice
 	case g.step.Gang:
@@ -56,7 +58,7 @@
 	for _, id := range slices.Sorted(maps.Keys(p.executors)) {
 		e := p.executors[id]
 		switch {
-		case !e.accepts() || e.lease(now, p.leaseTerm()) == 0:
+		case !e.accepts() || e.lease(now, p.leaseTerm(now)) == 0:
 		case now.Before(e.avoidUntil):
 			avoided = append(avoided, e)
 		default:
@@ -255,7 +257,7 @@
 	t.runs = append(t.runs, r)
 	g.job.begun = true
 	p.charge(r, 1)
-	until := e.lease(now, p.leaseTerm())
+	until := e.lease(now, p.leaseTerm(now))
 	e.grant(now, until)
 	s := Start{
 		Target:     e.target(),
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -17,9 +17,9 @@
 type Params struct {
 	// HoldMax is the longest lease that an executor grants.
 	HoldMax time.Duration
-	// OwnerLapse is the longest time for which an earlier owner of the pool may
-	// go on giving orders after this one took over.
-	OwnerLapse time.Duration
+	// LeaseCap is when, after the last confirmed renewal of an owner, all leases
+	// end that it grants.
+	LeaseCap time.Duration
 }
 
 // Timing of the plan.
@@ -63,6 +63,12 @@
 	unsaved  map[string]*job
 	deposed  bool
 	takeover time.Time
+	// silent is for how long the earlier owner had not renewed at the takeover.
+	silent time.Duration
+	// renewedAt and renewal are the time and the version of this owner's last
+	// confirmed renewal.
+	renewedAt time.Time
+	renewal   int64
 	// stale tells that a later owner may exist.
 	stale bool
 	// removed tells that an executor was dropped since the last record.
@@ -87,10 +93,13 @@
 }
 
 // New returns the plan of an owner that took over at now. term counts the
-// owners that the pool has had, from one.
-func New(term int, now time.Time, params Params) *Plan {
+// owners that the pool has had, from one. silent is for how long the owner
+// before is known not to have renewed.
+func New(term int, now time.Time, silent time.Duration, params Params) *Plan {
 	return &Plan{
 		term:      term,
+		silent:    silent,
+		renewedAt: now,
 		params:    params,
 		executors: make(map[string]*executor),
 		jobs:      make(map[string]*job),
@@ -120,6 +129,9 @@
 // seen its end.
 func (p *Plan) SetCurrent(current bool) { p.stale = !current }
 
+// SetRenewed notes this owner's last confirmed renewal.
+func (p *Plan) SetRenewed(at time.Time, version int64) { p.renewedAt, p.renewal = at, version }
+
 // Deposed reports whether an executor has seen a later owner.
 func (p *Plan) Deposed() bool { return p.deposed }
 
@@ -167,10 +179,11 @@
 	p.note(Event{What: "inherited work accounted for", Age: now.Sub(p.takeover)})
 }
 
-// inheritedLapse is when all leases that an earlier owner granted are over.
+// inheritedLapse is when, after the takeover, all leases that an earlier owner
+// granted are over.
 func (p *Plan) inheritedLapse() time.Duration {
-	lease := time.Duration(float64(p.params.HoldMax) * (1 + clockDrift))
-	return p.params.OwnerLapse + lease + lapseMargin
+	lease := time.Duration(float64(p.params.LeaseCap) * (1 + clockDrift))
+	return max(lease+lapseMargin-p.silent, 0)
 }
 
 // Use returns what the tenants have running here, the largest demand that
--- a/decision/poolplan/wait.go
+++ b/decision/poolplan/wait.go
@@ -9,6 +9,9 @@
 	waitNone wait = iota
 	// waitInherited means that an earlier owner may have started them.
 	waitInherited
+	// waitRenewal means that the owner was silent when the job was recorded and
+	// has not renewed since, so that a successor may take the job for not begun.
+	waitRenewal
 	// waitSuccessor means that a later owner may have seen their end.
 	waitSuccessor
 	// waitAdvice means that the advice service has not answered.
@@ -21,7 +24,7 @@
 	waitRoom
 )
 
-var waitNames = [...]string{"", "inherited", "possible-successor", "advice", "gang-members", "tenant-limit", "room"}
+var waitNames = [...]string{"", "inherited", "renewal", "possible-successor", "advice", "gang-members", "tenant-limit", "room"}
 
 const (
 	// waitNoted is how long a group has waited when its reason is first noted.
--- a/decision/upkeep/upkeep.go
+++ b/decision/upkeep/upkeep.go
@@ -50,7 +50,7 @@
 // Bounds of the number of machines that are out of service at once.
 const (
 	// hasteMargin is kept before a wave's deadline.
-	hasteMargin = 3 * time.Second
+	hasteMargin = 5 * time.Second
 	// poolShare bounds the machines of one pool that are out at once, as a
 	// divisor, while the pool is busy.
 	poolShare = 4
--- a/decision/workload/workload.go
+++ b/decision/workload/workload.go
@@ -20,6 +20,11 @@
 	Times    int
 	StartAt  time.Time
 	Interval time.Duration
+	// SilentOwner is the version of the pool's owner record when the job was
+	// recorded, if its owner had not renewed it for a while; zero otherwise. That
+	// owner starts the job only after another renewal, so that a successor
+	// which has seen none knows that the job has not begun.
+	SilentOwner int64
 	// Accepted is the wall-clock time of the entry host that recorded the job.
 	Accepted time.Time
 }
--- a/services/jobdesk/jobdesk.go
+++ b/services/jobdesk/jobdesk.go
@@ -38,6 +38,7 @@
 	log       zerolog.Logger
 	records   services.Records
 	catalogs  services.Catalogs
+	ownership services.Ownership
 	metrics   services.Metrics
 	submitted tally.Histogram
 	looked    tally.Histogram
@@ -59,6 +60,9 @@
 	if s.catalogs, err = kernel.Lookup[services.Catalogs](c, services.NameCatalog); err != nil {
 		return err
 	}
+	if s.ownership, err = kernel.Lookup[services.Ownership](c, services.NameOwnership); err != nil {
+		return err
+	}
 	s.metrics, err = kernel.Lookup[services.Metrics](c, services.NameMetrics)
 	return err
 }
@@ -68,6 +72,7 @@
 func (s *Service) Submit(ctx context.Context, q *catalog.Queue, spec *workload.Spec) error {
 	start := s.clock()
 	defer func() { s.submitted.RecordDuration(s.clock().Sub(start)) }()
+	spec.SilentOwner = s.ownership.SilentOwner(q.Service)
 	value, err := jobrecord.EncodeSpec(spec)
 	if err != nil {
 		return fault.New(&fault.Invalid, fault.ReasonMalformed, "encode job", "", "%w", err)
@@ -78,7 +83,7 @@
 		Writes:     []services.RecordWrite{{RecordKey: key, Value: value}},
 	}
 	commit, err := s.commit(ctx, tx, "submit")
-	log := s.log.Info().Str("job", spec.ID).Str("queue", q.Name).Str("tenant", spec.Tenant).Str("pool", q.Service).Dur("took", s.clock().Sub(start))
+	log := s.log.Info().Str("job", spec.ID).Str("queue", q.Name).Str("tenant", spec.Tenant).Str("pool", q.Service).Int64("silent_owner", spec.SilentOwner).Dur("took", s.clock().Sub(start))
 	if err != nil {
 		log.Err(err).Msg("job refused")
 		return err
--- a/services/ownership/claim.go
+++ b/services/ownership/claim.go
@@ -33,7 +33,7 @@
 
 // claimAll takes the pools over for which it is this host's turn.
 func (s *Service) claimAll(ctx context.Context) {
-	host := ownership.Host{Name: s.settings.Host, Power: s.settings.Power, Owned: len(s.Tenures())}
+	host := ownership.Host{Name: s.settings.Host, Power: s.settings.Power, Owned: len(s.Tenures()), Response: s.times.ResponseTime()}
 	now := s.clock()
 	var writes []*write
 	for _, p := range s.pools {
@@ -79,7 +79,10 @@
 		p.unchanged, p.free = 0, 0
 	default:
 		log.Info().Int64("fence", w.commit.Version).Msg("pool taken over")
+		before := p.version
 		s.take(p, w.next, w.commit.Version)
+		p.tenure.Before, p.tenure.Silent = before, p.unchanged
+		s.publish()
 	}
 }
 
@@ -89,9 +92,9 @@
 	p.renewAt = p.claimedAt.Add(ownership.RenewEvery)
 	p.tenure = &services.Tenure{
 		Pool: p.name, Term: record.Term, Fence: version, RenewedAt: p.claimedAt, ClaimedAt: p.claimedAt, TakenAt: version,
+		Renewal:   version,
 		Condition: services.RecordCondition{RecordKey: jobrecord.Term(p.name), Version: version},
 	}
-	s.publish()
 }
 
 // commit writes the owner record, and the term record when the owner changes.
@@ -153,7 +156,7 @@
 	p.renewAt = sent.Add(ownership.RenewEvery)
 	p.unchanged = 0
 	next := *p.tenure
-	next.RenewedAt = sent
+	next.RenewedAt, next.Renewal = sent, p.version
 	p.tenure = &next
 	s.publish()
 }
--- a/services/ownership/ownership.go
+++ b/services/ownership/ownership.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"fuchsiafront.example/fuchsiafront/decision/ownership"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -18,13 +19,9 @@
 )
 
 const (
-	// lookWait is how long the store may hold back the changes of the owner
-	// records; renewals are due in between.
-	lookWait = 250 * time.Millisecond
-	// lookPause separates looks, so that renewals of several pools share one.
-	lookPause = 60 * time.Millisecond
-	// lookRetry separates looks while the store does not answer.
-	lookRetry = 250 * time.Millisecond
+	// lookPause separates looks at the owner records, which show the renewals of
+	// all pools.
+	lookPause = 200 * time.Millisecond
 	// pollGap is the longest time between two looks that still shows that a
 	// record has not changed in between by its owner's fault.
 	pollGap  = 1200 * time.Millisecond
@@ -54,7 +51,9 @@
 	rings    []*ring.Ring[struct{}]
 	lost     *ring.Ring[services.Tenure]
 	workers  *ring.Workers
+	times    services.StoreTimes
 	tenures  atomic.Pointer[map[string]services.Tenure]
+	observed atomic.Pointer[map[string]observation]
 	// serving ends when the pools are to be given up.
 	serving    context.Context
 	endServing context.CancelFunc
@@ -86,6 +85,7 @@
 	service := &Service{settings: s, clock: clock, pools: make(map[string]*pool)}
 	service.serving, service.endServing = context.WithCancel(context.Background())
 	service.tenures.Store(&map[string]services.Tenure{})
+	service.observed.Store(&map[string]observation{})
 	return service
 }
 
@@ -98,6 +98,9 @@
 	if s.records, err = kernel.Lookup[services.Records](c, services.NamePlatform); err != nil {
 		return err
 	}
+	if s.times, err = kernel.Lookup[services.StoreTimes](c, services.NamePlatform); err != nil {
+		return err
+	}
 	if s.catalogs, err = kernel.Lookup[services.Catalogs](c, services.NameCatalog); err != nil {
 		return err
 	}
@@ -131,11 +134,8 @@
 func (s *Service) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.forgetLost()
-		pause := lookRetry
-		if s.round(ctx) {
-			pause = lookPause
-		}
-		s.pause(ctx, pause)
+		s.round(ctx)
+		s.pause(ctx, lookPause)
 	}
 }
 
@@ -180,12 +180,11 @@
 	s.publish()
 }
 
-// round looks at the owner records, renews and claims. It reports whether the
-// store answered.
-func (s *Service) round(ctx context.Context) bool {
+// round looks at the owner records, renews and claims.
+func (s *Service) round(ctx context.Context) {
 	catalog := s.catalogs.Catalog()
 	if catalog == nil {
-		return false
+		return
 	}
 	s.addPool(services.PoolMachines)
 	for name := range catalog.Services {
@@ -193,14 +192,14 @@
 	}
 	if s.serving.Err() != nil {
 		s.release(ctx)
-		return false
+		return
 	}
 	if err := s.look(ctx); err != nil {
-		return false
+		s.log.Debug().Err(err).Msg("owner records not read")
+		return
 	}
 	s.renewAll(ctx)
 	s.claimAll(ctx)
-	return true
 }
 
 func (s *Service) addPool(name string) {
@@ -237,14 +236,40 @@
 		}
 		p.known = true
 	}
+	s.observe(now)
 	return nil
 }
 
+// observation is what a look at an owner record has shown.
+type observation struct {
+	version   int64
+	unchanged time.Duration
+	at        time.Time
+}
+
+// observe shows the owner records to callers of SilentOwner.
+func (s *Service) observe(now time.Time) {
+	seen := make(map[string]observation, len(s.pools))
+	for name, p := range s.pools {
+		seen[name] = observation{p.version, p.unchanged, now}
+	}
+	s.observed.Store(&seen)
+}
+
+// SilentOwner implements services.Ownership.
+func (s *Service) SilentOwner(pool string) int64 {
+	o := (*s.observed.Load())[pool]
+	if o.unchanged+s.clock().Sub(o.at) < ownership.SilentAfter(s.times.ResponseTime()) {
+		return 0
+	}
+	return o.version
+}
+
 func (s *Service) read(ctx context.Context) ([]services.Record, error) {
 	if s.version > 0 {
 		ctx, cancel := s.whileServing(ctx)
 		defer cancel()
-		changes, err := s.records.Changes(ctx, jobrecord.TableOwners, s.version, lookWait)
+		changes, err := s.records.Changes(ctx, jobrecord.TableOwners, s.version, 0)
 		if err != nil {
 			return nil, err
 		}
@@ -287,6 +312,7 @@
 	if p.tenure == nil && s.mine(record) && record.Renewals == 0 {
 		// A claim without an answer was carried out.
 		s.take(p, record, r.Version)
+		s.publish()
 		return true
 	}
 	if p.tenure != nil && !s.mine(record) {
--- a/services/pools/load.go
+++ b/services/pools/load.go
@@ -248,13 +248,13 @@
 		p.addJobs(m, e.state)
 		return
 	}
-	plan := poolplan.New(m.tenure.Term, m.tenure.RenewedAt, p.s.settings.Params)
+	plan := poolplan.New(m.tenure.Term, m.tenure.ClaimedAt, m.tenure.Silent, p.s.settings.Params)
 	plan.SetCatalog(p.catalog)
 	for _, x := range e.state.executors {
 		plan.Inherit(p.now, x)
 	}
 	for _, j := range e.state.specs {
-		plan.AddJob(p.now, j.spec, j.progress, j.version < m.tenure.TakenAt)
+		plan.AddJob(p.now, j.spec, j.progress, m.inherited(&j))
 	}
 	for _, id := range e.state.cancelled {
 		plan.CancelJob(p.now, id)
@@ -266,3 +266,11 @@
 		Int("executors", len(e.state.executors)).Dur("age", p.now.Sub(m.tenure.RenewedAt)).Msg("pool loaded")
 	p.applyRegistry(m)
 }
+
+// inherited reports whether an earlier owner may have started the job.
+func (m *manager) inherited(j *loadedJob) bool {
+	if j.spec.SilentOwner > 0 && j.spec.SilentOwner == m.tenure.Before {
+		return false
+	}
+	return j.version < m.tenure.TakenAt
+}
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -22,9 +22,6 @@
 	loadRetry = 300 * time.Millisecond
 	// backlogLimit bounds the calls that wait for room in a ring.
 	backlogLimit = 4096
-	// currentFor is how long after its last confirmed renewal an owner can be
-	// sure to have no successor; the margin covers the way of an order.
-	currentFor = ownership.TakeoverAfter - 300*time.Millisecond
 	// eventBurst is how many waiting events are handled before the next step.
 	eventBurst = 64
 )
@@ -200,7 +197,8 @@
 		p.logEvents(m)
 		return idleWait
 	}
-	m.plan.SetCurrent(p.now.Sub(m.tenure.RenewedAt) < currentFor)
+	m.plan.SetCurrent(p.now.Sub(m.tenure.RenewedAt) < ownership.CurrentFor)
+	m.plan.SetRenewed(m.tenure.RenewedAt, m.tenure.Renewal)
 	for _, o := range m.plan.Step(p.now) {
 		p.order(m, o)
 	}
--- a/services/pools/pools.go
+++ b/services/pools/pools.go
@@ -86,7 +86,7 @@
 
 // New returns the service.
 func New(s Settings, clock services.Clock) *Service {
-	s.Params.OwnerLapse = ownership.Lapse
+	s.Params.LeaseCap = ownership.LeaseCap
 	return &Service{settings: s, clock: clock}
 }
 
--- a/services/records.go
+++ b/services/records.go
@@ -68,6 +68,8 @@
 	Records []Record
 	More    bool
 	Version int64
+	// Clock is the store's steady clock, which all processes share.
+	Clock time.Duration
 }
 
 // RecordChanges are the records of a table that changed after a version.
@@ -92,6 +94,12 @@
 	Changes(ctx context.Context, table string, after int64, wait time.Duration) (RecordChanges, error)
 }
 
+// StoreTimes tells how the platform's store does.
+type StoreTimes interface {
+	// ResponseTime returns how long the store has lately taken for an answer.
+	ResponseTime() time.Duration
+}
+
 // OperatorState is what the operator has set.
 type OperatorState struct {
 	// Version is where the next call resumes.
@@ -230,6 +238,12 @@
 	ClaimedAt time.Time
 	// TakenAt is the version at which this process took the pool over.
 	TakenAt int64
+	// Renewal is the version of the last confirmed renewal, or of the claim.
+	Renewal int64
+	// Before is the version of the owner record that the claim replaced, and
+	// Silent for how long that had not changed.
+	Before int64
+	Silent time.Duration
 }
 
 // Ownership tells which pools this process owns.
@@ -238,6 +252,10 @@
 	Tenures() map[string]Tenure
 	// Lost states that another process was seen to own the pool.
 	Lost(t Tenure)
+	// SilentOwner returns the version of the pool's owner record if the owner
+	// has not renewed it for a while, and zero otherwise. It may be called by
+	// any goroutine.
+	SilentOwner(pool string) int64
 	// TenuresChanged returns a ring that receives a value when a pool was
 	// taken over or lost. It is called during Provision.
 	TenuresChanged(name string) ChangedRing
--- a/services/upkeep/look.go
+++ b/services/upkeep/look.go
@@ -86,14 +86,20 @@
 
 // readRecord reads one record; a missing one is zero.
 func readRecord[T any](ctx context.Context, records services.Records, key services.RecordKey) (value T, version int64, err error) {
+	value, version, _, err = readRecordAt[T](ctx, records, key)
+	return value, version, err
+}
+
+// readRecordAt is readRecord with the store's clock at the reading.
+func readRecordAt[T any](ctx context.Context, records services.Records, key services.RecordKey) (value T, version int64, clock time.Duration, err error) {
 	page, err := records.Scan(ctx, services.RecordRange{Table: key.Table, Part: key.Part, From: key.Key, Limit: 1})
 	if err != nil || len(page.Records) == 0 || page.Records[0].Key != key.Key {
-		return value, 0, err
+		return value, 0, page.Clock, err
 	}
 	if err := json.Unmarshal(page.Records[0].Value, &value); err != nil {
-		return value, 0, fault.New(&fault.NotRun, fault.ReasonMalformed, "read record", key.Part+"/"+key.Key, "%w", err)
+		return value, 0, 0, fault.New(&fault.NotRun, fault.ReasonMalformed, "read record", key.Part+"/"+key.Key, "%w", err)
 	}
-	return value, page.Records[0].Version, nil
+	return value, page.Records[0].Version, page.Clock, nil
 }
 
 func (s *Service) describe(now time.Time, list []services.Machine) []upkeep.Machine {
--- a/services/upkeep/waves.go
+++ b/services/upkeep/waves.go
@@ -14,7 +14,10 @@
 
 // waveState is the progress of one wave.
 type waveState struct {
+	// seen is when the first owner saw the wave, by the clock of this process,
+	// and seenMs the same by the store's clock.
 	seen     time.Time
+	seenMs   int64
 	done     map[string]bool
 	complete bool
 	version  int64
@@ -31,13 +34,15 @@
 			s.waves[w.Number] = state
 		}
 		if !state.loaded {
-			s.loadWave(ctx, w.Number, state)
+			s.loadWave(ctx, now, w.Number, state)
 		}
 	}
 }
 
-func (s *Service) loadWave(ctx context.Context, number int, state *waveState) {
-	record, version, err := readRecord[jobrecord.WaveRecord](ctx, s.records, jobrecord.Wave(number))
+// loadWave reads the progress of a wave. The first owner that sees it records
+// when that was, because the wave's time counts from there for later ones too.
+func (s *Service) loadWave(ctx context.Context, now time.Time, number int, state *waveState) {
+	record, version, clock, err := readRecordAt[jobrecord.WaveRecord](ctx, s.records, jobrecord.Wave(number))
 	if err != nil {
 		s.log.Debug().Err(err).Int("wave", number).Msg("progress of the wave not read")
 		return
@@ -46,6 +51,13 @@
 		state.done[m] = true
 	}
 	state.complete, state.version, state.loaded = record.Completed, version, true
+	if version == 0 {
+		state.seenMs = clock.Milliseconds()
+		s.saveWave(ctx, number)
+		return
+	}
+	state.seenMs = record.SeenMs
+	state.seen = now.Add(time.Duration(record.SeenMs)*time.Millisecond - clock)
 }
 
 func (s *Service) openWaves() []upkeep.Wave {
@@ -104,7 +116,7 @@
 
 func (s *Service) saveWave(ctx context.Context, number int) {
 	state := s.waves[number]
-	record := jobrecord.WaveRecord{Done: slices.Sorted(maps.Keys(state.done)), Completed: state.complete}
+	record := jobrecord.WaveRecord{Done: slices.Sorted(maps.Keys(state.done)), Completed: state.complete, SeenMs: state.seenMs}
 	version, ok := s.write(ctx, jobrecord.Wave(number), state.version, record)
 	if !ok {
 		state.loaded = false
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -200,7 +200,9 @@
 	Times    int          `json:"n,omitempty"`
 	StartAt  int64        `json:"a,omitempty"`
 	Interval int64        `json:"i,omitempty"`
-	Accepted int64        `json:"r"`
+	// SilentOwner is a version of the owner record.
+	SilentOwner int64 `json:"o,omitempty"`
+	Accepted    int64 `json:"r"`
 }
 
 type stepRecord struct {
@@ -225,7 +227,7 @@
 // EncodeSpec returns the value of a job's record.
 func EncodeSpec(s *workload.Spec) ([]byte, error) {
 	r := specRecord{
-		Queue: s.Queue, Tenant: s.Tenant, Text: s.Text, Times: s.Times,
+		Queue: s.Queue, Tenant: s.Tenant, Text: s.Text, Times: s.Times, SilentOwner: s.SilentOwner,
 		Interval: s.Interval.Milliseconds(), Accepted: s.Accepted.UnixMilli(),
 	}
 	if s.Times > 0 {
@@ -250,7 +252,7 @@
 		return nil, ErrRecord.New("job %s: %v", id, err)
 	}
 	s := &workload.Spec{
-		ID: id, Queue: r.Queue, Tenant: r.Tenant, Text: r.Text, Times: r.Times,
+		ID: id, Queue: r.Queue, Tenant: r.Tenant, Text: r.Text, Times: r.Times, SilentOwner: r.SilentOwner,
 		Interval: time.Duration(r.Interval) * time.Millisecond, Accepted: time.UnixMilli(r.Accepted),
 	}
 	if r.Times > 0 {
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -73,6 +73,8 @@
 	// Done lists the machines whose maintenance has begun.
 	Done      []string `json:"done"`
 	Completed bool     `json:"completed,omitempty"`
+	// SeenMs is the store's clock when the first owner saw the wave.
+	SeenMs int64 `json:"seen"`
 }
 
 type executorRecord struct {
