--- a/decision/catalog/catalog.go
+++ b/decision/catalog/catalog.go
@@ -18,6 +18,7 @@
 	Tenants  map[string]Tenant
 
 	byHost map[string][]*Queue
+	byName map[string]*Queue
 	byKey  map[string]string
 }
 
@@ -74,11 +75,15 @@
 		Services: make(map[string]Service, len(services)),
 		Tenants:  make(map[string]Tenant, len(tenants)),
 		byHost:   make(map[string][]*Queue),
+		byName:   make(map[string]*Queue, len(queues)),
 		byKey:    make(map[string]string),
 	}
 	for i := range queues {
 		q := &queues[i]
 		c.byHost[q.Host] = append(c.byHost[q.Host], q)
+		if c.byName[q.Name] == nil {
+			c.byName[q.Name] = q
+		}
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
@@ -114,12 +119,8 @@
 
 // Queue returns the queue with the given name.
 func (c *Catalog) Queue(name string) (*Queue, bool) {
-	for i := range c.Queues {
-		if c.Queues[i].Name == name {
-			return &c.Queues[i], true
-		}
-	}
-	return nil, false
+	q := c.byName[name]
+	return q, q != nil
 }
 
 // Authenticate returns the tenant that holds key.
--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -174,7 +174,6 @@
 func (p *Plan) lose(now time.Time, r *run, why string) {
 	p.drop(r)
 	r.task.lost = true
-	p.regroup = true
 	p.note(Event{What: "run lost", Job: r.key.task.Job, Task: r.key.task.String(), Peer: r.executor.ID, Reason: why, Age: now.Sub(r.orderedAt)})
 }
 
--- /dev/null
+++ b/decision/poolplan/bench_test.go
@@ -0,0 +1,64 @@
+package poolplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/decision/workload"
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+// benchPlan is a pool of the grown deployments at the peak of its queue's turn:
+// all executors are full and hundreds of jobs wait.
+func benchPlan(executors, jobs, queues int) (*Plan, time.Time) {
+	now := time.UnixMilli(1_000_000)
+	p := New(1, now, 0, testParams)
+	list := []catalog.Queue{{Name: "queue", Service: "pool", MaxAttempts: 3, Slack: 1.6, LatencyTarget: time.Second}}
+	for i := range queues {
+		list = append(list, catalog.Queue{Name: fmt.Sprintf("other-%d", i), Service: "pool"})
+	}
+	p.SetCatalog(catalog.New(1, list, []catalog.Service{{Name: "pool"}}, []catalog.Tenant{{Name: "tenant"}}))
+	var infos []Executor
+	for i := range executors {
+		e := executorInfo(fmt.Sprint(i))
+		e.Capacity = fleet.Resources{MilliCPU: 32000, MemoryBytes: 64 << 30}
+		infos = append(infos, e)
+	}
+	p.SetExecutors(now, infos)
+	p.Recorded(p.Recordable())
+	p.SetRenewed(now, 1)
+	for i := range jobs {
+		steps := []workload.Step{step(8), step(8)}
+		steps[1].After = []int{0}
+		p.AddJob(now, &workload.Spec{ID: fmt.Sprintf("%016x", i), Queue: "queue", Tenant: "tenant", Steps: steps, Accepted: now}, workload.Progress{}, false)
+	}
+	for _, o := range p.Step(now) {
+		if s, ok := o.(Start); ok {
+			p.StartDone(now, s, Outcome{ClockMs: 50_000, SentAt: now})
+		}
+	}
+	return p, now
+}
+
+// BenchmarkStep measures a step of a full pool after one task has ended, which
+// is what a busy owner does most.
+func BenchmarkStep(b *testing.B) {
+	p, now := benchPlan(77, 400, 350)
+	b.ReportAllocs()
+	for b.Loop() {
+		e := p.executors["0"]
+		if len(e.runs) == 0 {
+			b.Fatal("the pool is empty")
+		}
+		r := sortedRuns(e)[0]
+		e.seen++
+		p.applyEnd(now, e, EndReport{Number: e.seen, Task: r.key.task, Attempt: r.key.attempt, Ending: EndedStopped})
+		for _, o := range p.Step(now) {
+			if s, ok := o.(Start); ok {
+				p.StartDone(now, s, Outcome{ClockMs: 50_000, SentAt: now})
+			}
+		}
+	}
+}
--- a/decision/poolplan/ending.go
+++ b/decision/poolplan/ending.go
@@ -32,7 +32,6 @@
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
 	}
-	p.regroup = true
 	if t.done || j.progress.State.Ended() {
 		return
 	}
@@ -65,6 +64,7 @@
 			continue
 		}
 		m.finish()
+		p.regroup = p.regroup || m.group.done == len(m.group.tasks)
 		m.group.job.begun = true
 		for _, r := range append([]*run(nil), m.runs...) {
 			if m != t {
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -268,6 +268,7 @@
 		e.clockAt = now
 	}
 	p.executors[info.ID] = e
+	p.sorted = nil
 	return e
 }
 
@@ -350,7 +351,13 @@
 	for _, r := range sortedRuns(e) {
 		p.lose(now, r, why)
 	}
+	p.dropExecutor(e)
+}
+
+// dropExecutor forgets an executor that has certainly ended.
+func (p *Plan) dropExecutor(e *executor) {
 	delete(p.executors, e.ID)
+	p.sorted = nil
 	p.removed = true
 }
 
@@ -376,8 +383,7 @@
 			p.lose(now, r, "lease over")
 		}
 		if !e.listed && !e.holding {
-			delete(p.executors, e.ID)
-			p.removed = true
+			p.dropExecutor(e)
 		}
 	}
 }
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -54,7 +54,9 @@
 	waits       wait
 	waitNotedAt time.Time
 	// lateness is the class of the group when the order was last made.
-	lateness    int
+	lateness int
+	// priority is that of the group's queue at that time.
+	priority    int
 	advice      *advice
 	adviceAsked time.Time
 }
@@ -123,6 +125,9 @@
 	}
 }
 
+// over reports whether nothing of the job may start any more.
+func (j *job) over() bool { return j.cancelled || j.progress.State.Ended() }
+
 func (j *job) failOn(e *executor) {
 	if !slices.Contains(j.failedOn, e.ID) {
 		j.failedOn = append(j.failedOn, e.ID)
@@ -358,7 +363,7 @@
 func (p *Plan) Pending() (pending map[string]int, begun []string) {
 	pending = make(map[string]int)
 	for id, j := range p.jobs {
-		if j.cancelled || j.progress.State.Ended() {
+		if j.over() {
 			continue
 		}
 		switch {
--- a/decision/poolplan/order.go
+++ b/decision/poolplan/order.go
@@ -6,16 +6,38 @@
 	"time"
 )
 
-// refreshGroups renews the list of groups that may start tasks, in the order in
-// which they are served.
+// Pauses between renewals of what costs time in a pool with many jobs.
+const (
+	// rankEvery separates renewals of the order, which changes as time passes
+	// and when timed jobs are due.
+	rankEvery = 100 * time.Millisecond
+	// regroupEvery separates renewals because groups have come or gone.
+	regroupEvery = 10 * time.Millisecond
+	// sweepEvery separates looks at all runs.
+	sweepEvery = 50 * time.Millisecond
+	// fewJobs is the number of jobs up to which nothing of this is put off.
+	fewJobs = 32
+)
+
+// mayPause reports whether what was done at last may wait until a pause is over.
+func (p *Plan) mayPause(now, last time.Time, pause time.Duration) bool {
+	return len(p.jobs) > fewJobs && now.Sub(last) < pause
+}
+
+// refreshGroups renews the list of groups that are ready, in the order in which
+// they are served.
 func (p *Plan) refreshGroups(now time.Time) {
-	if !p.regroup && !p.dueSoon(now) {
+	pause := rankEvery
+	if p.regroup {
+		pause = regroupEvery
+	}
+	if p.mayPause(now, p.groupedAt, pause) {
 		return
 	}
-	p.regroup = false
+	p.regroup, p.groupedAt = false, now
 	p.groups = p.groups[:0]
 	for _, j := range p.jobs {
-		if j.cancelled || j.progress.State.Ended() {
+		if j.over() {
 			continue
 		}
 		for _, o := range j.occurrences {
@@ -23,19 +45,9 @@
 		}
 	}
 	for _, g := range p.groups {
-		g.lateness = p.lateness(now, g)
+		g.lateness, g.priority = p.lateness(now, g), p.priority(g.job)
 	}
-	slices.SortFunc(p.groups, p.compareGroups)
-}
-
-// dueSoon reports whether the order of the groups changes with time alone.
-func (p *Plan) dueSoon(now time.Time) bool {
-	for _, j := range p.jobs {
-		if j.spec.Times > 0 && !j.progress.State.Ended() {
-			return true
-		}
-	}
-	return false
+	slices.SortFunc(p.groups, compareGroups)
 }
 
 func (p *Plan) addGroups(now time.Time, j *job, o *occurrence) {
@@ -49,9 +61,7 @@
 		if !g.ready {
 			g.ready, g.readyAt = true, now
 		}
-		if g.waiting() > 0 {
-			p.groups = append(p.groups, g)
-		}
+		p.groups = append(p.groups, g)
 	}
 }
 
@@ -69,11 +79,11 @@
 
 // compareGroups orders groups: first the jobs that can still be on time, then
 // by priority, then jobs under way, then the oldest.
-func (p *Plan) compareGroups(a, b *group) int {
+func compareGroups(a, b *group) int {
 	if a.job != b.job {
 		return cmp.Or(
 			cmp.Compare(a.lateness, b.lateness),
-			cmp.Compare(p.priority(a.job), p.priority(b.job)),
+			cmp.Compare(a.priority, b.priority),
 			a.job.spec.Accepted.Compare(b.job.spec.Accepted),
 			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
 		)
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -1,10 +1,12 @@
 package poolplan
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 
+	"fuchsiafront.example/fuchsiafront/decision/workload"
 	"fuchsiafront.example/fuchsiafront/fleet"
 )
 
@@ -32,7 +34,12 @@
 	if len(candidates) == 0 {
 		return
 	}
+	p.noRoom = p.noRoom[:0]
 	for _, g := range p.groups {
+		// The list is not renewed at every step of a busy pool.
+		if g.job.over() || g.waiting() == 0 {
+			continue
+		}
 		p.noteWait(now, g, p.placeGroup(now, g, candidates))
 	}
 }
@@ -55,8 +62,10 @@
 // candidates returns the executors that accept work, in a fixed order.
 func (p *Plan) candidates(now time.Time) []*executor {
 	var list, avoided []*executor
-	for _, id := range slices.Sorted(maps.Keys(p.executors)) {
-		e := p.executors[id]
+	if p.sorted == nil {
+		p.sorted = slices.SortedFunc(maps.Values(p.executors), func(a, b *executor) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	for _, e := range p.sorted {
 		switch {
 		case !e.accepts() || e.lease(now, p.leaseTerm(now)) == 0:
 		case now.Before(e.avoidUntil):
@@ -85,8 +94,12 @@
 		if !p.withinLimit(g, 1) {
 			return waitLimit
 		}
+		if p.knownFull(g.step) {
+			return waitRoom
+		}
 		e := p.choose(g, t, candidates, nil)
 		if e == nil {
+			p.noteFull(t)
 			return waitRoom
 		}
 		p.start(now, t, e, p.nextAttempt(t))
@@ -94,6 +107,30 @@
 	return why
 }
 
+// fullDemands bounds the demands that are kept for which there is no room.
+const fullDemands = 8
+
+// knownFull reports whether a search in this step has found no room for a demand
+// that is not larger. Constraints of a step only leave less room.
+func (p *Plan) knownFull(s *workload.Step) bool {
+	demand := s.Demand()
+	return slices.ContainsFunc(p.noRoom, func(r fleet.Resources) bool { return r.Fits(demand) })
+}
+
+// noteFull notes that no executor has room for a task that any of them may run.
+func (p *Plan) noteFull(t *task) {
+	g := t.group
+	if g.constrained() || len(t.failedOn) > 0 || len(p.noRoom) == fullDemands {
+		return
+	}
+	p.noRoom = append(p.noRoom, g.step.Demand())
+}
+
+// constrained reports whether the group may not run on every executor.
+func (g *group) constrained() bool {
+	return g.step.Label != "" || g.advice != nil || g.step.MaxPerExecutor > 0
+}
+
 // placeGang starts all members of a gang, or none.
 func (p *Plan) placeGang(now time.Time, g *group, candidates []*executor) wait {
 	for _, t := range g.tasks {
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -27,8 +27,13 @@
 	// holdWait is how long an executor may hold back a report for want of an
 	// end. The protocol allows 2 s; shorter waits notice silence sooner.
 	holdWait = 1500 * time.Millisecond
-	// holdPause collects ends that follow each other closely in one report.
-	holdPause = 20 * time.Millisecond
+	// holdPause collects ends that follow each other closely in one report. A
+	// large pool collects for longer, because every report costs its owner
+	// processor time: holdPauseEach is added for each executor, up to
+	// holdPauseMost.
+	holdPause     = 20 * time.Millisecond
+	holdPauseEach = time.Millisecond
+	holdPauseMost = 100 * time.Millisecond
 	// unsavedPause separates reports while ends wait to be saved, because the
 	// executor answers at once while it has ends to list.
 	unsavedPause = 700 * time.Millisecond
@@ -55,8 +60,16 @@
 	// ended holds the jobs that ended a short time ago.
 	ended    map[string]time.Time
 	prunedAt time.Time
-	groups   []*group
-	regroup  bool
+	// groups are the ready groups that have not ended; regroup tells that there
+	// are others since groupedAt.
+	groups    []*group
+	regroup   bool
+	groupedAt time.Time
+	sweptAt   time.Time
+	// noRoom holds demands for which no executor has room in this step.
+	noRoom []fleet.Resources
+	// sorted are the executors by identifier; nil when there are others.
+	sorted   []*executor
 	limits   map[string]fleet.Resources
 	used     map[string]fleet.Resources
 	orders   []Order
@@ -152,8 +165,11 @@
 	p.expire(now)
 	p.settle(now)
 	p.stopCancelled(now)
-	p.relocate(now)
-	p.watch(now)
+	if !p.mayPause(now, p.sweptAt, sweepEvery) {
+		p.sweptAt = now
+		p.relocate(now)
+		p.watch(now)
+	}
 	p.place(now)
 	p.hold(now)
 	orders := p.orders
@@ -196,7 +212,7 @@
 		want[tenant] = r
 	}
 	for _, g := range p.groups {
-		if !g.ready {
+		if !g.ready || g.job.over() {
 			continue
 		}
 		waiting := int64(g.waiting())
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -48,7 +48,7 @@
 	p.readRuns(now, e, r, ended)
 	e.holdAt = now
 	if len(r.Ended) > 0 {
-		e.holdAt = now.Add(holdPause)
+		e.holdAt = now.Add(min(holdPause+time.Duration(len(p.executors))*holdPauseEach, holdPauseMost))
 	}
 }
 
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -22,17 +22,22 @@
 	loadRetry = 300 * time.Millisecond
 	// backlogLimit bounds the calls that wait for room in a ring.
 	backlogLimit = 4096
+	// stepEvery is the shortest time between two steps, so that one step serves
+	// the events of a busy pool that arrive meanwhile.
+	stepEvery = 3 * time.Millisecond
 	// eventBurst is how many waiting events are handled before the next step.
 	eventBurst = 64
 )
 
 // planner is the state of the duty pools.plan.
 type planner struct {
-	s       *Service
-	now     time.Time
-	catalog *catalog.Catalog
-	pools   map[string]*manager
-	backlog []queued
+	s   *Service
+	now time.Time
+	// steppedAt is when the pools decided last.
+	steppedAt time.Time
+	catalog   *catalog.Catalog
+	pools     map[string]*manager
+	backlog   []queued
 
 	registry []services.RegisteredExecutor
 	// lives are the executors of the registry, of all pools.
@@ -157,6 +162,7 @@
 // step lets all pools decide and returns the time until the next step.
 func (p *planner) step() time.Duration {
 	p.now = p.s.clock()
+	p.steppedAt = p.now
 	p.flush()
 	if p.catalog == nil {
 		p.refreshCatalog()
--- a/services/pools/pools.go
+++ b/services/pools/pools.go
@@ -183,6 +183,10 @@
 			p.refreshCatalog()
 		case <-timer.C:
 		}
+		if rest := stepEvery - s.clock().Sub(p.steppedAt); rest > 0 {
+			timer.Reset(rest)
+			continue
+		}
 		timer.Reset(p.step())
 	}
 }
