Bound moves by the platform's rate; count unknown runs as room that is taken

TestUnknownRunTakesRoom failed before. The bound is now 40% of the orders that the platform takes in a second, from the settings.

--- a/decision/poolplan/accounting_test.go
+++ b/decision/poolplan/accounting_test.go
@@ -45,3 +45,21 @@
 	w.report(Hold{Target: s.Target}, nil)
 	assert.Equal(t, w.plan.Runs(), 0)
 }
+
+// Guards against a start that brings an executor over its capacity: a run of a
+// job that this owner does not know, as one that has ended, takes room that is
+// not known until its end is listed.
+func TestUnknownRunTakesRoom(t *testing.T) {
+	w := newWorld(t, 2)
+	w.plan.Inherit(w.now, executorInfo("1"))
+	w.register("1")
+	w.step()
+	unknown := RunReport{Task: taskID("ended"), Attempt: 3, Percent: 50}
+	w.report(w.takeHold(), []RunReport{unknown})
+	w.job("a", false, step(1))
+	w.pass(time.Second)
+	assert.Equal(t, len(w.stops), 1)
+	assert.Equal(t, len(w.starts), 0, "the unknown run still takes its room")
+	w.report(w.takeHold(), nil, EndReport{Number: 1, Task: unknown.Task, Attempt: 3, Ending: EndedStopped})
+	assert.Equal(t, w.takeStart().Executor, "1")
+}
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -43,6 +43,9 @@
 	fenced bool
 	used   fleet.Resources
 	runs   map[runKey]*run
+	// unknownRuns counts the runs of the last report whose size is not known,
+	// because their job has ended or belongs to another pool.
+	unknownRuns int
 
 	// clock is the executor's clock at clockAt.
 	clock   int64
@@ -130,7 +133,7 @@
 // left on the executor has to be known.
 func (e *executor) accepts() bool {
 	known := e.fenced || !e.inherited
-	return e.listed && e.usable && known && !e.Draining && !e.Cordoned && e.reachable()
+	return e.listed && e.usable && known && e.unknownRuns == 0 && !e.Draining && !e.Cordoned && e.reachable()
 }
 
 // lease returns the end of a lease of d from now on the executor's clock, or
--- a/decision/poolplan/hold.go
+++ b/decision/poolplan/hold.go
@@ -57,12 +57,12 @@
 	if len(e.unsavedEnds) > 0 {
 		return now.Sub(e.heardAt) >= unsavedPause
 	}
-	return len(e.runs) > 0 || e.forgettable() > e.saved
+	return len(e.runs) > 0 || e.unknownRuns > 0 || e.forgettable() > e.saved
 }
 
 func (p *Plan) sendHold(now time.Time, e *executor) {
 	h := Hold{Target: e.target(), LastSeen: e.forgettable(), Wait: holdWait}
-	if len(e.runs) == 0 || !e.reachable() || len(e.unsavedEnds) > 0 || !e.fenced {
+	if len(e.runs)+e.unknownRuns == 0 || !e.reachable() || len(e.unsavedEnds) > 0 || !e.fenced {
 		h.Wait = 0
 	}
 	if len(e.runs) > 0 && e.silent == 0 {
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -69,6 +69,7 @@
 
 // readRuns compares the runs that the executor lists with those planned.
 func (p *Plan) readRuns(now time.Time, e *executor, r Report, ended map[runKey]bool) {
+	e.unknownRuns = 0
 	listed := make(map[runKey]bool, len(r.Running))
 	for _, report := range r.Running {
 		key := runKey{report.Task, report.Attempt}
@@ -126,6 +127,7 @@
 func (p *Plan) adopt(now time.Time, e *executor, report RunReport) *run {
 	t := p.taskOf(report.Task)
 	if t == nil {
+		e.unknownRuns++
 		p.orders = append(p.orders, Stop{Target: e.target(), Task: report.Task, Attempt: report.Attempt, Reason: "unknown task"})
 		return nil
 	}
--- a/decision/sizing/sizing.go
+++ b/decision/sizing/sizing.go
@@ -27,8 +27,6 @@
 	// back to the standby pool. A move and the way back cost as much as two
 	// seconds of a machine.
 	quietTime = time.Second
-	// movesAtOnce bounds the machines that are on their way to one pool.
-	movesAtOnce = 24
 )
 
 // Machine is one machine that may move.
@@ -84,8 +82,9 @@
 	gives []Machine
 }
 
-// Decide returns the moves that the pools need.
-func Decide(pools map[string]Pool, machines []Machine) Plan {
+// Decide returns the moves that the pools need. atOnce bounds the machines that
+// are on their way to one pool.
+func Decide(pools map[string]Pool, machines []Machine, atOnce int) Plan {
 	plan := Plan{Cordon: make(map[string]bool)}
 	states := describe(pools, machines)
 	standby := ""
@@ -95,7 +94,7 @@
 		}
 	}
 	for _, receiver := range receivers(states) {
-		wanted := min(receiver.needAhead()-receiver.have, movesAtOnce-receiver.Incoming)
+		wanted := min(receiver.needAhead()-receiver.have, atOnce-receiver.Incoming)
 		for _, donor := range donors(states, receiver) {
 			for wanted > 0 && plan.give(donor, receiver.name) {
 				wanted--
--- a/decision/sizing/sizing_test.go
+++ b/decision/sizing/sizing_test.go
@@ -38,7 +38,7 @@
 			}
 		}
 		machines = append(machines, machinesOf("idle", "x", rapid.IntRange(0, 8).Draw(t, "idle"), 0)...)
-		plan := Decide(pools, machines)
+		plan := Decide(pools, machines, 24)
 		seen := make(map[string]bool)
 		left := make(map[string]int)
 		byName := make(map[string]Machine)
@@ -83,7 +83,7 @@
 		"a":    {MachineSize: machineCPU, QuietFor: time.Minute},
 	}
 	machines := append(machinesOf("a", "common", 6, 6), machinesOf("a", "rare", 1, 1)...)
-	for _, m := range Decide(pools, machines).Moves {
+	for _, m := range Decide(pools, machines, 24).Moves {
 		assert.Assert(t, m.Machine != "a-rare-0")
 	}
 }
@@ -103,7 +103,7 @@
 		"a":    {Demand: 8 * machineCPU, Ahead: ahead, MachineSize: machineCPU},
 	}
 	machines := append(machinesOf("a", "x", 8, 0), machinesOf("idle", "x", 20, 0)...)
-	assert.Equal(t, len(Decide(pools, machines).Moves), 10)
+	assert.Equal(t, len(Decide(pools, machines, 24).Moves), 10)
 }
 
 // Guards against machines that are fetched for a demand that falls, or that one
--- a/fleethost/fleethost.go
+++ b/fleethost/fleethost.go
@@ -65,7 +65,7 @@
 	k.Register(services.NamePools, pools.New(pools.Settings{Params: params(settings), KeepEnded: keepEnded(settings)}, clock))
 	k.Register(services.NameUpkeep, upkeep.New(upkeep.Settings{
 		Host: settings.NodeName, Maintenance: platform.Seconds(settings.Bounds.MaintenanceS), Move: platform.Seconds(settings.Bounds.MoveS),
-		OrderLease: platform.Milliseconds(settings.Bounds.OrderLeaseMs),
+		OrdersPerSecond: settings.Machines.OrdersPerSecond, OrderLease: platform.Milliseconds(settings.Bounds.OrderLeaseMs),
 	}, clock))
 	k.Register(services.NameJobDesk, jobdesk.New(clock))
 	k.Register(services.NameJobFront, platform.NewJobFront(h.adapter, clock))
--- a/services/upkeep/moves.go
+++ b/services/upkeep/moves.go
@@ -24,6 +24,13 @@
 // work: the registry lists it, and its owner records and reaches it.
 const arrival = time.Second
 
+// moveShare is the part of the orders that the platform takes in a second, in
+// percent, that may be on their way to one pool; others need theirs too.
+const moveShare = 40
+
+// movesAtOnce returns how many machines may be on their way to one pool.
+func (s *Settings) movesAtOnce() int { return max(int(s.OrdersPerSecond*moveShare/100), 1) }
+
 // transit is a move under way.
 type transit struct {
 	to string
@@ -92,7 +99,7 @@
 		p.Ahead = s.trend(now, name, status.Demand).Ahead(s.settings.Move + arrival)
 		pools[name] = p
 	}
-	return sizing.Decide(pools, machines)
+	return sizing.Decide(pools, machines, s.settings.movesAtOnce())
 }
 
 // quiet returns how long a pool has used less than quietPercent of its capacity.
--- a/services/upkeep/upkeep.go
+++ b/services/upkeep/upkeep.go
@@ -54,6 +54,9 @@
 	Maintenance time.Duration
 	// Move is how long a machine is away when it changes its pool.
 	Move time.Duration
+	// OrdersPerSecond is how many orders for machines the platform takes from all
+	// processes together.
+	OrdersPerSecond float64
 	// OrderLease is how long after a takeover no order is given for a machine
 	// that the owner before may have ordered away, so that two processes do not
 	// take turns.
