Disturb links in the soak; keep the settings file of test hosts once

The soak now puts a loopback proxy between each host and the store and before each executor: links are slow, cut, cut one way, connections are reset or silent for good; and the store carries out saves late. The settings file of test hosts and the choice of their addresses stood in two packages and are in standin/fleetplatform.

--- a/fleethost/cluster_test.go
+++ b/fleethost/cluster_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -19,30 +18,6 @@
 	"fuchsiafront.example/fuchsiafront/standin/fleetplatform"
 )
 
-// settingsFile is what the platform hands to a host, less what does not matter
-// here.
-const settingsFile = `
-node-name = %q
-zone = "z1"
-ip = "127.0.0.1"
-[bind-addrs]
-frontend = %q
-ready = %q
-[limits]
-cpu-share = 0.4
-memory-mb = 284
-[bounds]
-grace-s = 6
-hold-max-ms = 3000
-lease-ms = 1000
-status_s = 120
-maintenance-s = 1
-[platform]
-address = %q
-[cloud-api]
-address = %q
-`
-
 const (
 	testHost   = "jobs.example"
 	testPrefix = "/q/"
@@ -86,23 +61,18 @@
 	return c
 }
 
-// freeAddress returns an address with a port that the kernel chose, on a
-// loopback IP of this process alone: on a shared one, another process could take
-// the port before it is used.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, 1+pid&127))
+	address, err := fleetplatform.FreeAddress()
 	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 func (c *cluster) startHost(name string) *host {
 	c.t.Helper()
 	h := &host{jobs: freeAddress(c.t), ready: freeAddress(c.t), ended: make(chan error, 1)}
 	path := filepath.Join(c.t.TempDir(), "node.toml")
-	text := fmt.Sprintf(settingsFile, name, h.jobs, h.ready, c.fleet.Address(), c.fleet.Address())
+	text := fleetplatform.SettingsFile(name, h.jobs, h.ready, c.fleet.Address())
 	assert.NilError(c.t, os.WriteFile(path, []byte(text), 0o600))
 	process, err := New(path, zerolog.InfoLevel, io.Discard, time.Now)
 	assert.NilError(c.t, err)
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -29,28 +28,6 @@
 	callTimeout = 3 * time.Second
 )
 
-const settingsFile = `
-node-name = %q
-zone = "z1"
-ip = "127.0.0.1"
-[bind-addrs]
-frontend = %q
-ready = %q
-[limits]
-cpu-share = 0.4
-memory-mb = 284
-[bounds]
-grace-s = 6
-hold-max-ms = 3000
-lease-ms = 1000
-status_s = 120
-maintenance-s = 1
-[platform]
-address = %q
-[cloud-api]
-address = %q
-`
-
 // soak is the state of one run.
 type soak struct {
 	t         *testing.T
@@ -60,6 +37,9 @@
 	executors []string
 	client    *http.Client
 	version   int
+	// storeLinks are the links of the hosts to the store, and executorLinks those
+	// of all hosts to each executor.
+	storeLinks, executorLinks []*proxy
 
 	// The client's duty owns these until it has ended.
 	accepted, refused map[string]bool
@@ -86,12 +66,18 @@
 	}
 	t.Cleanup(s.fleet.Close)
 	for n := range executorCount {
-		s.executors = append(s.executors, fmt.Sprintf("i-%d", n))
+		id := fmt.Sprintf("i-%d", n)
+		s.executors = append(s.executors, id)
+		link := startProxy(t, s.fleet.ExecutorAddress(id))
+		s.executorLinks = append(s.executorLinks, link)
+		s.fleet.Publish(id, link.address())
 	}
 	s.fleet.Configure(1, testHost, testPrefix, testKey)
 	for n := range hosts {
 		p := &process{t: t, binary: binary, jobs: freeAddress(t), ready: freeAddress(t), path: filepath.Join(t.TempDir(), "node.toml")}
-		text := fmt.Sprintf(settingsFile, fmt.Sprintf("h%d", n), p.jobs, p.ready, s.fleet.Address(), s.fleet.Address())
+		link := startProxy(t, s.fleet.Address())
+		s.storeLinks = append(s.storeLinks, link)
+		text := fleetplatform.SettingsFile(fmt.Sprintf("h%d", n), p.jobs, p.ready, link.address())
 		assert.NilError(t, os.WriteFile(p.path, []byte(text), 0o600))
 		p.log = openLog(t, fmt.Sprintf("h%d.log", n))
 		p.ensure()
@@ -112,15 +98,10 @@
 	return f
 }
 
-// freeAddress returns an address with a port that the kernel chose, on a
-// loopback IP of this process alone: on a shared one, another process could take
-// the port before it is used.
 func freeAddress(t *testing.T) string {
-	pid := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, 1+pid&127))
+	address, err := fleetplatform.FreeAddress()
 	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // ensure starts the process unless it runs, and lets it go on if it is frozen.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -62,7 +62,7 @@
 }
 
 func (s *soak) faults() []fault {
-	return []fault{
+	return append(s.linkFaults(), []fault{
 		{"kill a host", func() func() { return s.signalHost("KILL", "") }},
 		{"stop a host gracefully", func() func() { return s.signalHost("TERM", "") }},
 		{"freeze a host", func() func() { return s.signalHost("STOP", "CONT") }},
@@ -70,6 +70,10 @@
 		{"store down", func() func() { s.fleet.Store.SetDown(true); return func() { s.fleet.Store.SetDown(false) } }},
 		{"store loses replies", func() func() { s.fleet.Store.LoseReplies(1 + s.random.IntN(8)); return func() {} }},
 		{"store forgets its history", func() func() { s.fleet.Store.Forget(); return func() {} }},
+		{"store carries out a save late", func() func() {
+			s.fleet.Store.HoldBack("progress", 1)
+			return func() { s.fleet.Store.Release() }
+		}},
 		{"executor falls silent", func() func() {
 			id := s.executors[s.random.IntN(len(s.executors))]
 			s.fleet.Executor(id).SetMute(true)
@@ -84,7 +88,7 @@
 			s.fleet.Store.PutBytes("servers", "", "i-other", []byte("{"))
 			return func() { s.fleet.Store.Remove("servers", "", "i-other") }
 		}},
-	}
+	}...)
 }
 
 // injectFor injects faults until d has passed. Up to three overlap.
--- a/standin/fleetplatform/fleet.go
+++ b/standin/fleetplatform/fleet.go
@@ -29,6 +29,8 @@
 type served struct {
 	executor *Executor
 	server   *httptest.Server
+	// published is the address in the registry.
+	published string
 }
 
 // Start returns a fleet with n executors whose tasks take work each.
@@ -68,10 +70,26 @@
 	e.Register(mux)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.executors[id] = &served{e, httptest.NewServer(mux)}
+	server := httptest.NewServer(mux)
+	f.executors[id] = &served{e, server, address(server)}
 	return e
 }
 
+// ExecutorAddress returns where an executor listens.
+func (f *Fleet) ExecutorAddress(id string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return address(f.executors[id].server)
+}
+
+// Publish makes the registry show another address of an executor, as that of a
+// proxy before it.
+func (f *Fleet) Publish(id, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.executors[id].published = address
+}
+
 // Executor returns an executor by its identifier.
 func (f *Fleet) Executor(id string) *Executor {
 	f.mu.Lock()
@@ -101,7 +119,7 @@
 	for sequence := 1; ; sequence++ {
 		f.mu.Lock()
 		for id, s := range f.executors {
-			f.Store.Put("servers", "", id, s.executor.Entry(f.Service, address(s.server), sequence))
+			f.Store.Put("servers", "", id, s.executor.Entry(f.Service, s.published, sequence))
 		}
 		f.mu.Unlock()
 		select {
