Let readiness follow the store's answers

Change: a host is not ready while the store has not answered it for 0.3 s. TestReadinessFollowsTheStore fails with Ready always true.

--- a/fleethost/fleethost_test.go
+++ b/fleethost/fleethost_test.go
@@ -130,6 +130,22 @@
 	c.eventually("the job is completed", func() bool { return c.completed(c.hosts[0], jobID(1)) })
 }
 
+// Guards against clients that are sent to a host which cannot record jobs while
+// others can: its readiness follows the store's answers, both ways.
+func TestReadinessFollowsTheStore(t *testing.T) {
+	c := startCluster(t, 1, 1, 50*time.Millisecond)
+	ready := func() bool {
+		resp, err := http.Get("http://" + c.hosts[0].ready + "/fuchsiafront/readyz")
+		assert.NilError(t, err)
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}
+	c.fleet.Store.SetDown(true)
+	c.eventually("the host is not ready", func() bool { return !ready() })
+	c.fleet.Store.SetDown(false)
+	c.eventually("the host is ready again", ready)
+}
+
 // Guards against a save of progress that the store carries out after a later
 // one: it would show a completed job as running again, and a next owner would
 // run its tasks twice.
--- a/services/jobdesk/jobdesk.go
+++ b/services/jobdesk/jobdesk.go
@@ -28,6 +28,10 @@
 	refuseAfter = 120 * time.Millisecond
 	// retryPause separates attempts.
 	retryPause = 30 * time.Millisecond
+	// lostTolerance is how long the store may go without an answer before this
+	// host asks for no more clients. One lost answer is followed by another call
+	// within 200 ms.
+	lostTolerance = 300 * time.Millisecond
 	// answerMargin is kept of a caller's time for the answer.
 	answerMargin = 150 * time.Millisecond
 )
@@ -37,6 +41,7 @@
 	clock     services.Clock
 	log       zerolog.Logger
 	records   services.Records
+	times     services.StoreTimes
 	catalogs  services.Catalogs
 	ownership services.Ownership
 	metrics   services.Metrics
@@ -57,6 +62,9 @@
 	if s.records, err = kernel.Lookup[services.Records](c, services.NamePlatform); err != nil {
 		return err
 	}
+	if s.times, err = kernel.Lookup[services.StoreTimes](c, services.NamePlatform); err != nil {
+		return err
+	}
 	if s.catalogs, err = kernel.Lookup[services.Catalogs](c, services.NameCatalog); err != nil {
 		return err
 	}
@@ -67,6 +75,10 @@
 	return err
 }
 
+// Ready implements services.JobDesk. A host that does not reach the store can
+// neither record a job nor tell its state, and another may.
+func (s *Service) Ready() bool { return s.times.LostFor() < lostTolerance }
+
 // Submit implements services.JobDesk. A repeat under the same identifier finds
 // the record of the first and succeeds.
 func (s *Service) Submit(ctx context.Context, q *catalog.Queue, spec *workload.Spec) error {
--- a/services/records.go
+++ b/services/records.go
@@ -98,6 +98,9 @@
 type StoreTimes interface {
 	// ResponseTime returns how long the store has lately taken for an answer.
 	ResponseTime() time.Duration
+	// LostFor returns for how long no call has been answered; zero while the
+	// last one was.
+	LostFor() time.Duration
 }
 
 // OperatorState is what the operator has set.
@@ -203,6 +206,8 @@
 // JobDesk takes jobs from callers. Errors are faults: class fault.NotRun when
 // the job was not recorded and will not be, fault.Unknown when it may be.
 type JobDesk interface {
+	// Ready reports whether jobs can be recorded and looked up now.
+	Ready() bool
 	Submit(ctx context.Context, q *catalog.Queue, spec *workload.Spec) error
 	State(ctx context.Context, q *catalog.Queue, tenant, id string) (s workload.State, found bool, err error)
 	Cancel(ctx context.Context, q *catalog.Queue, tenant, id string) (found bool, err error)
