--- a/standin/fleetplatform/executor.go
+++ b/standin/fleetplatform/executor.go
@@ -18,6 +18,10 @@
 	// Ended is zero while the run goes on.
 	Ended time.Time
 	How   string
+	// Lapsed tells that the executor's lease was over between the end and the
+	// acknowledgement of it. Such an end does not count: whoever holds the
+	// executor may have given the run up by then.
+	Lapsed bool
 }
 
 // Executor runs tasks under leases. Each task takes Work.
@@ -41,7 +45,7 @@
 
 type endRow struct {
 	number int64
-	run    Run
+	run    *Run
 }
 
 // Record collects the runs of all executors, for checks.
@@ -167,7 +171,7 @@
 	run.Ended, run.How = time.Now(), how
 	e.record.mu.Unlock()
 	e.number++
-	e.ends = append(e.ends, endRow{e.number, *run})
+	e.ends = append(e.ends, endRow{e.number, run})
 	close(e.ended)
 	e.ended = make(chan struct{})
 }
@@ -180,6 +184,11 @@
 	for _, run := range e.runs {
 		e.finish(run, "lapsed")
 	}
+	e.record.mu.Lock()
+	defer e.record.mu.Unlock()
+	for _, end := range e.ends {
+		end.run.Lapsed = true
+	}
 }
 
 func (e *Executor) serveStop(o order) (int, map[string]any) {
