Serve jobs within a tenant's share before its excess

Each team has a share for when the fleet is full, which plans did not use. Jobs beyond a tenant's weight in jobs a second come after those that can be on time and are within it. TestShareComesBeforeExcess fails without the rule.

--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -13,8 +13,11 @@
 type job struct {
 	spec *workload.Spec
 	// inherited jobs may have been started by an earlier owner.
-	inherited   bool
-	cancelled   bool
+	inherited bool
+	cancelled bool
+	// beyondShare jobs start after those that can be on time and are within the
+	// share of their tenant.
+	beyondShare bool
 	occurrences []*occurrence
 	progress    workload.Progress
 	begun       bool
@@ -152,7 +155,7 @@
 	if _, ended := p.ended[spec.ID]; ended || p.jobs[spec.ID] != nil || progress.State.Ended() {
 		return
 	}
-	j := &job{spec: spec, inherited: inherited, progress: progress}
+	j := &job{spec: spec, inherited: inherited, progress: progress, beyondShare: p.beyondShare(spec)}
 	for k := range spec.Occurrences() {
 		j.occurrences = append(j.occurrences, newOccurrence(j, k))
 	}
--- a/decision/poolplan/order.go
+++ b/decision/poolplan/order.go
@@ -77,7 +77,8 @@
 	return true
 }
 
-// compareGroups orders groups: first the jobs that can still be on time, then
+// compareGroups orders groups: first the jobs that can still be on time and are
+// within their tenant's share, then
 // by priority, then jobs under way, then the oldest.
 func compareGroups(a, b *group) int {
 	if a.job != b.job {
@@ -109,6 +110,9 @@
 	end := now.Add(p.remaining(j.spec, g.stepNo))
 	switch {
 	case !end.After(j.spec.Accepted.Add(allowance)):
+		if j.beyondShare {
+			return late
+		}
 		return onTime
 	case !end.After(j.spec.Accepted.Add(lateFactor * allowance)):
 		return late
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -91,6 +91,8 @@
 	// advising counts the open calls for advice.
 	advising int
 	events   []Event
+	// shares holds what each tenant has left of its share.
+	shares map[string]*shareBucket
 	// learned holds the durations of tasks by queue.
 	learned map[string]*durations
 }
@@ -121,6 +123,7 @@
 		limits:    make(map[string]fleet.Resources),
 		used:      make(map[string]fleet.Resources),
 		unsaved:   make(map[string]*job),
+		shares:    make(map[string]*shareBucket),
 		learned:   make(map[string]*durations),
 		takeover:  now,
 		settled:   term <= 1,
