Count acknowledged ends in the soak; collect garbage less often

The rule speaks of ends that are taken note of, so the stand-in records which are, and at most one of a task may be. Each task of a completed job has to have been done; that was not checked before. A profile of one host with 60 executors and 1,280 starts a second shows 23% of the processor time in garbage collection; the heap may now grow to 3.5 times its use, under the memory limit as before.

--- a/fleethost/fleethost.go
+++ b/fleethost/fleethost.go
@@ -26,6 +26,10 @@
 )
 
 const (
+	// gcPercent lets the heap grow to three and a half times what is in use before
+	// it is collected: a busy owner spent a quarter of its processor time on
+	// collections of a heap of some 15 MB.
+	gcPercent = 250
 	// memoryShare is the part of the machine's memory, in percent, above which
 	// the garbage collector works harder.
 	memoryShare = 60
@@ -84,6 +88,7 @@
 
 // Run serves until the process is told to stop.
 func (h *Host) Run() error {
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(h.adapter.Settings().Limits.MemoryMB << 20 * memoryShare / 100)
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer cancel()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -155,16 +155,25 @@
 	runs := s.fleet.Record.Runs()
 	assert.Equal(s.t, len(fleetplatform.Overlaps(runs)), 0, "seed %d: %v", *seed, fleetplatform.Overlaps(runs))
 	done := make(map[string]int)
+	noted := make(map[string]int)
 	ran := make(map[string]bool)
 	for _, r := range runs {
 		ran[fleetplatform.JobOf(r.Task)] = true
-		if r.How == "done" && !r.Lapsed {
+		if r.How == "done" {
 			done[r.Task]++
 		}
+		if r.How == "done" && r.Noted {
+			noted[r.Task]++
+		}
 	}
-	for task, n := range done {
+	for task, n := range noted {
 		assert.Assert(s.t, n == 1, "seed %d: task %s was done %d times", *seed, task, n)
 	}
+	for id := range s.accepted {
+		for _, task := range []string{".0.0.0", ".0.0.1", ".0.1.0"} {
+			assert.Assert(s.t, done[id+task] > 0, "seed %d: job %s is completed, its task %s was never done", *seed, id, task)
+		}
+	}
 	for id := range s.refused {
 		assert.Assert(s.t, !ran[id], "seed %d: job %s was refused and has run", *seed, id)
 	}
--- a/standin/fleetplatform/executor.go
+++ b/standin/fleetplatform/executor.go
@@ -18,10 +18,10 @@
 	// Ended is zero while the run goes on.
 	Ended time.Time
 	How   string
-	// Lapsed tells that the executor's lease was over between the end and the
-	// acknowledgement of it. Such an end does not count: whoever holds the
-	// executor may have given the run up by then.
-	Lapsed bool
+	// Noted tells that the end was acknowledged, and that the executor's lease was
+	// not over in between. Another end does not count: whoever holds the executor
+	// may have given the run up by then.
+	Noted bool
 }
 
 // Executor runs tasks under leases. Each task takes Work.
@@ -46,6 +46,8 @@
 type endRow struct {
 	number int64
 	run    *Run
+	// lapsed tells that the lease was over after the end.
+	lapsed bool
 }
 
 // Record collects the runs of all executors, for checks.
@@ -171,7 +173,7 @@
 	run.Ended, run.How = time.Now(), how
 	e.record.mu.Unlock()
 	e.number++
-	e.ends = append(e.ends, endRow{e.number, run})
+	e.ends = append(e.ends, endRow{number: e.number, run: run})
 	close(e.ended)
 	e.ended = make(chan struct{})
 }
@@ -184,10 +186,8 @@
 	for _, run := range e.runs {
 		e.finish(run, "lapsed")
 	}
-	e.record.mu.Lock()
-	defer e.record.mu.Unlock()
-	for _, end := range e.ends {
-		end.run.Lapsed = true
+	for i := range e.ends {
+		e.ends[i].lapsed = true
 	}
 }
 
@@ -207,9 +207,7 @@
 	e.mu.Lock()
 	e.expire()
 	e.lease = max(e.lease, o.LeaseUntil)
-	for len(e.ends) > 0 && e.ends[0].number <= o.LastSeen {
-		e.ends = e.ends[1:]
-	}
+	e.acknowledge(o.LastSeen)
 	ended := e.ended
 	listed := len(e.ends) > 0
 	e.mu.Unlock()
@@ -224,6 +222,16 @@
 	return http.StatusOK, e.report()
 }
 
+// acknowledge forgets the ends up to a number. The caller holds the lock.
+func (e *Executor) acknowledge(number int64) {
+	e.record.mu.Lock()
+	defer e.record.mu.Unlock()
+	for len(e.ends) > 0 && e.ends[0].number <= number {
+		e.ends[0].run.Noted = !e.ends[0].lapsed
+		e.ends = e.ends[1:]
+	}
+}
+
 func (e *Executor) report() map[string]any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
