--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -153,10 +153,17 @@
 
 // heard records an answer.
 func (e *executor) heard(now time.Time, o Outcome) {
+	// A busy owner takes an answer in some time after its arrival; what it says
+	// is not newer for that.
+	if !o.ReceivedAt.IsZero() {
+		now = o.ReceivedAt
+	}
 	if o.ClockMs > 0 && (e.clockAt.IsZero() || o.SentAt.After(e.clockAt)) {
 		e.clock, e.clockAt = o.ClockMs, now
 	}
-	e.heardAt = now
+	if now.After(e.heardAt) {
+		e.heardAt = now
+	}
 }
 
 // inheritLease notes that an earlier owner may have granted a lease up to now.
--- a/decision/poolplan/orders.go
+++ b/decision/poolplan/orders.go
@@ -117,6 +117,8 @@
 	Answer  Answer
 	ClockMs int64
 	SentAt  time.Time
+	// ReceivedAt is when the answer arrived; zero means when it is taken in.
+	ReceivedAt time.Time
 }
 
 // RunReport is one run that an executor lists.
