--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -29,6 +29,7 @@
 
 // StartDone records the answer to a start.
 func (p *Plan) StartDone(now time.Time, s Start, o Outcome) {
+	p.openStarts--
 	e := p.find(s.Target)
 	if e == nil {
 		return
@@ -124,6 +125,7 @@
 	s.LeaseUntil = max(s.LeaseUntil, e.lease(now, p.leaseTerm(now)))
 	e.grant(now, s.LeaseUntil)
 	s.Reason = "repeat"
+	p.openStarts++
 	p.orders = append(p.orders, s)
 }
 
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -57,6 +57,7 @@
 	holding    bool
 	holdAt     time.Time
 	heardAt    time.Time
+	probedAt   time.Time
 	silent     int
 	unanswered time.Time
 	seen       int64
--- a/decision/poolplan/hold.go
+++ b/decision/poolplan/hold.go
@@ -7,6 +7,10 @@
 // stopRetry separates stops of one run while they are not confirmed.
 const stopRetry = 500 * time.Millisecond
 
+// idleProbe separates reports that are asked of an executor which did not answer
+// and runs nothing, until it answers or leaves the registry.
+const idleProbe = time.Second
+
 // leaseTerm is the lease that is asked for. It leaves room for the difference
 // between the clocks, and ends before a successor takes it for over.
 func (p *Plan) leaseTerm(now time.Time) time.Duration {
@@ -54,6 +58,9 @@
 	if e.inherited && !e.fenced {
 		return true
 	}
+	if e.listed && !e.reachable() && len(e.runs) == 0 {
+		return now.Sub(e.probedAt) >= idleProbe
+	}
 	if len(e.unsavedEnds) > 0 {
 		return now.Sub(e.heardAt) >= unsavedPause
 	}
@@ -73,7 +80,7 @@
 	if h.LeaseUntil > 0 {
 		e.grant(now, h.LeaseUntil)
 	}
-	e.holding = true
+	e.holding, e.probedAt = true, now
 	e.saved = h.LastSeen
 	p.orders = append(p.orders, h)
 }
--- a/decision/poolplan/order.go
+++ b/decision/poolplan/order.go
@@ -13,6 +13,9 @@
 	rankEvery = 100 * time.Millisecond
 	// regroupEvery separates renewals because groups have come or gone.
 	regroupEvery = 10 * time.Millisecond
+	// regroupEach is added for each group, because the time that it takes grows
+	// with their number.
+	regroupEach = 50 * time.Microsecond
 	// sweepEvery separates looks at all runs.
 	sweepEvery = 50 * time.Millisecond
 	// fewJobs is the number of jobs up to which nothing of this is put off.
@@ -29,7 +32,7 @@
 func (p *Plan) refreshGroups(now time.Time) {
 	pause := rankEvery
 	if p.regroup {
-		pause = regroupEvery
+		pause = min(regroupEvery+time.Duration(len(p.groups))*regroupEach, rankEvery)
 	}
 	if p.mayPause(now, p.groupedAt, pause) {
 		return
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -21,6 +21,11 @@
 	weightLeaving = 6000
 )
 
+// maxOpenStarts is how many starts may wait for their answers. A host that is
+// short of processor time answers its own queue of orders ever later, while
+// leases run out; 2,000 starts a second that take 5 ms each leave 10 open.
+const maxOpenStarts = 160
+
 // place starts as many tasks as there is room for.
 func (p *Plan) place(now time.Time) {
 	if p.catalog == nil {
@@ -40,6 +45,9 @@
 		if g.job.over() || g.waiting() == 0 {
 			continue
 		}
+		if p.openStarts >= maxOpenStarts {
+			return
+		}
 		p.noteWait(now, g, p.placeGroup(now, g, candidates))
 	}
 }
@@ -311,6 +319,7 @@
 	if g.advice != nil {
 		s.Ticket = g.advice.allowed[e.ID]
 	}
+	p.openStarts++
 	p.orders = append(p.orders, s)
 }
 
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -33,7 +33,7 @@
 	// holdPauseMost.
 	holdPause     = 20 * time.Millisecond
 	holdPauseEach = time.Millisecond
-	holdPauseMost = 100 * time.Millisecond
+	holdPauseMost = 250 * time.Millisecond
 	// unsavedPause separates reports while ends wait to be saved, because the
 	// executor answers at once while it has ends to list.
 	unsavedPause = 700 * time.Millisecond
@@ -91,6 +91,8 @@
 	// advising counts the open calls for advice.
 	advising int
 	events   []Event
+	// openStarts counts the starts that have not been answered.
+	openStarts int
 	// shares holds what each tenant has left of its share.
 	shares map[string]*shareBucket
 	// learned holds the durations of tasks by queue.
--- a/decision/poolplan/silence_test.go
+++ b/decision/poolplan/silence_test.go
@@ -77,3 +77,22 @@
 	assert.Equal(t, len(w.starts), 0)
 	assert.Equal(t, w.plan.Saves(1)[0].Progress.State, workload.Completed)
 }
+
+// Guards against executors that are never used again: one that did not answer
+// once and runs nothing was not asked for a report any more, and when that
+// happened to all of a pool, its jobs waited for ever.
+func TestIdleSilentExecutorIsAskedAgain(t *testing.T) {
+	w := newWorld(t, 1)
+	w.register("1")
+	w.job("a", false, step(1))
+	w.step()
+	w.plan.StartDone(w.now, w.takeStart(), w.outcome(NotSent))
+	w.plan.HoldDone(w.now, w.takeHold(), Report{Outcome: w.outcome(NoAnswer)})
+	for range 30 {
+		w.pass(100 * time.Millisecond)
+		for range len(w.holds) {
+			w.report(w.takeHold(), nil)
+		}
+	}
+	assert.Equal(t, w.takeStart().Executor, "1")
+}
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -25,6 +25,10 @@
 	// stepEvery is the shortest time between two steps, so that one step serves
 	// the events of a busy pool that arrive meanwhile.
 	stepEvery = 3 * time.Millisecond
+	// stepShare is how many times as long as the last step took the next one
+	// waits, so that decisions leave a host that is short of processor time
+	// enough for its calls.
+	stepShare = 4
 	// eventBurst is how many waiting events are handled before the next step.
 	eventBurst = 64
 )
@@ -35,6 +39,8 @@
 	now time.Time
 	// steppedAt is when the pools decided last.
 	steppedAt time.Time
+	// stepTook is how long that took.
+	stepTook time.Duration
 	catalog   *catalog.Catalog
 	pools     map[string]*manager
 	backlog   []queued
--- a/services/pools/pools.go
+++ b/services/pools/pools.go
@@ -183,10 +183,12 @@
 			p.refreshCatalog()
 		case <-timer.C:
 		}
-		if rest := stepEvery - s.clock().Sub(p.steppedAt); rest > 0 {
+		now := s.clock()
+		if rest := max(stepEvery, stepShare*p.stepTook) - now.Sub(p.steppedAt); rest > 0 {
 			timer.Reset(rest)
 			continue
 		}
 		timer.Reset(p.step())
+		p.stepTook = s.clock().Sub(now)
 	}
 }
