--- a/decision/ownership/ownership.go
+++ b/decision/ownership/ownership.go
@@ -38,7 +38,7 @@
 	// away no work arrives, so that little is lost when it lasts longer.
 	Lapse = 4500 * time.Millisecond
 	// fullPower is the processor share, in cores, from which on a host claims
-	// without that delay.
+	// without delay for want of power while no owner's is known.
 	fullPower = 0.8
 )
 
@@ -48,7 +48,7 @@
 	load time.Duration
 	// draw is the largest delay drawn from the names of pool and host.
 	draw time.Duration
-	// power is the largest delay of a host with little processor time.
+	// power is the largest delay of a host with less processor time than others.
 	power time.Duration
 }
 
@@ -58,11 +58,11 @@
 	firstSpread = spread{load: 350 * time.Millisecond, draw: 250 * time.Millisecond, power: 2 * time.Second}
 	// silentSpread is for a pool whose owner is silent. Hosts look at the owner
 	// records every 200 ms, and at different times.
-	silentSpread = spread{load: 220 * time.Millisecond, draw: 200 * time.Millisecond, power: 300 * time.Millisecond}
-	// releasedSpread is for a pool that was given up. All hosts see that at the
-	// same time, so that shorter delays tell them apart, and nothing runs the
-	// pool meanwhile.
-	releasedSpread = spread{load: 120 * time.Millisecond, draw: 60 * time.Millisecond, power: 200 * time.Millisecond}
+	silentSpread = spread{load: 220 * time.Millisecond, draw: 200 * time.Millisecond, power: 800 * time.Millisecond}
+	// releasedSpread is for a pool that was given up. Nothing runs the pool
+	// meanwhile, so that the delays are short, but a host with a quarter of the
+	// processor time waits for longer than hosts look apart.
+	releasedSpread = spread{load: 120 * time.Millisecond, draw: 60 * time.Millisecond, power: 800 * time.Millisecond}
 )
 
 // TakeoverAfter returns how long a record stays unchanged before its pool is
@@ -95,6 +95,9 @@
 	// Power is the processor share of the host, in cores.
 	Power float64
 	Owned int
+	// Strongest is the largest processor share of the owners that are known;
+	// zero when there is none.
+	Strongest float64
 	// Response is how long the store takes for an answer.
 	Response time.Duration
 }
@@ -119,7 +122,11 @@
 // delay returns how long a host waits before it claims a pool that is free.
 func (s spread) delay(pool string, h Host) time.Duration {
 	draw := float64(xxhash.Sum64String(pool+"\x00"+h.Name)%1024) / 1024
-	weakness := max(0, fullPower-h.Power) / fullPower
+	full := fullPower
+	if h.Strongest > 0 {
+		full = h.Strongest
+	}
+	weakness := max(0, full-h.Power) / full
 	return time.Duration(h.Owned)*s.load +
 		time.Duration(draw*float64(s.draw)) +
 		time.Duration(weakness*float64(s.power))
--- a/decision/ownership/ownership_test.go
+++ b/decision/ownership/ownership_test.go
@@ -61,6 +61,7 @@
 func TestReleasedPoolIsClaimedSoon(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		host := Host{Name: rapid.String().Draw(t, "host"), Power: rapid.Float64Range(0.1, 2).Draw(t, "power"), Owned: 1}
+		host.Strongest = host.Power
 		ok, _ := Claim(rapid.String().Draw(t, "pool"), Record{Released: true, Free: 500 * time.Millisecond}, host)
 		assert.Assert(t, ok)
 	})
@@ -75,3 +76,16 @@
 	assert.Assert(t, !ok)
 	assert.Assert(t, between < SilentAfter(response))
 }
+
+// Guards against a busy pool that ends up on the host with the least processor
+// time when hosts are stopped in turn: a host that looks 200 ms later than a weak
+// one still claims before it.
+func TestReleasedPoolGoesToStrongHost(t *testing.T) {
+	const lookedLater = 200 * time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		pool := rapid.String().Draw(t, "pool")
+		weak := Host{Name: rapid.String().Draw(t, "weak"), Power: 0.192, Strongest: 0.8}
+		strong := Host{Name: rapid.String().Draw(t, "strong"), Power: 0.8, Strongest: 0.8, Owned: 1}
+		assert.Assert(t, releasedSpread.delay(pool, weak) > releasedSpread.delay(pool, strong)+lookedLater)
+	})
+}
--- a/services/ownership/claim.go
+++ b/services/ownership/claim.go
@@ -33,7 +33,7 @@
 
 // claimAll takes the pools over for which it is this host's turn.
 func (s *Service) claimAll(ctx context.Context) {
-	host := ownership.Host{Name: s.settings.Host, Power: s.settings.Power, Owned: len(s.Tenures()), Response: s.times.ResponseTime()}
+	host := ownership.Host{Name: s.settings.Host, Power: s.settings.Power, Owned: len(s.Tenures()), Strongest: s.strongest(), Response: s.times.ResponseTime()}
 	now := s.clock()
 	var writes []*write
 	for _, p := range s.pools {
@@ -55,7 +55,7 @@
 		p.claimedAt = now
 		// The next pool of this round is claimed as if this one was owned.
 		host.Owned++
-		next := jobrecord.OwnerRecord{Holder: s.settings.Host, Incarnation: s.settings.Incarnation, Term: p.record.Term + 1}
+		next := jobrecord.OwnerRecord{Holder: s.settings.Host, Incarnation: s.settings.Incarnation, Term: p.record.Term + 1, Power: s.settings.Power}
 		writes = append(writes, &write{pool: p, next: next, takeover: true, reason: reason})
 	}
 	if !s.writeAll(ctx, writes) {
@@ -66,6 +66,18 @@
 	}
 }
 
+// strongest returns the largest processor share of the owners that are known.
+func (s *Service) strongest() float64 {
+	power := 0.0
+	for _, p := range s.pools {
+		power = max(power, p.record.Power)
+	}
+	if power == 0 {
+		return 0
+	}
+	return max(power, s.settings.Power)
+}
+
 // claimed takes in the answer to a claim.
 func (s *Service) claimed(w *write) {
 	p := w.pool
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -41,9 +41,9 @@
 	steppedAt time.Time
 	// stepTook is how long that took.
 	stepTook time.Duration
-	catalog   *catalog.Catalog
-	pools     map[string]*manager
-	backlog   []queued
+	catalog  *catalog.Catalog
+	pools    map[string]*manager
+	backlog  []queued
 
 	registry []services.RegisteredExecutor
 	// lives are the executors of the registry, of all pools.
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -10,6 +10,8 @@
 
 // OwnerRecord names the process that owns a pool.
 type OwnerRecord struct {
+	// Power is the processor share of the holder, in cores.
+	Power float64 `json:"power,omitempty"`
 	// Holder is the name of the host; Incarnation tells its processes apart.
 	Holder      string `json:"holder"`
 	Incarnation int64  `json:"incarnation"`
