Take a machine for empty only if all of its executors are

Change: the use of a machine is that of all its executors. TestMachineWithNewLifeIsNotEmpty fails without the change.

--- a/decision/poolplan/accounting_test.go
+++ b/decision/poolplan/accounting_test.go
@@ -63,3 +63,24 @@
 	w.report(w.takeHold(), nil, EndReport{Number: 1, Task: unknown.Task, Attempt: 3, Ending: EndedStopped})
 	assert.Equal(t, w.takeStart().Executor, "1")
 }
+
+// Guards against an order for a machine on which tasks run: the registry lists
+// the life before its maintenance for some seconds, and nothing runs on that one.
+func TestMachineWithNewLifeIsNotEmpty(t *testing.T) {
+	w := newWorld(t, 1)
+	old, next := executorInfo("1"), executorInfo("2")
+	old.Machine, next.Machine, next.Born = "m", "m", 2000
+	w.plan.SetExecutors(w.now, []Executor{old, next})
+	w.plan.Recorded(w.plan.Recordable())
+	old.Draining = true
+	w.plan.SetExecutors(w.now, []Executor{old, next})
+	w.job("a", false, step(1))
+	w.step()
+	assert.Equal(t, w.takeStart().Executor, "2")
+	old.Cordoned, next.Cordoned = true, true
+	w.plan.SetExecutors(w.now, []Executor{old, next})
+	w.step()
+	u := w.plan.Uses()["m"]
+	assert.Equal(t, u.Tasks, 1)
+	assert.Assert(t, !u.Empty)
+}
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -181,30 +181,44 @@
 	return float64(e.clock)+elapsed > float64(e.leaseUntil+lapseMargin.Milliseconds())
 }
 
-// Use is how much of an executor is in use.
+// Use is how much of a machine is in use.
 type Use struct {
 	MilliCPU        int64
 	Tasks, Services int
-	// Empty tells that it is cordoned, that nothing runs on it, and that
+	// Empty tells that the machine is cordoned, that nothing runs on it, and that
 	// nothing will start.
 	Empty bool
 }
 
-// Uses returns the use of each listed executor by its identifier.
+// Uses returns the use of each machine by its name. The registry may list an
+// earlier life beside the present one for some seconds, so that a machine is
+// empty only if all of its executors are.
 func (p *Plan) Uses() map[string]Use {
 	uses := make(map[string]Use, len(p.executors))
-	for id, e := range p.executors {
-		if !e.listed {
-			continue
-		}
-		u := Use{MilliCPU: e.used.MilliCPU, Tasks: len(e.runs)}
+	inUse := make(map[string]bool)
+	for _, e := range p.executors {
+		u := uses[e.Machine]
+		u.MilliCPU += e.used.MilliCPU
+		u.Tasks += len(e.runs) + e.unknownRuns
 		for _, r := range e.runs {
 			if r.task.group.step.Service {
 				u.Services++
 			}
 		}
-		u.Empty = e.Cordoned && len(e.runs) == 0 && (e.fenced || !e.inherited) && p.settled
-		uses[id] = u
+		switch {
+		case len(e.runs)+e.unknownRuns > 0:
+			inUse[e.Machine] = true
+		case e.listed && e.Cordoned && p.settled && (e.fenced || !e.inherited):
+			u.Empty = true
+		case e.listed:
+			inUse[e.Machine] = true
+		}
+		uses[e.Machine] = u
+	}
+	for machine := range inUse {
+		u := uses[machine]
+		u.Empty = false
+		uses[machine] = u
 	}
 	return uses
 }
--- a/services/pools/status.go
+++ b/services/pools/status.go
@@ -43,15 +43,10 @@
 	pending, begun := m.plan.Pending()
 	record := jobrecord.StatusRecord{Term: m.tenure.Term, Cordons: m.cordonVer, Pending: pending, Begun: begun, Machines: make(map[string]jobrecord.MachineUse)}
 	record.Demand, record.Capacity = m.plan.Load()
-	uses := m.plan.Uses()
-	for _, x := range p.registry {
-		u, ok := uses[x.ID]
-		if !ok || x.Service != m.pool {
-			continue
-		}
-		record.Machines[x.Machine] = jobrecord.MachineUse{MilliCPU: u.MilliCPU, Tasks: u.Tasks, Services: u.Services}
+	for machine, u := range m.plan.Uses() {
+		record.Machines[machine] = jobrecord.MachineUse{MilliCPU: u.MilliCPU, Tasks: u.Tasks, Services: u.Services}
 		if u.Empty {
-			record.Empty = append(record.Empty, x.Machine)
+			record.Empty = append(record.Empty, machine)
 		}
 	}
 	slices.Sort(record.Empty)
