--- a/decision/poolplan/accounting_test.go
+++ b/decision/poolplan/accounting_test.go
@@ -80,7 +80,7 @@
 	old.Cordoned, next.Cordoned = true, true
 	w.plan.SetExecutors(w.now, []Executor{old, next})
 	w.step()
-	u := w.plan.Uses()["m"]
+	u := w.plan.MachineUses()["m"]
 	assert.Equal(t, u.Tasks, 1)
 	assert.Assert(t, !u.Empty)
 }
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -181,63 +181,6 @@
 	return float64(e.clock)+elapsed > float64(e.leaseUntil+lapseMargin.Milliseconds())
 }
 
-// Use is how much of a machine is in use.
-type Use struct {
-	MilliCPU        int64
-	Tasks, Services int
-	// Empty tells that the machine is cordoned, that nothing runs on it, and that
-	// nothing will start.
-	Empty bool
-}
-
-// Uses returns the use of each machine by its name. The registry may list an
-// earlier life beside the present one for some seconds, so that a machine is
-// empty only if all of its executors are.
-func (p *Plan) Uses() map[string]Use {
-	uses := make(map[string]Use, len(p.executors))
-	inUse := make(map[string]bool)
-	for _, e := range p.executors {
-		u := uses[e.Machine]
-		u.MilliCPU += e.used.MilliCPU
-		u.Tasks += len(e.runs) + e.unknownRuns
-		for _, r := range e.runs {
-			if r.task.group.step.Service {
-				u.Services++
-			}
-		}
-		switch {
-		case len(e.runs)+e.unknownRuns > 0:
-			inUse[e.Machine] = true
-		case e.listed && e.Cordoned && p.settled && (e.fenced || !e.inherited):
-			u.Empty = true
-		case e.listed:
-			inUse[e.Machine] = true
-		}
-		uses[e.Machine] = u
-	}
-	for machine := range inUse {
-		u := uses[machine]
-		u.Empty = false
-		uses[machine] = u
-	}
-	return uses
-}
-
-// Load returns the processor demand of what runs and what could run now, and
-// the capacity of the executors that are in service, in thousandths.
-func (p *Plan) Load() (demand, capacity int64) {
-	_, want := p.Use()
-	for _, r := range want {
-		demand += r.MilliCPU
-	}
-	for _, e := range p.executors {
-		if e.accepts() {
-			capacity += e.Capacity.MilliCPU
-		}
-	}
-	return demand, capacity
-}
-
 // SetExecutors replaces the registry's view of the pool. Executors that are
 // not listed any more keep their runs until these are certainly over.
 func (p *Plan) SetExecutors(now time.Time, listed []Executor) {
--- /dev/null
+++ b/decision/poolplan/gang.go
@@ -0,0 +1,65 @@
+package poolplan
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// placeGang starts all members of a gang, or none.
+func (p *Plan) placeGang(now time.Time, g *group, candidates []*executor) wait {
+	for _, t := range g.tasks {
+		switch {
+		case t.done || len(t.runs) > 0:
+			return waitMembers
+		case t.lost && p.stale:
+			return waitSuccessor
+		}
+	}
+	if !p.withinLimit(g, int64(len(g.tasks))) {
+		return waitLimit
+	}
+	places := p.gangPlaces(g, candidates)
+	if places == nil {
+		return waitRoom
+	}
+	attempt := 0
+	for _, t := range g.tasks {
+		attempt = max(attempt, p.nextAttempt(t))
+	}
+	for i, t := range g.tasks {
+		p.start(now, t, places[i], attempt)
+	}
+	return waitNone
+}
+
+// gangPlaces returns an executor for each member, in one rack if the step asks
+// for it and there is one with room.
+func (p *Plan) gangPlaces(g *group, candidates []*executor) []*executor {
+	if g.step.OneRack {
+		byRack := make(map[string][]*executor)
+		for _, e := range candidates {
+			byRack[e.Rack] = append(byRack[e.Rack], e)
+		}
+		for _, rack := range slices.Sorted(maps.Keys(byRack)) {
+			if places := p.fitGang(g, byRack[rack]); places != nil {
+				return places
+			}
+		}
+	}
+	return p.fitGang(g, candidates)
+}
+
+func (p *Plan) fitGang(g *group, candidates []*executor) []*executor {
+	planned := make(map[*executor]int)
+	places := make([]*executor, 0, len(g.tasks))
+	for _, t := range g.tasks {
+		e := p.choose(g, t, candidates, planned)
+		if e == nil {
+			return nil
+		}
+		planned[e]++
+		places = append(places, e)
+	}
+	return places
+}
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -207,30 +207,6 @@
 	return max(lease+lapseMargin-p.silent, 0)
 }
 
-// Use returns what the tenants have running here, the largest demand that
-// could start at once included in want.
-func (p *Plan) Use() (used, want map[string]fleet.Resources) {
-	used = make(map[string]fleet.Resources, len(p.used))
-	want = make(map[string]fleet.Resources, len(p.used))
-	for tenant, r := range p.used {
-		used[tenant] = r
-		want[tenant] = r
-	}
-	for _, g := range p.groups {
-		if !g.ready || g.job.over() {
-			continue
-		}
-		waiting := int64(g.waiting())
-		size := g.step.Size
-		want[g.job.spec.Tenant] = want[g.job.spec.Tenant].Add(fleet.Resources{
-			MilliCPU:     size.MilliCPU * waiting,
-			MemoryBytes:  size.MemoryBytes * waiting,
-			Accelerators: size.Accelerators * waiting,
-		})
-	}
-	return used, want
-}
-
 // Settled reports whether all work of earlier owners is accounted for.
 func (p *Plan) Settled() bool { return p.settled }
 
--- /dev/null
+++ b/decision/poolplan/use.go
@@ -0,0 +1,84 @@
+package poolplan
+
+import "fuchsiafront.example/fuchsiafront/fleet"
+
+// TenantUse returns what the tenants have running here, the largest demand that
+// could start at once included in want.
+func (p *Plan) TenantUse() (used, want map[string]fleet.Resources) {
+	used = make(map[string]fleet.Resources, len(p.used))
+	want = make(map[string]fleet.Resources, len(p.used))
+	for tenant, r := range p.used {
+		used[tenant] = r
+		want[tenant] = r
+	}
+	for _, g := range p.groups {
+		if !g.ready || g.job.over() {
+			continue
+		}
+		waiting := int64(g.waiting())
+		size := g.step.Size
+		want[g.job.spec.Tenant] = want[g.job.spec.Tenant].Add(fleet.Resources{
+			MilliCPU:     size.MilliCPU * waiting,
+			MemoryBytes:  size.MemoryBytes * waiting,
+			Accelerators: size.Accelerators * waiting,
+		})
+	}
+	return used, want
+}
+
+// MachineUse is how much of a machine is in use.
+type MachineUse struct {
+	MilliCPU        int64
+	Tasks, Services int
+	// Empty tells that the machine is cordoned, that nothing runs on it, and that
+	// nothing will start.
+	Empty bool
+}
+
+// MachineUses returns the use of each machine by its name. The registry may list an
+// earlier life beside the present one for some seconds, so that a machine is
+// empty only if all of its executors are.
+func (p *Plan) MachineUses() map[string]MachineUse {
+	uses := make(map[string]MachineUse, len(p.executors))
+	inUse := make(map[string]bool)
+	for _, e := range p.executors {
+		u := uses[e.Machine]
+		u.MilliCPU += e.used.MilliCPU
+		u.Tasks += len(e.runs) + e.unknownRuns
+		for _, r := range e.runs {
+			if r.task.group.step.Service {
+				u.Services++
+			}
+		}
+		switch {
+		case len(e.runs)+e.unknownRuns > 0:
+			inUse[e.Machine] = true
+		case e.listed && e.Cordoned && p.settled && (e.fenced || !e.inherited):
+			u.Empty = true
+		case e.listed:
+			inUse[e.Machine] = true
+		}
+		uses[e.Machine] = u
+	}
+	for machine := range inUse {
+		u := uses[machine]
+		u.Empty = false
+		uses[machine] = u
+	}
+	return uses
+}
+
+// Load returns the processor demand of what runs and what could run now, and
+// the capacity of the executors that are in service, in thousandths.
+func (p *Plan) Load() (demand, capacity int64) {
+	_, want := p.TenantUse()
+	for _, r := range want {
+		demand += r.MilliCPU
+	}
+	for _, e := range p.executors {
+		if e.accepts() {
+			capacity += e.Capacity.MilliCPU
+		}
+	}
+	return demand, capacity
+}
--- a/services/pools/limits.go
+++ b/services/pools/limits.go
@@ -110,7 +110,7 @@
 		if m.plan == nil {
 			continue
 		}
-		used, want := m.plan.Use()
+		used, want := m.plan.TenantUse()
 		demands[name] = poolDemand{m.plan.Settled(), used, want}
 	}
 	return demands
--- a/services/pools/status.go
+++ b/services/pools/status.go
@@ -43,7 +43,7 @@
 	pending, begun := m.plan.Pending()
 	record := jobrecord.StatusRecord{Term: m.tenure.Term, Cordons: m.cordonVer, Pending: pending, Begun: begun, Machines: make(map[string]jobrecord.MachineUse)}
 	record.Demand, record.Capacity = m.plan.Load()
-	for machine, u := range m.plan.Uses() {
+	for machine, u := range m.plan.MachineUses() {
 		record.Machines[machine] = jobrecord.MachineUse{MilliCPU: u.MilliCPU, Tasks: u.Tasks, Services: u.Services}
 		if u.Empty {
 			record.Empty = append(record.Empty, machine)
