Ask members whose confirmation is missing, whatever others relay of them

A new member may accept changes once every other member has named it in an answer of its own. Among few members the exchange goes to the one whose statement is oldest, and statements that others relay count.

Ruled out: load, lost calls, the listings.

Statements of a member whose confirmation is missing no longer count when the next one to ask is chosen. The spread of proof between members that are let in is as before. The refusal names the members that are missing.

TestMemberWithRelayedStatementsIsAsked fails without the change.

--- a/decision/currency/order.go
+++ b/decision/currency/order.go
@@ -11,6 +11,9 @@
 	Address string
 	// StatedAt is the time of its latest statement, zero when there is none.
 	StatedAt time.Time
+	// Unconfirmed tells that the member has to confirm this host, which only an
+	// answer of its own does.
+	Unconfirmed bool
 }
 
 // stalestFirst is the largest group in which the member with the oldest
@@ -61,8 +64,10 @@
 	var next string
 	var oldest time.Time
 	for _, c := range group {
-		waited := c.StatedAt
-		if asked := o.askedAt[c.Address]; asked.After(waited) {
+		// Statements that others relay can stay newer than those of the members
+		// that are asked in turn.
+		waited, asked := c.StatedAt, o.askedAt[c.Address]
+		if asked.After(waited) || c.Unconfirmed {
 			waited = asked
 		}
 		if len(group) > stalestFirst {
--- /dev/null
+++ b/decision/currency/order_test.go
@@ -0,0 +1,40 @@
+package currency
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a new member that is never let in: it asks others in turn, and
+// never the one whose statements they relay in time for each turn.
+func TestMemberWithRelayedStatementsIsAsked(t *testing.T) {
+	const (
+		others = 5
+		period = 400 * time.Millisecond
+		relay  = 100 * time.Millisecond
+	)
+	order := NewOrder(rand.New(rand.NewPCG(1, 2)))
+	stated := make(map[string]time.Time)
+	lastAsked := make(map[string]time.Time)
+	for turn := range 100 {
+		now := epoch.Add(time.Duration(turn) * period)
+		stated["relayed"] = now.Add(-relay)
+		candidates := []Candidate{{"relayed", stated["relayed"], true}}
+		for i := range others - 1 {
+			name := fmt.Sprintf("asked-%d", i)
+			candidates = append(candidates, Candidate{name, stated[name], false})
+		}
+		next := order.Next(now, nil, candidates, "", NotNeeded)
+		stated[next], lastAsked[next] = now, now
+		if turn < others {
+			continue
+		}
+		for _, c := range candidates {
+			assert.Assert(t, now.Sub(lastAsked[c.Address]) <= period*others, "turn %d: %s was not asked", turn, c.Address)
+		}
+	}
+}
--- a/decision/currency/spread_test.go
+++ b/decision/currency/spread_test.go
@@ -29,7 +29,7 @@
 			statements := know[i].Statements()
 			var near, far []Candidate
 			for j := range n {
-				c := Candidate{name(j).Name, statements[name(j)].MadeAt}
+				c := Candidate{Address: name(j).Name, StatedAt: statements[name(j)].MadeAt}
 				if j != i && j%zones == i%zones {
 					near = append(near, c)
 				} else if j != i {
--- a/services/membership/membership.go
+++ b/services/membership/membership.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -71,7 +72,8 @@
 	// was removed by an operator.
 	superseded bool
 	admitted   bool
-	waiting    int
+	// unconfirmed names the members whose confirmation is missing.
+	unconfirmed []string
 	// term counts how often the hold term ended.
 	term int
 }
@@ -175,7 +177,7 @@
 		return err
 	}
 	if l := s.lease.Load(); !l.admitted {
-		return fault.New(&fault.NotRun, fault.ReasonMemberUnconfirmed, "accept change", s.self.Name, "%d members have not confirmed this host", l.waiting)
+		return fault.New(&fault.NotRun, fault.ReasonMemberUnconfirmed, "accept change", s.self.Name, "members have not confirmed this host: %s", strings.Join(l.unconfirmed, ", "))
 	}
 	return nil
 }
@@ -208,6 +210,9 @@
 	}
 }
 
+// Unconfirmed implements services.PeerMembership.
+func (s *Service) Unconfirmed() []string { return s.lease.Load().unconfirmed }
+
 // ReceiveMembers implements services.PeerMembership.
 func (s *Service) ReceiveMembers(members []services.Identity) {
 	all := append([]services.Identity{s.self}, members...)
--- a/services/membership/renew.go
+++ b/services/membership/renew.go
@@ -204,7 +204,10 @@
 	next := *r.lease.Load()
 	change(&next)
 	next.admitted = r.join.Admitted()
-	next.waiting = len(r.join.Waiting())
+	next.unconfirmed = nil
+	for _, m := range r.join.Waiting() {
+		next.unconfirmed = append(next.unconfirmed, m.Name)
+	}
 	r.lease.Store(&next)
 }
 
--- a/services/peers.go
+++ b/services/peers.go
@@ -59,6 +59,9 @@
 	// ReceiveConfirmation records that a member named this host in the
 	// answer to a question asked at askedAt.
 	ReceiveConfirmation(member Identity, askedAt time.Time)
+	// Unconfirmed returns the names of the members whose confirmation is
+	// missing for this host to accept changes.
+	Unconfirmed() []string
 	// ReceiveMembers replaces the members that peers know.
 	ReceiveMembers(members []Identity)
 	// ListTurn sets whether this host reads the members' rows of all.
--- a/services/peers/view.go
+++ b/services/peers/view.go
@@ -252,10 +252,12 @@
 // next chooses the next exchange. Seeds that belong to no known host count as
 // hosts of another zone.
 func (v *viewer) next() call {
-	statements := v.know.Statements()
+	statements, unconfirmed := v.know.Statements(), v.members.Unconfirmed()
 	var near, far []currency.Candidate
 	for address, identity := range v.addresses() {
-		c := currency.Candidate{Address: address, StatedAt: statements[memberOf(identity)].MadeAt}
+		c := currency.Candidate{
+			Address: address, StatedAt: statements[memberOf(identity)].MadeAt, Unconfirmed: slices.Contains(unconfirmed, identity.Name),
+		}
 		if identity.Zone == v.self.Zone {
 			near = append(near, c)
 		} else {
