Give processes under test ports that no connection takes

The ports of an entry host were chosen by the kernel and freed before the process listened on them. In one of some 60 starts a connection had taken one as its source port (bind: address already in use). Ports below the kernel's range are free of that.

--- a/e2e/cluster_test.go
+++ b/e2e/cluster_test.go
@@ -103,7 +103,7 @@
 
 func (c *cluster) startHost(t *testing.T, zone, ip string, n int, platform string, extra []string) *entryHost {
 	t.Helper()
-	addresses, release := freePorts(t, ip, 3)
+	addresses := freePorts(t, ip, 3)
 	h := &entryHost{
 		name:      fmt.Sprintf("entry-%s-%d", zone, n+1),
 		zone:      zone,
@@ -113,7 +113,6 @@
 		peers:     addresses[2],
 	}
 	h.relay = startRelay(t, ip, h.peers)
-	release()
 	stored := c.operator.Store("00a1")
 	h.args = append([]string{
 		"--name", h.name, "--zone", zone, "--platform", platform, "--source-ip", ip,
--- a/e2e/processes_test.go
+++ b/e2e/processes_test.go
@@ -9,8 +9,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -122,23 +124,34 @@
 	}
 }
 
-// freePorts returns addresses on ip whose ports the kernel chose, and a
-// function that frees them for the process under test. They are held together
-// until then, because the kernel may choose a port again once it is free.
-func freePorts(t *testing.T, ip string, n int) (addresses []string, release func()) {
+// Ports of the processes under test lie below those from which the kernel takes
+// the source ports of connections (32768 and up on Linux). A port that the kernel
+// had chosen was taken as a source port before its process listened on it.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// nextPort is where the search for a free port goes on. Test programs that run at
+// once begin at different ports.
+var nextPort atomic.Int32
+
+// freePorts returns addresses on ip whose ports nobody uses.
+func freePorts(t *testing.T, ip string, n int) (addresses []string) {
 	t.Helper()
-	var listeners []net.Listener
-	for range n {
-		l, err := net.Listen("tcp", ip+":0")
-		assert.NilError(t, err)
-		listeners = append(listeners, l)
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses, func() {
-		for _, l := range listeners {
-			l.Close()
+	for range lastPort - firstPort {
+		port := firstPort + (os.Getpid()*100+int(nextPort.Add(1)))%(lastPort-firstPort)
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
+		if err != nil {
+			continue
+		}
+		l.Close()
+		if addresses = append(addresses, l.Addr().String()); len(addresses) == n {
+			return addresses
 		}
 	}
+	t.Fatalf("no %d free ports on %s", n, ip)
+	return nil
 }
 
 // eventually waits until condition holds.
