Spread the record of a pool's executors over several rows

The record is spread over 32 rows by the executors' names; only rows that change are written, under the version of one row that changes each time, as before. The stand-in's store refuses rows that are too long, as the users' does.

TestLargePoolIsServed (700 executors) fails without the change.

--- a/fleethost/fleethost_test.go
+++ b/fleethost/fleethost_test.go
@@ -158,3 +158,12 @@
 	assert.Equal(t, c.fleet.Store.Release(), 1)
 	assert.Assert(t, c.completed(c.hosts[0], jobID(1)), "an earlier save replaced a later one")
 }
+
+// Guards against a pool that starts nothing because what its owner records of the
+// executors is longer than a row of the store may be.
+func TestLargePoolIsServed(t *testing.T) {
+	c := startCluster(t, 1, 700, 50*time.Millisecond)
+	status, _ := c.call(c.hosts[0], http.MethodPost, jobID(1), testKey, twoSteps())
+	assert.Equal(t, status, http.StatusOK)
+	c.eventually("the job is completed", func() bool { return c.completed(c.hosts[0], jobID(1)) })
+}
--- a/services/pools/load.go
+++ b/services/pools/load.go
@@ -28,9 +28,9 @@
 	executors []poolplan.Executor
 	cordons   *services.Record
 	version   int64
-	// saves and used are the versions of the record that changes with each save
-	// and of the record of executors.
-	saves, used int64
+	// saves is the version of the record that changes with each save.
+	saves int64
+	used  usedRecord
 	// term is the record of the owner's term.
 	term []services.Record
 }
@@ -162,6 +162,7 @@
 		return state, err
 	}
 	state.version = c.version
+	state.used.shards = make(map[services.RecordKey][]byte)
 	s.readJobs(&state, append(c.jobs, owner...), s.readProgress(progress))
 	for i := range progress {
 		if progress[i].RecordKey == jobrecord.Saves(c.pool) {
@@ -218,15 +219,19 @@
 }
 
 func (s *Service) readPoolRecord(pool string, state *poolState, r *services.Record) {
-	if r.RecordKey != jobrecord.Executors(pool) {
+	if r.RecordKey == jobrecord.Executors(pool) {
+		state.used.version = r.Version
+	}
+	if !jobrecord.HoldsExecutors(r.RecordKey) {
 		return
 	}
-	state.used = r.Version
-	var err error
-	state.executors, err = jobrecord.DecodeExecutors(r.Value)
+	list, err := jobrecord.DecodeExecutors(r.Value)
 	if err != nil {
 		s.log.Error().Err(err).Str("record", r.Key).Msg("record cannot be read; left out")
+		return
 	}
+	state.executors = append(state.executors, list...)
+	state.used.shards[r.RecordKey] = r.Value
 }
 
 func (e loadDone) handle(p *planner) {
@@ -260,7 +265,7 @@
 		plan.CancelJob(p.now, id)
 	}
 	m.plan, m.loaded = plan, true
-	m.savesVersion, m.usedVersion = e.state.saves, e.state.used
+	m.savesVersion, m.used = e.state.saves, e.state.used
 	p.cordon(m, e.state.cordons)
 	p.s.log.Info().Str("pool", m.pool).Int("term", m.tenure.Term).Int64("fence", m.tenure.Fence).Int("jobs", len(e.state.specs)).
 		Int("executors", len(e.state.executors)).Dur("age", p.now.Sub(m.tenure.RenewedAt)).Msg("pool loaded")
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -73,11 +73,12 @@
 	// version is where the next look at the pool's changes resumes.
 	version int64
 	saveAt  time.Time
-	// savesVersion and usedVersion are the versions of the record that changes
-	// with each save and of the record of executors, as last seen.
-	savesVersion, usedVersion int64
-	statusAt                  time.Time
-	published                 string
+	// savesVersion is the version of the record that changes with each save, as
+	// last seen.
+	savesVersion int64
+	used         usedRecord
+	statusAt     time.Time
+	published    string
 	// statusVersion is the version of the status record as last seen.
 	statusVersion int64
 	cordoned      map[string]bool
--- a/services/pools/registry.go
+++ b/services/pools/registry.go
@@ -1,18 +1,48 @@
 package pools
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
 
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
 	"fuchsiafront.example/fuchsiafront/services"
 	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
 )
 
+// usedRecord is what is known of the records of used executors.
+type usedRecord struct {
+	// version is that of the record that changes with each of their changes.
+	version int64
+	// shards holds their values; nil while it is not known what was written last.
+	shards map[services.RecordKey][]byte
+}
+
+// changed returns the writes that change a record.
+func (u *usedRecord) changed(writes []services.RecordWrite) []services.RecordWrite {
+	return slices.DeleteFunc(writes, func(w services.RecordWrite) bool {
+		return u.shards != nil && bytes.Equal(u.shards[w.RecordKey], w.Value)
+	})
+}
+
+// written notes writes that were carried out.
+func (u *usedRecord) written(version int64, writes []services.RecordWrite) {
+	u.version = version
+	if u.shards == nil {
+		u.shards = make(map[services.RecordKey][]byte, len(writes))
+	}
+	for _, w := range writes {
+		u.shards[w.RecordKey] = w.Value
+	}
+}
+
 type recordCall struct {
 	poolRef
-	conditions []services.RecordCondition
-	all        []poolplan.Executor
+	tx services.RecordTx
+	// shards are the writes of tx that hold executors.
+	shards []services.RecordWrite
+	all    []poolplan.Executor
 }
 
 type recordDone struct {
@@ -26,20 +56,24 @@
 	if m.busy.record || len(m.plan.Unrecorded()) == 0 && !m.plan.RecordOutdated() {
 		return
 	}
+	all := m.plan.Recordable()
+	shards, err := jobrecord.EncodeExecutors(m.pool, all)
+	if err != nil {
+		p.s.log.Error().Err(err).Str("pool", m.pool).Msg("executors cannot be encoded")
+		return
+	}
+	shards = m.used.changed(shards)
+	guard := jobrecord.Executors(m.pool)
+	tx := services.RecordTx{
+		Conditions: []services.RecordCondition{m.tenure.Condition, {RecordKey: guard, Version: m.used.version}},
+		Writes:     append([]services.RecordWrite{{RecordKey: guard, Value: []byte("{}")}}, shards...),
+	}
 	m.busy.record = true
-	conditions := []services.RecordCondition{m.tenure.Condition, {RecordKey: jobrecord.Executors(m.pool), Version: m.usedVersion}}
-	p.send(p.s.store, recordCall{poolRef{m.pool, m.tenure.Term, m.tenure.Fence}, conditions, m.plan.Recordable()})
+	p.send(p.s.store, recordCall{poolRef{m.pool, m.tenure.Term, m.tenure.Fence}, tx, shards, all})
 }
 
 func (c recordCall) run(ctx context.Context, s *Service) event {
-	value, err := jobrecord.EncodeExecutors(c.all)
-	if err != nil {
-		return recordDone{c, services.RecordCommit{}, err}
-	}
-	commit, err := s.records.Commit(ctx, services.RecordTx{
-		Conditions: c.conditions,
-		Writes:     []services.RecordWrite{{RecordKey: jobrecord.Executors(c.pool), Value: value}},
-	})
+	commit, err := s.records.Commit(ctx, c.tx)
 	if err != nil {
 		services.Pause(ctx, saveRetry)
 	}
@@ -54,14 +88,15 @@
 	m.busy.record = false
 	switch {
 	case e.err != nil:
-		p.s.log.Warn().Err(e.err).Str("pool", e.pool).Msg("executors not recorded")
+		m.used.shards = nil
+		p.s.log.Warn().Err(e.err).Str("pool", e.pool).Int("executors", len(e.all)).Msg("executors not recorded")
 	case e.commit.Committed:
-		m.usedVersion = e.commit.Version
+		m.used.written(e.commit.Version, e.shards)
 		m.plan.Recorded(e.all)
 	case p.outdated(m, e.commit.Current):
 	default:
 		// An earlier record without an answer was written.
-		m.usedVersion = versionOf(e.commit.Current, jobrecord.Executors(m.pool))
+		m.used = usedRecord{version: versionOf(e.commit.Current, jobrecord.Executors(m.pool))}
 	}
 }
 
--- a/standin/fleetplatform/store.go
+++ b/standin/fleetplatform/store.go
@@ -160,7 +160,7 @@
 
 func (s *Store) serveCommit(w http.ResponseWriter, r *http.Request) {
 	var body commitBody
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || !body.onePart() {
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || !body.valid() {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -212,15 +212,21 @@
 	return slices.ContainsFunc(b.Sets, func(r Row) bool { return r.Table == table })
 }
 
-// onePart reports whether all entries share a part.
-func (b *commitBody) onePart() bool {
+// Bounds of the store.
+const (
+	rowBytes  = 65536
+	txEntries = 100
+)
+
+// valid reports whether all entries share a part and keep the store's bounds.
+func (b *commitBody) valid() bool {
 	all := slices.Concat(b.Conditions, b.Sets, b.Removes)
 	for i := range all {
-		if all[i].Part != all[0].Part {
+		if all[i].Part != all[0].Part || len(all[i].Value) > rowBytes {
 			return false
 		}
 	}
-	return len(all) > 0 && len(all) <= 100
+	return len(all) > 0 && len(all) <= txEntries
 }
 
 func (s *Store) check(conditions []Row) (current []Row, ok bool) {
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -41,6 +41,8 @@
 	keyOwner     = "owner"
 	keyTerm      = "term"
 	keyExecutors = "executors"
+	// prefixExecutors is followed by a number.
+	prefixExecutors = "executors/"
 	keyStatus    = "status"
 	partStatus   = "/status"
 	keyCordons   = "cordons"
@@ -131,11 +133,23 @@
 	return services.RecordKey{Table: TableJobs(pool), Part: pool, Key: keyTerm}
 }
 
-// Executors is the key of the executors that owners of the pool have used.
+// Executors is the key of a record that changes with each change of the executors
+// that owners of the pool have used. Each change requires its version, as with
+// Saves.
 func Executors(pool string) services.RecordKey {
 	return services.RecordKey{Table: TablePools, Part: pool, Key: keyExecutors}
 }
 
+// executorShard is the key of one record of these executors.
+func executorShard(pool string, n int) services.RecordKey {
+	return services.RecordKey{Table: TablePools, Part: pool, Key: prefixExecutors + strconv.Itoa(n)}
+}
+
+// HoldsExecutors reports whether a record is one of EncodeExecutors.
+func HoldsExecutors(key services.RecordKey) bool {
+	return key.Table == TablePools && strings.HasPrefix(key.Key, prefixExecutors)
+}
+
 // Status is the key of what the owner publishes of its pool.
 func Status(pool string) services.RecordKey {
 	return services.RecordKey{Table: TablePools, Part: pool + partStatus, Key: keyStatus}
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -4,8 +4,11 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
 	"fuchsiafront.example/fuchsiafront/fleet"
+	"fuchsiafront.example/fuchsiafront/services"
 )
 
 // OwnerRecord names the process that owns a pool.
@@ -90,16 +93,34 @@
 	Capacity fleet.Resources `json:"cap"`
 }
 
-// EncodeExecutors returns the value of the record of used executors.
-func EncodeExecutors(list []poolplan.Executor) ([]byte, error) {
-	records := make([]executorRecord, 0, len(list))
+// executorShards is the number of records over which the used executors of a pool
+// are spread. A record holds 64 KiB, some 300 executors. All of them are written
+// in one transaction of at most 1 MB, some 3,500 executors; the users aim at pools
+// of 75.
+const executorShards = 32
+
+// EncodeExecutors returns the records of the used executors of a pool.
+func EncodeExecutors(pool string, list []poolplan.Executor) ([]services.RecordWrite, error) {
+	shards := make([][]executorRecord, executorShards)
 	for _, e := range list {
-		records = append(records, executorRecord{ID: e.ID, Born: e.Born, Machine: e.Machine, Address: e.Address, Zone: e.Zone, Labels: e.Labels, Rack: e.Rack, Capacity: e.Capacity})
+		n := xxhash.Sum64String(e.ID) % executorShards
+		shards[n] = append(shards[n], executorRecord{ID: e.ID, Born: e.Born, Machine: e.Machine, Address: e.Address, Zone: e.Zone, Labels: e.Labels, Rack: e.Rack, Capacity: e.Capacity})
+	}
+	writes := make([]services.RecordWrite, executorShards)
+	for n, shard := range shards {
+		writes[n] = services.RecordWrite{RecordKey: executorShard(pool, n), Delete: len(shard) == 0}
+		if len(shard) == 0 {
+			continue
+		}
+		var err error
+		if writes[n].Value, err = json.Marshal(shard); err != nil {
+			return nil, ErrRecord.New("executors: %v", err)
+		}
 	}
-	return json.Marshal(records)
+	return writes, nil
 }
 
-// DecodeExecutors is the inverse of EncodeExecutors.
+// DecodeExecutors returns the executors of one record of EncodeExecutors.
 func DecodeExecutors(value []byte) ([]poolplan.Executor, error) {
 	var records []executorRecord
 	if err := json.Unmarshal(value, &records); err != nil {
