Let idle pools give up what another needs of a tenant's limit

Each of the pools that share a tenant's limit kept a floor, and through hysteresis up to 1.7 times as much, which with four pools is over half of the limit; two pools could also each hold a part of what the other needed. A gang, or a large task, above the rest waited for ever.

A pool whose work has waited for the limit alone for 500 ms now enters a claim in the row of the tenant. The oldest claim is served first: the other pools give up what they do not use, without a floor, until it is met. Owners follow the rows, which they read only when they wrote before.

TestIdlePoolsGiveUpWhatOneNeeds and TestPoolsThatNeedMoreThanHalfDoNotBlockEachOther fail without claims.

--- a/decision/allotment/allotment.go
+++ b/decision/allotment/allotment.go
@@ -4,12 +4,38 @@
 package allotment
 
 import (
+	"maps"
+
 	"fuchsiafront.example/fuchsiafront/fleet"
 )
 
 // Division holds the allotment of each pool.
 type Division map[string]fleet.Resources
 
+// Claim is what a pool needs to start anything of what waits in it, while the
+// others leave it less.
+type Claim struct {
+	Need    fleet.Resources
+	SinceMs int64
+}
+
+// Row is the division of one tenant's limit, with the claims on it.
+type Row struct {
+	Pools  Division         `json:"pools"`
+	Claims map[string]Claim `json:"claims,omitempty"`
+}
+
+// Demand is what a pool would do with an allotment.
+type Demand struct {
+	// Used is what runs there; it is never cut.
+	Used fleet.Resources
+	// Want is what could run if the limit allowed it, Used included.
+	Want fleet.Resources
+	// Need is the least that lets anything of what waits start, Used included;
+	// zero while the allotment is not what it waits for.
+	Need fleet.Resources
+}
+
 // Headroom of an allotment over what the pool could use, in percent.
 const (
 	growPercent   = 25
@@ -19,36 +45,117 @@
 	floorDivisor = 3
 )
 
-// Next returns the allotment that a pool should have. used is what runs there
-// and is never cut, want what could run if the limit allowed it. changed is
-// false when the present allotment is good enough.
-func Next(maximum fleet.Resources, d Division, pool string, used, want fleet.Resources, pools int) (next fleet.Resources, changed bool) {
-	have := d[pool]
+// Next returns the row with the allotment and the claim that a pool should have.
+// Of several claims the oldest is served first: the other pools give up what they
+// do not use until it is met, without a floor, because a gang may need nearly the
+// whole limit. pools is the number of pools that share the limit.
+func Next(maximum fleet.Resources, row Row, pool string, demand Demand, pools int, nowMs int64) Row {
+	next := Row{Pools: maps.Clone(row.Pools), Claims: maps.Clone(row.Claims)}
+	if next.Pools == nil {
+		next.Pools = Division{}
+	}
 	others := fleet.Resources{}
-	for name, r := range d {
+	for name, r := range row.Pools {
 		if name != pool {
 			others = others.Add(r)
 		}
 	}
-	pools = max(pools, 1)
-	next = fleet.Resources{
-		MilliCPU:     dimension(maximum.MilliCPU, others.MilliCPU, have.MilliCPU, used.MilliCPU, want.MilliCPU, int64(pools)),
-		MemoryBytes:  dimension(maximum.MemoryBytes, others.MemoryBytes, have.MemoryBytes, used.MemoryBytes, want.MemoryBytes, int64(pools)),
-		Accelerators: dimension(maximum.Accelerators, others.Accelerators, have.Accelerators, used.Accelerators, want.Accelerators, int64(pools)),
+	reserved := reservedFor(maximum, row, pool)
+	each := func(limit, others, have, used, want, reserved int64) int64 {
+		return dimension(bounds{limit, max(limit-others, 0), reserved, limit / (floorDivisor * int64(max(pools, 1)))}, have, used, max(want, used))
 	}
-	return next, next != have
+	have := row.Pools[pool]
+	allotted := fleet.Resources{
+		MilliCPU:     each(maximum.MilliCPU, others.MilliCPU, have.MilliCPU, demand.Used.MilliCPU, demand.Want.MilliCPU, reserved.MilliCPU),
+		MemoryBytes:  each(maximum.MemoryBytes, others.MemoryBytes, have.MemoryBytes, demand.Used.MemoryBytes, demand.Want.MemoryBytes, reserved.MemoryBytes),
+		Accelerators: each(maximum.Accelerators, others.Accelerators, have.Accelerators, demand.Used.Accelerators, demand.Want.Accelerators, reserved.Accelerators),
+	}
+	if allotted != (fleet.Resources{}) || have != allotted {
+		next.Pools[pool] = allotted
+	}
+	next.claim(maximum, pool, demand.Need, nowMs)
+	return next
+}
+
+// claim sets or removes the claim of a pool.
+func (r *Row) claim(maximum fleet.Resources, pool string, need fleet.Resources, nowMs int64) {
+	if need == (fleet.Resources{}) || covers(maximum, r.Pools[pool], need) || !covers(maximum, maximum, need) {
+		delete(r.Claims, pool)
+		return
+	}
+	if r.Claims == nil {
+		r.Claims = make(map[string]Claim)
+	}
+	since := nowMs
+	if old, ok := r.Claims[pool]; ok {
+		since = old.SinceMs
+	}
+	r.Claims[pool] = Claim{need, since}
+}
+
+// Equal reports whether two rows say the same.
+func (r Row) Equal(o Row) bool {
+	return maps.Equal(r.Pools, o.Pools) && maps.Equal(r.Claims, o.Claims)
+}
+
+// first returns the pool whose claim is served, or "".
+func (r Row) first() string {
+	first := ""
+	for name, c := range r.Claims {
+		f := r.Claims[first]
+		if first == "" || c.SinceMs < f.SinceMs || c.SinceMs == f.SinceMs && name < first {
+			first = name
+		}
+	}
+	return first
+}
+
+// reservedFor returns what is kept for the claim of another pool.
+func reservedFor(maximum fleet.Resources, row Row, pool string) fleet.Resources {
+	first := row.first()
+	if first == "" || first == pool {
+		return fleet.Resources{}
+	}
+	need, have := row.Claims[first].Need, row.Pools[first]
+	missing := func(limit, need, have int64) int64 {
+		if limit <= 0 {
+			return 0
+		}
+		return max(need-have, 0)
+	}
+	return fleet.Resources{
+		MilliCPU:     missing(maximum.MilliCPU, need.MilliCPU, have.MilliCPU),
+		MemoryBytes:  missing(maximum.MemoryBytes, need.MemoryBytes, have.MemoryBytes),
+		Accelerators: missing(maximum.Accelerators, need.Accelerators, have.Accelerators),
+	}
+}
+
+// covers reports whether r is enough for need in each dimension that maximum
+// bounds.
+func covers(maximum, r, need fleet.Resources) bool {
+	return (maximum.MilliCPU <= 0 || need.MilliCPU <= r.MilliCPU) &&
+		(maximum.MemoryBytes <= 0 || need.MemoryBytes <= r.MemoryBytes) &&
+		(maximum.Accelerators <= 0 || need.Accelerators <= r.Accelerators)
+}
+
+// bounds of an allotment in one dimension.
+type bounds struct {
+	// limit is the tenant's; a limit of zero bounds nothing.
+	limit int64
+	// room is what the other pools leave, of which reserved is kept for one of
+	// them.
+	room, reserved int64
+	// floor is what a pool keeps although it has no use for it.
+	floor int64
 }
 
-// dimension returns the allotment in one dimension. A maximum of zero bounds
-// nothing.
-func dimension(maximum, others, have, used, want, pools int64) int64 {
-	if maximum <= 0 {
+// dimension returns the allotment in one dimension.
+func dimension(b bounds, have, used, want int64) int64 {
+	if b.limit <= 0 {
 		return 0
 	}
-	room := max(maximum-others, 0)
-	floor := maximum / (floorDivisor * pools)
-	want = max(want, used)
-	goal := max(want+want*growPercent/100, floor)
+	room := max(b.room-b.reserved, 0)
+	goal := max(want+want*growPercent/100, b.floor)
 	switch {
 	case have > room:
 		return max(min(goal, room), min(used, have))
@@ -56,8 +163,8 @@
 		return min(goal, room)
 	case have*shrinkPercent/100 > goal:
 		return max(goal, used)
-	case have < min(floor, room):
-		return min(floor, room)
+	case have < min(b.floor, room):
+		return min(b.floor, room)
 	}
 	return have
 }
--- a/decision/poolplan/gang.go
+++ b/decision/poolplan/gang.go
@@ -17,6 +17,7 @@
 		}
 	}
 	if !p.withinLimit(g, int64(len(g.tasks))) {
+		p.noteBlocked(now, g, int64(len(g.tasks)))
 		return waitLimit
 	}
 	places := p.gangPlaces(g, candidates)
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -40,6 +40,7 @@
 		return
 	}
 	p.noRoom = p.noRoom[:0]
+	p.pass++
 	for _, g := range p.groups {
 		// The list is not renewed at every step of a busy pool.
 		if g.job.over() || g.waiting() == 0 {
@@ -50,6 +51,7 @@
 		}
 		p.noteWait(now, g, p.placeGroup(now, g, candidates))
 	}
+	p.forgetBlocked()
 }
 
 // placeGroup starts the tasks of a group and returns why some of them wait.
@@ -100,6 +102,7 @@
 			continue
 		}
 		if !p.withinLimit(g, 1) {
+			p.noteBlocked(now, g, 1)
 			return waitLimit
 		}
 		if p.knownFull(g.step) {
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -69,9 +69,13 @@
 	// noRoom holds demands for which no executor has room in this step.
 	noRoom []fleet.Resources
 	// sorted are the executors by identifier; nil when there are others.
-	sorted   []*executor
-	limits   map[string]fleet.Resources
-	used     map[string]fleet.Resources
+	sorted []*executor
+	limits map[string]fleet.Resources
+	used   map[string]fleet.Resources
+	// blocked holds, for each tenant that is at its limit, what the first of its
+	// groups needs; pass numbers the rounds of placement.
+	blocked  map[string]blocked
+	pass     int64
 	orders   []Order
 	unsaved  map[string]*job
 	deposed  bool
@@ -124,6 +128,7 @@
 		prunedAt:  now,
 		limits:    make(map[string]fleet.Resources),
 		used:      make(map[string]fleet.Resources),
+		blocked:   make(map[string]blocked),
 		unsaved:   make(map[string]*job),
 		shares:    make(map[string]*shareBucket),
 		learned:   make(map[string]*durations),
--- a/services/pools/limits.go
+++ b/services/pools/limits.go
@@ -22,6 +22,10 @@
 	shrinkEvery = time.Second
 	// limitsPerCommit bounds the tenants of one transaction.
 	limitsPerCommit = 40
+	// limitsWait is how long the store may hold back the changes of divisions.
+	limitsWait = 2 * time.Second
+	// limitsRetry separates looks at them that have failed.
+	limitsRetry = time.Second
 )
 
 // limiter keeps this process's pools within their part of each tenant's limit.
@@ -30,11 +34,16 @@
 	loaded bool
 	busy   bool
 	nextAt time.Time
+	// following tells that a call waits for changes after version, by which the
+	// pools learn of claims of other owners.
+	following bool
+	followAt  time.Time
+	version   int64
 }
 
 // division is what is known of the division of one tenant's maximum.
 type division struct {
-	pools     allotment.Division
+	row       allotment.Row
 	version   int64
 	changedAt time.Time
 }
@@ -44,7 +53,11 @@
 // step asks for a change of the divisions when the pools need one, and tells
 // the plans what they may use.
 func (l *limiter) step(p *planner) {
-	if l.busy || p.now.Before(l.nextAt) || len(p.pools) == 0 {
+	if len(p.pools) == 0 {
+		return
+	}
+	l.follow(p)
+	if l.busy || p.now.Before(l.nextAt) {
 		return
 	}
 	l.nextAt = p.now.Add(limitsEvery)
@@ -69,7 +82,7 @@
 		limits := make(map[string]fleet.Resources, len(p.catalog.Tenants))
 		for name, t := range p.catalog.Tenants {
 			if d := l.rows[name]; d != nil {
-				limits[name] = allotment.Effective(t.Maximum, d.pools, m.pool)
+				limits[name] = allotment.Effective(t.Maximum, d.row.Pools, m.pool)
 			}
 		}
 		m.plan.SetLimits(limits)
@@ -79,7 +92,7 @@
 type limitChange struct {
 	tenant  string
 	version int64
-	pools   allotment.Division
+	row     allotment.Row
 }
 
 // changes returns the divisions that should be different.
@@ -100,8 +113,8 @@
 }
 
 type poolDemand struct {
-	settled    bool
-	used, want map[string]fleet.Resources
+	settled          bool
+	used, want, need map[string]fleet.Resources
 }
 
 func (p *planner) demands() map[string]poolDemand {
@@ -111,56 +124,97 @@
 			continue
 		}
 		used, want := m.plan.TenantUse()
-		demands[name] = poolDemand{m.plan.Settled(), used, want}
+		demands[name] = poolDemand{m.plan.Settled(), used, want, m.plan.Needs(p.now)}
 	}
 	return demands
 }
 
 // change returns the new division for one tenant.
-func (l *limiter) change(now time.Time, t catalog.Tenant, demands map[string]poolDemand, pools int) (limitChange, bool) {
+func (l *limiter) change(now time.Time, t catalog.Tenant, demands map[string]poolDemand, pools map[string]bool) (limitChange, bool) {
 	d := l.rows[t.Name]
 	if d == nil {
-		d = &division{pools: allotment.Division{}}
+		d = &division{}
 		l.rows[t.Name] = d
 	}
-	next := maps.Clone(d.pools)
-	changed, grows := false, false
+	row := d.row
+	row.Claims = maps.Clone(row.Claims)
+	maps.DeleteFunc(row.Claims, func(pool string, _ allotment.Claim) bool { return !pools[pool] })
+	grows := false
 	for _, name := range slices.Sorted(maps.Keys(demands)) {
 		demand := demands[name]
-		r, differs := allotment.Next(t.Maximum, next, name, demand.used[t.Name], demand.want[t.Name], pools)
-		less := !d.pools[name].Fits(r)
-		if !differs || (less && !demand.settled) {
+		next := allotment.Next(t.Maximum, row, name, allotment.Demand{Used: demand.used[t.Name], Want: demand.want[t.Name], Need: demand.need[t.Name]}, len(pools), now.UnixMilli())
+		less := !d.row.Pools[name].Fits(next.Pools[name])
+		if less && !demand.settled {
 			continue
 		}
-		next[name] = r
-		changed = true
-		grows = grows || !less
+		grows = grows || !less && next.Pools[name] != d.row.Pools[name]
+		row = next
 	}
-	if !changed || (!grows && now.Sub(d.changedAt) < shrinkEvery) {
+	urgent := grows || len(row.Claims) > 0 || len(d.row.Claims) > 0
+	if row.Equal(d.row) || (!urgent && now.Sub(d.changedAt) < shrinkEvery) {
 		return limitChange{}, false
 	}
-	return limitChange{tenant: t.Name, version: d.version, pools: next}, true
+	return limitChange{tenant: t.Name, version: d.version, row: row}, true
 }
 
-// workPools counts the services that queues send work to.
-func workPools(c *catalog.Catalog) int {
+// workPools returns the services that queues send work to.
+func workPools(c *catalog.Catalog) map[string]bool {
 	pools := make(map[string]bool)
 	for i := range c.Queues {
 		pools[c.Queues[i].Service] = true
 	}
-	return len(pools)
+	return pools
+}
+
+// follow asks for changes of the divisions.
+func (l *limiter) follow(p *planner) {
+	if l.following || !l.loaded || p.now.Before(l.followAt) {
+		return
+	}
+	l.following = true
+	p.send(p.s.store, limitsFollow{l.version})
+}
+
+type limitsFollow struct{ after int64 }
+
+type limitsFollowed struct {
+	changes services.RecordChanges
+	err     error
+}
+
+func (c limitsFollow) run(ctx context.Context, s *Service) event {
+	changes, err := s.records.Changes(ctx, jobrecord.TableLimits, c.after, limitsWait)
+	return limitsFollowed{changes, err}
+}
+
+func (e limitsFollowed) handle(p *planner) {
+	l := &p.limits
+	l.following = false
+	p.now = p.s.clock()
+	switch {
+	case e.err != nil:
+		l.followAt = p.now.Add(limitsRetry)
+	case e.changes.Forgotten:
+		p.s.log.Info().Int64("version", l.version).Msg("changes forgotten by the store; reading all divisions")
+		l.loaded = false
+	default:
+		l.version = max(l.version, e.changes.Version)
+		p.learnLimits(e.changes.Records)
+		l.apply(p)
+	}
 }
 
 type limitsLoad struct{}
 
 type limitsLoaded struct {
 	records []services.Record
+	version int64
 	err     error
 }
 
 func (limitsLoad) run(ctx context.Context, s *Service) event {
-	records, _, err := services.ScanAll(ctx, s.records, services.RecordRange{Table: jobrecord.TableLimits, Part: jobrecord.PartLimits})
-	return limitsLoaded{records, err}
+	records, version, err := services.ScanAll(ctx, s.records, services.RecordRange{Table: jobrecord.TableLimits, Part: jobrecord.PartLimits})
+	return limitsLoaded{records, version, err}
 }
 
 func (e limitsLoaded) handle(p *planner) {
@@ -168,18 +222,18 @@
 	if e.err != nil {
 		return
 	}
-	p.limits.loaded = true
+	p.limits.loaded, p.limits.version = true, e.version
 	p.learnLimits(e.records)
 }
 
 func (p *planner) learnLimits(records []services.Record) {
 	for i := range records {
 		r := &records[i]
-		d := &division{pools: allotment.Division{}, version: r.Version, changedAt: p.now}
+		d := &division{version: r.Version, changedAt: p.now}
 		if len(r.Value) > 0 {
-			if err := json.Unmarshal(r.Value, &d.pools); err != nil {
+			if err := json.Unmarshal(r.Value, &d.row); err != nil {
 				p.s.log.Error().Err(err).Str("tenant", r.Key).Msg("division cannot be read; nothing of it is used")
-				d.pools = allotment.Division{}
+				d.row = allotment.Row{}
 			}
 		}
 		if old := p.limits.rows[r.Key]; old == nil || old.version <= r.Version {
@@ -199,7 +253,7 @@
 func (c limitsCall) run(ctx context.Context, s *Service) event {
 	var tx services.RecordTx
 	for _, change := range c.changes {
-		value, err := json.Marshal(change.pools)
+		value, err := json.Marshal(change.row)
 		if err != nil {
 			return limitsDone{c, services.RecordCommit{}, err}
 		}
@@ -221,8 +275,8 @@
 		p.limits.loaded = false
 	case e.commit.Committed:
 		for _, c := range e.changes {
-			p.limits.rows[c.tenant] = &division{pools: c.pools, version: e.commit.Version, changedAt: p.now}
-			p.s.log.Info().Str("tenant", c.tenant).Int64("version", e.commit.Version).Interface("pools", c.pools).Msg("limit divided")
+			p.limits.rows[c.tenant] = &division{row: c.row, version: e.commit.Version, changedAt: p.now}
+			p.s.log.Info().Str("tenant", c.tenant).Int64("version", e.commit.Version).Interface("pools", c.row.Pools).Interface("claims", c.row.Claims).Msg("limit divided")
 		}
 	case len(e.commit.Current) == 0:
 		p.limits.loaded = false
