Ask for advice about all executors of a pool, not the same 30

A call for advice names 30 executors, and each call for a step named the first 30 of the pool. A step that none of them may run never started in a larger pool, and one whose executors were full waited for them alone.

A group now keeps what it was told: tickets until they are over, and denials for good, since they do not change. While its tasks find no room it asks about executors with room that it knows nothing of. Jobs begin at different executors.

TestAdviceIsAskedForAllExecutors and TestAdviceIsNotAskedInVain fail when denials are not kept.

--- a/decision/poolplan/advise.go
+++ b/decision/poolplan/advise.go
@@ -2,55 +2,127 @@
 
 import (
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Bounds of calls to the advice service.
 const (
-	// adviseExecutors is how many executors one call names.
+	// adviseExecutors is how many executors one call names. The service takes
+	// time for each, and jobs are owed that of 30 in a step.
 	adviseExecutors = 30
 	// adviseCalls is how many calls may be open; the service handles one at a
 	// time for each host and refuses more than 32.
 	adviseCalls = 8
-	// adviseRetry separates calls for one step while there is no answer.
+	// advisePause separates calls for one step after an answer, adviseRetry
+	// after a call without one.
+	advisePause = 100 * time.Millisecond
 	adviseRetry = time.Second
 )
 
-// advised reports whether the group may start tasks now: its queue needs no
-// advice, or the advice at hand is still valid. Otherwise it asks for advice.
-func (p *Plan) advised(now time.Time, g *group, candidates []*executor) bool {
+// advice is what the advice service has said of a group.
+type advice struct {
+	// asking tells that a call is open; nextAt is when there may be another.
+	asking          bool
+	askedAt, nextAt time.Time
+	// tickets holds those of the executors that may run the step.
+	tickets map[string]ticket
+	// denied are the executors that may not; this does not change.
+	denied map[string]bool
+}
+
+type ticket struct {
+	text  string
+	until time.Time
+}
+
+// expire drops the tickets that are not valid any more.
+func (a *advice) expire(now time.Time) {
+	for id, t := range a.tickets {
+		if !now.Before(t.until) {
+			delete(a.tickets, id)
+		}
+	}
+}
+
+// needsAdvice reports whether the group's tasks need tickets.
+func (p *Plan) needsAdvice(g *group) bool {
 	q, ok := p.catalog.Queue(g.job.spec.Queue)
-	if !ok || q.Advice == nil {
-		return true
+	return ok && q.Advice != nil
+}
+
+// placeAdvised starts tasks of a group on executors that may run them, and asks
+// about others as long as tasks wait.
+func (p *Plan) placeAdvised(now time.Time, g *group, candidates []*executor) wait {
+	if g.advice == nil {
+		g.advice = &advice{tickets: make(map[string]ticket), denied: make(map[string]bool)}
 	}
-	if g.advice != nil && now.Before(g.advice.until) {
-		return true
+	g.advice.expire(now)
+	why := waitAdvice
+	if len(g.advice.tickets) > 0 {
+		why = p.placeOpen(now, g, candidates)
 	}
-	if now.Sub(g.adviceAsked) < adviseRetry || p.advising >= adviseCalls {
+	if why != waitAdvice && why != waitRoom {
+		return why
+	}
+	if p.advise(now, g, candidates) || g.advice.asking {
+		return waitAdvice
+	}
+	return why
+}
+
+// advise asks about executors with room of which nothing is known, and reports
+// whether it did.
+func (p *Plan) advise(now time.Time, g *group, candidates []*executor) bool {
+	a := g.advice
+	if a.asking || now.Before(a.nextAt) || p.advising >= adviseCalls {
 		return false
 	}
-	g.advice, g.adviceAsked = nil, now
 	o := Advise{Job: g.job.spec.ID, Occurrence: g.number, Step: g.stepNo}
-	for _, e := range candidates {
-		if len(o.Executors) < adviseExecutors && g.allows(e, 0) {
-			o.Executors = append(o.Executors, e.ID)
+	// Jobs begin at different executors, so that they do not all ask for the
+	// same ones.
+	first := int(xxhash.Sum64String(o.Job) % uint64(len(candidates)))
+	for i := range candidates {
+		e := candidates[(first+i)%len(candidates)]
+		_, allowed := a.tickets[e.ID]
+		if allowed || a.denied[e.ID] || !g.step.Demand().Fits(e.free()) || !g.fits(e, 0) {
+			continue
+		}
+		if o.Executors = append(o.Executors, e.ID); len(o.Executors) == adviseExecutors {
+			break
 		}
 	}
 	if len(o.Executors) == 0 {
 		return false
 	}
+	a.asking, a.askedAt = true, now
 	p.advising++
 	p.orders = append(p.orders, o)
-	return false
+	return true
 }
 
-// AdviseDone records the executors that may run a step, with their tickets. ok
-// is false when there was no answer.
+// AdviseDone records which executors may run a step, with their tickets. ok is
+// false when there was no answer.
 func (p *Plan) AdviseDone(now time.Time, o Advise, allowed map[string]string, validity time.Duration, ok bool) {
 	p.advising--
 	j := p.jobs[o.Job]
-	if j == nil || !ok || o.Occurrence >= len(j.occurrences) || o.Step >= len(j.occurrences[o.Occurrence].groups) {
+	if j == nil || o.Occurrence >= len(j.occurrences) || o.Step >= len(j.occurrences[o.Occurrence].groups) {
 		return
 	}
-	g := j.occurrences[o.Occurrence].groups[o.Step]
-	g.advice = &advice{allowed: allowed, until: g.adviceAsked.Add(validity)}
+	a := j.occurrences[o.Occurrence].groups[o.Step].advice
+	if a == nil {
+		return
+	}
+	a.asking, a.nextAt = false, now.Add(adviseRetry)
+	if !ok {
+		return
+	}
+	a.nextAt = now.Add(advisePause)
+	for _, id := range o.Executors {
+		if text, may := allowed[id]; may {
+			a.tickets[id] = ticket{text, a.askedAt.Add(validity)}
+		} else {
+			a.denied[id] = true
+		}
+	}
 }
--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -70,7 +70,9 @@
 	case WrongLife:
 		p.endLife(now, e, "another life answers")
 	case RefusedTicket:
-		r.task.group.advice = nil
+		if a := r.task.group.advice; a != nil {
+			delete(a.tickets, e.ID)
+		}
 		p.neverBegan(now, r, "ticket refused")
 	case RefusedLate, RefusedRoom, RefusedBusy, RefusedInvalid:
 		e.avoidUntil = now.Add(busyPause)
--- a/decision/poolplan/harness_test.go
+++ b/decision/poolplan/harness_test.go
@@ -25,6 +25,7 @@
 	stops  []Stop
 	holds  []Hold
 	paces  []Pace
+	asks   []Advise
 	// unrenewed tells that the owner does not renew.
 	unrenewed bool
 }
@@ -78,6 +79,8 @@
 			w.holds = append(w.holds, o)
 		case Pace:
 			w.paces = append(w.paces, o)
+		case Advise:
+			w.asks = append(w.asks, o)
 		}
 	}
 }
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -59,15 +59,8 @@
 	// lateness is the class of the group when the order was last made.
 	lateness int
 	// priority is that of the group's queue at that time.
-	priority    int
-	advice      *advice
-	adviceAsked time.Time
-}
-
-// advice tells which executors may run a group, with a ticket for each.
-type advice struct {
-	allowed map[string]string
-	until   time.Time
+	priority int
+	advice   *advice
 }
 
 // task is one task of a group.
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -61,9 +61,15 @@
 		return waitInherited
 	case g.job.spec.SilentOwner > 0 && p.renewal <= g.job.spec.SilentOwner:
 		return waitRenewal
-	case !p.advised(now, g, candidates):
-		return waitAdvice
-	case g.step.Gang:
+	case p.needsAdvice(g):
+		return p.placeAdvised(now, g, candidates)
+	}
+	return p.placeOpen(now, g, candidates)
+}
+
+// placeOpen starts the tasks of a group that has nothing to wait for but room.
+func (p *Plan) placeOpen(now time.Time, g *group, candidates []*executor) wait {
+	if g.step.Gang {
 		return p.placeGang(now, g, candidates)
 	}
 	return p.placeTasks(now, g, candidates)
@@ -180,16 +186,22 @@
 	return cost
 }
 
-// allows reports whether the step's constraints permit one more task on e.
+// allows reports whether the advice and the step's constraints permit one more
+// task on e.
 func (g *group) allows(e *executor, planned int) bool {
-	if g.step.Label != "" && !slices.Contains(e.Labels, g.step.Label) {
-		return false
-	}
 	if g.advice != nil {
-		if _, ok := g.advice.allowed[e.ID]; !ok {
+		if _, ok := g.advice.tickets[e.ID]; !ok {
 			return false
 		}
 	}
+	return g.fits(e, planned)
+}
+
+// fits reports whether the step's constraints permit one more task on e.
+func (g *group) fits(e *executor, planned int) bool {
+	if g.step.Label != "" && !slices.Contains(e.Labels, g.step.Label) {
+		return false
+	}
 	if g.step.MaxPerExecutor <= 0 {
 		return true
 	}
@@ -262,7 +274,7 @@
 		s.Checkpoint = t.checkpoint
 	}
 	if g.advice != nil {
-		s.Ticket = g.advice.allowed[e.ID]
+		s.Ticket = g.advice.tickets[e.ID].text
 	}
 	p.openStarts++
 	p.orders = append(p.orders, s)
