Let idle machines move before all executors of a pool are accounted for

After a takeover no machine of the pool counted as empty until every executor of the earlier owner had answered or its lease was over, 4.5 s in a cut. An executor that has answered refuses what the earlier owner sends, so that it is empty when it runs nothing; only machines with an earlier life that has not answered have to wait.

TestIdleMachineIsEmptyBeforeOthersAnswer fails before.

--- a/decision/poolplan/accounting_test.go
+++ b/decision/poolplan/accounting_test.go
@@ -84,3 +84,29 @@
 	assert.Equal(t, u.Tasks, 1)
 	assert.Assert(t, !u.Empty)
 }
+
+// Guards against machines that cannot move for seconds after a takeover: an idle
+// executor that has answered is empty, whether or not others can be reached.
+func TestIdleMachineIsEmptyBeforeOthersAnswer(t *testing.T) {
+	w := newWorld(t, 2)
+	idle, dark, old := executorInfo("1"), executorInfo("2"), executorInfo("3")
+	idle.Machine, dark.Machine, old.Machine = "idle", "dark", "again"
+	for _, e := range []Executor{idle, dark, old} {
+		w.plan.Inherit(w.now, e)
+	}
+	idle.Cordoned, dark.Cordoned = true, true
+	next := executorInfo("4")
+	next.Machine, next.Cordoned = "again", true
+	w.plan.SetExecutors(w.now, []Executor{idle, dark, next})
+	w.plan.Recorded(w.plan.Recordable())
+	w.step()
+	for _, h := range w.holds {
+		if h.Executor == "1" {
+			w.report(h, nil)
+		}
+	}
+	uses := w.plan.MachineUses()
+	assert.Assert(t, uses["idle"].Empty)
+	assert.Assert(t, !uses["dark"].Empty, "it may run what the earlier owner started")
+	assert.Assert(t, !uses["again"].Empty, "its earlier life may run what the earlier owner started")
+}
--- a/decision/poolplan/use.go
+++ b/decision/poolplan/use.go
@@ -53,7 +53,10 @@
 		switch {
 		case len(e.runs)+e.unknownRuns > 0:
 			inUse[e.Machine] = true
-		case e.listed && e.Cordoned && p.settled && (e.fenced || !e.inherited):
+		case e.inherited && !e.fenced:
+			// What an earlier owner has left there is not known.
+			inUse[e.Machine] = true
+		case e.listed && e.Cordoned:
 			u.Empty = true
 		case e.listed:
 			inUse[e.Machine] = true
