Stop a process whose standard output is not read

With a standard output that nobody reads, requests went on but SIGTERM did not end the process: its duty log.write was in a write that cannot be interrupted, and the kernel waited for it without a bound. The kernel now waits one second for the duties of each service and names the service whose duties did not end.

TestStalledOutputHoldsNothingUp failed at the stop before.

--- a/fleethost/cluster_test.go
+++ b/fleethost/cluster_test.go
@@ -25,6 +25,8 @@
 	// servedWithin bounds every wait for the system; a takeover takes 3.5 s and
 	// the leases of an earlier owner 8.7 s.
 	servedWithin = 30 * time.Second
+	// stopWithin is longer than the grace of the settings file.
+	stopWithin = 15 * time.Second
 )
 
 // host is a fleet host in this process.
@@ -38,11 +40,18 @@
 	t     *testing.T
 	fleet *fleetplatform.Fleet
 	hosts []*host
+	// logs is the standard output of the hosts.
+	logs io.Writer
 }
 
 func startCluster(t *testing.T, hosts, executors int, work time.Duration) *cluster {
 	t.Helper()
-	c := &cluster{t: t, fleet: fleetplatform.Start(executors, work)}
+	return startLoggingCluster(t, hosts, executors, work, io.Discard)
+}
+
+func startLoggingCluster(t *testing.T, hosts, executors int, work time.Duration, logs io.Writer) *cluster {
+	t.Helper()
+	c := &cluster{t: t, fleet: fleetplatform.Start(executors, work), logs: logs}
 	t.Cleanup(c.fleet.Close)
 	c.fleet.Configure(1, testHost, testPrefix, testKey)
 	for i := range hosts {
@@ -74,7 +83,7 @@
 	path := filepath.Join(c.t.TempDir(), "node.toml")
 	text := fleetplatform.SettingsFile(name, h.jobs, h.ready, c.fleet.Address())
 	assert.NilError(c.t, os.WriteFile(path, []byte(text), 0o600))
-	process, err := New(path, zerolog.InfoLevel, io.Discard, time.Now)
+	process, err := New(path, zerolog.InfoLevel, c.logs, time.Now)
 	assert.NilError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.stop = cancel
--- a/fleethost/fleethost_test.go
+++ b/fleethost/fleethost_test.go
@@ -167,3 +167,35 @@
 	assert.Equal(t, status, http.StatusOK)
 	c.eventually("the job is completed", func() bool { return c.completed(c.hosts[0], jobID(1)) })
 }
+
+// stalledOutput is a standard output that nobody reads: writes block until the
+// test ends.
+type stalledOutput struct{ ended chan struct{} }
+
+func (o stalledOutput) Write(b []byte) (int, error) {
+	<-o.ended
+	return len(b), nil
+}
+
+// Guards against requests that wait for the log, and against a host that cannot
+// stop, when standard output is not read any more.
+func TestStalledOutputHoldsNothingUp(t *testing.T) {
+	out := stalledOutput{make(chan struct{})}
+	defer close(out.ended)
+	c := startLoggingCluster(t, 1, 3, 50*time.Millisecond, out)
+	for n := range 20 {
+		status, _ := c.call(c.hosts[0], http.MethodPost, jobID(n), testKey, twoSteps())
+		assert.Equal(t, status, http.StatusOK)
+	}
+	for n := range 20 {
+		c.eventually("the job is completed", func() bool { return c.completed(c.hosts[0], jobID(n)) })
+	}
+	c.hosts[0].stop()
+	select {
+	case err := <-c.hosts[0].ended:
+		assert.ErrorContains(t, err, "stop log: its duties did not end")
+		c.hosts[0].ended <- nil
+	case <-time.After(stopWithin):
+		t.Fatalf("the host did not stop within %v", stopWithin)
+	}
+}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -239,6 +239,10 @@
 	return errors.Join(failed...)
 }
 
+// dutyTimeout is how long Stop waits for the duties of one service. A duty that
+// writes to a standard output which nobody reads cannot be interrupted.
+const dutyTimeout = time.Second
+
 // Stop stops every started service in reverse start order and waits for its
 // duties.
 func (k *Kernel) Stop(ctx context.Context) error {
@@ -253,12 +257,29 @@
 			}
 		}
 		e.cancel()
-		e.running.Wait()
+		if !e.ended(dutyTimeout) {
+			failed = append(failed, Error.New("stop %s: its duties did not end within %v", e.name, dutyTimeout))
+		}
 		e.started = false
 	}
 	return errors.Join(failed...)
 }
 
+// ended waits for the duties of a service and reports whether they have ended.
+func (e *entry) ended(limit time.Duration) bool {
+	done := make(chan struct{})
+	go func() {
+		e.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
 // Run starts the services, waits until ctx ends, then drains them within
 // drainTimeout and stops them.
 func (k *Kernel) Run(ctx context.Context, drainTimeout time.Duration) error {
