Start the newest job that can be on time first

A queue in its turn asks for more than its pool holds. Started oldest first, every job begins as late as it just can; the durations of its tasks vary by half an order, so that most are late by a little and earn a fifteenth. Of the jobs that can be on time those under way now come first, then the newest. Late jobs are served oldest first, as before.

--- a/decision/poolplan/order.go
+++ b/decision/poolplan/order.go
@@ -81,14 +81,13 @@
 }
 
 // compareGroups orders groups: first the jobs that can still be on time and are
-// within their tenant's share, then
-// by priority, then jobs under way, then the oldest.
+// within their tenant's share, then by priority, then as byAge says.
 func compareGroups(a, b *group) int {
 	if a.job != b.job {
 		return cmp.Or(
 			cmp.Compare(a.lateness, b.lateness),
 			cmp.Compare(a.priority, b.priority),
-			a.job.spec.Accepted.Compare(b.job.spec.Accepted),
+			a.byAge(b),
 			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
 		)
 	}
@@ -129,3 +128,21 @@
 	}
 	return 0
 }
+
+// byAge orders groups of one class and priority. Of the jobs that can be on time,
+// those under way come first, the oldest of them before others, because their work
+// is lost when they are late. Then comes the newest: when a queue asks for more
+// than there is room for, the oldest ones would all start as late as they just can,
+// and end late for the least delay.
+func (g *group) byAge(o *group) int {
+	oldest := g.job.spec.Accepted.Compare(o.job.spec.Accepted)
+	switch {
+	case g.lateness != onTime || g.job.begun && o.job.begun:
+		return oldest
+	case g.job.begun:
+		return -1
+	case o.job.begun:
+		return 1
+	}
+	return -oldest
+}
