Move up to 70 percent of a second's orders to one pool

After an outage the pool whose turn it was had 29 machines of 349 and got 20 more a second, because no more than 40 percent of the orders of a second could be on their way, and each is for two seconds.

--- a/services/upkeep/moves.go
+++ b/services/upkeep/moves.go
@@ -25,8 +25,10 @@
 const arrival = time.Second
 
 // moveShare is the part of the orders that the platform takes in a second, in
-// percent, that may be on their way to one pool; others need theirs too.
-const moveShare = 40
+// percent, that may be on their way to one pool; others need theirs too. A machine
+// is on its way for some two seconds, so that with 40 a pool of 349 machines in all
+// grew by no more than 20 in a second.
+const moveShare = 70
 
 // movesAtOnce returns how many machines may be on their way to one pool.
 func (s *Settings) movesAtOnce() int { return max(int(s.OrdersPerSecond*moveShare/100), 1) }
