Start the oldest job with time to spare, and tight ones newest first

A job that has not begun is now tight once less than 1.3 times its expected time is left; before that the oldest comes first, and tight jobs follow, the newest first.

--- a/decision/poolplan/order.go
+++ b/decision/poolplan/order.go
@@ -97,10 +97,18 @@
 // Classes of groups by what their job can still be worth.
 const (
 	onTime = iota
+	// tight jobs have not begun and are on time only if their tasks take hardly
+	// longer than expected.
+	tight
 	late
 	worthless
 )
 
+// tightPercent of the expected time of a job that has not begun has to be left
+// until its objective; otherwise it is tight. Tasks take up to half an order longer
+// than expected.
+const tightPercent = 130
+
 // lateness tells whether the group's job can still be complete on time, or at
 // least late. Service work is never late.
 func (p *Plan) lateness(now time.Time, g *group) int {
@@ -108,18 +116,17 @@
 	if j.spec.Times > 0 || g.step.Service {
 		return onTime
 	}
-	allowance := p.allowance(j.spec)
-	end := now.Add(p.remaining(j.spec, g.stepNo))
+	allowance, remaining := p.allowance(j.spec), p.remaining(j.spec, g.stepNo)
+	left := j.spec.Accepted.Add(allowance).Sub(now)
 	switch {
-	case !end.After(j.spec.Accepted.Add(allowance)):
-		if j.beyondShare {
-			return late
-		}
-		return onTime
-	case !end.After(j.spec.Accepted.Add(lateFactor * allowance)):
+	case remaining > left+(lateFactor-1)*allowance:
+		return worthless
+	case remaining > left || j.beyondShare:
 		return late
+	case !j.begun && remaining*tightPercent/100 > left:
+		return tight
 	}
-	return worthless
+	return onTime
 }
 
 func (p *Plan) priority(j *job) int {
@@ -129,20 +136,19 @@
 	return 0
 }
 
-// byAge orders groups of one class and priority. Of the jobs that can be on time,
-// those under way come first, the oldest of them before others, because their work
-// is lost when they are late. Then comes the newest: when a queue asks for more
-// than there is room for, the oldest ones would all start as late as they just can,
-// and end late for the least delay.
+// byAge orders groups of one class and priority: jobs under way first, because
+// their work is lost when they are late, then the oldest. Of the tight ones the
+// newest comes first: when a queue asks for more than there is room for, the oldest
+// would all start as late as they just can, and end late by a little.
 func (g *group) byAge(o *group) int {
 	oldest := g.job.spec.Accepted.Compare(o.job.spec.Accepted)
 	switch {
-	case g.lateness != onTime || g.job.begun && o.job.begun:
+	case g.lateness == tight:
+		return -oldest
+	case g.lateness != onTime || g.job.begun == o.job.begun:
 		return oldest
 	case g.job.begun:
 		return -1
-	case o.job.begun:
-		return 1
 	}
-	return -oldest
+	return 1
 }
--- a/decision/poolplan/share_test.go
+++ b/decision/poolplan/share_test.go
@@ -23,11 +23,11 @@
 		spec := &workload.Spec{ID: id, Queue: "queue", Tenant: tenant, Steps: []workload.Step{step(1)}, Accepted: w.now}
 		w.plan.AddJob(w.now, spec, workload.Progress{}, false)
 	}
-	submit("modest", "modest")
-	w.now = w.now.Add(10 * time.Millisecond)
 	for i := range 20 {
 		submit(fmt.Sprintf("greedy-%02d", i), "greedy")
 	}
+	w.now = w.now.Add(10 * time.Millisecond)
+	submit("modest", "modest")
 	w.step()
 	assert.Equal(t, len(w.starts), 4, "the executor has room for four")
 	for _, s := range w.starts {
