--- /dev/null
+++ b/ctl/fleet.go
@@ -0,0 +1,359 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/allotment"
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/platform"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/settings"
+	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
+)
+
+// fleetCommands read the users' platform. No entry host is called, so that they
+// work while all of them are down.
+type fleetCommands struct {
+	Store    string `arg:"--store,env:FUCHSIAFRONT_STORE" help:"address of the platform's store" placeholder:"IP:PORT" unit:"address" range:"an IP address and a port"`
+	Machines string `arg:"--machines,env:FUCHSIAFRONT_MACHINES" help:"address of the platform's list of machines" placeholder:"IP:PORT" unit:"address" range:"an IP address and a port; needed by machines"`
+
+	Configuration *fleetConfiguration `arg:"subcommand:configuration" help:"the configuration in the store: queues, services and tenants"`
+	Owners        *fleetOwners        `arg:"subcommand:owners" help:"which entry host owns which pool"`
+	Pools         *fleetPools         `arg:"subcommand:pools" help:"what the owners publish of their pools"`
+	Executors     *fleetExecutors     `arg:"subcommand:executors" help:"the registry of executors"`
+	List          *fleetMachines      `arg:"subcommand:machines" help:"the list of machines"`
+	Waves         *fleetWaves         `arg:"subcommand:waves" help:"waves of maintenance and how far they are"`
+	Limits        *fleetLimits        `arg:"subcommand:limits" help:"how the tenants' limits are divided over the pools"`
+	Jobs          *fleetJobs          `arg:"subcommand:jobs" help:"jobs of a queue"`
+	Job           *fleetJob           `arg:"subcommand:job" help:"what the store holds of one job"`
+}
+
+type fleetConfiguration struct{}
+type fleetOwners struct{}
+type fleetPools struct{}
+type fleetExecutors struct{}
+type fleetMachines struct{}
+type fleetWaves struct{}
+type fleetLimits struct{}
+
+type fleetJobs struct {
+	Queue string `arg:"positional,required" help:"name of the queue" placeholder:"QUEUE" unit:"name" range:"the name of a queue"`
+	Open  bool   `arg:"--open" help:"leave out jobs that have ended"`
+}
+
+type fleetJob struct {
+	ID string `arg:"positional,required" help:"identifier of the job" placeholder:"JOB" unit:"identifier" range:"as in the path of the client's call"`
+}
+
+func (*fleetConfiguration) offline() {}
+func (*fleetOwners) offline()        {}
+func (*fleetPools) offline()         {}
+func (*fleetExecutors) offline()     {}
+func (*fleetMachines) offline()      {}
+func (*fleetWaves) offline()         {}
+func (*fleetLimits) offline()        {}
+func (*fleetJobs) offline()          {}
+func (*fleetJob) offline()           {}
+
+func (*fleetConfiguration) check(*settings.Checker) {}
+func (*fleetOwners) check(*settings.Checker)        {}
+func (*fleetPools) check(*settings.Checker)         {}
+func (*fleetExecutors) check(*settings.Checker)     {}
+func (*fleetMachines) check(*settings.Checker)      {}
+func (*fleetWaves) check(*settings.Checker)         {}
+func (*fleetLimits) check(*settings.Checker)        {}
+func (*fleetJobs) check(*settings.Checker)          {}
+func (*fleetJob) check(*settings.Checker)           {}
+
+// check rejects addresses that cannot be called.
+func (f *fleetCommands) check(k *settings.Checker) {
+	if f == nil {
+		return
+	}
+	if _, err := netip.ParseAddrPort(f.Store); err != nil {
+		k.Reject("--store", f.Store)
+	}
+	if _, err := netip.ParseAddrPort(f.Machines); err != nil && (f.Machines != "" || f.List != nil) {
+		k.Reject("--machines", f.Machines)
+	}
+}
+
+// fleet returns the client of the platform that the settings name.
+func (s *session) fleet() *platform.Adapter {
+	return platform.NewReader(s.settings.Fleet.Store, s.settings.Fleet.Machines)
+}
+
+// within bounds the calls of a command by --timeout.
+func (s *session) within(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, s.settings.Timeout)
+}
+
+// configuration reads the configuration and the waves.
+func (s *session) configuration(ctx context.Context, a *platform.Adapter) (*catalog.Catalog, []services.MaintenanceWave, error) {
+	state, err := a.ReadOperator(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	if state.Catalog == nil {
+		return nil, nil, failure(exitFailed, "read configuration", "the store holds none that can be read")
+	}
+	return state.Catalog, state.Waves, nil
+}
+
+// record reads one record of the store; a missing one is zero.
+func record[T any](ctx context.Context, a *platform.Adapter, key services.RecordKey) (value T, version int64, err error) {
+	page, err := a.Scan(ctx, services.RecordRange{Table: key.Table, Part: key.Part, From: key.Key, Limit: 1})
+	if err != nil || len(page.Records) == 0 || page.Records[0].Key != key.Key {
+		return value, 0, err
+	}
+	if err := json.Unmarshal(page.Records[0].Value, &value); err != nil {
+		return value, 0, failure(exitFailed, "read record", "%s/%s: %w", key.Part, key.Key, err)
+	}
+	return value, page.Records[0].Version, nil
+}
+
+func (*fleetConfiguration) run(ctx context.Context, s *session) error {
+	ctx, cancel := s.within(ctx)
+	defer cancel()
+	c, _, err := s.configuration(ctx, s.fleet())
+	if err != nil {
+		return err
+	}
+	for name, t := range c.Tenants {
+		// Keys are secrets.
+		t.Keys = nil
+		c.Tenants[name] = t
+	}
+	return s.out.value(c, func(r row) {
+		r("QUEUE", "POOL", "PRIORITY", "ATTEMPTS", "TARGET")
+		for _, q := range c.Queues {
+			r(q.Name, q.Service, q.Priority, q.MaxAttempts, q.LatencyTarget)
+		}
+		r("TENANT", "WEIGHT", "CPU", "MEMORY_MB", "ACCELERATORS")
+		for _, name := range slices.Sorted(maps.Keys(c.Tenants)) {
+			t := c.Tenants[name]
+			r(name, t.Weight, cores(t.Maximum.MilliCPU), t.Maximum.MemoryBytes>>20, t.Maximum.Accelerators)
+		}
+		r("VERSION", c.Version)
+	})
+}
+
+func cores(milli int64) float64 { return float64(milli) / 1000 }
+
+// ownerView is the owner of one pool.
+type ownerView struct {
+	Pool string
+	jobrecord.OwnerRecord
+	Version int64
+}
+
+func (*fleetOwners) run(ctx context.Context, s *session) error {
+	ctx, cancel := s.within(ctx)
+	defer cancel()
+	a := s.fleet()
+	c, _, err := s.configuration(ctx, a)
+	if err != nil {
+		return err
+	}
+	var owners []ownerView
+	for _, pool := range append(slices.Sorted(maps.Keys(c.Services)), services.PoolMachines) {
+		owner, version, err := record[jobrecord.OwnerRecord](ctx, a, jobrecord.Owner(pool))
+		if err != nil {
+			return err
+		}
+		owners = append(owners, ownerView{pool, owner, version})
+	}
+	return s.out.value(owners, func(r row) {
+		r("POOL", "OWNER", "TERM", "RENEWALS", "RELEASED", "VERSION")
+		for _, o := range owners {
+			r(o.Pool, cmp.Or(o.Holder, "-"), o.Term, o.Renewals, o.Released, o.Version)
+		}
+	})
+}
+
+// poolView is what the owner of one pool publishes.
+type poolView struct {
+	Pool string
+	jobrecord.StatusRecord
+}
+
+func (*fleetPools) run(ctx context.Context, s *session) error {
+	ctx, cancel := s.within(ctx)
+	defer cancel()
+	a := s.fleet()
+	c, _, err := s.configuration(ctx, a)
+	if err != nil {
+		return err
+	}
+	var pools []poolView
+	for _, pool := range slices.Sorted(maps.Keys(c.Services)) {
+		status, _, err := record[jobrecord.StatusRecord](ctx, a, jobrecord.Status(pool))
+		if err != nil {
+			return err
+		}
+		pools = append(pools, poolView{pool, status})
+	}
+	return s.out.value(pools, func(r row) {
+		r("POOL", "TERM", "DEMAND", "CAPACITY", "MACHINES", "EMPTY", "PENDING")
+		for _, p := range pools {
+			pending := 0
+			for _, n := range p.Pending {
+				pending += n
+			}
+			r(p.Pool, p.Term, cores(p.Demand), cores(p.Capacity), len(p.Machines), len(p.Empty), pending)
+		}
+	})
+}
+
+func (*fleetExecutors) run(ctx context.Context, s *session) error {
+	ctx, cancel := s.within(ctx)
+	defer cancel()
+	list, err := s.fleet().ListExecutors(ctx)
+	if err != nil {
+		return err
+	}
+	return s.out.value(list, func(r row) {
+		r("EXECUTOR", "POOL", "MACHINE", "ZONE", "RACK", "ADDRESS", "CPU", "DRAINING")
+		for _, e := range list {
+			r(e.ID, e.Service, e.Machine, e.Zone, e.Rack, e.Address, cores(e.Capacity.MilliCPU), e.Draining)
+		}
+	})
+}
+
+func (*fleetMachines) run(ctx context.Context, s *session) error {
+	ctx, cancel := s.within(ctx)
+	defer cancel()
+	list, err := s.fleet().ListMachines(ctx)
+	if err != nil {
+		return err
+	}
+	return s.out.value(list, func(r row) {
+		r("MACHINE", "POOL", "STATE", "ZONE", "EXECUTOR", "CPU")
+		for _, m := range list {
+			r(m.Name, m.Pool, m.State, m.Zone, cmp.Or(m.Executor, "-"), cores(m.Capacity.MilliCPU))
+		}
+	})
+}
+
+// waveView is one wave and how far it is.
+type waveView struct {
+	services.MaintenanceWave
+	Progress jobrecord.WaveRecord
+}
+
+func (*fleetWaves) run(ctx context.Context, s *session) error {
+	ctx, cancel := s.within(ctx)
+	defer cancel()
+	a := s.fleet()
+	_, waves, err := s.configuration(ctx, a)
+	if err != nil {
+		return err
+	}
+	var views []waveView
+	for _, w := range waves {
+		progress, _, err := record[jobrecord.WaveRecord](ctx, a, jobrecord.Wave(w.Number))
+		if err != nil {
+			return err
+		}
+		views = append(views, waveView{w, progress})
+	}
+	return s.out.value(views, func(r row) {
+		r("WAVE", "MACHINES", "AT_ONCE", "WITHIN", "BEGUN", "COMPLETED")
+		for _, v := range views {
+			r(v.Number, len(v.Machines), v.MaxDown, v.Duration, len(v.Progress.Done), v.Progress.Completed)
+		}
+	})
+}
+
+// limitView is the division of one tenant's limit.
+type limitView struct {
+	Tenant string
+	allotment.Row
+}
+
+func (*fleetLimits) run(ctx context.Context, s *session) error {
+	ctx, cancel := s.within(ctx)
+	defer cancel()
+	records, _, err := services.ScanAll(ctx, s.fleet(), services.RecordRange{Table: jobrecord.TableLimits, Part: jobrecord.PartLimits})
+	if err != nil {
+		return err
+	}
+	var views []limitView
+	for i := range records {
+		view := limitView{Tenant: records[i].Key}
+		if err := json.Unmarshal(records[i].Value, &view.Row); err != nil {
+			return failure(exitFailed, "read limit", "%s: %w", records[i].Key, err)
+		}
+		views = append(views, view)
+	}
+	return s.out.value(views, func(r row) {
+		r("TENANT", "POOL", "CPU", "MEMORY_MB", "ACCELERATORS", "CLAIM")
+		for _, v := range views {
+			for _, pool := range slices.Sorted(maps.Keys(v.Pools)) {
+				p, claim := v.Pools[pool], "-"
+				if c, ok := v.Claims[pool]; ok {
+					claim = "since " + time.UnixMilli(c.SinceMs).UTC().Format(time.RFC3339)
+				}
+				r(v.Tenant, pool, cores(p.MilliCPU), p.MemoryBytes>>20, p.Accelerators, claim)
+			}
+		}
+	})
+}
+
+func (c *fleetJobs) run(ctx context.Context, s *session) error {
+	ctx, cancel := s.within(ctx)
+	defer cancel()
+	a := s.fleet()
+	config, _, err := s.configuration(ctx, a)
+	if err != nil {
+		return err
+	}
+	queue, ok := config.Queue(c.Queue)
+	if !ok {
+		return failure(exitFailed, "list jobs", "no queue %q in version %d of the configuration", c.Queue, config.Version)
+	}
+	jobs, err := readJobs(ctx, a, queue.Service)
+	if err != nil {
+		return err
+	}
+	jobs = slices.DeleteFunc(jobs, func(j jobView) bool { return j.Queue != c.Queue || c.Open && j.Ended() })
+	return s.out.value(jobs, func(r row) {
+		r("JOB", "TENANT", "ACCEPTED", "STATE", "DONE", "TASKS")
+		for _, j := range jobs {
+			r(j.ID, cmp.Or(j.Tenant, "-"), j.Accepted.UTC().Format(time.RFC3339Nano), j.State, j.Done, j.Tasks)
+		}
+	})
+}
+
+func (c *fleetJob) run(ctx context.Context, s *session) error {
+	ctx, cancel := s.within(ctx)
+	defer cancel()
+	a := s.fleet()
+	config, _, err := s.configuration(ctx, a)
+	if err != nil {
+		return err
+	}
+	for _, pool := range slices.Sorted(maps.Keys(config.Services)) {
+		job, err := readJob(ctx, a, pool, c.ID)
+		if err != nil {
+			return err
+		}
+		if job == nil {
+			continue
+		}
+		owner, _, err := record[jobrecord.OwnerRecord](ctx, a, jobrecord.Owner(pool))
+		if err != nil {
+			return err
+		}
+		job.Owner, job.OwnerTerm = owner.Holder, owner.Term
+		return s.out.value(job, job.table)
+	}
+	return failure(exitFailed, "read job", "no pool of version %d of the configuration holds %q", config.Version, strings.TrimSpace(c.ID))
+}
--- /dev/null
+++ b/ctl/fleetjob.go
@@ -0,0 +1,159 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/workload"
+	"fuchsiafront.example/fuchsiafront/platform"
+	"fuchsiafront.example/fuchsiafront/services"
+	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
+)
+
+// jobView is what the store holds of one job.
+type jobView struct {
+	ID, Pool, Queue, Tenant string
+	Accepted                time.Time
+	// RecordedAt is the store's version of the job.
+	RecordedAt int64
+	// SilentOwner is the version of the owner's record if the owner was silent
+	// when the job was recorded.
+	SilentOwner int64 `json:",omitempty"`
+	State       string
+	Cancelled   bool
+	EndedAfter  string `json:",omitempty"`
+	Done, Tasks int
+	Steps       []stepView
+	// Owner and OwnerTerm are those of the pool.
+	Owner     string
+	OwnerTerm int
+}
+
+// stepView is one step of one occurrence.
+type stepView struct {
+	Occurrence, Step, Tasks, Done, Failures int
+	Cores                                   float64
+	After                                   []int
+}
+
+// Ended reports whether the job has ended.
+func (j *jobView) Ended() bool { return j.EndedAfter != "" }
+
+// table prints the job with its steps.
+func (j *jobView) table(r row) {
+	r("JOB", j.ID)
+	r("POOL", j.Pool, "owner", cmp.Or(j.Owner, "-"), "term", j.OwnerTerm)
+	r("QUEUE", j.Queue, "tenant", cmp.Or(j.Tenant, "-"))
+	r("ACCEPTED", j.Accepted.UTC().Format(time.RFC3339Nano), "version", j.RecordedAt)
+	if j.SilentOwner > 0 {
+		r("OWNER_SILENT", "at version", j.SilentOwner)
+	}
+	r("STATE", j.State, "ended after", cmp.Or(j.EndedAfter, "-"))
+	r("STEP", "TASKS", "DONE", "FAILURES", "CPU", "AFTER")
+	for _, s := range j.Steps {
+		r(fmt.Sprintf("%d.%d", s.Occurrence, s.Step), s.Tasks, s.Done, s.Failures, s.Cores, fmt.Sprint(s.After))
+	}
+}
+
+// newJobView joins a job with its progress.
+func newJobView(pool string, spec *workload.Spec, version int64, p workload.Progress) jobView {
+	j := jobView{
+		ID: spec.ID, Pool: pool, Queue: spec.Queue, Tenant: spec.Tenant, Accepted: spec.Accepted, RecordedAt: version,
+		SilentOwner: spec.SilentOwner, State: p.State.String(), Done: len(p.Done),
+	}
+	if p.State.Ended() {
+		j.EndedAfter = p.EndedAt.Sub(spec.Accepted).Round(time.Millisecond).String()
+	}
+	for occurrence := range spec.Occurrences() {
+		for n, step := range spec.Steps {
+			view := stepView{Occurrence: occurrence, Step: n, Tasks: step.Count, Cores: cores(step.Size.MilliCPU), After: step.After}
+			for _, task := range p.Done {
+				if task.Occurrence == occurrence && task.Step == n {
+					view.Done++
+				}
+			}
+			for task, failures := range p.Failures {
+				if task.Occurrence == occurrence && task.Step == n {
+					view.Failures += len(failures)
+				}
+			}
+			j.Tasks += step.Count
+			j.Steps = append(j.Steps, view)
+		}
+	}
+	return j
+}
+
+// joinJobs joins the records of jobs with those of their progress.
+func joinJobs(pool string, jobs, progress []services.Record) ([]jobView, error) {
+	states := make(map[string]workload.Progress, len(progress))
+	for i := range progress {
+		id, kind := jobrecord.Parse(progress[i].Key)
+		if kind != jobrecord.KindProgress {
+			continue
+		}
+		p, err := jobrecord.DecodeProgress(id, progress[i].Value)
+		if err != nil {
+			return nil, failure(exitFailed, "read progress", "%s: %w", id, err)
+		}
+		states[id] = p
+	}
+	var views []jobView
+	cancelled := make(map[string]bool)
+	for i := range jobs {
+		switch id, kind := jobrecord.Parse(jobs[i].Key); kind {
+		case jobrecord.KindCancel:
+			cancelled[id] = true
+		case jobrecord.KindJob:
+			spec, err := jobrecord.DecodeSpec(id, jobs[i].Value)
+			if err != nil {
+				return nil, failure(exitFailed, "read job", "%s: %w", id, err)
+			}
+			views = append(views, newJobView(pool, spec, jobs[i].Version, states[id]))
+		}
+	}
+	for i := range views {
+		views[i].Cancelled = cancelled[views[i].ID]
+	}
+	slices.SortFunc(views, func(a, b jobView) int {
+		return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID))
+	})
+	return views, nil
+}
+
+// readJobs returns the jobs of a pool, the oldest first.
+func readJobs(ctx context.Context, a *platform.Adapter, pool string) ([]jobView, error) {
+	var jobs []services.Record
+	for _, part := range jobrecord.PartsOfJobs(pool) {
+		records, _, err := services.ScanAll(ctx, a, services.RecordRange{Table: jobrecord.TableJobs(pool), Part: part})
+		if err != nil {
+			return nil, err
+		}
+		jobs = append(jobs, records...)
+	}
+	progress, _, err := services.ScanAll(ctx, a, services.RecordRange{Table: jobrecord.TableProgress, Part: pool})
+	if err != nil {
+		return nil, err
+	}
+	return joinJobs(pool, jobs, progress)
+}
+
+// readJob returns one job of a pool, or nil.
+func readJob(ctx context.Context, a *platform.Adapter, pool, id string) (*jobView, error) {
+	jobs, _, err := services.ScanAll(ctx, a, jobrecord.JobRange(pool, id))
+	if err != nil || len(jobs) == 0 {
+		return nil, err
+	}
+	progress, _, err := services.ScanAll(ctx, a, jobrecord.ProgressRange(pool, id))
+	if err != nil {
+		return nil, err
+	}
+	views, err := joinJobs(pool, jobs, progress)
+	if err != nil || len(views) == 0 {
+		return nil, err
+	}
+	return &views[0], nil
+}
--- a/ctl/settings.go
+++ b/ctl/settings.go
@@ -35,6 +35,7 @@
 	Job      *jobCommands      `arg:"subcommand:job" help:"jobs"`
 	Team     *teamCommands     `arg:"subcommand:team" help:"teams"`
 	Refusals *refusalsCommand  `arg:"subcommand:refusals" help:"refused work by reason"`
+	Fleet    *fleetCommands    `arg:"subcommand:fleet" help:"the users' platform, read from its store without an entry host"`
 }
 
 // Description implements go-arg's interface.
@@ -71,6 +72,7 @@
 	if _, offline := c.(offlineCommand); !offline {
 		s.validateAccess(checker)
 	}
+	s.Fleet.check(checker)
 	c.check(checker)
 	return checker.Err()
 }
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -256,11 +256,7 @@
 	j.progress.State, j.progress.EndedAt = s, now
 	p.touch(j)
 	p.regroup = true
-	p.note(Event{What: "job ended", Job: j.spec.ID, Reason: stateReason(s), Age: now.Sub(j.spec.Accepted)})
-}
-
-func stateReason(s workload.State) string {
-	return [...]string{"queued", "running", "completed", "failed", "cancelled"}[s]
+	p.note(Event{What: "job ended", Job: j.spec.ID, Reason: s.String(), Age: now.Sub(j.spec.Accepted)})
 }
 
 func (p *Plan) endIfComplete(now time.Time, j *job) {
--- a/decision/workload/workload.go
+++ b/decision/workload/workload.go
@@ -97,6 +97,11 @@
 	Cancelled
 )
 
+var stateNames = [...]string{"queued", "running", "completed", "failed", "cancelled"}
+
+// String returns the name of the state in logs and tables.
+func (s State) String() string { return stateNames[s] }
+
 // Ended reports whether nothing of the job runs any more.
 func (s State) Ended() bool { return s >= Completed }
 
