--- a/cmd/fuchsiameasure/main.go
+++ b/cmd/fuchsiameasure/main.go
@@ -20,7 +20,12 @@
 	Parameter string `arg:"--parameter" help:"vary only this parameter"`
 }
 
+type ceiling struct {
+	Sites []string `arg:"positional,required" help:"site files of the users' bench"`
+}
+
 type options struct {
+	Ceiling    *ceiling  `arg:"subcommand:ceiling" help:"what each standard day of a site can earn at most, by its demand"`
 	Capacity   *capacity `arg:"subcommand:capacity" help:"measure slopes of memory, messages, processor time and table calls"`
 	Sweep      *sweep    `arg:"subcommand:sweep" help:"replay with several values of each parameter"`
 	Seed       uint64    `arg:"--seed" default:"1" help:"seed of the demand and the failures"`
@@ -42,6 +47,9 @@
 	if o.Capacity != nil {
 		return runCapacity(o)
 	}
+	if o.Ceiling != nil {
+		return runCeiling(o)
+	}
 	names := preset.Names()
 	if o.Deployment != "" {
 		names = []string{o.Deployment}
@@ -80,3 +88,19 @@
 	_, err := fmt.Print(measure.SlopeTable(slopes))
 	return err
 }
+
+func runCeiling(o options) error {
+	var all []measure.DayCeiling
+	for _, path := range o.Ceiling.Sites {
+		site, err := measure.ReadSite(path)
+		if err != nil {
+			return err
+		}
+		all = append(all, site.Ceilings()...)
+	}
+	if o.JSON {
+		return json.NewEncoder(os.Stdout).Encode(all)
+	}
+	_, err := fmt.Print(measure.CeilingTable(all))
+	return err
+}
--- /dev/null
+++ b/measure/ceiling.go
@@ -0,0 +1,207 @@
+package measure
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Site is what the ceiling needs of a site file of the users' bench. Its words for
+// fields and kinds are the bench's own.
+type Site struct {
+	Name     string        `toml:"name"`
+	LengthS  float64       `toml:"length_s"`
+	Machines []siteMachine `toml:"machines"`
+	Services []siteService `toml:"services"`
+	Classes  []siteClass   `toml:"classes"`
+	Traffic  []siteTraffic `toml:"traffic"`
+	Prices   sitePrices    `toml:"prices"`
+	Days     []siteDay     `toml:"day"`
+}
+
+type siteMachine struct {
+	Count int `toml:"count"`
+}
+
+type siteService struct {
+	Name    string `toml:"name"`
+	Servers []struct {
+		Count int `toml:"count"`
+	} `toml:"servers"`
+	Node struct {
+		MilliCPU float64 `toml:"cpu"`
+	} `toml:"node"`
+}
+
+type siteClass struct {
+	Name    string  `toml:"name"`
+	Service string  `toml:"service"`
+	Worth   float64 `toml:"worth"`
+	WorkMs  meanOf  `toml:"work_ms"`
+	Jobs    *struct {
+		Steps meanOf `toml:"steps"`
+		Width meanOf `toml:"width"`
+		CPU   meanOf `toml:"cpu"`
+	} `toml:"jobs"`
+}
+
+type meanOf struct {
+	Mean float64 `toml:"mean"`
+}
+
+type siteTraffic struct {
+	Mix   map[string]float64 `toml:"mix"`
+	PerS  float64            `toml:"per_s"`
+	Shape struct {
+		Kind  string  `toml:"kind"`
+		Turns float64 `toml:"to"`
+		Swing float64 `toml:"swing"`
+	} `toml:"shape"`
+}
+
+type sitePrices struct {
+	MachineS float64 `toml:"machine_s"`
+	ServerS  float64 `toml:"server_s"`
+}
+
+type siteDay struct {
+	Name    string        `toml:"name"`
+	One     float64       `toml:"one"`
+	Zero    float64       `toml:"zero"`
+	Traffic []siteTraffic `toml:"traffic"`
+}
+
+// DayCeiling is what one standard day can earn at most, by its demand alone.
+type DayCeiling struct {
+	Site, Day string
+	// Owed is the payoff of the day's requests that carry work with an end.
+	Owed float64
+	// Asked are the core-seconds of that work, Held those of all machines.
+	Asked, Held float64
+	// Peak is the demand while each queue has its turn, in multiples of what all
+	// machines hold: the mean over the queues, and the worst.
+	Peak, WorstPeak float64
+	// Unserved is the share of Owed above what all machines hold at the peaks.
+	Unserved float64
+	// Own and Pools are the prices of the entry machines, and of the least machines
+	// in pools that do the work, as shares of Owed.
+	Own, Pools float64
+	// One and Zero are the site's marks of the day.
+	One, Zero float64
+}
+
+// Ceiling is what is left of the payoff.
+func (c DayCeiling) Ceiling() float64 { return 1 - c.Unserved - c.Own - c.Pools }
+
+// ReadSite reads a site file.
+func ReadSite(path string) (*Site, error) {
+	site := new(Site)
+	if _, err := toml.DecodeFile(path, site); err != nil {
+		return nil, fmt.Errorf("read site %s: %w", path, err)
+	}
+	return site, nil
+}
+
+// Ceilings returns the ceiling of each standard day.
+func (s *Site) Ceilings() []DayCeiling {
+	var all []DayCeiling
+	for _, day := range s.Days {
+		all = append(all, s.ceiling(day))
+	}
+	return all
+}
+
+// cores returns what all machines of the pools hold, and how many there are.
+func (s *Site) cores() (cores float64, machines int) {
+	for _, service := range s.Services {
+		for _, servers := range service.Servers {
+			machines += servers.Count
+			cores += float64(servers.Count) * service.Node.MilliCPU / 1000
+		}
+	}
+	return cores, machines
+}
+
+// queueDemand is the work of one queue.
+type queueDemand struct {
+	worth, cores float64
+	// inTurn is the demand in the queue's turn in multiples of its mean.
+	inTurn, swing float64
+}
+
+func (s *Site) ceiling(day siteDay) DayCeiling {
+	traffic := day.Traffic
+	if len(traffic) == 0 {
+		traffic = s.Traffic
+	}
+	cores, machines := s.cores()
+	c := DayCeiling{Site: s.Name, Day: day.Name, One: day.One, Zero: day.Zero, Held: cores * s.LengthS}
+	queues := make(map[string]*queueDemand)
+	for _, t := range traffic {
+		for name, share := range t.Mix {
+			s.add(queues, t, name, share)
+		}
+	}
+	worth, asked := 0.0, 0.0
+	for _, q := range queues {
+		worth += q.worth
+		asked += q.cores
+	}
+	if worth == 0 {
+		return c
+	}
+	c.Owed, c.Asked = worth*s.LengthS, asked*s.LengthS
+	for _, q := range queues {
+		peak := (q.cores*q.inTurn + (asked-q.cores)*q.swing) / cores
+		c.Peak += peak / float64(len(queues))
+		c.WorstPeak = max(c.WorstPeak, peak)
+		if peak > 1 {
+			c.Unserved += q.worth / worth * (1 - 1/peak)
+		}
+	}
+	entries := 0
+	for _, m := range s.Machines {
+		entries += m.Count
+	}
+	c.Own = s.Prices.MachineS * float64(entries) / worth
+	c.Pools = s.Prices.ServerS * asked / (cores / float64(machines)) / worth
+	return c
+}
+
+// add adds the work of one class. Work that lasts has no end, and no queue of its
+// own in the traffic.
+func (s *Site) add(queues map[string]*queueDemand, t siteTraffic, name string, share float64) {
+	for _, class := range s.Classes {
+		if class.Name != name || class.Jobs == nil {
+			continue
+		}
+		q := queues[name]
+		if q == nil {
+			q = &queueDemand{inTurn: 1, swing: 1}
+			queues[name] = q
+		}
+		if t.Shape.Kind == "turns" && t.Shape.Turns > 0 {
+			// Between its turns a queue asks for swing of its mean.
+			q.swing = t.Shape.Swing
+			q.inTurn = t.Shape.Turns - (t.Shape.Turns-1)*t.Shape.Swing
+		}
+		perS := t.PerS * share
+		q.worth += perS * class.Worth
+		q.cores += perS * class.Jobs.Steps.Mean * class.Jobs.Width.Mean * class.Jobs.CPU.Mean / 1000 * class.WorkMs.Mean / 1000
+	}
+}
+
+// CeilingTable prints ceilings.
+func CeilingTable(all []DayCeiling) string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "site\tday\towed\tasked/held\tpeak, mean\tpeak, worst\tunserved\town machines\tpools\tceiling\tzero\tone")
+	for _, c := range all {
+		fmt.Fprintf(w, "%s\t%s\t%.0f\t%.2f\t%.2f\t%.2f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\n",
+			c.Site, c.Day, c.Owed, c.Asked/c.Held, c.Peak, c.WorstPeak, c.Unserved, c.Own, c.Pools, c.Ceiling(), c.Zero, c.One)
+	}
+	w.Flush()
+	return b.String()
+}
