--- a/decision/sizing/sizing.go
+++ b/decision/sizing/sizing.go
@@ -25,8 +25,9 @@
 	keepPercent = 50
 	// quietTime is how long a pool has more than it needs before machines go
 	// back to the standby pool. A move and the way back cost as much as two
-	// seconds of a machine.
-	quietTime = time.Second
+	// seconds of a machine, but a queue whose turn comes next has to wait for
+	// machines that are still held where the last turn has ended.
+	quietTime = 500 * time.Millisecond
 )
 
 // Machine is one machine that may move.
--- a/services/upkeep/moves.go
+++ b/services/upkeep/moves.go
@@ -12,10 +12,6 @@
 	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
 )
 
-// quietPercent is the use of a pool, in percent of its capacity, under which it
-// may give back the machines beyond its usual number.
-const quietPercent = 65
-
 // arrivalLimit is how long a machine may be on its way before it counts as a
 // part of the pool that the list names.
 const arrivalLimit = 6 * time.Second
@@ -104,9 +100,9 @@
 	return sizing.Decide(pools, machines, s.settings.movesAtOnce())
 }
 
-// quiet returns how long a pool has used less than quietPercent of its capacity.
+// quiet returns how long a pool has asked for less than its capacity.
 func (s *Service) quiet(now time.Time, pool string, status jobrecord.StatusRecord) time.Duration {
-	if status.Demand*100 > status.Capacity*quietPercent {
+	if status.Demand > status.Capacity {
 		delete(s.quietSince, pool)
 		return 0
 	}
