--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -240,8 +240,9 @@
 }
 
 // dutyTimeout is how long Stop waits for the duties of one service. A duty that
-// writes to a standard output which nobody reads cannot be interrupted.
-const dutyTimeout = time.Second
+// writes to a standard output which nobody reads cannot be interrupted; a call to
+// the platform ends within 2 s.
+const dutyTimeout = 3 * time.Second
 
 // Stop stops every started service in reverse start order and waits for its
 // duties.
