--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -294,14 +294,14 @@
 		views = append(views, view)
 	}
 	return s.out.value(views, func(r row) {
-		r("TENANT", "POOL", "CPU", "MEMORY_MB", "ACCELERATORS", "CLAIM")
+		r("TENANT", "POOL", "CPU", "MEMORY_MB", "ACCELERATORS", "RESERVATION")
 		for _, v := range views {
 			for _, pool := range slices.Sorted(maps.Keys(v.Pools)) {
-				p, claim := v.Pools[pool], "-"
-				if c, ok := v.Claims[pool]; ok {
-					claim = "since " + time.UnixMilli(c.SinceMs).UTC().Format(time.RFC3339)
+				p, reservation := v.Pools[pool], "-"
+				if c, ok := v.Reservations[pool]; ok {
+					reservation = "since " + time.UnixMilli(c.SinceMs).UTC().Format(time.RFC3339)
 				}
-				r(v.Tenant, pool, cores(p.MilliCPU), p.MemoryBytes>>20, p.Accelerators, claim)
+				r(v.Tenant, pool, cores(p.MilliCPU), p.MemoryBytes>>20, p.Accelerators, reservation)
 			}
 		}
 	})
--- a/ctl/fleet_test.go
+++ b/ctl/fleet_test.go
@@ -43,7 +43,7 @@
 	put(jobrecord.Owner(fleet.Service), value, err)
 	value, err = json.Marshal(jobrecord.StatusRecord{Term: 4, Pending: map[string]int{"queue": 5}, Demand: 2500, Capacity: 8000})
 	put(jobrecord.Status(fleet.Service), value, err)
-	put(jobrecord.Limit(fleetTenant), fmt.Appendf(nil, `{"pools":{%q:{"MilliCPU":3000}},"claims":{%q:{"Need":{"MilliCPU":4000},"SinceMs":1780000000000}}}`, fleet.Service, fleet.Service), nil)
+	put(jobrecord.Limit(fleetTenant), fmt.Appendf(nil, `{"pools":{%q:{"MilliCPU":3000}},"reservations":{%q:{"Need":{"MilliCPU":4000},"SinceMs":1780000000000}}}`, fleet.Service, fleet.Service), nil)
 	return fleet
 }
 
--- a/decision/allotment/allotment.go
+++ b/decision/allotment/allotment.go
@@ -12,17 +12,17 @@
 // Division holds the allotment of each pool.
 type Division map[string]fleet.Resources
 
-// Claim is what a pool needs to start anything of what waits in it, while the
+// Reservation is what a pool needs to start anything of what waits in it, while the
 // others leave it less.
-type Claim struct {
+type Reservation struct {
 	Need    fleet.Resources
 	SinceMs int64
 }
 
-// Row is the division of one tenant's limit, with the claims on it.
+// Row is the division of one tenant's limit, with the reservations on it.
 type Row struct {
-	Pools  Division         `json:"pools"`
-	Claims map[string]Claim `json:"claims,omitempty"`
+	Pools        Division               `json:"pools"`
+	Reservations map[string]Reservation `json:"reservations,omitempty"`
 }
 
 // Demand is what a pool would do with an allotment.
@@ -45,12 +45,12 @@
 	floorDivisor = 3
 )
 
-// Next returns the row with the allotment and the claim that a pool should have.
-// Of several claims the oldest is served first: the other pools give up what they
+// Next returns the row with the allotment and the reservation that a pool should have.
+// Of several reservations the oldest is served first: the other pools give up what they
 // do not use until it is met, without a floor, because a gang may need nearly the
 // whole limit. pools is the number of pools that share the limit.
 func Next(maximum fleet.Resources, row Row, pool string, demand Demand, pools int, nowMs int64) Row {
-	next := Row{Pools: maps.Clone(row.Pools), Claims: maps.Clone(row.Claims)}
+	next := Row{Pools: maps.Clone(row.Pools), Reservations: maps.Clone(row.Reservations)}
 	if next.Pools == nil {
 		next.Pools = Division{}
 	}
@@ -73,36 +73,36 @@
 	if allotted != (fleet.Resources{}) || have != allotted {
 		next.Pools[pool] = allotted
 	}
-	next.claim(maximum, pool, demand.Need, nowMs)
+	next.reserve(maximum, pool, demand.Need, nowMs)
 	return next
 }
 
-// claim sets or removes the claim of a pool.
-func (r *Row) claim(maximum fleet.Resources, pool string, need fleet.Resources, nowMs int64) {
+// reserve sets or removes the reservation of a pool.
+func (r *Row) reserve(maximum fleet.Resources, pool string, need fleet.Resources, nowMs int64) {
 	if need == (fleet.Resources{}) || covers(maximum, r.Pools[pool], need) || !covers(maximum, maximum, need) {
-		delete(r.Claims, pool)
+		delete(r.Reservations, pool)
 		return
 	}
-	if r.Claims == nil {
-		r.Claims = make(map[string]Claim)
+	if r.Reservations == nil {
+		r.Reservations = make(map[string]Reservation)
 	}
 	since := nowMs
-	if old, ok := r.Claims[pool]; ok {
+	if old, ok := r.Reservations[pool]; ok {
 		since = old.SinceMs
 	}
-	r.Claims[pool] = Claim{need, since}
+	r.Reservations[pool] = Reservation{need, since}
 }
 
 // Equal reports whether two rows say the same.
 func (r Row) Equal(o Row) bool {
-	return maps.Equal(r.Pools, o.Pools) && maps.Equal(r.Claims, o.Claims)
+	return maps.Equal(r.Pools, o.Pools) && maps.Equal(r.Reservations, o.Reservations)
 }
 
-// first returns the pool whose claim is served, or "".
+// first returns the pool whose reservation is served, or "".
 func (r Row) first() string {
 	first := ""
-	for name, c := range r.Claims {
-		f := r.Claims[first]
+	for name, c := range r.Reservations {
+		f := r.Reservations[first]
 		if first == "" || c.SinceMs < f.SinceMs || c.SinceMs == f.SinceMs && name < first {
 			first = name
 		}
@@ -110,13 +110,13 @@
 	return first
 }
 
-// reservedFor returns what is kept for the claim of another pool.
+// reservedFor returns what is kept for the reservation of another pool.
 func reservedFor(maximum fleet.Resources, row Row, pool string) fleet.Resources {
 	first := row.first()
 	if first == "" || first == pool {
 		return fleet.Resources{}
 	}
-	need, have := row.Claims[first].Need, row.Pools[first]
+	need, have := row.Reservations[first].Need, row.Pools[first]
 	missing := func(limit, need, have int64) int64 {
 		if limit <= 0 {
 			return 0
--- a/decision/allotment/allotment_test.go
+++ b/decision/allotment/allotment_test.go
@@ -68,7 +68,7 @@
 		row = Next(limit, row, "d", Demand{Want: need, Need: need}, 4, now)
 	}
 	assert.Assert(t, row.Pools["d"].MilliCPU >= 950, "%v", row)
-	assert.Equal(t, len(row.Claims), 0, "a claim stays after it is met")
+	assert.Equal(t, len(row.Reservations), 0, "a reservation stays after it is met")
 }
 
 // Guards against pools that wait for each other: each holds a part of what the
@@ -99,11 +99,11 @@
 	})
 }
 
-// Guards against a claim that can never be met and keeps the other pools from
+// Guards against a reservation that can never be met and keeps the other pools from
 // growing.
-func TestNeedAboveTheLimitIsNoClaim(t *testing.T) {
+func TestNeedAboveTheLimitIsNotReserved(t *testing.T) {
 	limit := fleet.Resources{MilliCPU: 1000}
 	need := fleet.Resources{MilliCPU: 1001}
 	row := Next(limit, Row{}, "a", Demand{Want: need, Need: need}, 2, 1)
-	assert.Equal(t, len(row.Claims), 0)
+	assert.Equal(t, len(row.Reservations), 0)
 }
--- a/decision/poolplan/blocked_test.go
+++ b/decision/poolplan/blocked_test.go
@@ -41,7 +41,7 @@
 	assert.Equal(t, len(w.plan.Needs(w.now)), 0)
 }
 
-// Guards against a claim on other pools for work that waits for something else.
+// Guards against a reservation for work that waits for something else.
 func TestWorkThatWaitsForRoomNeedsNoLimit(t *testing.T) {
 	w := limitedWorld(t, 40000)
 	w.job("a", false, step(20))
--- a/services/pools/limits.go
+++ b/services/pools/limits.go
@@ -35,7 +35,7 @@
 	busy   bool
 	nextAt time.Time
 	// following tells that a call waits for changes after version, by which the
-	// pools learn of claims of other owners.
+	// pools learn of reservations of other owners.
 	following bool
 	followAt  time.Time
 	version   int64
@@ -137,8 +137,8 @@
 		l.rows[t.Name] = d
 	}
 	row := d.row
-	row.Claims = maps.Clone(row.Claims)
-	maps.DeleteFunc(row.Claims, func(pool string, _ allotment.Claim) bool { return !pools[pool] })
+	row.Reservations = maps.Clone(row.Reservations)
+	maps.DeleteFunc(row.Reservations, func(pool string, _ allotment.Reservation) bool { return !pools[pool] })
 	grows := false
 	for _, name := range slices.Sorted(maps.Keys(demands)) {
 		demand := demands[name]
@@ -150,7 +150,7 @@
 		grows = grows || !less && next.Pools[name] != d.row.Pools[name]
 		row = next
 	}
-	urgent := grows || len(row.Claims) > 0 || len(d.row.Claims) > 0
+	urgent := grows || len(row.Reservations) > 0 || len(d.row.Reservations) > 0
 	if row.Equal(d.row) || (!urgent && now.Sub(d.changedAt) < shrinkEvery) {
 		return limitChange{}, false
 	}
@@ -276,7 +276,7 @@
 	case e.commit.Committed:
 		for _, c := range e.changes {
 			p.limits.rows[c.tenant] = &division{row: c.row, version: e.commit.Version, changedAt: p.now}
-			p.s.log.Info().Str("tenant", c.tenant).Int64("version", e.commit.Version).Interface("pools", c.row.Pools).Interface("claims", c.row.Claims).Msg("limit divided")
+			p.s.log.Info().Str("tenant", c.tenant).Int64("version", e.commit.Version).Interface("pools", c.row.Pools).Interface("reservations", c.row.Reservations).Msg("limit divided")
 		}
 	case len(e.commit.Current) == 0:
 		p.limits.loaded = false
--- a/services/upkeep/intents.go
+++ b/services/upkeep/intents.go
@@ -51,13 +51,17 @@
 	if !s.mayOrder(now) {
 		return nil, nil
 	}
-	leased := now.Sub(s.tenure.ClaimedAt) < s.settings.OrderLease
-	blocked := func(machine string) bool { return leased && s.intents.inherited[machine] }
-	orders = slices.DeleteFunc(slices.Clone(orders), func(o upkeep.Order) bool { return blocked(o.Machine) })
-	moves = slices.DeleteFunc(slices.Clone(moves), func(m sizing.Move) bool { return blocked(m.Machine) })
+	orders = slices.DeleteFunc(slices.Clone(orders), func(o upkeep.Order) bool { return s.held(now, o.Machine) })
+	moves = slices.DeleteFunc(slices.Clone(moves), func(m sizing.Move) bool { return s.held(now, m.Machine) })
 	return orders, moves
 }
 
+// held reports whether no order may be given for a machine yet, because the owner
+// before may have given one.
+func (s *Service) held(now time.Time, machine string) bool {
+	return now.Sub(s.tenure.ClaimedAt) < s.settings.OrderLease && s.intents.inherited[machine]
+}
+
 // intentWrite is a change of the record.
 type intentWrite struct {
 	// added are the machines that were not on the record.
