--- a/decision/sizing/sizing.go
+++ b/decision/sizing/sizing.go
@@ -40,9 +40,6 @@
 	Movable bool
 	// Cordoned tells that it is being emptied for a move.
 	Cordoned bool
-	// Held tells that no order may be given for it yet, because another process
-	// may have given one a short time ago.
-	Held bool
 	// Kind names the machines that can take each other's place; a pool keeps one
 	// of each kind, because work may ask for it.
 	Kind            string
@@ -172,7 +169,7 @@
 		if m.Movable {
 			s.have++
 		}
-		if m.Movable && m.Services == 0 && !m.Held {
+		if m.Movable && m.Services == 0 {
 			s.gives = append(s.gives, m)
 		}
 	}
--- a/services/upkeep/moves.go
+++ b/services/upkeep/moves.go
@@ -82,7 +82,7 @@
 		machines = append(machines, sizing.Machine{
 			Name: m.Name, Pool: m.Pool, Free: s.empty(m),
 			Movable:  m.State == services.MachineUp && !moving && !away && !maintenance.Cordon[m.Name],
-			Cordoned: s.moveCordon[m.Name], Held: s.held(now, m.Name), Kind: m.Kind, Tasks: use.Tasks, Services: use.Services,
+			Cordoned: s.moveCordon[m.Name], Kind: m.Kind, Tasks: use.Tasks, Services: use.Services,
 		})
 	}
 	for name, service := range catalog.Services {
