--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -7,7 +7,6 @@
 	"maps"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/allotment"
@@ -35,43 +34,31 @@
 	Job           *fleetJob           `arg:"subcommand:job" help:"what the store holds of one job"`
 }
 
-type fleetConfiguration struct{}
-type fleetOwners struct{}
-type fleetPools struct{}
-type fleetExecutors struct{}
-type fleetMachines struct{}
-type fleetWaves struct{}
-type fleetLimits struct{}
+// fleetRead is a command that calls the platform and no entry host.
+type fleetRead struct{}
+
+func (fleetRead) offline()                {}
+func (fleetRead) check(*settings.Checker) {}
+
+type fleetConfiguration struct{ fleetRead }
+type fleetOwners struct{ fleetRead }
+type fleetPools struct{ fleetRead }
+type fleetExecutors struct{ fleetRead }
+type fleetMachines struct{ fleetRead }
+type fleetWaves struct{ fleetRead }
+type fleetLimits struct{ fleetRead }
 
 type fleetJobs struct {
+	fleetRead
 	Queue string `arg:"positional,required" help:"name of the queue" placeholder:"QUEUE" unit:"name" range:"the name of a queue"`
 	Open  bool   `arg:"--open" help:"leave out jobs that have ended"`
 }
 
 type fleetJob struct {
+	fleetRead
 	ID string `arg:"positional,required" help:"identifier of the job" placeholder:"JOB" unit:"identifier" range:"as in the path of the client's call"`
 }
 
-func (*fleetConfiguration) offline() {}
-func (*fleetOwners) offline()        {}
-func (*fleetPools) offline()         {}
-func (*fleetExecutors) offline()     {}
-func (*fleetMachines) offline()      {}
-func (*fleetWaves) offline()         {}
-func (*fleetLimits) offline()        {}
-func (*fleetJobs) offline()          {}
-func (*fleetJob) offline()           {}
-
-func (*fleetConfiguration) check(*settings.Checker) {}
-func (*fleetOwners) check(*settings.Checker)        {}
-func (*fleetPools) check(*settings.Checker)         {}
-func (*fleetExecutors) check(*settings.Checker)     {}
-func (*fleetMachines) check(*settings.Checker)      {}
-func (*fleetWaves) check(*settings.Checker)         {}
-func (*fleetLimits) check(*settings.Checker)        {}
-func (*fleetJobs) check(*settings.Checker)          {}
-func (*fleetJob) check(*settings.Checker)           {}
-
 // check rejects addresses that cannot be called.
 func (f *fleetCommands) check(k *settings.Checker) {
 	if f == nil {
@@ -85,26 +72,38 @@
 	}
 }
 
-// fleet returns the client of the platform that the settings name.
-func (s *session) fleet() *platform.Adapter {
-	return platform.NewReader(s.settings.Fleet.Store, s.settings.Fleet.Machines)
-}
-
-// within bounds the calls of a command by --timeout.
-func (s *session) within(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(ctx, s.settings.Timeout)
+// fleet returns the client of the platform that the settings name, and ctx bounded
+// by --timeout.
+func (s *session) fleet(ctx context.Context) (context.Context, context.CancelFunc, *platform.Adapter) {
+	ctx, cancel := context.WithTimeout(ctx, s.settings.Timeout)
+	return ctx, cancel, platform.NewReader(s.settings.Fleet.Store, s.settings.Fleet.Machines)
 }
 
-// configuration reads the configuration and the waves.
-func (s *session) configuration(ctx context.Context, a *platform.Adapter) (*catalog.Catalog, []services.MaintenanceWave, error) {
+// configured calls read with the platform's configuration and waves.
+func (s *session) configured(ctx context.Context, read func(context.Context, *platform.Adapter, services.OperatorState) error) error {
+	ctx, cancel, a := s.fleet(ctx)
+	defer cancel()
 	state, err := a.ReadOperator(ctx)
 	if err != nil {
-		return nil, nil, err
+		return err
 	}
 	if state.Catalog == nil {
-		return nil, nil, failure(exitFailed, "read configuration", "the store holds none that can be read")
+		return failure(exitFailed, "read configuration", "the store holds none that can be read")
 	}
-	return state.Catalog, state.Waves, nil
+	return read(ctx, a, state)
+}
+
+// perPool returns a view of one record of each of some pools.
+func perPool[T, V any](ctx context.Context, a *platform.Adapter, pools []string, key func(string) services.RecordKey, view func(pool string, value T, version int64) V) ([]V, error) {
+	var views []V
+	for _, pool := range pools {
+		value, version, err := record[T](ctx, a, key(pool))
+		if err != nil {
+			return nil, err
+		}
+		views = append(views, view(pool, value, version))
+	}
+	return views, nil
 }
 
 // record reads one record of the store; a missing one is zero.
@@ -120,18 +119,18 @@
 }
 
 func (*fleetConfiguration) run(ctx context.Context, s *session) error {
-	ctx, cancel := s.within(ctx)
-	defer cancel()
-	c, _, err := s.configuration(ctx, s.fleet())
-	if err != nil {
-		return err
-	}
+	return s.configured(ctx, func(_ context.Context, _ *platform.Adapter, state services.OperatorState) error {
+		return s.out.configuration(state.Catalog)
+	})
+}
+
+// configuration prints a configuration without its keys, which are secrets.
+func (o *output) configuration(c *catalog.Catalog) error {
 	for name, t := range c.Tenants {
-		// Keys are secrets.
 		t.Keys = nil
 		c.Tenants[name] = t
 	}
-	return s.out.value(c, func(r row) {
+	return o.value(c, func(r row) {
 		r("QUEUE", "POOL", "PRIORITY", "ATTEMPTS", "TARGET")
 		for _, q := range c.Queues {
 			r(q.Name, q.Service, q.Priority, q.MaxAttempts, q.LatencyTarget)
@@ -155,26 +154,20 @@
 }
 
 func (*fleetOwners) run(ctx context.Context, s *session) error {
-	ctx, cancel := s.within(ctx)
-	defer cancel()
-	a := s.fleet()
-	c, _, err := s.configuration(ctx, a)
-	if err != nil {
-		return err
-	}
-	var owners []ownerView
-	for _, pool := range append(slices.Sorted(maps.Keys(c.Services)), services.PoolMachines) {
-		owner, version, err := record[jobrecord.OwnerRecord](ctx, a, jobrecord.Owner(pool))
+	return s.configured(ctx, func(ctx context.Context, a *platform.Adapter, state services.OperatorState) error {
+		pools := append(slices.Sorted(maps.Keys(state.Catalog.Services)), services.PoolMachines)
+		owners, err := perPool(ctx, a, pools, jobrecord.Owner, func(pool string, owner jobrecord.OwnerRecord, version int64) ownerView {
+			return ownerView{pool, owner, version}
+		})
 		if err != nil {
 			return err
 		}
-		owners = append(owners, ownerView{pool, owner, version})
-	}
-	return s.out.value(owners, func(r row) {
-		r("POOL", "OWNER", "TERM", "RENEWALS", "RELEASED", "VERSION")
-		for _, o := range owners {
-			r(o.Pool, cmp.Or(o.Holder, "-"), o.Term, o.Renewals, o.Released, o.Version)
-		}
+		return s.out.value(owners, func(r row) {
+			r("POOL", "OWNER", "TERM", "RENEWALS", "RELEASED", "VERSION")
+			for _, o := range owners {
+				r(o.Pool, cmp.Or(o.Holder, "-"), o.Term, o.Renewals, o.Released, o.Version)
+			}
+		})
 	})
 }
 
@@ -185,37 +178,31 @@
 }
 
 func (*fleetPools) run(ctx context.Context, s *session) error {
-	ctx, cancel := s.within(ctx)
-	defer cancel()
-	a := s.fleet()
-	c, _, err := s.configuration(ctx, a)
-	if err != nil {
-		return err
-	}
-	var pools []poolView
-	for _, pool := range slices.Sorted(maps.Keys(c.Services)) {
-		status, _, err := record[jobrecord.StatusRecord](ctx, a, jobrecord.Status(pool))
+	return s.configured(ctx, func(ctx context.Context, a *platform.Adapter, state services.OperatorState) error {
+		names := slices.Sorted(maps.Keys(state.Catalog.Services))
+		pools, err := perPool(ctx, a, names, jobrecord.Status, func(pool string, status jobrecord.StatusRecord, _ int64) poolView {
+			return poolView{pool, status}
+		})
 		if err != nil {
 			return err
 		}
-		pools = append(pools, poolView{pool, status})
-	}
-	return s.out.value(pools, func(r row) {
-		r("POOL", "TERM", "DEMAND", "CAPACITY", "MACHINES", "EMPTY", "PENDING")
-		for _, p := range pools {
-			pending := 0
-			for _, n := range p.Pending {
-				pending += n
+		return s.out.value(pools, func(r row) {
+			r("POOL", "TERM", "DEMAND", "CAPACITY", "MACHINES", "EMPTY", "PENDING")
+			for _, p := range pools {
+				pending := 0
+				for _, n := range p.Pending {
+					pending += n
+				}
+				r(p.Pool, p.Term, cores(p.Demand), cores(p.Capacity), len(p.Machines), len(p.Empty), pending)
 			}
-			r(p.Pool, p.Term, cores(p.Demand), cores(p.Capacity), len(p.Machines), len(p.Empty), pending)
-		}
+		})
 	})
 }
 
 func (*fleetExecutors) run(ctx context.Context, s *session) error {
-	ctx, cancel := s.within(ctx)
+	ctx, cancel, a := s.fleet(ctx)
 	defer cancel()
-	list, err := s.fleet().ListExecutors(ctx)
+	list, err := a.ListExecutors(ctx)
 	if err != nil {
 		return err
 	}
@@ -228,9 +215,9 @@
 }
 
 func (*fleetMachines) run(ctx context.Context, s *session) error {
-	ctx, cancel := s.within(ctx)
+	ctx, cancel, a := s.fleet(ctx)
 	defer cancel()
-	list, err := s.fleet().ListMachines(ctx)
+	list, err := a.ListMachines(ctx)
 	if err != nil {
 		return err
 	}
@@ -249,26 +236,21 @@
 }
 
 func (*fleetWaves) run(ctx context.Context, s *session) error {
-	ctx, cancel := s.within(ctx)
-	defer cancel()
-	a := s.fleet()
-	_, waves, err := s.configuration(ctx, a)
-	if err != nil {
-		return err
-	}
-	var views []waveView
-	for _, w := range waves {
-		progress, _, err := record[jobrecord.WaveRecord](ctx, a, jobrecord.Wave(w.Number))
-		if err != nil {
-			return err
-		}
-		views = append(views, waveView{w, progress})
-	}
-	return s.out.value(views, func(r row) {
-		r("WAVE", "MACHINES", "AT_ONCE", "WITHIN", "BEGUN", "COMPLETED")
-		for _, v := range views {
-			r(v.Number, len(v.Machines), v.MaxDown, v.Duration, len(v.Progress.Done), v.Progress.Completed)
+	return s.configured(ctx, func(ctx context.Context, a *platform.Adapter, state services.OperatorState) error {
+		var views []waveView
+		for _, w := range state.Waves {
+			progress, _, err := record[jobrecord.WaveRecord](ctx, a, jobrecord.Wave(w.Number))
+			if err != nil {
+				return err
+			}
+			views = append(views, waveView{w, progress})
 		}
+		return s.out.value(views, func(r row) {
+			r("WAVE", "MACHINES", "AT_ONCE", "WITHIN", "BEGUN", "COMPLETED")
+			for _, v := range views {
+				r(v.Number, len(v.Machines), v.MaxDown, v.Duration, len(v.Progress.Done), v.Progress.Completed)
+			}
+		})
 	})
 }
 
@@ -279,9 +261,9 @@
 }
 
 func (*fleetLimits) run(ctx context.Context, s *session) error {
-	ctx, cancel := s.within(ctx)
+	ctx, cancel, a := s.fleet(ctx)
 	defer cancel()
-	records, _, err := services.ScanAll(ctx, s.fleet(), services.RecordRange{Table: jobrecord.TableLimits, Part: jobrecord.PartLimits})
+	records, _, err := services.ScanAll(ctx, a, services.RecordRange{Table: jobrecord.TableLimits, Part: jobrecord.PartLimits})
 	if err != nil {
 		return err
 	}
@@ -308,52 +290,42 @@
 }
 
 func (c *fleetJobs) run(ctx context.Context, s *session) error {
-	ctx, cancel := s.within(ctx)
-	defer cancel()
-	a := s.fleet()
-	config, _, err := s.configuration(ctx, a)
-	if err != nil {
-		return err
-	}
-	queue, ok := config.Queue(c.Queue)
-	if !ok {
-		return failure(exitFailed, "list jobs", "no queue %q in version %d of the configuration", c.Queue, config.Version)
-	}
-	jobs, err := readJobs(ctx, a, queue.Service)
-	if err != nil {
-		return err
-	}
-	jobs = slices.DeleteFunc(jobs, func(j jobView) bool { return j.Queue != c.Queue || c.Open && j.Ended() })
-	return s.out.value(jobs, func(r row) {
-		r("JOB", "TENANT", "ACCEPTED", "STATE", "DONE", "TASKS")
-		for _, j := range jobs {
-			r(j.ID, cmp.Or(j.Tenant, "-"), j.Accepted.UTC().Format(time.RFC3339Nano), j.State, j.Done, j.Tasks)
+	return s.configured(ctx, func(ctx context.Context, a *platform.Adapter, state services.OperatorState) error {
+		queue, ok := state.Catalog.Queue(c.Queue)
+		if !ok {
+			return failure(exitFailed, "list jobs", "no queue %q in version %d of the configuration", c.Queue, state.Catalog.Version)
+		}
+		jobs, err := readJobs(ctx, a, queue.Service)
+		if err != nil {
+			return err
 		}
+		jobs = slices.DeleteFunc(jobs, func(j jobView) bool { return j.Queue != c.Queue || c.Open && j.Ended() })
+		return s.out.value(jobs, func(r row) {
+			r("JOB", "TENANT", "ACCEPTED", "STATE", "DONE", "TASKS")
+			for _, j := range jobs {
+				r(j.ID, cmp.Or(j.Tenant, "-"), j.Accepted.UTC().Format(time.RFC3339Nano), j.State, j.Done, j.Tasks)
+			}
+		})
 	})
 }
 
 func (c *fleetJob) run(ctx context.Context, s *session) error {
-	ctx, cancel := s.within(ctx)
-	defer cancel()
-	a := s.fleet()
-	config, _, err := s.configuration(ctx, a)
-	if err != nil {
-		return err
-	}
-	for _, pool := range slices.Sorted(maps.Keys(config.Services)) {
-		job, err := readJob(ctx, a, pool, c.ID)
-		if err != nil {
-			return err
-		}
-		if job == nil {
-			continue
-		}
-		owner, _, err := record[jobrecord.OwnerRecord](ctx, a, jobrecord.Owner(pool))
-		if err != nil {
-			return err
+	return s.configured(ctx, func(ctx context.Context, a *platform.Adapter, state services.OperatorState) error {
+		for _, pool := range slices.Sorted(maps.Keys(state.Catalog.Services)) {
+			job, err := readJob(ctx, a, pool, c.ID)
+			if err != nil {
+				return err
+			}
+			if job == nil {
+				continue
+			}
+			owner, _, err := record[jobrecord.OwnerRecord](ctx, a, jobrecord.Owner(pool))
+			if err != nil {
+				return err
+			}
+			job.Owner, job.OwnerTerm = owner.Holder, owner.Term
+			return s.out.value(job, job.table)
 		}
-		job.Owner, job.OwnerTerm = owner.Holder, owner.Term
-		return s.out.value(job, job.table)
-	}
-	return failure(exitFailed, "read job", "no pool of version %d of the configuration holds %q", config.Version, strings.TrimSpace(c.ID))
+		return failure(exitFailed, "read job", "no pool of version %d of the configuration holds %q", state.Catalog.Version, c.ID)
+	})
 }
