Give up a pool, and order machines, in one place each

The end of a pool's management stood in four places, and maintenances and moves each built the same orders and waited for them. A condition of allotment.Next was longer than what it says.

--- a/decision/allotment/allotment.go
+++ b/decision/allotment/allotment.go
@@ -70,7 +70,7 @@
 		MemoryBytes:  each(maximum.MemoryBytes, others.MemoryBytes, have.MemoryBytes, demand.Used.MemoryBytes, demand.Want.MemoryBytes, reserved.MemoryBytes),
 		Accelerators: each(maximum.Accelerators, others.Accelerators, have.Accelerators, demand.Used.Accelerators, demand.Want.Accelerators, reserved.Accelerators),
 	}
-	if allotted != (fleet.Resources{}) || have != allotted {
+	if allotted != have {
 		next.Pools[pool] = allotted
 	}
 	next.reserve(maximum, pool, demand.Need, nowMs)
--- a/services/pools/follow.go
+++ b/services/pools/follow.go
@@ -64,8 +64,7 @@
 		r := &records[i]
 		if r.RecordKey == m.tenure.Condition.RecordKey && r.Version > m.tenure.Condition.Version {
 			p.s.log.Warn().Str("pool", m.pool).Int("term", m.tenure.Term).Int64("version", r.Version).Msg("the store has a later owner")
-			p.s.ownership.Lost(m.tenure)
-			delete(p.pools, m.pool)
+			p.lose(m)
 			return true
 		}
 	}
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -166,6 +166,12 @@
 	return m
 }
 
+// lose ends the management of a pool that has a later owner.
+func (p *planner) lose(m *manager) {
+	p.s.ownership.Lost(m.tenure)
+	delete(p.pools, m.pool)
+}
+
 // step lets all pools decide and returns the time until the next step.
 func (p *planner) step() time.Duration {
 	p.now = p.s.clock()
@@ -218,8 +224,7 @@
 	p.logEvents(m)
 	if m.plan.Deposed() {
 		p.s.log.Warn().Str("pool", m.pool).Int("term", m.tenure.Term).Msg("an executor has seen a later owner")
-		p.s.ownership.Lost(m.tenure)
-		delete(p.pools, m.pool)
+		p.lose(m)
 		return idleWait
 	}
 	p.save(m)
--- a/services/pools/save.go
+++ b/services/pools/save.go
@@ -85,8 +85,7 @@
 		return false
 	}
 	p.s.log.Warn().Str("pool", m.pool).Int("term", m.tenure.Term).Msg("the store has a later owner")
-	p.s.ownership.Lost(m.tenure)
-	delete(p.pools, m.pool)
+	p.lose(m)
 	return true
 }
 
--- a/services/pools/status.go
+++ b/services/pools/status.go
@@ -93,8 +93,7 @@
 		m.statusVersion = current[i].Version
 		if status.Term > m.tenure.Term {
 			p.s.log.Warn().Str("pool", m.pool).Int("term", m.tenure.Term).Int("later", status.Term).Msg("a later owner has published its status")
-			p.s.ownership.Lost(m.tenure)
-			delete(p.pools, m.pool)
+			p.lose(m)
 		}
 	}
 }
--- a/services/upkeep/moves.go
+++ b/services/upkeep/moves.go
@@ -151,13 +151,10 @@
 
 // move orders moves.
 func (s *Service) move(ctx context.Context, now time.Time, moves []sizing.Move) {
-	errs := make([]error, len(moves))
-	var calls []func(context.Context)
-	for i, m := range moves {
-		order := services.MachineOrder{Machine: m.Machine, Holder: s.settings.Host, Fence: s.tenure.Fence}
-		calls = append(calls, func(ctx context.Context) { errs[i] = s.machines.MoveMachine(ctx, order, m.To) })
-	}
-	if !s.workers.Together(ctx, calls...) {
+	errs, done := orderEach(ctx, s, moves, func(m sizing.Move) string { return m.Machine }, func(ctx context.Context, order services.MachineOrder, m sizing.Move) error {
+		return s.machines.MoveMachine(ctx, order, m.To)
+	})
+	if !done {
 		return
 	}
 	for i, m := range moves {
--- a/services/upkeep/upkeep.go
+++ b/services/upkeep/upkeep.go
@@ -229,6 +229,18 @@
 	return recorded && len(orders)+len(moves) > 0 && s.mayOrder(s.clock())
 }
 
+// orderEach gives an order for each of some machines at once and returns what
+// became of them. It reports false when ctx has ended before.
+func orderEach[T any](ctx context.Context, s *Service, items []T, machine func(T) string, call func(context.Context, services.MachineOrder, T) error) ([]error, bool) {
+	errs := make([]error, len(items))
+	var calls []func(context.Context)
+	for i, item := range items {
+		order := services.MachineOrder{Machine: machine(item), Holder: s.settings.Host, Fence: s.tenure.Fence}
+		calls = append(calls, func(ctx context.Context) { errs[i] = call(ctx, order, item) })
+	}
+	return errs, s.workers.Together(ctx, calls...)
+}
+
 // mayOrder reports whether this process may give orders for machines: its
 // ownership is fresh.
 func (s *Service) mayOrder(now time.Time) bool {
--- a/services/upkeep/waves.go
+++ b/services/upkeep/waves.go
@@ -76,13 +76,10 @@
 
 // order begins maintenances.
 func (s *Service) order(ctx context.Context, now time.Time, orders []upkeep.Order) {
-	errs := make([]error, len(orders))
-	var calls []func(context.Context)
-	for i, o := range orders {
-		order := services.MachineOrder{Machine: o.Machine, Holder: s.settings.Host, Fence: s.tenure.Fence}
-		calls = append(calls, func(ctx context.Context) { errs[i] = s.machines.MaintainMachine(ctx, order, o.Wave) })
-	}
-	if !s.workers.Together(ctx, calls...) {
+	errs, done := orderEach(ctx, s, orders, func(o upkeep.Order) string { return o.Machine }, func(ctx context.Context, order services.MachineOrder, o upkeep.Order) error {
+		return s.machines.MaintainMachine(ctx, order, o.Wave)
+	})
+	if !done {
 		return
 	}
 	changed := make(map[int]bool)
