Check permissions, ranges and panics where they can hurt

Orders to executors and for machines are now checked just before they are sent. - A panic of one duty or call ended the process. A task counts as serving only by a report requested a stop's time after the executor has seen the new fencing token.

--- a/cmd/fuchsiafrontd/main.go
+++ b/cmd/fuchsiafrontd/main.go
@@ -24,6 +24,10 @@
 	var settings entryhost.Settings
 	arg.MustParse(&settings)
 	if settings.Boot != "" {
+		if err := settings.ValidateBoot(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitSettings)
+		}
 		exitOnError(runFleetHost(settings))
 		return
 	}
--- a/decision/catalog/catalog.go
+++ b/decision/catalog/catalog.go
@@ -3,7 +3,7 @@
 package catalog
 
 import (
-	"crypto/subtle"
+	"crypto/sha256"
 	"strings"
 	"time"
 
@@ -19,7 +19,9 @@
 
 	byHost map[string][]*Queue
 	byName map[string]*Queue
-	byKey  map[string]string
+	// byKey has the tenants by the digest of a key, so that the time of a look-up
+	// tells nothing about the keys.
+	byKey map[[sha256.Size]byte]string
 }
 
 // Queue carries work to the executors of one service.
@@ -78,7 +80,7 @@
 		Tenants:  make(map[string]Tenant, len(tenants)),
 		byHost:   make(map[string][]*Queue),
 		byName:   make(map[string]*Queue, len(queues)),
-		byKey:    make(map[string]string),
+		byKey:    make(map[[sha256.Size]byte]string),
 	}
 	for i := range queues {
 		q := &queues[i]
@@ -93,7 +95,7 @@
 	for _, t := range tenants {
 		c.Tenants[t.Name] = t
 		for _, key := range t.Keys {
-			c.byKey[key] = t.Name
+			c.byKey[sha256.Sum256([]byte(key))] = t.Name
 		}
 	}
 	return c
@@ -102,10 +104,7 @@
 // Route returns the queue of host with the longest prefix of path, and the rest
 // of the path. A port in host is ignored.
 func (c *Catalog) Route(host, path string) (queue *Queue, rest string, ok bool) {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 {
-		host = host[:i]
-	}
-	for _, q := range c.byHost[host] {
+	for _, q := range c.byHost[withoutPort(host)] {
 		if !strings.HasPrefix(path, q.PathPrefix) {
 			continue
 		}
@@ -119,6 +118,15 @@
 	return queue, path[len(queue.PathPrefix):], true
 }
 
+// withoutPort returns host without its port. An IPv6 address is in brackets.
+func withoutPort(host string) string {
+	i := strings.LastIndexByte(host, ':')
+	if i < 0 || i < strings.LastIndexByte(host, ']') {
+		return host
+	}
+	return host[:i]
+}
+
 // Queue returns the queue with the given name.
 func (c *Catalog) Queue(name string) (*Queue, bool) {
 	q := c.byName[name]
@@ -127,14 +135,6 @@
 
 // Authenticate returns the tenant that holds key.
 func (c *Catalog) Authenticate(key string) (tenant string, ok bool) {
-	tenant, ok = c.byKey[key]
-	if !ok {
-		return "", false
-	}
-	for _, k := range c.Tenants[tenant].Keys {
-		if subtle.ConstantTimeCompare([]byte(k), []byte(key)) == 1 {
-			return tenant, true
-		}
-	}
-	return "", false
+	tenant, ok = c.byKey[sha256.Sum256([]byte(key))]
+	return tenant, ok
 }
--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -14,10 +14,10 @@
 	// startListingMargin is how long after the confirmation of a start a report
 	// must have been requested for a missing run to count as over.
 	startListingMargin = 50 * time.Millisecond
-	// stopMargin is the same for the confirmation of a stop. A stop takes up to
-	// 200 ms, during which the run may be missing from reports but still
-	// occupies its resources.
-	stopMargin = 500 * time.Millisecond
+	// stopMargin is how long after the confirmation of a stop, beyond the time
+	// that a stop takes, a report must have been requested for a missing run to
+	// count as over. Until then the run may still occupy its resources.
+	stopMargin = 300 * time.Millisecond
 )
 
 // findTarget returns the executor of a target, or nil when that incarnation is
@@ -43,7 +43,7 @@
 		return
 	}
 	r.startUnanswered = false
-	if o.Answer != NoAnswer && o.Answer != NotSent {
+	if o.Answer != NoAnswer && o.Answer != NotSent && o.Answer != Withheld {
 		e.recordAnswer(now, o)
 		e.startUnansweredSince = time.Time{}
 		e.missedAnswers = 0
@@ -68,6 +68,13 @@
 		}
 		p.recordNoAnswer(now, e)
 		p.discardUnstartedRun(now, r, "executor unreachable")
+	case Withheld:
+		if r.startTries > 1 {
+			p.stopRun(now, r, "start unanswered")
+			return
+		}
+		p.discardUnstartedRun(now, r, "start withheld")
+		r.task.runLost = s.Exclusive
 	case RefusedOld:
 		p.handleOldAttempt(now, r)
 	case WrongIncarnation:
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -44,8 +44,14 @@
 	// fencingTokenSeen is set once the executor has seen this owner's fencing
 	// token.
 	fencingTokenSeen bool
-	used             fleet.Resources
-	runs             map[runKey]*run
+	// fencingTokenSeenAt is when the first report showed that.
+	fencingTokenSeenAt time.Time
+	// reportRequestedAt and reportedAt are when the last report was requested and
+	// when it arrived.
+	reportRequestedAt time.Time
+	reportedAt        time.Time
+	used              fleet.Resources
+	runs              map[runKey]*run
 	// unknownRuns counts the runs of the last report whose demand is not known
 	// because their job has ended or belongs to another pool.
 	unknownRuns int
@@ -120,8 +126,10 @@
 	measurement       int
 	speedPercent      int
 	throttleOrderedAt time.Time
-	checkpoint        string
-	stopOrderedAt     time.Time
+	// speedUnconfirmed is set if speedPercent was ordered and not confirmed.
+	speedUnconfirmed bool
+	checkpoint       string
+	stopOrderedAt    time.Time
 	// stopConfirmedAt is when the executor first confirmed a stop.
 	stopConfirmedAt time.Time
 	stopReason      string
@@ -175,6 +183,14 @@
 	}
 }
 
+// recordReport records when a report was requested and when it arrived.
+func (e *executor) recordReport(now time.Time, o Outcome) {
+	e.reportRequestedAt, e.reportedAt = o.SentAt, now
+	if !o.ReceivedAt.IsZero() {
+		e.reportedAt = o.ReceivedAt
+	}
+}
+
 // assumeInheritedLease assumes that a previous owner granted the longest lease
 // just now.
 func (e *executor) assumeInheritedLease(maxLease time.Duration) {
--- a/decision/poolplan/orders.go
+++ b/decision/poolplan/orders.go
@@ -29,6 +29,9 @@
 	LeaseUntilMs int64
 	// Reason is why the task starts here; it is logged.
 	Reason string
+	// Exclusive is set if a successor may know that the task has ended: the start
+	// must not be sent unless this owner certainly has no successor.
+	Exclusive bool
 	// Waited is the time since the task became ready.
 	Waited time.Duration
 }
@@ -105,10 +108,13 @@
 	// WrongIncarnation means that another incarnation or executor uses the
 	// address.
 	WrongIncarnation
+	// Withheld means that the order was not sent, because this process might no
+	// longer own the pool or had no room for the call.
+	Withheld
 )
 
 var answerNames = [...]string{
-	"accepted", "not-sent", "no-answer", "fence", "old", "late", "no-room", "ticket", "busy", "invalid", "wrong-life",
+	"accepted", "not-sent", "no-answer", "fence", "old", "late", "no-room", "ticket", "busy", "invalid", "wrong-life", "withheld",
 }
 
 // String returns the name of the answer in logs and metrics.
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -249,6 +249,7 @@
 
 func (p *Plan) startTask(now time.Time, t *task, e *executor, attempt int) {
 	g := t.group
+	exclusive := t.runLost
 	t.lastAttempt, t.runLost = attempt, false
 	r := &run{
 		key:              runKey{t.id(), attempt},
@@ -272,6 +273,7 @@
 		SpecText:     g.job.spec.Text,
 		LeaseUntilMs: untilMs,
 		Reason:       "room",
+		Exclusive:    exclusive,
 		Waited:       now.Sub(g.readyAt),
 	}
 	if g.step.Checkpoints {
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -21,6 +21,9 @@
 	// LeaseCap is the time after an owner's last confirmed renewal of its
 	// ownership at which all leases that it granted end.
 	LeaseCap time.Duration
+	// StopTime is the longest time that a run takes to end after its executor has
+	// accepted a stop.
+	StopTime time.Duration
 }
 
 // Timing of the plan.
--- a/decision/poolplan/relocate.go
+++ b/decision/poolplan/relocate.go
@@ -38,7 +38,7 @@
 // unavailable.
 func (p *Plan) mayInterrupt(now time.Time, r *run) bool {
 	g := r.task.group
-	if !r.task.servingFor(now, minServingTime) {
+	if !p.isServing(now, r.task) {
 		return false
 	}
 	if g.step.MaxUnavailable <= 0 {
@@ -46,21 +46,31 @@
 	}
 	unavailable := 0
 	for _, t := range g.tasks {
-		if t != r.task && !t.servingFor(now, minServingTime) {
+		if t != r.task && !p.isServing(now, t) {
 			unavailable++
 		}
 	}
 	return unavailable < g.step.MaxUnavailable
 }
 
-// servingFor reports whether a service task has been serving for at least d,
-// according to a recent report.
-func (t *task) servingFor(now time.Time, d time.Duration) bool {
+// isServing reports whether a service task has been serving for minServingTime,
+// according to a recent report, and is not about to be stopped by an order of the
+// previous owner.
+func (p *Plan) isServing(now time.Time, t *task) bool {
 	for _, r := range t.runs {
-		answeredRecently := r.executor.reachable() && now.Sub(r.executor.lastAnswerAt) < reportWait+leaseRenewalRetryDelay
-		if answeredRecently && r.state == runRunning && r.percent == 100 && now.Sub(r.percentChangedAt) >= d {
+		reportedRecently := r.executor.reachable() && now.Sub(r.executor.reportedAt) < reportWait+leaseRenewalRetryDelay
+		serves := r.state == runRunning && r.percent == 100 && now.Sub(r.percentChangedAt) >= minServingTime
+		if reportedRecently && serves && !r.executor.mayHaveInheritedStop(p.params.StopTime) {
 			return true
 		}
 	}
 	return false
 }
+
+// mayHaveInheritedStop reports whether the last report may list a run that a stop
+// of the previous owner is ending. The executor accepts no such stop once it has
+// seen this owner's fencing token, and a run that was stopped before is gone from
+// every report requested stopTime later.
+func (e *executor) mayHaveInheritedStop(stopTime time.Duration) bool {
+	return e.inherited && e.reportRequestedAt.Sub(e.fencingTokenSeenAt) < stopTime
+}
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -19,6 +19,9 @@
 		p.endIncarnation(now, e, "another life answers")
 		return
 	case Accepted:
+	case Withheld:
+		e.nextLeaseRenewalAt = now.Add(leaseRenewalRetryDelay)
+		return
 	default:
 		p.recordNoAnswer(now, e)
 		e.nextLeaseRenewalAt = now.Add(leaseRenewalRetryDelay)
@@ -42,8 +45,10 @@
 	e.startUnansweredSince = time.Time{}
 	e.recordAnswer(now, r.Outcome)
 	if first {
+		e.fencingTokenSeenAt = now
 		e.assumeInheritedLease(p.params.MaxLease)
 	}
+	e.recordReport(now, r.Outcome)
 	ended := p.applyEnds(now, e, r)
 	p.reconcileRuns(now, e, r, ended)
 	e.nextLeaseRenewalAt = now
@@ -88,7 +93,7 @@
 		return
 	}
 	for _, planned := range sortedRuns(e) {
-		if listed[planned.key] || ended[planned.key] || !planned.overIfUnlisted(r.SentAt) {
+		if listed[planned.key] || ended[planned.key] || !planned.overIfUnlisted(r.SentAt, p.params.StopTime) {
 			continue
 		}
 		p.loseRun(now, planned, "not listed by its executor")
@@ -97,10 +102,10 @@
 
 // overIfUnlisted reports whether a run is over if it is missing from a report
 // requested at sentAt.
-func (r *run) overIfUnlisted(sentAt time.Time) bool {
+func (r *run) overIfUnlisted(sentAt time.Time, stopTime time.Duration) bool {
 	switch r.state {
 	case runStopping:
-		return !r.stopConfirmedAt.IsZero() && sentAt.Sub(r.stopConfirmedAt) >= stopMargin
+		return !r.stopConfirmedAt.IsZero() && sentAt.Sub(r.stopConfirmedAt) >= stopTime+stopMargin
 	case runRunning:
 		return !r.startUnanswered && !r.confirmedAt.IsZero() && sentAt.Sub(r.confirmedAt) >= startListingMargin
 	}
@@ -135,6 +140,8 @@
 	}
 	t.lastAttempt = max(t.lastAttempt, report.Attempt)
 	r := &run{key: runKey{report.Task, report.Attempt}, task: t, executor: e, state: runRunning, orderedAt: now, confirmedAt: now, percentChangedAt: now, speedPercent: 100}
+	// The previous owner may have throttled it.
+	r.speedUnconfirmed = t.group.step.BestEffort
 	others := len(t.runs)
 	e.runs[r.key] = r
 	t.runs = append(t.runs, r)
--- a/decision/poolplan/takeover_test.go
+++ b/decision/poolplan/takeover_test.go
@@ -102,3 +102,39 @@
 	sim.answerLeaseRenewal(sim.takeLeaseRenewal(), nil)
 	assert.Equal(t, sim.takeStart().Executor, "1")
 }
+
+// Guards against a successor that interrupts a service task although stops of the
+// previous owner are ending others of its step, which its first reports still list
+// as serving (zpnn-plan-grown, trouble-1).
+func TestStopsOfPreviousOwnerCountAsAway(t *testing.T) {
+	sim := newSimulation(t, 2)
+	ids := []string{"1", "2", "3", "4"}
+	for _, id := range ids {
+		sim.plan.Inherit(sim.now, executorInfo(id))
+	}
+	sim.register(ids...)
+	service := step(3)
+	service.Service, service.MaxPerExecutor, service.MaxUnavailable = true, 1, 1
+	sim.addJob("a", true, service)
+	running := make(map[string][]RunReport)
+	for i, id := range ids[:3] {
+		task := workload.TaskID{Job: "a", TaskName: workload.TaskName{Index: i}}
+		running[id] = []RunReport{{Task: task, Attempt: 1, Percent: 100, Measurement: -1}}
+	}
+	list := []Executor{executorInfo("1"), executorInfo("2"), executorInfo("3"), executorInfo("4")}
+	list[0].Leaving = true
+	sim.plan.SetExecutors(sim.now, list)
+	firstStop := time.Time{}
+	for start := sim.now; firstStop.IsZero() && sim.now.Sub(start) < 5*time.Second; {
+		sim.advance(100 * time.Millisecond)
+		for range len(sim.leaseRenewals) {
+			renewal := sim.takeLeaseRenewal()
+			sim.answerLeaseRenewal(renewal, running[renewal.Executor])
+		}
+		if len(sim.stops) > 0 {
+			firstStop = sim.now
+			assert.Assert(t, firstStop.Sub(start) >= testParams.StopTime, "a task was stopped %v after the takeover", firstStop.Sub(start))
+		}
+	}
+	assert.Assert(t, !firstStop.IsZero(), "the machine is never emptied")
+}
--- a/decision/poolplan/watch.go
+++ b/decision/poolplan/watch.go
@@ -31,7 +31,7 @@
 // checkRuns stops stalled runs and throttles best-effort tasks.
 func (p *Plan) checkRuns(now time.Time) {
 	for _, e := range p.executors {
-		if e.latencyBoundRuns > 0 && e.bestEffortRuns > 0 {
+		if e.bestEffortRuns > 0 {
 			p.throttleBestEffort(now, e)
 		}
 		for _, r := range e.runs {
@@ -63,7 +63,7 @@
 
 // throttleBestEffort slows the best-effort tasks of an executor while a service
 // task beside them is near its latency target, and speeds them up while all are
-// well below it.
+// well below it or none is left.
 func (p *Plan) throttleBestEffort(now time.Time, e *executor) {
 	worstPercent := 0
 	for _, r := range e.runs {
@@ -77,19 +77,21 @@
 			continue
 		}
 		switch {
-		case worstPercent >= 100 && r.speedPercent > 0:
+		case worstPercent >= 100 && (r.speedPercent > 0 || r.speedUnconfirmed):
 			p.orderThrottle(now, r, 0, worstPercent)
 		case worstPercent > slowAbovePercent && r.speedPercent > 0:
 			p.orderThrottle(now, r, r.speedPercent/2, worstPercent)
-		case worstPercent < speedUpBelowPercent && r.speedPercent < 100:
+		case worstPercent < speedUpBelowPercent && (r.speedPercent < 100 || r.speedUnconfirmed):
 			p.orderThrottle(now, r, min(r.speedPercent+speedUpStepPercent, 100), worstPercent)
+		case r.speedUnconfirmed:
+			p.orderThrottle(now, r, r.speedPercent, worstPercent)
 		}
 	}
 }
 
 func (p *Plan) orderThrottle(now time.Time, r *run, percent, worstPercent int) {
 	p.addEvent(Event{Kind: "filler paced", Job: r.key.task.Job, Task: r.key.task.String(), Peer: r.executor.ID, Reason: throttleReason(worstPercent)})
-	r.speedPercent, r.throttleOrderedAt = percent, now
+	r.speedPercent, r.throttleOrderedAt, r.speedUnconfirmed = percent, now, false
 	p.orders = append(p.orders, Throttle{Target: r.executor.target(), Task: r.key.task, Attempt: r.key.attempt, Percent: percent, Reason: throttleReason(worstPercent)})
 }
 
@@ -119,9 +121,8 @@
 		return
 	}
 	if r := e.runs[runKey{o.Task, o.Attempt}]; r != nil && r.speedPercent == o.Percent {
-		// The speed in force is not known. Any other value makes a later check
-		// send it again.
-		r.speedPercent = min(o.Percent+1, 100)
+		// The speed in force is not known until a later check sends it again.
+		r.speedUnconfirmed = true
 		r.throttleOrderedAt = now
 	}
 }
--- a/decision/workload/workload.go
+++ b/decision/workload/workload.go
@@ -3,6 +3,7 @@
 package workload
 
 import (
+	"strconv"
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/fleet"
@@ -101,7 +102,15 @@
 var stateNames = [...]string{"queued", "running", "completed", "failed", "cancelled"}
 
 // String returns the name of the state in logs and tables.
-func (s State) String() string { return stateNames[s] }
+func (s State) String() string {
+	if !s.Valid() {
+		return "state " + strconv.Itoa(int(s))
+	}
+	return stateNames[s]
+}
+
+// Valid reports whether s is one of the states above.
+func (s State) Valid() bool { return s >= Queued && s <= Cancelled }
 
 // Ended reports whether the job is completed, failed or cancelled, so that none
 // of its tasks runs any more.
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -87,13 +87,26 @@
 	if s.Profile != "" && !slices.Contains(profile.Names(), s.Profile) {
 		c.Reject("--preset", s.Profile)
 	}
+	s.validateCommon(c)
+	return c.Err()
+}
+
+// ValidateBoot returns all errors in the settings that hold beside the platform's
+// settings file, joined.
+func (s *Settings) ValidateBoot() error {
+	c := settings.NewChecker(s)
+	s.validateCommon(c)
+	return c.Err()
+}
+
+// validateCommon checks the settings that hold on both platforms.
+func (s *Settings) validateCommon(c *settings.Checker) {
 	if s.LogLevel != "" && !slices.Contains(logLevels, s.LogLevel) {
 		c.Reject("--log-level", s.LogLevel)
 	}
 	if s.Boot != "" && !isReadable(s.Boot) {
 		c.Reject("--boot", s.Boot)
 	}
-	return c.Err()
 }
 
 // isReadable reports whether the file at path can be opened.
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -82,6 +82,7 @@
 	ReasonInternal           Reason = "internal"
 	ReasonSuperseded         Reason = "superseded"
 	ReasonMachineBusy        Reason = "machine-busy"
+	ReasonOwnershipExpired   Reason = "ownership-expired"
 )
 
 // Error is a fault with the step and the peer at which it occurred.
--- a/fleethost/fleethost.go
+++ b/fleethost/fleethost.go
@@ -79,6 +79,7 @@
 func planParams(s *platform.Settings) poolplan.Params {
 	return poolplan.Params{
 		MaxLease: platform.Milliseconds(s.Bounds.LeaseMaxMs),
+		StopTime: platform.Milliseconds(s.Bounds.StopTimeMs),
 	}
 }
 
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -58,6 +58,8 @@
 	provisionOrder  []*entry
 	provisioning    []string
 	provisionErrors []error
+	// failures holds the first duty that panicked too often.
+	failures chan error
 }
 
 type entry struct {
@@ -74,6 +76,8 @@
 type duty struct {
 	name string
 	run  func(context.Context)
+	// restartable duties run again after a panic.
+	restartable bool
 }
 
 // Context is passed to a service while it is provisioned.
@@ -94,7 +98,7 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	return &Kernel{log: log, scope: scope, services: make(map[string]*entry)}
+	return &Kernel{log: log, scope: scope, services: make(map[string]*entry), failures: make(chan error, 1)}
 }
 
 // Register adds a service under a name. Provision reports a name that is
@@ -214,8 +218,12 @@
 	e.cancel = cancel
 	e.started = true
 	for _, d := range e.duties {
+		run := d.run
+		if d.restartable {
+			run = func(ctx context.Context) { k.supervise(ctx, d) }
+		}
 		e.dutyGroup.Go(func() {
-			pprof.Do(dutyCtx, pprof.Labels("duty", d.name), d.run)
+			pprof.Do(dutyCtx, pprof.Labels("duty", d.name), run)
 		})
 	}
 	s, ok := e.service.(Starter)
@@ -284,18 +292,23 @@
 	}
 }
 
-// Run starts the services, waits until ctx is done, then drains the services
-// within drainTimeout and stops them.
+// Run starts the services, waits until ctx is done or a restartable duty has
+// panicked too often, then drains the services within drainTimeout and stops them.
 func (k *Kernel) Run(ctx context.Context, drainTimeout time.Duration) error {
 	if err := k.Start(ctx); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	var failure error
+	select {
+	case <-ctx.Done():
+	case failure = <-k.failures:
+		k.log.Error().Err(failure).Msg("stopping: a duty keeps failing")
+	}
 	k.log.Info().Dur("timeout", drainTimeout).Msg("draining")
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
 	defer cancel()
 	drainErr := k.Drain(drainCtx)
 	stopErr := k.Stop(drainCtx)
 	k.log.Info().Msg("stopped")
-	return errors.Join(drainErr, stopErr)
+	return errors.Join(failure, drainErr, stopErr)
 }
--- a/ring/workers.go
+++ b/ring/workers.go
@@ -12,10 +12,18 @@
 	pending *Ring[call]
 }
 
-// call is one call; done receives a value when it has returned.
+// call is one call. done receives true when it has returned, or false when it has
+// panicked.
 type call struct {
 	run  func(context.Context)
-	done *Ring[struct{}]
+	done *Ring[bool]
+}
+
+func (c call) perform(ctx context.Context) {
+	returned := false
+	defer func() { c.done.Offer(returned) }()
+	c.run(ctx)
+	returned = true
 }
 
 // NewWorkers returns a pool whose ring has room for capacity calls. Run must be
@@ -31,28 +39,30 @@
 		if err != nil {
 			return
 		}
-		c.run(ctx)
-		c.done.Offer(struct{}{})
+		c.perform(ctx)
 	}
 }
 
 // RunAll runs fns on the workers and reports whether all of them returned before
-// ctx was done. No two of them may write the same state, and the caller may read
+// ctx was done, without a panic. No two of them may write the same state, and the caller may read
 // what they wrote only when the result is true.
 func (w *Workers) RunAll(ctx context.Context, fns ...func(context.Context)) bool {
 	if len(fns) == 0 {
 		return true
 	}
-	done := New[struct{}]("workers.done", len(fns), nil)
+	done := New[bool]("workers.done", len(fns), nil)
 	for _, fn := range fns {
 		if w.pending.Put(ctx, call{fn, done}) != nil {
 			return false
 		}
 	}
+	allReturned := true
 	for range fns {
-		if _, err := done.Take(ctx); err != nil {
+		returned, err := done.Take(ctx)
+		if err != nil {
 			return false
 		}
+		allReturned = allReturned && returned
 	}
-	return true
+	return allReturned
 }
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -58,7 +58,7 @@
 	s.ageGauge = c.Scope.Gauge("catalog_age_seconds")
 	var err error
 	s.operator, err = kernel.Lookup[services.OperatorStore](c, services.NamePlatform)
-	c.AddDuty("catalog.follow", s.follow)
+	c.AddRestartableDuty("catalog.follow", s.follow)
 	return err
 }
 
--- a/services/jobintake/jobintake.go
+++ b/services/jobintake/jobintake.go
@@ -255,8 +255,12 @@
 	}
 	tx := services.RecordTx{Writes: []services.RecordWrite{{RecordKey: jobrecord.CancelKey(j.pool, id), Value: []byte("{}")}}}
 	commit, err := s.commit(ctx, tx, "cancel")
-	s.log.Info().Err(err).Str("job", id).Str("queue", q.Name).Int64("version", commit.Version).Msg("job cancelled")
-	return true, err
+	if err != nil {
+		s.log.Info().Err(err).Str("job", id).Str("queue", q.Name).Msg("cancellation not recorded")
+		return true, err
+	}
+	s.log.Info().Str("job", id).Str("queue", q.Name).Int64("version", commit.Version).Msg("job cancelled")
+	return true, nil
 }
 
 // Pending implements services.JobIntake.
--- a/services/ownership/ownership.go
+++ b/services/ownership/ownership.go
@@ -105,9 +105,9 @@
 		return err
 	}
 	s.workers = ring.NewWorkers("ownership.calls", callsRingCapacity, c.Scope)
-	c.AddDuty("ownership.watch", s.watch)
+	c.AddRestartableDuty("ownership.watch", s.watch)
 	for range callDutyCount {
-		c.AddDuty("ownership.calls", s.workers.Run)
+		c.AddRestartableDuty("ownership.calls", s.workers.Run)
 	}
 	return nil
 }
@@ -133,6 +133,8 @@
 }
 
 func (s *Service) watch(ctx context.Context) {
+	// After a panic, changes may have been read and not applied.
+	s.changesVersion = 0
 	for ctx.Err() == nil {
 		s.dropLostOwnerships()
 		s.round(ctx)
--- a/services/pools/expire.go
+++ b/services/pools/expire.go
@@ -33,7 +33,7 @@
 		return
 	}
 	m.inFlight.expireJobs, m.nextExpiryAt = true, p.now.Add(expiryInterval)
-	p.send(p.s.recordCalls, expireCall{ownershipRef{m.name, m.ownership.Term, m.ownership.FencingToken}, m.ownership.Condition, p.now})
+	p.send(p.s.recordCalls, expireCall{m.ref(), m.ownership.Condition, p.now})
 }
 
 func (c expireCall) run(ctx context.Context, s *Service) event {
@@ -42,7 +42,8 @@
 		return expireDone{c, 0, err}
 	}
 	var old []string
-	for id, p := range s.decodeProgress(records) {
+	progress, _ := s.decodeProgress(records)
+	for id, p := range progress {
 		if p.State.Ended() && jobrecord.RetentionExpired(p.EndedAt, c.now, s.settings.JobRetention) {
 			old = append(old, id)
 		}
@@ -73,6 +74,8 @@
 	return err
 }
 
+func (c expireCall) notMade() event { return expireDone{c, 0, errBacklogFull} }
+
 func (e expireDone) handle(p *planner) {
 	if m := p.managedPool(e.pool, e.term); m != nil {
 		m.inFlight.expireJobs = false
--- a/services/pools/follow.go
+++ b/services/pools/follow.go
@@ -24,7 +24,7 @@
 		return
 	}
 	m.inFlight.followJobs = true
-	p.send(p.s.recordCalls, followCall{ownershipRef{m.name, m.ownership.Term, m.ownership.FencingToken}, m.changesVersion})
+	p.send(p.s.recordCalls, followCall{m.ref(), m.changesVersion})
 }
 
 func (c followCall) run(ctx context.Context, s *Service) event {
@@ -32,6 +32,8 @@
 	return followDone{c, changes, err}
 }
 
+func (c followCall) notMade() event { return followDone{c, services.RecordChanges{}, errBacklogFull} }
+
 func (e followDone) handle(p *planner) {
 	m := p.managedPool(e.pool, e.term)
 	if m == nil {
@@ -41,6 +43,7 @@
 	p.now = p.s.clock()
 	switch {
 	case e.err != nil:
+		p.s.log.Debug().Err(e.err).Str("pool", m.name).Int64("version", e.after).Msg("changes of the jobs not read; retrying")
 		m.retryAt = p.now.Add(loadRetryDelay)
 		return
 	case e.changes.VersionExpired:
--- a/services/pools/limits.go
+++ b/services/pools/limits.go
@@ -192,6 +192,10 @@
 	return limitsFollowDone{changes, err}
 }
 
+func (limitsFollowCall) notMade() event {
+	return limitsFollowDone{services.RecordChanges{}, errBacklogFull}
+}
+
 func (e limitsFollowDone) handle(p *planner) {
 	l := &p.limits
 	l.following = false
@@ -222,9 +226,14 @@
 	return limitsLoadDone{records, version, err}
 }
 
+func (limitsLoadCall) notMade() event { return limitsLoadDone{nil, 0, errBacklogFull} }
+
 func (e limitsLoadDone) handle(p *planner) {
 	p.limits.callInFlight = false
 	if e.err != nil {
+		p.now = p.s.clock()
+		p.limits.nextStepAt = p.now.Add(limitsRetryDelay)
+		p.s.log.Debug().Err(e.err).Msg("allotments not read; retrying")
 		return
 	}
 	p.limits.loaded, p.limits.changesVersion = true, e.version
@@ -270,6 +279,10 @@
 	return limitsCommitDone{c, commit, err}
 }
 
+func (c limitsCommitCall) notMade() event {
+	return limitsCommitDone{c, services.RecordCommit{}, errBacklogFull}
+}
+
 func (e limitsCommitDone) handle(p *planner) {
 	p.limits.callInFlight = false
 	p.now = p.s.clock()
--- a/services/pools/load.go
+++ b/services/pools/load.go
@@ -59,7 +59,7 @@
 	if m.loading != nil || p.now.Before(m.retryAt) {
 		return
 	}
-	ref := ownershipRef{m.name, m.ownership.Term, m.ownership.FencingToken}
+	ref := m.ref()
 	parts := jobrecord.JobParts(m.name)
 	m.loading = new(poolLoad)
 	for chunk := range slices.Chunk(parts, (len(parts)+parallelScans-1)/parallelScans) {
@@ -103,6 +103,8 @@
 	return a
 }
 
+func (c scanCall) notMade() event { return scanDone{scanCall: c, err: errBacklogFull} }
+
 func (e scanDone) handle(p *planner) {
 	m := p.managedPool(e.pool, e.term)
 	if m == nil || m.loading == nil {
@@ -164,7 +166,11 @@
 	}
 	state.version = c.version
 	state.executorRecords.shards = make(map[services.RecordKey][]byte)
-	s.decodeJobs(&state, append(c.jobRecords, ownerRecords...), s.decodeProgress(progressRecords))
+	progress, damaged := s.decodeProgress(progressRecords)
+	s.decodeJobs(&state, slices.DeleteFunc(append(c.jobRecords, ownerRecords...), func(r services.Record) bool {
+		id, _ := jobrecord.ParseKey(r.Key)
+		return damaged[id]
+	}), progress)
 	for i := range progressRecords {
 		if progressRecords[i].RecordKey == jobrecord.SavesKey(c.pool) {
 			state.savesVersion = progressRecords[i].Version
@@ -176,8 +182,11 @@
 	return state, nil
 }
 
-func (s *Service) decodeProgress(records []services.Record) map[string]workload.Progress {
-	progress := make(map[string]workload.Progress, len(records))
+// decodeProgress returns the progress of each job, and the jobs whose progress
+// cannot be decoded. These are not run, because what they have done is not known.
+func (s *Service) decodeProgress(records []services.Record) (progress map[string]workload.Progress, damaged map[string]bool) {
+	progress = make(map[string]workload.Progress, len(records))
+	damaged = make(map[string]bool)
 	for i := range records {
 		id, kind := jobrecord.ParseKey(records[i].Key)
 		if kind != jobrecord.KindProgress {
@@ -185,12 +194,13 @@
 		}
 		p, err := jobrecord.DecodeProgress(id, records[i].Value)
 		if err != nil {
-			s.log.Error().Err(err).Msg("progress cannot be decoded; the job starts from the beginning")
+			s.log.Error().Err(err).Str("job", id).Msg("progress cannot be decoded; the job is not run")
+			damaged[id] = true
 			continue
 		}
 		progress[id] = p
 	}
-	return progress
+	return progress, damaged
 }
 
 func (s *Service) decodeJobs(state *poolState, records []services.Record, progress map[string]workload.Progress) {
@@ -235,6 +245,8 @@
 	state.executorRecords.shards[r.RecordKey] = r.Value
 }
 
+func (c loadCall) notMade() event { return loadDone{ownershipRef: c.ownershipRef, err: errBacklogFull} }
+
 func (e loadDone) handle(p *planner) {
 	m := p.managedPool(e.pool, e.term)
 	if m == nil {
--- a/services/pools/orders.go
+++ b/services/pools/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"fuchsiafront.example/fuchsiafront/decision/ownership"
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
 )
 
@@ -14,6 +15,24 @@
 	fencingToken int64
 }
 
+// ref returns the reference for calls of the pool's present ownership.
+func (m *managedPool) ref() ownershipRef {
+	return ownershipRef{m.name, m.ownership.Term, m.ownership.FencingToken}
+}
+
+// mayOrder reports whether this process may still give orders for the pool: it owns
+// it with the same term, and its last confirmed renewal is at most maxAge old. It is
+// checked just before an order is sent, because the process may have been paused
+// since the order was planned.
+func (s *Service) mayOrder(r ownershipRef, maxAge time.Duration) bool {
+	o, ok := s.ownership.OwnedPools()[r.pool]
+	if !ok || o.Term != r.term || s.clock().Sub(o.RenewedAt) > maxAge {
+		s.meters.ordersWithheld.Inc(1)
+		return false
+	}
+	return true
+}
+
 // withPlan calls f with the pool's plan unless the ownership has ended.
 func (r ownershipRef) withPlan(p *planner, f func(plan *poolplan.Plan, now time.Time)) {
 	if m := p.managedPool(r.pool, r.term); m != nil && m.plan != nil {
@@ -33,10 +52,19 @@
 }
 
 func (c startCall) run(ctx context.Context, s *Service) event {
+	maxAge := ownership.RenewalTimeout
+	if c.order.Exclusive {
+		maxAge = ownership.ExclusiveFor
+	}
+	if !s.mayOrder(c.ownershipRef, maxAge) {
+		return c.notMade()
+	}
 	defer s.recordOrderTime(s.clock())
 	return startDone{c, s.executors.Start(ctx, c.order, c.fencingToken)}
 }
 
+func (c startCall) notMade() event { return startDone{c, poolplan.Outcome{Answer: poolplan.Withheld}} }
+
 func (e startDone) handle(p *planner) {
 	e.withPlan(p, func(plan *poolplan.Plan, now time.Time) { plan.StartDone(now, e.order, e.outcome) })
 }
@@ -52,10 +80,15 @@
 }
 
 func (c stopCall) run(ctx context.Context, s *Service) event {
+	if !s.mayOrder(c.ownershipRef, ownership.RenewalTimeout) {
+		return c.notMade()
+	}
 	defer s.recordOrderTime(s.clock())
 	return stopDone{c, s.executors.Stop(ctx, c.order, c.fencingToken)}
 }
 
+func (c stopCall) notMade() event { return stopDone{c, poolplan.Outcome{Answer: poolplan.Withheld}} }
+
 func (e stopDone) handle(p *planner) {
 	e.withPlan(p, func(plan *poolplan.Plan, now time.Time) { plan.StopDone(now, e.order, e.outcome) })
 }
@@ -71,9 +104,16 @@
 }
 
 func (c throttleCall) run(ctx context.Context, s *Service) event {
+	if !s.mayOrder(c.ownershipRef, ownership.RenewalTimeout) {
+		return c.notMade()
+	}
 	return throttleDone{c, s.executors.Throttle(ctx, c.order, c.fencingToken)}
 }
 
+func (c throttleCall) notMade() event {
+	return throttleDone{c, poolplan.Outcome{Answer: poolplan.Withheld}}
+}
+
 func (e throttleDone) handle(p *planner) {
 	e.withPlan(p, func(plan *poolplan.Plan, now time.Time) { plan.ThrottleDone(now, e.order, e.outcome) })
 }
@@ -89,9 +129,16 @@
 }
 
 func (c renewLeaseCall) run(ctx context.Context, s *Service) event {
+	if !s.mayOrder(c.ownershipRef, ownership.RenewalTimeout) {
+		return c.notMade()
+	}
 	return renewLeaseDone{c, s.executors.RenewLease(ctx, c.order, c.fencingToken)}
 }
 
+func (c renewLeaseCall) notMade() event {
+	return renewLeaseDone{c, poolplan.Report{Outcome: poolplan.Outcome{Answer: poolplan.Withheld}}}
+}
+
 func (e renewLeaseDone) handle(p *planner) {
 	e.withPlan(p, func(plan *poolplan.Plan, now time.Time) { plan.RenewLeaseDone(now, e.order, e.report) })
 }
@@ -113,6 +160,8 @@
 	return adviseDone{c, tickets, validity, err}
 }
 
+func (c adviseCall) notMade() event { return adviseDone{adviseCall: c, err: errBacklogFull} }
+
 func (e adviseDone) handle(p *planner) {
 	if e.err != nil {
 		p.s.log.Warn().Err(e.err).Str("job", e.order.Job).Msg("advice request failed; retrying")
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -44,6 +44,8 @@
 	catalog      *catalog.Catalog
 	pools        map[string]*managedPool
 	backlog      []pendingCall
+	// notMade has the outcomes of calls that found the backlog full.
+	notMade []event
 
 	registry []services.RegisteredExecutor
 	// incarnations has the registered executors of all pools.
@@ -106,12 +108,26 @@
 		return
 	}
 	if len(p.backlog) >= maxBacklog {
-		p.s.log.Error().Int("limit", maxBacklog).Msg("call dropped: the backlog of calls that wait for a ring is full")
+		p.s.meters.callsNotMade.Inc(1)
+		p.notMade = append(p.notMade, c.notMade())
 		return
 	}
 	p.backlog = append(p.backlog, pendingCall{r, c})
 }
 
+// handleNotMade handles the outcomes of calls that found the backlog full, so that
+// what waits for them is tried again.
+func (p *planner) handleNotMade() {
+	outcomes := p.notMade
+	p.notMade = nil
+	if len(outcomes) > 0 {
+		p.s.log.Error().Int("calls", len(outcomes)).Int("limit", maxBacklog).Msg("calls not made: the backlog of calls that wait for a ring is full")
+	}
+	for _, e := range outcomes {
+		e.handle(p)
+	}
+}
+
 func (p *planner) sendBacklog() {
 	for len(p.backlog) > 0 && p.backlog[0].ring.Offer(p.backlog[0].call) {
 		p.backlog = p.backlog[1:]
@@ -175,11 +191,26 @@
 	delete(p.pools, m.name)
 }
 
+// giveUpAll gives up all pools of this process and starts with an empty state.
+// After a panic, the plans may be half changed and calls may have lost their
+// outcomes; a new term reads everything again and uses new attempt numbers.
+func (p *planner) giveUpAll(reason string) {
+	for name, o := range p.s.ownership.OwnedPools() {
+		if name == services.MachineManagementPool {
+			continue
+		}
+		p.s.log.Error().Str("pool", name).Int("term", o.Term).Str("reason", reason).Msg("giving the pool up")
+		p.s.ownership.ReportLost(o)
+	}
+	*p = *newPlanner(p.s)
+}
+
 // step makes the decisions of all pools and returns the time until the next step.
 func (p *planner) step() time.Duration {
 	p.now = p.s.clock()
 	p.steppedAt = p.now
 	p.sendBacklog()
+	p.handleNotMade()
 	if p.catalog == nil {
 		p.refreshCatalog()
 	}
@@ -237,7 +268,7 @@
 }
 
 func (p *planner) sendOrder(m *managedPool, o poolplan.Order) {
-	ref := ownershipRef{m.name, m.ownership.Term, m.ownership.FencingToken}
+	ref := m.ref()
 	switch o := o.(type) {
 	case poolplan.Start:
 		p.s.meters.starts.Inc(1)
--- a/services/pools/pools.go
+++ b/services/pools/pools.go
@@ -17,6 +17,7 @@
 
 	"fuchsiafront.example/fuchsiafront/decision/ownership"
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
+	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -66,6 +67,8 @@
 	ownedPoolsChanged services.ChangedRing
 	catalogChanged    services.ChangedRing
 	meters            meters
+	// planRuns counts the starts of pools.plan, which owns it.
+	planRuns int
 }
 
 // event is a message to pools.plan.
@@ -75,11 +78,18 @@
 // pools.plan.
 type call interface {
 	run(context.Context, *Service) event
+	// notMade returns the outcome of the call if it was never made.
+	notMade() event
 }
 
+// errBacklogFull is the outcome of a store call for which there was no room.
+var errBacklogFull = fault.New(&fault.NotRun, fault.ReasonRingFull, "send call", "", "more than %d calls wait for a ring", maxBacklog)
+
 // meters holds the service's metrics.
 type meters struct {
 	starts, stops             tally.Counter
+	callsNotMade              tally.Counter
+	ordersWithheld            tally.Counter
 	orderTime                 tally.Histogram
 	taskWait                  tally.Histogram
 	saveTime                  tally.Histogram
@@ -106,15 +116,15 @@
 	s.ownedPoolsChanged = s.ownership.WatchOwnedPools("pools.tenures")
 	s.catalogChanged = s.catalogs.WatchChanges("pools.catalog")
 	s.meters = newMeters(c.Scope)
-	c.AddDuty("pools.plan", s.plan)
+	c.AddRestartableDuty("pools.plan", s.plan)
 	for range orderDutyCount {
-		c.AddDuty("pools.orders", func(ctx context.Context) { s.runCalls(ctx, s.orderCalls) })
+		c.AddRestartableDuty("pools.orders", func(ctx context.Context) { s.runCalls(ctx, s.orderCalls) })
 	}
 	for range leaseRenewalDutyCount {
-		c.AddDuty("pools.holds", func(ctx context.Context) { s.runCalls(ctx, s.leaseRenewalCalls) })
+		c.AddRestartableDuty("pools.holds", func(ctx context.Context) { s.runCalls(ctx, s.leaseRenewalCalls) })
 	}
 	for range recordDutyCount {
-		c.AddDuty("pools.records", func(ctx context.Context) { s.runCalls(ctx, s.recordCalls) })
+		c.AddRestartableDuty("pools.records", func(ctx context.Context) { s.runCalls(ctx, s.recordCalls) })
 	}
 	return nil
 }
@@ -143,14 +153,16 @@
 func newMeters(scope tally.Scope) meters {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
 	return meters{
-		starts:       scope.Counter("task_starts_total"),
-		stops:        scope.Counter("task_stops_total"),
-		orderTime:    scope.Histogram("executor_order_seconds", buckets),
-		taskWait:     scope.Histogram("task_wait_seconds", buckets),
-		saveTime:     scope.Histogram("progress_save_seconds", buckets),
-		runningTasks: scope.Gauge("tasks_running"),
-		waitingJobs:  scope.Gauge("jobs_waiting"),
-		eventScope:   scope,
+		starts:         scope.Counter("task_starts_total"),
+		stops:          scope.Counter("task_stops_total"),
+		callsNotMade:   scope.Counter("calls_not_made_total"),
+		ordersWithheld: scope.Counter("orders_withheld_total"),
+		orderTime:      scope.Histogram("executor_order_seconds", buckets),
+		taskWait:       scope.Histogram("task_wait_seconds", buckets),
+		saveTime:       scope.Histogram("progress_save_seconds", buckets),
+		runningTasks:   scope.Gauge("tasks_running"),
+		waitingJobs:    scope.Gauge("jobs_waiting"),
+		eventScope:     scope,
 	}
 }
 
@@ -161,16 +173,40 @@
 		if err != nil {
 			return
 		}
-		outcome := c.run(ctx, s)
-		if err := s.events.Put(ctx, outcome); err != nil {
+		if err := s.events.Put(ctx, s.runCall(ctx, c)); err != nil {
 			return
 		}
 	}
 }
 
+// runCall runs a call and returns its outcome. If the call panics, the planner
+// learns that an outcome is missing.
+func (s *Service) runCall(ctx context.Context, c call) event {
+	returned := false
+	defer func() {
+		if returned {
+			return
+		}
+		if err := s.events.Put(ctx, callPanicked{}); err != nil {
+			s.log.Error().Err(err).Msg("planner not told of a call that panicked")
+		}
+	}()
+	outcome := c.run(ctx, s)
+	returned = true
+	return outcome
+}
+
+// callPanicked tells the planner that a call has no outcome.
+type callPanicked struct{}
+
+func (callPanicked) handle(p *planner) { p.giveUpAll("a call panicked") }
+
 // plan is the duty that owns the plans.
 func (s *Service) plan(ctx context.Context) {
 	p := newPlanner(s)
+	if s.planRuns++; s.planRuns > 1 {
+		p.giveUpAll("the planner panicked")
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
--- a/services/pools/registry.go
+++ b/services/pools/registry.go
@@ -69,7 +69,7 @@
 		Writes:     append([]services.RecordWrite{{RecordKey: guard, Value: []byte("{}")}}, shards...),
 	}
 	m.inFlight.recordExecutors = true
-	p.send(p.s.recordCalls, recordExecutorsCall{ownershipRef{m.name, m.ownership.Term, m.ownership.FencingToken}, tx, shards, executors})
+	p.send(p.s.recordCalls, recordExecutorsCall{m.ref(), tx, shards, executors})
 }
 
 func (c recordExecutorsCall) run(ctx context.Context, s *Service) event {
@@ -80,6 +80,10 @@
 	return recordExecutorsDone{c, commit, err}
 }
 
+func (c recordExecutorsCall) notMade() event {
+	return recordExecutorsDone{c, services.RecordCommit{}, errBacklogFull}
+}
+
 func (e recordExecutorsDone) handle(p *planner) {
 	m := p.managedPool(e.pool, e.term)
 	if m == nil {
@@ -121,16 +125,23 @@
 	return registryDone{list, err}
 }
 
+func (registryCall) notMade() event { return registryDone{nil, errBacklogFull} }
+
 func (e registryDone) handle(p *planner) {
 	p.registryInFlight = false
 	p.now = p.s.clock()
 	if e.err != nil {
+		p.s.log.Debug().Err(e.err).Dur("age", p.now.Sub(p.registryReadAt)).Msg("registry not read; keeping the list in force")
 		return
 	}
 	p.registry = e.executors
 	p.incarnations = p.incarnations[:0]
 	for _, x := range e.executors {
-		p.incarnations = append(p.incarnations, x.Executor)
+		// An entry for a service that is not configured comes from another writer
+		// and must not end the runs of an executor whose address it names.
+		if _, configured := p.catalog.Services[x.Service]; configured {
+			p.incarnations = append(p.incarnations, x.Executor)
+		}
 	}
 	for _, m := range p.pools {
 		if m.loaded {
--- a/services/pools/save.go
+++ b/services/pools/save.go
@@ -32,7 +32,7 @@
 	}
 	m.inFlight.saveProgress = true
 	conditions := []services.RecordCondition{m.ownership.Condition, {RecordKey: jobrecord.SavesKey(m.name), Version: m.savesVersion}}
-	p.send(p.s.recordCalls, saveCall{ownershipRef{m.name, m.ownership.Term, m.ownership.FencingToken}, conditions, saves})
+	p.send(p.s.recordCalls, saveCall{m.ref(), conditions, saves})
 }
 
 func (c saveCall) run(ctx context.Context, s *Service) event {
@@ -53,6 +53,8 @@
 	return saveDone{c, commit, err}
 }
 
+func (c saveCall) notMade() event { return saveDone{c, services.RecordCommit{}, errBacklogFull} }
+
 func (e saveDone) handle(p *planner) {
 	m := p.managedPool(e.pool, e.term)
 	if m == nil {
--- a/services/pools/status.go
+++ b/services/pools/status.go
@@ -36,7 +36,7 @@
 		return
 	}
 	m.inFlight.publishStatus = true
-	p.send(p.s.recordCalls, statusCall{ownershipRef{m.name, m.ownership.Term, m.ownership.FencingToken}, m.statusVersion, value})
+	p.send(p.s.recordCalls, statusCall{m.ref(), m.statusVersion, value})
 }
 
 func (p *planner) statusRecord(m *managedPool) jobrecord.StatusRecord {
@@ -65,6 +65,8 @@
 	return statusDone{c, commit, err}
 }
 
+func (c statusCall) notMade() event { return statusDone{c, services.RecordCommit{}, errBacklogFull} }
+
 func (e statusDone) handle(p *planner) {
 	m := p.managedPool(e.pool, e.term)
 	if m == nil {
--- a/services/upkeep/moves.go
+++ b/services/upkeep/moves.go
@@ -51,6 +51,7 @@
 	key := jobrecord.PoolSizesKey()
 	record, version, err := readRecord[jobrecord.PoolSizesRecord](ctx, s.records, key)
 	if err != nil {
+		s.log.Debug().Err(err).Msg("usual sizes of the pools not read; round skipped")
 		return false
 	}
 	if version == 0 {
--- a/services/upkeep/records.go
+++ b/services/upkeep/records.go
@@ -34,6 +34,12 @@
 // refreshPools reads what the owners of the pools publish: all records at first,
 // and then the changes, for which it waits up to maxRoundInterval.
 func (s *Service) refreshPools(ctx context.Context) error {
+	for pool := range s.catalogs.Catalog().Services {
+		if _, read := s.cordons[pool]; !read {
+			// The configuration has a new pool, whose records have not been read.
+			s.changesVersion = 0
+		}
+	}
 	if s.changesVersion > 0 {
 		changes, err := s.records.Changes(ctx, jobrecord.TablePools, s.changesVersion, maxRoundInterval)
 		if err != nil {
--- a/services/upkeep/upkeep.go
+++ b/services/upkeep/upkeep.go
@@ -17,6 +17,7 @@
 
 	"fuchsiafront.example/fuchsiafront/decision/sizing"
 	"fuchsiafront.example/fuchsiafront/decision/upkeep"
+	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -141,14 +142,17 @@
 		return err
 	}
 	s.workers = ring.NewWorkers("upkeep.calls", callsRingCapacity, c.Scope)
-	c.AddDuty("upkeep.plan", s.plan)
+	c.AddRestartableDuty("upkeep.plan", s.plan)
 	for range callDutyCount {
-		c.AddDuty("upkeep.calls", s.workers.Run)
+		c.AddRestartableDuty("upkeep.calls", s.workers.Run)
 	}
 	return nil
 }
 
 func (s *Service) plan(ctx context.Context) {
+	// After a panic, the state of the earlier run may be half changed.
+	s.reset()
+	s.poolOwnership = services.PoolOwnership{}
 	for ctx.Err() == nil {
 		wait := maxRoundInterval
 		if s.round(ctx) {
@@ -233,12 +237,23 @@
 
 // orderEach gives orders for several machines concurrently and returns the error
 // of each. It reports false if ctx ended first.
+//
+// The ownership is checked again just before each order is sent, because the
+// process may have been paused since the orders were planned, and the platform may
+// not check fencing tokens.
 func orderEach[T any](ctx context.Context, s *Service, items []T, machine func(T) string, call func(context.Context, services.MachineOrder, T) error) ([]error, bool) {
 	errs := make([]error, len(items))
 	var calls []func(context.Context)
 	for i, item := range items {
 		order := services.MachineOrder{Machine: machine(item), Holder: s.settings.Host, FencingToken: s.poolOwnership.FencingToken}
-		calls = append(calls, func(ctx context.Context) { errs[i] = call(ctx, order, item) })
+		calls = append(calls, func(ctx context.Context) {
+			now := s.clock()
+			if !s.mayOrder(now) {
+				errs[i] = fault.New(&fault.NotRun, fault.ReasonOwnershipExpired, "order machine", order.Machine, "the ownership was renewed %v ago; an order needs at most %v", now.Sub(s.poolOwnership.RenewedAt), maxRenewalAge)
+				return
+			}
+			errs[i] = call(ctx, order, item)
+		})
 	}
 	return errs, s.workers.RunAll(ctx, calls...)
 }
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -274,6 +274,9 @@
 	}
 	for i := range record.Steps {
 		step := &record.Steps[i]
+		if step.Count < 1 {
+			return nil, ErrRecord.New("decode job %s: step %d has %d tasks", id, i, step.Count)
+		}
 		spec.Steps = append(spec.Steps, workload.Step{
 			Count: step.Count, Size: step.Size, Estimate: time.Duration(step.EstimateMs) * time.Millisecond, After: step.After, Gang: step.Gang,
 			OneRack: step.OneRack, Label: step.Label, DataRack: step.DataRack, MaxPerExecutor: step.MaxPerExecutor,
@@ -323,6 +326,9 @@
 	if err := json.Unmarshal(value, &record); err != nil {
 		return workload.Progress{}, ErrRecord.New("decode progress of job %s: %v", id, err)
 	}
+	if !workload.State(record.State).Valid() {
+		return workload.Progress{}, ErrRecord.New("decode progress of job %s: state %d is not known", id, record.State)
+	}
 	p := workload.Progress{State: workload.State(record.State), HighestAttempt: record.HighestAttempt, Failures: make(map[workload.TaskName][]int)}
 	if record.EndedAt > 0 {
 		p.EndedAt = time.UnixMilli(record.EndedAt)
@@ -333,6 +339,9 @@
 			return workload.Progress{}, ErrRecord.New("decode progress of job %s: %v", id, err)
 		}
 		for _, i := range indexes {
+			if i < 0 {
+				return workload.Progress{}, ErrRecord.New("decode progress of job %s: task number %d is negative", id, i)
+			}
 			p.Done = append(p.Done, workload.TaskName{Occurrence: n.Occurrence, Step: n.Step, Index: i})
 		}
 	}
