--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -83,6 +83,7 @@
 	lastFailedJob       string
 	avoidUntil          time.Time
 	avoidCount          int
+	serviceRuns         int
 	latencyBoundRuns    int
 	bestEffortRuns      int
 }
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -377,6 +377,9 @@
 	r.executor.used = r.executor.used.Add(scale(s.Demand(), sign))
 	tenant := r.task.group.job.spec.Tenant
 	p.tenantUsed[tenant] = p.tenantUsed[tenant].Add(scale(s.Size, sign))
+	if s.Service {
+		r.executor.serviceRuns += int(sign)
+	}
 	if s.Service && s.LatencyTarget > 0 {
 		r.executor.latencyBoundRuns += int(sign)
 	}
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -20,6 +20,10 @@
 	// costLeaving is added for a service task on an executor that will be
 	// emptied.
 	costLeaving = 6000
+	// costFirstService is added for a service task on an executor that runs none.
+	// A machine without service tasks can be given to another pool or switched
+	// off once its other tasks have ended.
+	costFirstService = 1500
 )
 
 // maxOpenStarts limits the starts without an answer. A host that is short of
@@ -180,7 +184,18 @@
 	if g.step.Service && e.Leaving {
 		cost += costLeaving
 	}
-	cost += e.used.MilliCPU * 1000 / max(e.Capacity.MilliCPU, 1)
+	if g.step.Service && e.serviceRuns == 0 {
+		cost += costFirstService
+	}
+	usedPart := e.used.MilliCPU * 1000 / max(e.Capacity.MilliCPU, 1)
+	switch {
+	case g.step.Service:
+		cost += usedPart
+	case e.serviceRuns > 0:
+		cost -= usedPart + costFirstService
+	default:
+		cost -= usedPart
+	}
 	if g.step.DataRack != "" && g.step.DataRack != e.Rack {
 		cost += costOtherRack
 	}
--- a/services/upkeep/moves.go
+++ b/services/upkeep/moves.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
 	"fuchsiafront.example/fuchsiafront/decision/sizing"
 	"fuchsiafront.example/fuchsiafront/decision/upkeep"
 	"fuchsiafront.example/fuchsiafront/fault"
@@ -86,6 +88,7 @@
 			Cordoned: s.cordonedForMoves[m.Name], Kind: m.Kind, Tasks: use.Tasks, Services: use.Services,
 		})
 	}
+	expectedPeaks := s.expectedPeaks(now, catalog, sizesMilliCPU)
 	for name, service := range catalog.Services {
 		status := s.statuses[name]
 		pool := sizing.Pool{Standby: service.Standby, UsualMachines: s.poolSizes.record.Pools[name], DemandMilliCPU: status.DemandMilliCPU, MachineMilliCPU: mean(sizesMilliCPU[name])}
@@ -95,12 +98,64 @@
 			}
 		}
 		pool.SurplusFor = s.surplusFor(now, name, status)
-		pool.ForecastMilliCPU = s.observeDemand(now, name, status.DemandMilliCPU).Forecast(s.settings.MoveTime + joinTime)
+		trend := s.observeDemand(now, name, status.DemandMilliCPU).Forecast(s.settings.MoveTime + joinTime)
+		pool.ForecastMilliCPU = max(trend, expectedPeaks[name])
 		pools[name] = pool
 	}
+	s.logPools(now, pools, machines)
 	return sizing.Decide(pools, machines, s.settings.maxConcurrentMoves())
 }
 
+// expectedPeaks adds the demand of the pools to the rotation and returns the demand
+// of those whose peak is expected by the time that a machine moved now can work.
+func (s *Service) expectedPeaks(now time.Time, catalog *catalog.Catalog, sizesMilliCPU map[string][]int64) map[string]int64 {
+	if !s.rotation.loaded {
+		return nil
+	}
+	machineMilliCPU := mean(slices.Concat(slices.Collect(maps.Values(sizesMilliCPU))...))
+	for _, name := range slices.Sorted(maps.Keys(catalog.Services)) {
+		if !catalog.Services[name].Standby {
+			usual := int64(s.poolSizes.record.Pools[name]) * machineMilliCPU
+			s.observeRotation(now, name, s.statuses[name].DemandMilliCPU, usual)
+		}
+	}
+	return s.rotation.rotation.Forecast(now, s.settings.MoveTime+joinTime+peakLeadMargin)
+}
+
+// peakLeadMargin is how long before an expected peak its machines should be there:
+// the platform takes orders for a second to move a third of the fleet.
+const peakLeadMargin = time.Second
+
+// poolLogInterval is the time between log lines about the machines of each pool.
+const poolLogInterval = time.Second
+
+// logPools logs the demand and the machines of each pool, at most once in
+// poolLogInterval.
+func (s *Service) logPools(now time.Time, pools map[string]sizing.Pool, machines []sizing.Machine) {
+	if now.Sub(s.poolsLoggedAt) < poolLogInterval {
+		return
+	}
+	s.poolsLoggedAt = now
+	type count struct{ machines, movable, withServices int }
+	counts := make(map[string]count, len(pools))
+	for _, m := range machines {
+		c := counts[m.Pool]
+		c.machines++
+		if m.Movable {
+			c.movable++
+		}
+		if m.Services > 0 {
+			c.withServices++
+		}
+		counts[m.Pool] = c
+	}
+	for _, name := range slices.Sorted(maps.Keys(pools)) {
+		p, c := pools[name], counts[name]
+		s.log.Info().Str("pool", name).Int64("demand", p.DemandMilliCPU).Int64("forecast", p.ForecastMilliCPU).Int64("capacity", s.statuses[name].CapacityMilliCPU).
+			Int("machines", c.machines).Int("movable", c.movable).Int("with_services", c.withServices).Int("incoming", p.Incoming).Msg("pool sized")
+	}
+}
+
 // surplusFor returns for how long a pool's demand has not exceeded its capacity.
 func (s *Service) surplusFor(now time.Time, pool string, status jobrecord.StatusRecord) time.Duration {
 	if status.DemandMilliCPU > status.CapacityMilliCPU {
--- a/services/upkeep/upkeep.go
+++ b/services/upkeep/upkeep.go
@@ -89,11 +89,13 @@
 	// pools' records; zero if it must read all.
 	changesVersion   int64
 	poolSizes        storedPoolSizes
+	rotation         storedRotation
 	intents          orderIntents
 	movesInProgress  map[string]moveInProgress
 	cordonedForMoves map[string]bool
 	surplusSince     map[string]time.Time
 	trends           map[string]*sizing.Trend
+	poolsLoggedAt    time.Time
 	machineList      []services.Machine
 	machinesListedAt time.Time
 }
@@ -112,6 +114,7 @@
 	s.statuses = make(map[string]jobrecord.StatusRecord)
 	s.changesVersion = 0
 	s.poolSizes = storedPoolSizes{}
+	s.rotation = storedRotation{}
 	s.intents = orderIntents{}
 	s.movesInProgress = make(map[string]moveInProgress)
 	s.cordonedForMoves = make(map[string]bool)
@@ -188,6 +191,7 @@
 	if !s.loadPoolSizes(ctx, machines) || !s.loadIntents(ctx) {
 		return false
 	}
+	s.loadRotation(ctx, now)
 	s.decideAndOrder(ctx, now, machines)
 	return true
 }
@@ -225,12 +229,19 @@
 	if intents != nil {
 		calls = append(calls, func(ctx context.Context) { intents.perform(ctx, s) })
 	}
+	rotation := s.prepareRotation()
+	if rotation != nil {
+		calls = append(calls, func(ctx context.Context) { rotation.perform(ctx, s) })
+	}
 	if !s.workers.RunAll(ctx, calls...) {
 		return false
 	}
 	for _, w := range cordons {
 		w.apply(s)
 	}
+	if rotation != nil {
+		rotation.apply(s)
+	}
 	recorded := intents == nil || intents.apply(s)
 	return recorded && len(orders)+len(moves) > 0 && s.mayOrder(s.clock())
 }
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -49,6 +49,7 @@
 	prefixWave       = "wave/"
 	keyPoolSizes     = "homes"
 	keyOrders        = "orders"
+	keyRotation      = "rotation"
 	keySaves         = "saves"
 
 	suffixJob      = "/job"
@@ -182,6 +183,11 @@
 	return services.RecordKey{Table: TablePools, Part: services.MachineManagementPool, Key: keyOrders}
 }
 
+// RotationKey returns the key of the RotationRecord.
+func RotationKey() services.RecordKey {
+	return services.RecordKey{Table: TablePools, Part: services.MachineManagementPool, Key: keyRotation}
+}
+
 // RecordKind is the kind of a record in the tables of jobs and progress.
 type RecordKind int
 
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -69,6 +69,19 @@
 	Machines []string `json:"machines"`
 }
 
+// RotationRecord has the recent peaks of the pools' demand, the oldest first.
+type RotationRecord struct {
+	Peaks []PeakRecord `json:"peaks"`
+}
+
+// PeakRecord is one peak of the demand of a pool.
+type PeakRecord struct {
+	Pool string `json:"pool"`
+	// StartMs is the start on the store's clock, in milliseconds.
+	StartMs        int64 `json:"start"`
+	HeightMilliCPU int64 `json:"height"`
+}
+
 // PoolSizesRecord is the nominal number of machines of each pool, that is, the
 // number when the system started for the first time.
 type PoolSizesRecord struct {
