--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -205,13 +205,13 @@
 func (*fleetExecutorsCommand) run(ctx context.Context, s *session) error {
 	ctx, cancel, a := s.openPlatform(ctx)
 	defer cancel()
-	list, err := a.ListExecutors(ctx)
+	registry, err := a.ListExecutors(ctx)
 	if err != nil {
 		return err
 	}
-	return s.out.print(list, func(r printRow) {
+	return s.out.print(registry.Executors, func(r printRow) {
 		r("EXECUTOR", "POOL", "MACHINE", "ZONE", "RACK", "ADDRESS", "CPU", "DRAINING")
-		for _, e := range list {
+		for _, e := range registry.Executors {
 			r(e.ID, e.Service, e.Machine, e.Zone, e.Rack, e.Address, cores(e.Capacity.MilliCPU), e.Draining)
 		}
 	})
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -52,6 +52,8 @@
 	reportedAt        time.Time
 	used              fleet.Resources
 	runs              map[runKey]*run
+	// reserved is kept for tasks that are relocated to the executor.
+	reserved fleet.Resources
 	// unknownRuns counts the runs of the last report whose demand is not known
 	// because their job has ended or belongs to another pool.
 	unknownRuns int
@@ -141,8 +143,16 @@
 	return Target{Executor: e.ID, Address: e.Address, StartedMs: e.StartedMs}
 }
 
-// free returns the capacity that no run uses.
-func (e *executor) free() fleet.Resources { return e.Capacity.Sub(e.used) }
+// free returns the capacity that no run uses and that is not reserved.
+func (e *executor) free() fleet.Resources { return e.Capacity.Sub(e.used).Sub(e.reserved) }
+
+// freeFor returns the capacity that a task may use.
+func (e *executor) freeFor(t *task) fleet.Resources {
+	if t.reservedOn != e {
+		return e.free()
+	}
+	return e.free().Add(t.group.step.Demand())
+}
 
 // reachable reports whether the executor answered the latest orders.
 func (e *executor) reachable() bool { return e.missedAnswers == 0 && e.startUnansweredSince.IsZero() }
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -78,6 +78,8 @@
 	failedOn []string
 	// runLost is set when the last run ended without a report.
 	runLost bool
+	// reservedOn is the executor that keeps room for the task, or nil.
+	reservedOn *executor
 }
 
 func (t *task) id() workload.TaskID {
--- a/decision/poolplan/lease.go
+++ b/decision/poolplan/lease.go
@@ -75,6 +75,9 @@
 	if len(e.runs)+e.unknownRuns == 0 || !e.reachable() || len(e.unsavedEnds) > 0 || !e.fencingTokenSeen {
 		o.Wait = 0
 	}
+	if p.relocating && e.serviceRuns > 0 {
+		o.Wait = min(o.Wait, relocationReportWait)
+	}
 	if len(e.runs) > 0 && e.missedAnswers == 0 {
 		// A lease that may not arrive would only delay the time at which the
 		// runs of an unresponsive executor are certainly over.
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -167,10 +167,13 @@
 		if len(t.failedOn) < len(candidates) && slices.Contains(t.failedOn, e.ID) {
 			continue
 		}
-		if !scale(demand, n+1).Fits(e.free()) || !g.mayRunOn(e, int(n)) {
+		if !scale(demand, n+1).Fits(e.freeFor(t)) || !g.mayRunOn(e, int(n)) || g.reservedByOther(t, e) {
 			continue
 		}
 		cost := p.placementCost(g, t, e)
+		if t.reservedOn == e {
+			cost -= costLeaving
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -216,6 +219,12 @@
 	return g.constraintsAllow(e, planned)
 }
 
+// reservedByOther reports whether another task of the group is being relocated to e
+// and the step bounds its tasks on one executor.
+func (g *group) reservedByOther(t *task, e *executor) bool {
+	return g.step.MaxPerExecutor > 0 && slices.ContainsFunc(g.tasks, func(o *task) bool { return o != t && o.reservedOn == e })
+}
+
 // constraintsAllow reports whether the step's constraints permit one more task on e.
 func (g *group) constraintsAllow(e *executor, planned int) bool {
 	if g.step.Label != "" && !slices.Contains(e.Labels, g.step.Label) {
@@ -264,6 +273,7 @@
 
 func (p *Plan) startTask(now time.Time, t *task, e *executor, attempt int) {
 	g := t.group
+	p.release(t)
 	exclusive := t.runLost
 	t.lastAttempt, t.runLost = attempt, false
 	r := &run{
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -32,6 +32,10 @@
 	// ended. The protocol allows 2 s; shorter waits detect an unresponsive
 	// executor sooner.
 	reportWait = 1500 * time.Millisecond
+	// relocationReportWait is reportWait for executors with service tasks while some
+	// have to be relocated. The next task of a step may be interrupted once a
+	// report shows that the last one serves again, which ends no run.
+	relocationReportWait = 300 * time.Millisecond
 	// leaseRenewalDelay is the delay of a lease renewal after a report of run
 	// ends. It batches ends that follow each other closely into one report.
 	// Each report costs the owner processor time, so large pools batch for
@@ -78,6 +82,10 @@
 	runsCheckedAt  time.Time
 	// unplaceable holds demands for which no executor had room in this step.
 	unplaceable []fleet.Resources
+	// reservations keep room for the service tasks that are relocated.
+	reservations []reservation
+	// relocating is set while service tasks have to leave executors.
+	relocating bool
 	// sortedExecutors are the executors by identifier; nil after the set has
 	// changed.
 	sortedExecutors []*executor
@@ -189,6 +197,7 @@
 		return nil
 	}
 	p.expireLeases(now)
+	p.releaseUnused(now)
 	p.checkInheritedRuns(now)
 	p.stopEndedJobs(now)
 	if !p.mayDefer(now, p.runsCheckedAt, runCheckInterval) {
--- a/decision/poolplan/priority_test.go
+++ b/decision/poolplan/priority_test.go
@@ -70,3 +70,58 @@
 	sim.step()
 	assert.DeepEqual(t, sim.startedJobs(), []string{"c", "a", "b"})
 }
+
+// Guards against tasks that are spread over all machines of a pool when a few would
+// do: a machine on which nothing runs can serve another pool, or be switched off.
+func TestTasksShareFewExecutors(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.register("1", "2", "3", "4", "5", "6")
+	service := step(2)
+	service.Service, service.MaxPerExecutor = true, 1
+	sim.addJob("lasts", false, service)
+	sim.addJob("lasts-too", false, service)
+	sim.addJob("short", false, step(6))
+	sim.step()
+	used := make(map[string]int)
+	for range len(sim.starts) {
+		used[sim.takeStart().Executor]++
+	}
+	assert.Equal(t, len(used), 3, "10 tasks of a quarter of an executor use %v", used)
+}
+
+// Guards against short tasks that take the room for which a service task was
+// interrupted, so that the service task starts again where it was.
+func TestRoomOfRelocatedServiceTaskIsKept(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.register("1", "2")
+	service := step(1)
+	service.Service = true
+	sim.addJob("lasts", false, service)
+	sim.step()
+	first := sim.takeStart()
+	sim.plan.StartDone(sim.now, first, sim.outcome(Accepted))
+	running := []RunReport{{Task: first.Task, Attempt: first.Attempt, Percent: 100, Measurement: -1}}
+	list := []Executor{executorInfo("1"), executorInfo("2")}
+	list[0].Leaving, list[1].Leaving = first.Executor == "1", first.Executor == "2"
+	sim.plan.SetExecutors(sim.now, list)
+	for range 10 {
+		sim.advance(100 * time.Millisecond)
+		for range len(sim.leaseRenewals) {
+			sim.answerLeaseRenewal(sim.takeLeaseRenewal(), running)
+		}
+	}
+	assert.Equal(t, len(sim.stops), 1)
+	sim.addJob("short", false, step(20))
+	sim.advance(100 * time.Millisecond)
+	sim.starts = nil
+	sim.plan.StopDone(sim.now, sim.stops[0], sim.outcome(Accepted))
+	sim.plan.RenewLeaseDone(sim.now, RenewLease{Target: first.Target}, Report{Outcome: sim.outcome(Accepted), StartedMs: 1000, Ended: []EndReport{{Number: 1, Task: first.Task, Attempt: first.Attempt, Ending: EndedStopped}}})
+	sim.advance(100 * time.Millisecond)
+	for _, s := range sim.starts {
+		if s.Task.Job == "lasts" {
+			assert.Assert(t, s.Executor != first.Executor, "the service task starts again on the executor that it left")
+			return
+		}
+	}
+	t.Fatal("the service task was not started again")
+}
--- a/decision/poolplan/relocate.go
+++ b/decision/poolplan/relocate.go
@@ -7,6 +7,7 @@
 // relocateServices moves service tasks off executors that are draining,
 // cordoned or leaving, and repeats stops that have had no effect yet.
 func (p *Plan) relocateServices(now time.Time) {
+	p.relocating = false
 	for _, e := range p.executors {
 		for _, r := range e.runs {
 			switch {
@@ -14,18 +15,27 @@
 				p.stopRun(now, r, r.stopReason)
 			case r.state == runRunning && r.task.group.step.Service && e.Draining:
 				p.stopRun(now, r, "executor is draining")
-			case r.state == runRunning && r.task.group.step.Service && (e.Cordoned || e.Leaving) && p.mayInterrupt(now, r) && p.canRelocate(now, r.task):
-				p.stopRun(now, r, "executor is going to be emptied")
+			case r.state == runRunning && r.task.group.step.Service && (e.Cordoned || e.Leaving):
+				p.relocating = true
+				p.relocateRun(now, r)
 			}
 		}
 	}
 }
 
-// canRelocate reports whether a service task would start on an executor that is
-// not leaving.
-func (p *Plan) canRelocate(now time.Time, t *task) bool {
-	e := p.chooseExecutor(t.group, t, p.candidates(now), nil)
-	return e != nil && !e.Leaving
+// relocateRun stops a service run if its task may be interrupted and an executor
+// that is not leaving has room for it. The room is reserved, because short tasks
+// would take it before the run has ended.
+func (p *Plan) relocateRun(now time.Time, r *run) {
+	if !p.mayInterrupt(now, r) {
+		return
+	}
+	e := p.chooseExecutor(r.task.group, r.task, p.candidates(now), nil)
+	if e == nil || e.Leaving {
+		return
+	}
+	p.reserve(now, r.task, e)
+	p.stopRun(now, r, "executor is going to be emptied")
 }
 
 // minServingTime is how long a service task must have been serving to count as
@@ -54,13 +64,13 @@
 }
 
 // isServing reports whether a service task has been serving for minServingTime,
-// according to a recent report, and is not about to be stopped by an order of the
-// previous owner.
+// according to a recent report, and is not about to be stopped because its executor
+// is draining or by an order of the previous owner.
 func (p *Plan) isServing(now time.Time, t *task) bool {
 	for _, r := range t.runs {
 		reportedRecently := r.executor.reachable() && now.Sub(r.executor.reportedAt) < reportWait+leaseRenewalRetryDelay
 		serves := r.state == runRunning && r.percent == 100 && now.Sub(r.percentChangedAt) >= minServingTime
-		if reportedRecently && serves && !r.executor.mayHaveInheritedStop(p.params.StopTime) {
+		if reportedRecently && serves && !r.executor.Draining && !r.executor.mayHaveInheritedStop(p.params.StopTime) {
 			return true
 		}
 	}
--- a/decision/poolplan/silence_test.go
+++ b/decision/poolplan/silence_test.go
@@ -96,3 +96,27 @@
 	}
 	assert.Equal(t, sim.takeStart().Executor, "1")
 }
+
+// Guards against a run that is started again elsewhere because its executor was slow
+// to report for a while, although it answered other orders.
+func TestRunWithoutReportsIsNotStalled(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.register("1")
+	sim.addJob("a", false, step(1))
+	sim.step()
+	first := sim.takeStart()
+	sim.plan.StartDone(sim.now, first, sim.outcome(Accepted))
+	sim.advance(10 * time.Millisecond)
+	sim.answerLeaseRenewal(sim.takeLeaseRenewal(), []RunReport{runReport(first)})
+	for i := range 40 {
+		for range len(sim.leaseRenewals) {
+			sim.plan.RenewLeaseDone(sim.now, sim.takeLeaseRenewal(), Report{Outcome: sim.outcome(NoAnswer)})
+		}
+		if i%5 == 0 {
+			// The executor answers an order other than a lease renewal.
+			sim.plan.StopDone(sim.now, Stop{Target: first.Target, Task: taskID("other"), Attempt: 1}, sim.outcome(Accepted))
+		}
+		sim.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(sim.stops), 0, "stopped: %+v", sim.stops)
+}
--- a/decision/poolplan/superseded_test.go
+++ b/decision/poolplan/superseded_test.go
@@ -73,3 +73,40 @@
 		assert.Assert(t, stop.Reason != "executor is going to be emptied", "stopped %s while the other task's executor does not answer", stop.Task)
 	}
 }
+
+// Guards against a service task that is interrupted for a cordon in the same step
+// in which another of its step is stopped because its executor is draining
+// (zpnn-plan, trouble-3). The order of the executors is random.
+func TestTaskOnDrainingExecutorCountsAsAway(t *testing.T) {
+	for range 20 {
+		sim := newSimulation(t, 1)
+		sim.register("1", "2", "3", "4")
+		s := step(2)
+		s.Service, s.MaxPerExecutor, s.MaxUnavailable = true, 1, 1
+		sim.addJob("a", false, s)
+		sim.step()
+		starts := []Start{sim.takeStart(), sim.takeStart()}
+		running := make(map[string][]RunReport)
+		for _, start := range starts {
+			sim.plan.StartDone(sim.now, start, sim.outcome(Accepted))
+			running[start.Executor] = []RunReport{{Task: start.Task, Attempt: start.Attempt, Percent: 100, Measurement: -1}}
+		}
+		for range 12 {
+			sim.advance(100 * time.Millisecond)
+			for range len(sim.leaseRenewals) {
+				renewal := sim.takeLeaseRenewal()
+				sim.answerLeaseRenewal(renewal, running[renewal.Executor])
+			}
+		}
+		var list []Executor
+		for _, id := range []string{"1", "2", "3", "4"} {
+			info := executorInfo(id)
+			info.Draining, info.Leaving = id == starts[0].Executor, id == starts[1].Executor
+			list = append(list, info)
+		}
+		sim.plan.SetExecutors(sim.now, list)
+		sim.step()
+		assert.Equal(t, len(sim.stops), 1, "stops: %+v", sim.stops)
+		assert.Equal(t, sim.stops[0].Executor, starts[0].Executor)
+	}
+}
--- a/decision/poolplan/watch.go
+++ b/decision/poolplan/watch.go
@@ -43,13 +43,14 @@
 	}
 }
 
+// stalled reports whether reports have shown the same progress for stallTimeout. An
+// executor that only answers other orders says nothing about its runs.
 func (r *run) stalled(now time.Time) bool {
 	s := r.task.group.step
 	if r.state != runRunning || s.Gang || s.BestEffort || r.percent >= stallBelowPercent || r.speedPercent < 100 {
 		return false
 	}
-	lastAnswerAt := r.executor.lastAnswerAt
-	return lastAnswerAt.Sub(r.percentChangedAt) > stallTimeout
+	return r.executor.reportedAt.Sub(r.percentChangedAt) > stallTimeout
 }
 
 func (p *Plan) handleStall(now time.Time, e *executor, r *run) {
--- a/decision/rotation/rotation.go
+++ b/decision/rotation/rotation.go
@@ -168,7 +168,8 @@
 }
 
 // candidates returns the pools that may have the next peak: the one that followed
-// the last pool before, or those that had none yet in this round.
+// the last pool before, or those that have had none yet, or the one whose last peak
+// is the oldest.
 func (r *Rotation) candidates(interval time.Duration) []string {
 	last := len(r.history) - 1
 	for i := last - 1; i >= 0; i-- {
@@ -183,13 +184,29 @@
 			candidates = append(candidates, pool)
 		}
 	}
-	if len(candidates) > maxCandidates {
+	switch {
+	case len(candidates) > maxCandidates:
 		return nil
+	case len(candidates) == 0:
+		return r.leastRecent()
 	}
 	slices.Sort(candidates)
 	return candidates
 }
 
+// leastRecent returns the pool whose last peak is the oldest.
+func (r *Rotation) leastRecent() []string {
+	seen := make(map[string]bool)
+	pool := ""
+	for i := len(r.history) - 1; i >= 0; i-- {
+		if p := r.history[i].Pool; !seen[p] {
+			seen[p] = true
+			pool = p
+		}
+	}
+	return []string{pool}
+}
+
 // height returns the expected height of a pool's next peak: that of its last one,
 // or its usual capacity times the mean factor of the other pools.
 func (r *Rotation) height(pool string) int64 {
--- a/fleethost/fleethost_test.go
+++ b/fleethost/fleethost_test.go
@@ -1,7 +1,9 @@
 package fleethost
 
 import (
+	"encoding/json"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -131,6 +133,57 @@
 	c.eventually("the job is completed", func() bool { return c.completed(c.hosts[0], jobID(1)) })
 }
 
+// Guards against an odd entry of another writer that stops the hosts from following
+// the registry, or that ends the runs of the executor whose address it names.
+func TestOddEntriesDisturbNothing(t *testing.T) {
+	c := startCluster(t, 2, 2, 700*time.Millisecond)
+	address := c.fleet.ExecutorAddress("i-0")
+	for n := range 4 {
+		status, _ := c.call(c.hosts[n%2], http.MethodPost, jobID(n), testKey, twoStepJob())
+		assert.Equal(t, status, http.StatusOK)
+	}
+	c.eventually("work has begun", func() bool { return len(c.fleet.Recorder.Runs()) > 1 })
+	odd := func(id string, changes map[string]any) {
+		entry := map[string]any{"service": "svc", "address": address, "state": "ready", "sequence": 1, "capacity": map[string]any{"cpu": 1000, "mem-mb": 10}}
+		for field, value := range changes {
+			entry[field] = value
+		}
+		c.fleet.Store.Put("servers", "", id, entry)
+	}
+	odd("i-later", map[string]any{"service": "unknown", "born": time.Now().Add(time.Hour).UnixMilli()})
+	odd("i-number", map[string]any{"born": json.Number("99999999999999999999999")})
+	odd("i-exponent", map[string]any{"capacity": map[string]any{"cpu": json.Number("1e400")}})
+	odd("i-most", map[string]any{"born": json.Number("9223372036854775807")})
+	odd("i-port", map[string]any{"address": "127.0.0.1:99999"})
+	c.fleet.Store.PutBytes("servers", "", "i-nested", []byte(`{"service":"svc","labels":`+strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000)+"}"))
+	c.fleet.Store.PutBytes("servers", "", "i-open", []byte(strings.Repeat(`{"a":`, 10_000)))
+	c.fleet.AddExecutor("i-new", 50*time.Millisecond)
+	for n := range 12 {
+		status, _ := c.call(c.hosts[n%2], http.MethodPost, jobID(100+n), testKey, twoStepJob())
+		assert.Equal(t, status, http.StatusOK)
+	}
+	for _, n := range []int{0, 1, 2, 3, 100, 101, 102, 103, 104, 105, 106, 107, 108, 109, 110, 111} {
+		c.eventually("the job is completed", func() bool { return c.completed(c.hosts[0], jobID(n)) })
+	}
+	c.assertNoRepeatedRuns()
+	for _, h := range c.hosts {
+		assert.Equal(t, len(h.ended), 0, "a host has ended")
+	}
+}
+
+// Guards against a withdrawn key that a host accepts again after its restart.
+func TestWithdrawnKeyStaysWithdrawnAfterRestart(t *testing.T) {
+	c := startCluster(t, 1, 1, 50*time.Millisecond)
+	c.fleet.Configure(5, testHost, testPrefix, "key-2")
+	restarted := c.startHost("h1")
+	c.eventually("the host has a configuration", func() bool {
+		status, _ := c.call(restarted, http.MethodGet, jobID(1), "key-2", nil)
+		refused, _ := c.call(restarted, http.MethodGet, jobID(1), testKey, nil)
+		assert.Assert(t, refused == 0 || refused == http.StatusServiceUnavailable || refused == http.StatusUnauthorized, "the withdrawn key is answered with %d", refused)
+		return status == http.StatusGone
+	})
+}
+
 // Guards against clients that are sent to a host that cannot record jobs while
 // others can: a host is ready only while the store answers it.
 func TestReadinessFollowsTheStore(t *testing.T) {
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -11,8 +11,9 @@
 
 // Intervals and limits of the planner.
 const (
-	// registryInterval is the time between reads of the registry of executors.
-	registryInterval = 500 * time.Millisecond
+	// registryInterval is the time between reads of the registry of executors. A
+	// machine that has joined a pool gets no work before.
+	registryInterval = 250 * time.Millisecond
 	// statusInterval is the time between publications of a pool's status; the
 	// published number of pending jobs may be up to 2 s old.
 	statusInterval = 250 * time.Millisecond
@@ -47,12 +48,10 @@
 	// notMade has the outcomes of calls that found the backlog full.
 	notMade []event
 
-	registry []services.RegisteredExecutor
+	registry registryView
 	// incarnations has the registered executors of all pools.
-	incarnations     []poolplan.Executor
-	registryInFlight bool
-	registryReadAt   time.Time
-	limits           limiter
+	incarnations []poolplan.Executor
+	limits       limiter
 }
 
 // pendingCall is a call that found its ring full.
--- a/services/records.go
+++ b/services/records.go
@@ -149,7 +149,25 @@
 
 // Registry lists the registered executors.
 type Registry interface {
-	ListExecutors(ctx context.Context) ([]RegisteredExecutor, error)
+	// ListExecutors returns all registered executors and the version of the list.
+	ListExecutors(ctx context.Context) (RegistryChanges, error)
+	// ExecutorChanges returns what has changed since version after.
+	ExecutorChanges(ctx context.Context, after int64) (RegistryChanges, error)
+}
+
+// RegistryChanges has the entries of the registry that have changed.
+type RegistryChanges struct {
+	// Executors has the new and changed entries.
+	Executors []RegisteredExecutor
+	// Removed has the identifiers whose entry is gone, or names no executor any
+	// more because another writer has made it invalid. An identifier is not in
+	// both lists.
+	Removed []string
+	// Version is that of the newest change.
+	Version int64
+	// VersionExpired is set if the store no longer has the changes, so that all
+	// entries must be read.
+	VersionExpired bool
 }
 
 // Executors sends orders to executors. fencingToken is that of the pool's owner.
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -171,10 +171,14 @@
 		{"connections to the store are reset", func() func() { randomProxy(s.storeProxies).resetConnections(); return func() {} }},
 		{"connections to an executor are reset", func() func() { randomProxy(s.executorProxies).resetConnections(); return func() {} }},
 	}
-	for name, state := range map[string]linkState{"slow": linkSlow, "cut": linkCut, "cut one way": linkCutsReplies} {
+	// The order is fixed, so that a seed draws the same faults again.
+	for _, link := range []struct {
+		name  string
+		state linkState
+	}{{"slow", linkSlow}, {"cut", linkCut}, {"cut one way", linkCutsReplies}} {
 		faults = append(faults,
-			fault{"a host's link to the store is " + name, func() func() { return randomProxy(s.storeProxies).setState(state) }},
-			fault{"an executor's link is " + name, func() func() { return randomProxy(s.executorProxies).setState(state) }},
+			fault{"a host's link to the store is " + link.name, func() func() { return randomProxy(s.storeProxies).setState(link.state) }},
+			fault{"an executor's link is " + link.name, func() func() { return randomProxy(s.executorProxies).setState(link.state) }},
 		)
 	}
 	return faults
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -85,13 +85,32 @@
 			s.fleet.Configure(s.configurationVersion, testHost, testPrefix, testKey, fmt.Sprintf("key-%d", s.configurationVersion))
 			return func() {}
 		}},
-		{"malformed entry of another writer", func() func() {
-			s.fleet.Store.PutBytes("servers", "", "i-other", []byte("{"))
+		{"odd entry of another writer", func() func() {
+			s.fleet.Store.PutBytes("servers", "", "i-other", s.randomOddEntry())
 			return func() { s.fleet.Store.Remove("servers", "", "i-other") }
 		}},
 	}...)
 }
 
+// randomOddEntry returns an entry of the registry that names no executor: it cannot
+// be read, has values out of range, or belongs to an unknown service and has the
+// address of a real executor.
+func (s *soakRun) randomOddEntry() []byte {
+	address := s.fleet.ExecutorAddress(s.executors[s.random.IntN(len(s.executors))])
+	entry := func(service, address, born string) string {
+		return fmt.Sprintf(`{"service":%q,"address":%q,"state":"ready","sequence":1,"capacity":{"cpu":1000,"mem-mb":10},"born":%s}`, service, address, born)
+	}
+	entries := []string{
+		"{",
+		strings.Repeat(`{"a":`, 10_000),
+		entry("svc", "127.0.0.1:99999", "1"),
+		entry("svc", address, "9223372036854775807"),
+		entry("svc", address, "1e400"),
+		entry("unknown", address, fmt.Sprint(time.Now().Add(time.Hour).UnixMilli())),
+	}
+	return []byte(entries[s.random.IntN(len(entries))])
+}
+
 // injectFaults injects faults for d. Up to three overlap.
 func (s *soakRun) injectFaults(d time.Duration) {
 	faults := s.faults()
--- a/wire/jobrecord/pool_test.go
+++ b/wire/jobrecord/pool_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
+	"fuchsiafront.example/fuchsiafront/decision/workload"
 	"fuchsiafront.example/fuchsiafront/fleet"
 )
 
@@ -55,3 +56,15 @@
 		assert.Assert(t, w.Delete)
 	}
 }
+
+// Guards against a damaged or foreign record of progress that ends the process, or
+// that is taken for progress of a job which then runs again.
+func TestDamagedProgressIsRefused(t *testing.T) {
+	for _, value := range []string{`{"s":7}`, `{"s":-1}`, `{"s":1,"d":{"0.0":[-4]}}`, `{"s":1,"d":{"0.x":[1]}}`, `{"s":1,"f":{"0.0.-1":[1]}}`, `[`, `{"s":1e99}`} {
+		_, err := DecodeProgress("job", []byte(value))
+		assert.Assert(t, err != nil, "accepted %s", value)
+	}
+	_, err := DecodeSpec("job", []byte(`{"s":[{"n":-3}]}`))
+	assert.Assert(t, err != nil, "accepted a step with a negative number of tasks")
+	assert.Equal(t, workload.State(9).String(), "state 9")
+}
