--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -20,8 +20,32 @@
 	// costLeaving is added for a service task on an executor that will be
 	// emptied.
 	costLeaving = 6000
+	// costFirstService is added for a service task on an executor that runs none.
+	// A machine without service tasks can be given to another pool or switched
+	// off once its other tasks have ended.
+	costFirstService = 1500
 )
 
+// Limits of the starts without an answer at one executor. Orders to an executor that
+// cannot be reached occupy the sender for half a second each: while an availability
+// zone is cut off, its machines that join a pool would otherwise be given all that
+// they have room for.
+const (
+	// maxOpenStartsPerExecutor applies to executors that have answered.
+	maxOpenStartsPerExecutor = 8
+	// maxFirstStarts applies until an executor has answered for the first time.
+	maxFirstStarts = 1
+)
+
+// mayStartMore reports whether the executor may be given another start before it
+// has answered the open ones.
+func (e *executor) mayStartMore() bool {
+	if e.lastAnswerAt.IsZero() {
+		return e.openStarts < maxFirstStarts
+	}
+	return e.openStarts < maxOpenStartsPerExecutor
+}
+
 // maxOpenStarts limits the starts without an answer. A host that is short of
 // processor time processes the answers to its queued orders ever later, while
 // leases expire. 2,000 starts per second of 5 ms each keep 10 open.
@@ -153,20 +177,27 @@
 }
 
 // chooseExecutor returns the best executor for a task, or nil. planned counts
-// the members of the same group that will start on each executor.
+// the members of the same gang that will start on each executor; it is nil for
+// other tasks.
 func (p *Plan) chooseExecutor(g *group, t *task, candidates []*executor, planned map[*executor]int) *executor {
 	var best *executor
 	var bestCost int64
 	demand := g.step.Demand()
 	for _, e := range candidates {
+		if planned == nil && !e.mayStartMore() {
+			continue
+		}
 		n := int64(planned[e])
 		if len(t.failedOn) < len(candidates) && slices.Contains(t.failedOn, e.ID) {
 			continue
 		}
-		if !scale(demand, n+1).Fits(e.free()) || !g.mayRunOn(e, int(n)) {
+		if !scale(demand, n+1).Fits(e.freeFor(t)) || !g.mayRunOn(e, int(n)) || g.reservedByOther(t, e) {
 			continue
 		}
 		cost := p.placementCost(g, t, e)
+		if t.reservedOn == e {
+			cost -= costLeaving
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -180,7 +211,18 @@
 	if g.step.Service && e.Leaving {
 		cost += costLeaving
 	}
-	cost += e.used.MilliCPU * 1000 / max(e.Capacity.MilliCPU, 1)
+	if g.step.Service && e.serviceRuns == 0 {
+		cost += costFirstService
+	}
+	usedPart := e.used.MilliCPU * 1000 / max(e.Capacity.MilliCPU, 1)
+	switch {
+	case g.step.Service:
+		cost += usedPart
+	case e.serviceRuns > 0:
+		cost -= usedPart + costFirstService
+	default:
+		cost -= usedPart
+	}
 	if g.step.DataRack != "" && g.step.DataRack != e.Rack {
 		cost += costOtherRack
 	}
@@ -201,6 +243,12 @@
 	return g.constraintsAllow(e, planned)
 }
 
+// reservedByOther reports whether another task of the group is being relocated to e
+// and the step bounds its tasks on one executor.
+func (g *group) reservedByOther(t *task, e *executor) bool {
+	return g.step.MaxPerExecutor > 0 && slices.ContainsFunc(g.tasks, func(o *task) bool { return o != t && o.reservedOn == e })
+}
+
 // constraintsAllow reports whether the step's constraints permit one more task on e.
 func (g *group) constraintsAllow(e *executor, planned int) bool {
 	if g.step.Label != "" && !slices.Contains(e.Labels, g.step.Label) {
@@ -249,6 +297,7 @@
 
 func (p *Plan) startTask(now time.Time, t *task, e *executor, attempt int) {
 	g := t.group
+	p.release(t)
 	exclusive := t.runLost
 	t.lastAttempt, t.runLost = attempt, false
 	r := &run{
@@ -283,6 +332,7 @@
 		s.Ticket = g.advice.tickets[e.ID].text
 	}
 	p.openStarts++
+	e.openStarts++
 	p.orders = append(p.orders, s)
 }
 
--- a/decision/poolplan/silence_test.go
+++ b/decision/poolplan/silence_test.go
@@ -96,3 +96,46 @@
 	}
 	assert.Equal(t, sim.takeStart().Executor, "1")
 }
+
+// Guards against a run that is started again elsewhere because its executor was slow
+// to report for a while, although it answered other orders.
+func TestRunWithoutReportsIsNotStalled(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.register("1")
+	sim.addJob("a", false, step(1))
+	sim.step()
+	first := sim.takeStart()
+	sim.plan.StartDone(sim.now, first, sim.outcome(Accepted))
+	sim.advance(10 * time.Millisecond)
+	sim.answerLeaseRenewal(sim.takeLeaseRenewal(), []RunReport{runReport(first)})
+	for i := range 40 {
+		for range len(sim.leaseRenewals) {
+			sim.plan.RenewLeaseDone(sim.now, sim.takeLeaseRenewal(), Report{Outcome: sim.outcome(NoAnswer)})
+		}
+		if i%5 == 0 {
+			// The executor answers an order other than a lease renewal.
+			sim.plan.StopDone(sim.now, Stop{Target: first.Target, Task: taskID("other"), Attempt: 1}, sim.outcome(Accepted))
+		}
+		sim.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(sim.stops), 0, "stopped: %+v", sim.stops)
+}
+
+// Guards against a zone that is cut off and holds up the starts of a whole pool: its
+// machines that join the pool are given all that they have room for, and each order
+// waits for half a second.
+func TestNewExecutorGetsOneTaskUntilItAnswers(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.plan.SetExecutors(sim.now, []Executor{executorInfo("1"), executorInfo("2")})
+	sim.plan.MarkRecorded(sim.plan.ExecutorsToRecord())
+	sim.addJob("a", false, step(6))
+	sim.step()
+	assert.Equal(t, len(sim.starts), 2)
+	first := sim.takeStart()
+	sim.plan.StartDone(sim.now, first, sim.outcome(Accepted))
+	sim.advance(10 * time.Millisecond)
+	for _, s := range sim.starts[1:] {
+		assert.Equal(t, s.Executor, first.Executor)
+	}
+	assert.Equal(t, len(sim.starts), 4, "the executor that answered has room for three more")
+}
