--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -166,21 +166,6 @@
 	return e.listed && e.recorded && known && e.unknownRuns == 0 && !e.Draining && !e.Cordoned && e.reachable()
 }
 
-// leaseEnd returns the end on the executor's clock of a lease of duration d
-// from now, or zero when the clock is not known or d is not positive.
-func (e *executor) leaseEnd(now time.Time, d time.Duration) int64 {
-	if e.clockAt.IsZero() || d <= 0 {
-		return 0
-	}
-	return e.clockMs + now.Sub(e.clockAt).Milliseconds() + d.Milliseconds()
-}
-
-// recordLease records that a lease was sent.
-func (e *executor) recordLease(now time.Time, untilMs int64) {
-	e.leaseUntilMs = max(e.leaseUntilMs, untilMs)
-	e.leaseSentAt = now
-}
-
 // recordAnswer records when an answer arrived and the executor's clock in it.
 func (e *executor) recordAnswer(now time.Time, o Outcome) {
 	// A busy owner processes an answer some time after its arrival; that does
@@ -204,21 +189,6 @@
 	}
 }
 
-// assumeInheritedLease assumes that a previous owner granted the longest lease
-// just now.
-func (e *executor) assumeInheritedLease(maxLease time.Duration) {
-	e.leaseUntilMs = max(e.leaseUntilMs, e.clockMs+maxLease.Milliseconds())
-}
-
-// leaseExpired reports whether every lease that was sent has certainly expired.
-func (e *executor) leaseExpired(now time.Time, maxLease time.Duration) bool {
-	if e.clockAt.IsZero() {
-		return now.Sub(e.leaseSentAt) > maxLease+maxLease/20+leaseExpiryMargin
-	}
-	elapsedMs := float64(now.Sub(e.clockAt).Milliseconds()) * (1 - maxClockDrift)
-	return float64(e.clockMs)+elapsedMs > float64(e.leaseUntilMs+leaseExpiryMargin.Milliseconds())
-}
-
 // SetExecutors replaces the registry's list of the pool's executors. Executors
 // that are no longer listed keep their runs until these are certainly over.
 func (p *Plan) SetExecutors(now time.Time, listed []Executor) {
@@ -372,31 +342,3 @@
 	slices.SortFunc(runs, func(a, b *run) int { return a.key.compare(b.key) })
 	return runs
 }
-
-// expireLeases gives up the runs of executors whose leases have certainly
-// expired.
-func (p *Plan) expireLeases(now time.Time) {
-	for _, e := range p.executors {
-		if e.reachable() && (e.listed || now.Sub(e.lastAnswerAt) < p.params.MaxLease) {
-			continue
-		}
-		if !e.leaseExpired(now, p.params.MaxLease) || p.mayHaveInheritedLease(now, e) {
-			continue
-		}
-		if len(e.runs) > 0 {
-			p.addEvent(Event{Kind: "lease certainly over", Peer: e.ID, Age: now.Sub(e.lastAnswerAt)})
-		}
-		for _, r := range sortedRuns(e) {
-			p.loseRun(now, r, "lease over")
-		}
-		if !e.listed && !e.leaseRenewalOpen {
-			p.dropExecutor(e)
-		}
-	}
-}
-
-// mayHaveInheritedLease reports whether a lease of a previous owner may still
-// be valid on the executor.
-func (p *Plan) mayHaveInheritedLease(now time.Time, e *executor) bool {
-	return e.inherited && !e.fencingTokenSeen && now.Sub(p.takenOverAt) < p.inheritedLeaseTime()
-}
--- a/decision/poolplan/lease.go
+++ b/decision/poolplan/lease.go
@@ -103,3 +103,61 @@
 	r.state, r.stopOrderedAt, r.stopInFlight = runStopping, now, true
 	p.orders = append(p.orders, Stop{Target: r.executor.target(), Task: r.key.task, Attempt: r.key.attempt, Reason: r.stopReason})
 }
+
+// leaseEnd returns the end on the executor's clock of a lease of duration d
+// from now, or zero when the clock is not known or d is not positive.
+func (e *executor) leaseEnd(now time.Time, d time.Duration) int64 {
+	if e.clockAt.IsZero() || d <= 0 {
+		return 0
+	}
+	return e.clockMs + now.Sub(e.clockAt).Milliseconds() + d.Milliseconds()
+}
+
+// recordLease records that a lease was sent.
+func (e *executor) recordLease(now time.Time, untilMs int64) {
+	e.leaseUntilMs = max(e.leaseUntilMs, untilMs)
+	e.leaseSentAt = now
+}
+
+// assumeInheritedLease assumes that a previous owner granted the longest lease
+// just now.
+func (e *executor) assumeInheritedLease(maxLease time.Duration) {
+	e.leaseUntilMs = max(e.leaseUntilMs, e.clockMs+maxLease.Milliseconds())
+}
+
+// leaseExpired reports whether every lease that was sent has certainly expired.
+func (e *executor) leaseExpired(now time.Time, maxLease time.Duration) bool {
+	if e.clockAt.IsZero() {
+		return now.Sub(e.leaseSentAt) > maxLease+maxLease/20+leaseExpiryMargin
+	}
+	elapsedMs := float64(now.Sub(e.clockAt).Milliseconds()) * (1 - maxClockDrift)
+	return float64(e.clockMs)+elapsedMs > float64(e.leaseUntilMs+leaseExpiryMargin.Milliseconds())
+}
+
+// expireLeases gives up the runs of executors whose leases have certainly
+// expired.
+func (p *Plan) expireLeases(now time.Time) {
+	for _, e := range p.executors {
+		if e.reachable() && (e.listed || now.Sub(e.lastAnswerAt) < p.params.MaxLease) {
+			continue
+		}
+		if !e.leaseExpired(now, p.params.MaxLease) || p.mayHaveInheritedLease(now, e) {
+			continue
+		}
+		if len(e.runs) > 0 {
+			p.addEvent(Event{Kind: "lease certainly over", Peer: e.ID, Age: now.Sub(e.lastAnswerAt)})
+		}
+		for _, r := range sortedRuns(e) {
+			p.loseRun(now, r, "lease over")
+		}
+		if !e.listed && !e.leaseRenewalOpen {
+			p.dropExecutor(e)
+		}
+	}
+}
+
+// mayHaveInheritedLease reports whether a lease of a previous owner may still
+// be valid on the executor.
+func (p *Plan) mayHaveInheritedLease(now time.Time, e *executor) bool {
+	return e.inherited && !e.fencingTokenSeen && now.Sub(p.takenOverAt) < p.inheritedLeaseTime()
+}
