Count no machines for waiting work that has lost its value

Change: Load leaves these tasks out; they still run where there is room.

TestLoadLeavesOutWorkWithoutValue fails on the commit before (36000 for 16000).

--- a/decision/poolplan/accounting_test.go
+++ b/decision/poolplan/accounting_test.go
@@ -114,3 +114,17 @@
 	assert.Assert(t, !uses["dark"].Empty, "unreachable executor may still run tasks of the previous owner")
 	assert.Assert(t, !uses["again"].Empty, "earlier incarnation may still run tasks of the previous owner")
 }
+
+// Guards against machines that are moved to a pool for a backlog that is too late to
+// have any value, while the queue of another pool could still be served in time.
+func TestLoadLeavesOutWorkWithoutValue(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.register("1")
+	sim.addJob("old", false, step(10))
+	sim.now = sim.now.Add(time.Minute)
+	sim.addJob("new", false, step(8))
+	sim.step()
+	demand, capacity := sim.plan.Load()
+	assert.Equal(t, capacity, int64(8000))
+	assert.Equal(t, demand, int64(8*2000), "the tasks of the old job wait without value")
+}
--- a/decision/poolplan/use.go
+++ b/decision/poolplan/use.go
@@ -73,11 +73,17 @@
 
 // Load returns the processor demand of the tasks that run or could start now,
 // and the capacity of the executors in service, in thousandths of a processor.
+// Waiting tasks of jobs that can only complete without value are not counted:
+// machines for them would be missing where work can still be in time.
 func (p *Plan) Load() (demand, capacity int64) {
-	_, want := p.TenantUse()
-	for _, r := range want {
+	for _, r := range p.tenantUsed {
 		demand += r.MilliCPU
 	}
+	for _, g := range p.readyGroups {
+		if g.ready && !g.job.closed() && g.lateness != worthless {
+			demand += g.step.Size.MilliCPU * int64(g.waitingTasks())
+		}
+	}
 	for _, e := range p.executors {
 		if e.acceptsWork() {
 			capacity += e.Capacity.MilliCPU
