Keep pools off hosts that cannot carry them

While the large hosts were restarted in turn and the store was down, two hosts of 0.192 cores and 10 Mbit/s took five pools over, three of them one host in one round; after the loss of power they took them again at once. Reads of the pools, orders and reports then timed out on their links.

Ruled out: panics (none logged), the registry's changes (the hosts read them).

Change: a small host, with less than half of the largest known processor share, does not claim its predecessor's pools at once but like any other host; and the delay for each pool already owned grows as the share shrinks.

TestSmallHostLeavesItsPoolsToLargerOnes fails on the code before.

--- a/decision/ownership/ownership.go
+++ b/decision/ownership/ownership.go
@@ -111,7 +111,7 @@
 	if r.OwnedBySelf {
 		return false, ""
 	}
-	if r.OwnedByPredecessor {
+	if r.OwnedByPredecessor && !h.isSmall() {
 		return true, "an earlier process of this host owns it"
 	}
 	switch {
@@ -123,16 +123,44 @@
 	return r.UnchangedFor >= TakeoverAfter(h.StoreResponse)+takeoverDelays.delay(pool, h), "owner is silent"
 }
 
+// smallDivisor is the divisor of the full processor share below which a host is
+// small. Its link is as small as its processor share, and the pools that it owns
+// may need more than both.
+const smallDivisor = 2
+
+// fullShare returns the processor share from which a host claims without a penalty.
+func (h Host) fullShare() float64 {
+	if h.LargestCPUShare > 0 {
+		return h.LargestCPUShare
+	}
+	return fullCPUShare
+}
+
+// isSmall reports whether larger hosts should have the pools. A small host that
+// took pools over while the others were away does not take them again at once
+// after a restart, so that a larger one can. An unknown share counts as large.
+func (h Host) isSmall() bool { return h.CPUShare > 0 && h.CPUShare*smallDivisor < h.fullShare() }
+
+// perOwnedPoolOf returns the delay for each pool that the host already owns, which is
+// longer by the factor that its processor share is smaller.
+func (d claimDelays) perOwnedPoolOf(h Host) time.Duration {
+	factor := 1.0
+	if h.CPUShare > 0 {
+		factor = max(h.fullShare()/h.CPUShare, 1)
+	}
+	return time.Duration(float64(d.perOwnedPool) * min(factor, maxShareFactor))
+}
+
+// maxShareFactor bounds the delay of very small hosts: a pool must get an owner when
+// no other host is left.
+const maxShareFactor = 8
+
 // delay returns how long a host waits before it claims a pool that has no owner
 // or a silent one.
 func (d claimDelays) delay(pool string, h Host) time.Duration {
 	jitter := float64(xxhash.Sum64String(pool+"\x00"+h.Name)%1024) / 1024
-	fullShare := fullCPUShare
-	if h.LargestCPUShare > 0 {
-		fullShare = h.LargestCPUShare
-	}
-	shortfall := max(0, fullShare-h.CPUShare) / fullShare
-	return time.Duration(h.OwnedPoolCount)*d.perOwnedPool +
+	shortfall := max(0, h.fullShare()-h.CPUShare) / h.fullShare()
+	return time.Duration(h.OwnedPoolCount)*d.perOwnedPoolOf(h) +
 		time.Duration(jitter*float64(d.maxJitter)) +
 		time.Duration(shortfall*float64(d.maxCPUPenalty))
 }
--- a/decision/ownership/ownership_test.go
+++ b/decision/ownership/ownership_test.go
@@ -90,3 +90,31 @@
 		assert.Assert(t, releasedDelays.delay(pool, weak) > releasedDelays.delay(pool, strong)+lookDelay)
 	})
 }
+
+// Guards against small hosts that own most pools: they took them over while the
+// large ones were away, and took them again at once after all hosts lost power; the
+// links of two of them could not carry five pools (zpnn-plan-grown, trouble-2).
+func TestSmallHostLeavesItsPoolsToLargerOnes(t *testing.T) {
+	small := Host{Name: "small", CPUShare: 0.192, LargestCPUShare: 0.8}
+	large := Host{Name: "large", CPUShare: 0.8, LargestCPUShare: 0.8}
+	predecessor := Record{Holder: "small", OwnedByPredecessor: true}
+	claims, _ := ShouldClaim("pool", predecessor, small)
+	assert.Assert(t, !claims)
+	predecessor.UnchangedFor = time.Minute
+	claims, _ = ShouldClaim("pool", predecessor, small)
+	assert.Assert(t, claims, "a pool that no larger host claims has no owner")
+	claims, _ = ShouldClaim("pool", Record{Holder: "large", OwnedByPredecessor: true}, large)
+	assert.Assert(t, claims)
+	alone := Host{Name: "alone", CPUShare: 0.192}
+	alone.LargestCPUShare = alone.CPUShare
+	claims, _ = ShouldClaim("pool", Record{Holder: "alone", OwnedByPredecessor: true}, alone)
+	assert.Assert(t, claims, "all hosts are of this size")
+	// A second pool goes to another small host before this one claims it.
+	busy := small
+	busy.OwnedPoolCount = 1
+	silent := Record{Holder: "gone", UnchangedFor: TakeoverAfter(0) + takeoverDelays.maxJitter + takeoverDelays.maxCPUPenalty}
+	claims, _ = ShouldClaim("pool", silent, small)
+	assert.Assert(t, claims)
+	claims, _ = ShouldClaim("pool", silent, busy)
+	assert.Assert(t, !claims)
+}
