Hear executors before work of an earlier owner starts, however late

The owner of a pool read it 21 s after its takeover.

Change: executors have 1.5 s, two requests, from the first step of the plan.

TestLatePlanHearsExecutorsFirst fails without it: a task is started before the report.

--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -99,6 +99,8 @@
 	unsavedJobs    map[string]*job
 	superseded     bool
 	takenOverAt    time.Time
+	// firstStepAt is the time of the first Step, from which executors are asked.
+	firstStepAt time.Time
 	// predecessorSilence is how long the previous owner had not renewed its
 	// ownership at the takeover.
 	predecessorSilence time.Duration
@@ -196,6 +198,9 @@
 	if p.superseded {
 		return nil
 	}
+	if p.firstStepAt.IsZero() {
+		p.firstStepAt = now
+	}
 	p.expireLeases(now)
 	p.releaseUnused(now)
 	p.checkInheritedRuns(now)
@@ -212,14 +217,20 @@
 	return orders
 }
 
+// minReportTime is how long executors of a previous owner have to report after the
+// plan's first step: two requests, each of which waits for up to half a second. A
+// plan may begin long after the takeover, when all leases have expired but reports
+// still list ended runs that the previous owner could not save.
+const minReportTime = 1500 * time.Millisecond
+
 // checkInheritedRuns sets inheritedRunsKnown when every executor that a
-// previous owner may have used has either answered this owner or certainly lost
-// its lease.
+// previous owner may have used has either answered this owner, or certainly lost
+// its lease and had time to report.
 func (p *Plan) checkInheritedRuns(now time.Time) {
 	if p.inheritedRunsKnown {
 		return
 	}
-	if now.Sub(p.takenOverAt) < p.inheritedLeaseTime() {
+	if now.Sub(p.takenOverAt) < p.inheritedLeaseTime() || now.Sub(p.firstStepAt) < minReportTime {
 		for _, e := range p.executors {
 			if e.inherited && !e.fencingTokenSeen {
 				return
--- a/decision/poolplan/takeover_test.go
+++ b/decision/poolplan/takeover_test.go
@@ -138,3 +138,36 @@
 	}
 	assert.Assert(t, !firstStop.IsZero(), "the machine is never emptied")
 }
+
+// Guards against a task that is done a second time by an owner that could read its
+// pool only long after the takeover: all leases have expired by then, but an executor
+// still lists the end that the previous owner could not save (zpnn-plan-grown,
+// trouble-2).
+func TestLatePlanHearsExecutorsFirst(t *testing.T) {
+	sim := newSimulation(t, 2)
+	sim.now = sim.now.Add(20 * time.Second)
+	sim.plan.Inherit(sim.now, executorInfo("1"))
+	sim.register("1", "2")
+	sim.addJob("a", true, step(1))
+	sim.step()
+	assert.Equal(t, len(sim.starts), 0, "a task was started before the executor of the previous owner had reported")
+	end := EndReport{Number: 1, Task: taskID("a"), Attempt: 1, Ending: EndedDone}
+	sim.answerLeaseRenewal(sim.takeLeaseRenewal(), nil, end)
+	for range 40 {
+		sim.advance(100 * time.Millisecond)
+	}
+	assert.Equal(t, len(sim.starts), 0, "a task that is done was started again")
+
+	silent := newSimulation(t, 2)
+	silent.now = silent.now.Add(20 * time.Second)
+	silent.plan.Inherit(silent.now, executorInfo("1"))
+	silent.register("1", "2")
+	silent.addJob("a", true, step(1))
+	for range 20 {
+		silent.advance(100 * time.Millisecond)
+		for range len(silent.leaseRenewals) {
+			silent.plan.RenewLeaseDone(silent.now, silent.takeLeaseRenewal(), Report{Outcome: silent.outcome(NoAnswer)})
+		}
+	}
+	assert.Equal(t, len(silent.starts), 1, "an executor that does not answer holds the task up for ever")
+}
