--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"time"
 )
 
@@ -78,9 +79,9 @@
 	},
 }
 
-// removedRoute: a version of the configuration removes the route of a job that runs,
-// one of its work items fails once, and a later version adds the route again.
-var removedRoute = scenario{
+// renamedRoute: a version of the configuration removes the route of a job that runs
+// and adds one of the same path to the same service; then a work item fails once.
+var renamedRoute = scenario{
 	services: []string{"svc-a"}, executors: 3,
 	behaviours: map[string]behaviour{"short": {duration: 200 * time.Millisecond, ending: "done"}, "booking": {duration: 4 * time.Second, ending: "done", failsOnce: true}},
 	run: func(d *deployment) ([]string, error) {
@@ -94,18 +95,12 @@
 		if err := await(2*time.Second, "the job runs", func() bool { return d.running(id) == 3 }); err != nil {
 			return nil, err
 		}
-		other := route("r-9", "svc-a")
-		other["path-prefix"] = "/other/"
 		if d.trouble {
-			d.configure(2, []string{"svc-a"}, other)
+			d.configure(2, []string{"svc-a"}, route("r-2", "svc-a"))
 		}
-		time.Sleep(6 * time.Second)
-		if d.trouble {
-			d.configure(3, []string{"svc-a"}, other, route("r-1", "svc-a"))
-		}
-		time.Sleep(configApply + 4*time.Second)
-		if state := d.state(d.daemons[0], id); state == "failed" {
-			return []string{fmt.Sprintf("job %s is shown as failed after %d of 3 attempts of a work item", id, d.failures(id))}, nil
+		time.Sleep(12 * time.Second)
+		if state := d.state(d.daemons[0], id); state != "completed" {
+			return []string{fmt.Sprintf("job %s is shown as %s after %d of 3 attempts of a work item", id, state, d.failures(id))}, nil
 		}
 		return nil, nil
 	},
@@ -138,7 +133,7 @@
 		if err := await(5*time.Second, "the job runs", func() bool { return d.running(id) == 6 }); err != nil {
 			return nil, err
 		}
-		time.Sleep(time.Second)
+		time.Sleep(200 * time.Millisecond)
 		if d.trouble {
 			entry := map[string]any{
 				"service": "svc-a", "address": d.fleet.executors["i-svc-a-1"].address, "zone": "z1", "state": "ready",
@@ -153,6 +148,40 @@
 	},
 }
 
+// longLabels: another writer leaves an entry with long, odd labels and without other
+// fields among those of the executors, before the clients' jobs come.
+var longLabels = scenario{
+	services: []string{"svc-a"}, executors: 9,
+	behaviours: map[string]behaviour{"short": {duration: 200 * time.Millisecond, ending: "done"}},
+	run: func(d *deployment) ([]string, error) {
+		if d.trouble {
+			label := strings.Repeat("<", 190)
+			var labels []string
+			for range 60 {
+				labels = append(labels, label)
+			}
+			stored := d.store.put("servers", "i-odd", map[string]any{
+				"service": "svc-a", "address": "127.0.0.1:9", "state": "ready", "sequence": 1, "labels": labels, "capacity": map[string]any{"cpu": executorCPU, "mem-mb": 65536, "gpu": 0},
+			})
+			d.record.log("another writer leaves the entry servers/i-odd, with %d labels of %d bytes, without other fields; stored: %v", len(labels), len(label), stored)
+		}
+		var accepted []string
+		for n := range 10 {
+			if d.submit(d.daemons[n%2], jobID(n), job{"short", []step{{Count: 4, CPU: 1000, MemoryMB: 256, EstimateMs: 200}}}) {
+				accepted = append(accepted, jobID(n))
+			}
+		}
+		time.Sleep(finishTime)
+		var breaches []string
+		for _, id := range accepted {
+			if state := d.state(d.daemons[0], id); state != "completed" {
+				breaches = append(breaches, id+" "+state)
+			}
+		}
+		return breaches, nil
+	},
+}
+
 // failingService: the work items of a job that lasts fail soon after each start.
 // Other clients' jobs go on.
 var failingService = scenario{
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -48,7 +48,8 @@
 	"moved-route":     movedRoute,
 	"reborn-executor": rebornExecutor,
 	"odd-entry":       oddEntry,
-	"removed-route":   removedRoute,
+	"renamed-route":   renamedRoute,
+	"long-labels":     longLabels,
 }
 
 func main() {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -49,8 +50,6 @@
 	historyFloor int64
 	version      int64
 	changed      chan struct{}
-	// down makes the store refuse all calls with status 503.
-	down bool
 	// tooLarge counts the transactions refused for the size of a value.
 	tooLarge int
 }
@@ -59,18 +58,6 @@
 	return &store{record: record, startedAt: time.Now(), rows: make(map[rowKey]row), changed: make(chan struct{})}
 }
 
-func (s *store) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-}
-
-func (s *store) isDown() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.down
-}
-
 func (s *store) tooLargeCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -80,25 +67,21 @@
 // put writes a row as the operator or an executor does, and reports whether the
 // store accepted it.
 func (s *store) put(table, key string, value any) bool {
-	encoded, err := json.Marshal(value)
-	if err != nil {
+	var encoded bytes.Buffer
+	encoder := json.NewEncoder(&encoded)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(value); err != nil {
 		panic(err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
+	if encoded.Len() > maxValueBytes {
 		return false
 	}
-	s.apply([]row{{Table: table, Key: key, Value: encoded}})
+	s.apply([]row{{Table: table, Key: key, Value: encoded.Bytes()}})
 	return true
 }
 
-func (s *store) remove(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.apply([]row{{Table: table, Key: key, Removed: true}})
-}
-
 // apply writes rows at one new version. The caller holds s.mu.
 func (s *store) apply(rows []row) {
 	s.version++
@@ -174,11 +157,6 @@
 	}
 	time.Sleep(transactionTime)
 	s.mu.Lock()
-	if s.down {
-		s.mu.Unlock()
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	current, ok := s.commit(&t)
 	version := s.version
 	s.mu.Unlock()
@@ -233,10 +211,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	rows := []row{}
 	for id, r := range s.rows {
 		if id.table == q.Get("table") && id.part == q.Get("part") && id.key >= q.Get("from") && (q.Get("target") == "" || id.key < q.Get("target")) {
@@ -290,10 +264,7 @@
 func (s *store) changesAfter(table string, after int64) (status int, rows []row, version int64, changed chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case s.down:
-		return http.StatusServiceUnavailable, nil, 0, nil
-	case after < s.historyFloor:
+	if after < s.historyFloor {
 		return http.StatusGone, nil, 0, nil
 	}
 	rows = []row{}
