Review, case 1: a pool that cannot be read again after a takeover, rule LOST

Cause: an owner reads all jobs of a pool by 16 calls at once, each with a timeout of 0.4 s to 2 s; over a link of 10 Mbit/s all time out, again and again.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Plays the case odd-entry: see claim.txt. Exits with 1 if the rule was broken, 0 if it
+# Plays the case moved-route: see claim.txt. Exits with 1 if the rule was broken, 0 if it
 # held, 2 if the case could not run. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/fuchsiafrontd ] && [ -x target/review-standin ] || { echo "build first: the line of deploy/system.toml, and review/build.sh" >&2; exit 2; }
-exec target/review-standin odd-entry review/3/record.txt
+exec target/review-standin moved-route review/3/record.txt
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -293,3 +293,92 @@
 	}
 	return idle
 }
+
+// slowLink: the daemon that owns a pool is killed and starts again. The links of the
+// daemons are those of small machines, and the pool has had some thousand jobs.
+var slowLink = scenario{
+	services: []string{"svc-a"}, executors: 9, linkMbps: 10,
+	behaviours: map[string]behaviour{"short": {duration: 200 * time.Millisecond, ending: "done"}, longSpec: {duration: 200 * time.Millisecond, ending: "done"}},
+	run:        runSlowLink,
+}
+
+const (
+	// beforeKill and afterKill are how long clients send jobs before and after the
+	// owner is killed.
+	beforeKill, afterKill = 55 * time.Second, 20 * time.Second
+	// downTime is how long the killed process is down.
+	downTime = 3500 * time.Millisecond
+	// busyInterval and calmInterval are the times between jobs before and after.
+	busyInterval, calmInterval = 22 * time.Millisecond, 250 * time.Millisecond
+	// maxSpecBytes is the longest spec of the protocol.
+	maxSpecBytes = 4000
+)
+
+var longSpec = strings.Repeat("s", maxSpecBytes)
+
+func runSlowLink(d *deployment) ([]string, error) {
+	if err := warmUp(d, "short"); err != nil {
+		return nil, err
+	}
+	var accepted []string
+	send := func(n int, interval time.Duration) {
+		if d.submit(d.daemons[n%2], jobID(1+n), job{longSpec, []step{{Count: 1, CPU: itemCPU, MemoryMB: 128, EstimateMs: 200}}}) {
+			accepted = append(accepted, jobID(1+n))
+		}
+		time.Sleep(interval)
+	}
+	n := 0
+	for begun := time.Now(); time.Since(begun) < beforeKill; n++ {
+		send(n, busyInterval)
+	}
+	if d.trouble {
+		owner, err := d.owner("svc-a")
+		if err != nil {
+			return nil, err
+		}
+		d.record.log("%s, the owner of the pool, is killed; %d jobs were accepted so far", owner.name, len(accepted))
+		_ = owner.command.Process.Kill()
+		<-owner.ended
+		time.AfterFunc(downTime, func() {
+			d.record.log("%s starts again: %v", owner.name, owner.start())
+		})
+	}
+	for begun := time.Now(); time.Since(begun) < afterKill; n++ {
+		send(n, calmInterval)
+	}
+	d.record.log("the traffic ends; %d jobs were accepted", len(accepted))
+	time.Sleep(finishTime)
+	return d.neverStarted(accepted), nil
+}
+
+// neverStarted returns the breaches of the rule LOST: jobs of which no work item has
+// begun, or runs, for idleTime.
+func (d *deployment) neverStarted(accepted []string) []string {
+	idle := d.unstarted(accepted)
+	time.Sleep(idleTime)
+	again := d.unstarted(accepted)
+	var breaches []string
+	for _, id := range accepted {
+		if idle[id] && again[id] {
+			breaches = append(breaches, fmt.Sprintf("job %s: for %v nothing of it has run, and its turn has come", id, idleTime))
+		}
+	}
+	if len(breaches) > 0 {
+		d.record.log("the first of them is shown as %s", d.state(d.daemons[0], strings.Fields(breaches[0])[1][:16]))
+	}
+	return breaches
+}
+
+func (d *deployment) unstarted(ids []string) map[string]bool {
+	begun := make(map[string]bool)
+	for _, r := range d.record.snapshot() {
+		if r.How == "done" || r.End.IsZero() {
+			begun[jobOf(r.Task)] = true
+		}
+	}
+	open := make(map[string]bool)
+	for _, id := range ids {
+		open[id] = !begun[id]
+	}
+	return open
+}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -61,7 +61,7 @@
 cores = 1
 memory-mb = 284
 max-fds = 4100
-bandwidth-mbps = 1000.0
+bandwidth-mbps = %g
 disk-mb = 0
 [bounds]
 contact-ms = 3000
@@ -104,16 +104,40 @@
 	trouble bool
 	folder  string
 	server  *http.Server
-	daemons []*daemon
-	client  *http.Client
+	// linkMbps is the bandwidth of the daemons' links.
+	linkMbps float64
+	daemons  []*daemon
+	client   *http.Client
 }
 
 type daemon struct {
 	name, frontend, ready string
+	settings, log         string
+	link                  *link
 	command               *exec.Cmd
 	ended                 chan struct{}
 }
 
+// start starts the process of a daemon.
+func (m *daemon) start() error {
+	output, err := os.OpenFile(m.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	m.command = exec.Command(daemonPath)
+	m.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FUCHSIAFRONT_BOOT=" + m.settings}
+	m.command.Stdout, m.command.Stderr = output, output
+	if err := m.command.Start(); err != nil {
+		return err
+	}
+	m.ended = make(chan struct{})
+	go func(command *exec.Cmd, ended chan struct{}) {
+		_ = command.Wait()
+		close(ended)
+	}(m.command, m.ended)
+	return nil
+}
+
 func newDeployment(record *recorder, behaviours map[string]behaviour, trouble bool) (*deployment, string, error) {
 	folder, err := os.MkdirTemp("", "review-")
 	if err != nil {
@@ -139,26 +163,20 @@
 // startDaemons starts n daemons as separate processes and waits until they are ready.
 func (d *deployment) startDaemons(n int, platform string) error {
 	for i := range n {
-		m := &daemon{name: fmt.Sprintf("edge-%d", i+1), frontend: freeAddress(), ready: freeAddress(), ended: make(chan struct{})}
-		port := freePort()
-		path := filepath.Join(d.folder, m.name+".toml")
-		if err := os.WriteFile(path, fmt.Appendf(nil, settingsFormat, m.name, loopbackIP(), port, port, m.frontend, m.ready, platform, platform), 0o600); err != nil {
+		name := fmt.Sprintf("edge-%d", i+1)
+		m := &daemon{name: name, frontend: freeAddress(), ready: freeAddress(), settings: filepath.Join(d.folder, name+".toml"), log: filepath.Join(d.folder, name+".log")}
+		link, err := newLink(platform, d.linkMbps)
+		if err != nil {
 			return err
 		}
-		output, err := os.Create(filepath.Join(d.folder, m.name+".log"))
-		if err != nil {
+		m.link = link
+		port := freePort()
+		if err := os.WriteFile(m.settings, fmt.Appendf(nil, settingsFormat, m.name, loopbackIP(), port, port, m.frontend, m.ready, d.linkMbps, link.address(), platform), 0o600); err != nil {
 			return err
 		}
-		m.command = exec.Command(daemonPath)
-		m.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FUCHSIAFRONT_BOOT=" + path}
-		m.command.Stdout, m.command.Stderr = output, output
-		if err := m.command.Start(); err != nil {
+		if err := m.start(); err != nil {
 			return err
 		}
-		go func() {
-			_ = m.command.Wait()
-			close(m.ended)
-		}()
 		d.daemons = append(d.daemons, m)
 	}
 	deadline := time.Now().Add(readyTimeout)
@@ -204,6 +222,9 @@
 			<-m.ended
 		}
 	}
+	for _, m := range d.daemons {
+		_ = m.link.listener.Close()
+	}
 	d.fleet.stopAll()
 	_ = d.server.Close()
 	if keep := os.Getenv("REVIEW_KEEP_LOGS"); keep == "" {
@@ -340,3 +361,13 @@
 	}
 	return nil
 }
+
+// owner returns the daemon that owns a pool, by the system's row in the store.
+func (d *deployment) owner(pool string) (*daemon, error) {
+	for _, m := range d.daemons {
+		if bytes.Contains(d.store.ownerOf(pool), []byte(`"`+m.name+`"`)) {
+			return m, nil
+		}
+	}
+	return nil, fmt.Errorf("%w: pool %s has no owner", errNotRun, pool)
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,6 +11,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"os/signal"
@@ -22,6 +23,9 @@
 // timeLimit is how long a case may take; a script has 120 s.
 const timeLimit = 112 * time.Second
 
+// defaultLinkMbps is bandwidth-mbps of the small sites.
+const defaultLinkMbps = 1000
+
 // guard ends the case, with its daemons, when it takes too long or is stopped.
 func (d *deployment) guard() {
 	signals := make(chan os.Signal, 1)
@@ -40,7 +44,9 @@
 	services   []string
 	executors  int
 	behaviours map[string]behaviour
-	run        func(*deployment) ([]string, error)
+	// linkMbps is the bandwidth of the daemons' links; zero means that of small sites.
+	linkMbps float64
+	run      func(*deployment) ([]string, error)
 }
 
 var scenarios = map[string]scenario{
@@ -50,6 +56,7 @@
 	"odd-entry":       oddEntry,
 	"renamed-route":   renamedRoute,
 	"long-labels":     longLabels,
+	"slow-link":       slowLink,
 }
 
 func main() {
@@ -84,6 +91,7 @@
 		return nil, err
 	}
 	defer d.close()
+	d.linkMbps = cmp.Or(s.linkMbps, defaultLinkMbps)
 	go d.guard()
 	d.configure(1, s.services, route("r-1", s.services[0]))
 	for _, service := range s.services {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -282,3 +282,10 @@
 	// An error means that the caller has left.
 	_ = json.NewEncoder(w).Encode(body)
 }
+
+// ownerOf returns the value of the system's row that names the owner of a pool.
+func (s *store) ownerOf(pool string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[rowKey{"owners", pool, "owner"}].Value
+}
