Review: ports of the daemons are chosen together

Cause: two starts of a case ended with a daemon that was not ready within 20 s, the first with eight cases started at once; a port could be given out twice before its first use. No log was kept, so that this is the likely cause only.

--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -42,7 +42,7 @@
 ip = %q
 zone = "z1"
 region = "r1"
-port-range = [%d,%d]
+port-range = [%s,%s]
 seeds = []
 bootstrap = true
 fault-counted = false
@@ -162,16 +162,20 @@
 
 // startDaemons starts n daemons as separate processes and waits until they are ready.
 func (d *deployment) startDaemons(n int, platform string) error {
+	addresses, err := freeAddresses(3 * n)
+	if err != nil {
+		return err
+	}
 	for i := range n {
 		name := fmt.Sprintf("edge-%d", i+1)
-		m := &daemon{name: name, frontend: freeAddress(), ready: freeAddress(), settings: filepath.Join(d.folder, name+".toml"), log: filepath.Join(d.folder, name+".log")}
+		frontend, ready, metrics := addresses[3*i], addresses[3*i+1], addresses[3*i+2]
+		m := &daemon{name: name, frontend: frontend, ready: ready, settings: filepath.Join(d.folder, name+".toml"), log: filepath.Join(d.folder, name+".log")}
 		link, err := newLink(platform, d.linkMbps)
 		if err != nil {
 			return err
 		}
 		m.link = link
-		port := freePort()
-		if err := os.WriteFile(m.settings, fmt.Appendf(nil, settingsFormat, m.name, loopbackIP(), port, port, m.frontend, m.ready, d.linkMbps, link.address(), platform), 0o600); err != nil {
+		if err := os.WriteFile(m.settings, fmt.Appendf(nil, settingsFormat, m.name, loopbackIP(), portOf(metrics), portOf(metrics), m.frontend, m.ready, d.linkMbps, link.address(), platform), 0o600); err != nil {
 			return err
 		}
 		if err := m.start(); err != nil {
@@ -241,20 +245,23 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, 1+pid&127)
 }
 
-func freeAddress() string {
-	l, err := net.Listen("tcp", loopbackIP()+":0")
-	if err != nil {
-		panic(err)
+// freeAddresses returns n addresses with different free ports.
+func freeAddresses(n int) ([]string, error) {
+	addresses := make([]string, n)
+	for i := range addresses {
+		l, err := net.Listen("tcp", loopbackIP()+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		addresses[i] = l.Addr().String()
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addresses, nil
 }
 
-func freePort() int {
-	_, port, _ := net.SplitHostPort(freeAddress())
-	var n int
-	_, _ = fmt.Sscan(port, &n)
-	return n
+func portOf(address string) string {
+	_, port, _ := net.SplitHostPort(address)
+	return port
 }
 
 // route is a route of the configuration.
