--- a/review/build.sh
+++ b/review/build.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Builds the stand-ins that the scripts of the cases start.
 cd "$(dirname "$0")/.." || exit 2
-exec go build -tags review -o target/review-standin ./review/standin
+exec go build -buildvcs=false -tags review -o target/review-standin ./review/standin
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -186,12 +186,12 @@
 // Other clients' jobs go on.
 var failingService = scenario{
 	services: []string{"svc-a"}, executors: 9,
-	behaviours: map[string]behaviour{"short": {duration: 300 * time.Millisecond, ending: "done"}, "serve": {}, "fail": {duration: 30 * time.Millisecond, ending: "failed"}},
+	behaviours: map[string]behaviour{"short": {duration: 300 * time.Millisecond, ending: "done"}, "serve": {}, "fail": {duration: 10 * time.Millisecond, ending: "failed"}},
 	run:        runFailingService,
 }
 
 const (
-	lastingItems = 24
+	lastingItems = 36
 	itemCPU      = 500
 	// trafficTime is how long clients send jobs.
 	trafficTime = 75 * time.Second
@@ -309,7 +309,7 @@
 	// downTime is how long the killed process is down.
 	downTime = 3500 * time.Millisecond
 	// busyInterval and calmInterval are the times between jobs before and after.
-	busyInterval, calmInterval = 22 * time.Millisecond, 250 * time.Millisecond
+	busyInterval, calmInterval = 12 * time.Millisecond, 250 * time.Millisecond
 	// maxSpecBytes is the longest spec of the protocol.
 	maxSpecBytes = 4000
 )
