Judge jobs by the terms of the queue that accepted them

Cause: the record of a job had only its queue's name. The plan looked the name up in the configuration in force and took one attempt, priority 0, a built-in objective and no advice when there was none. Ruled out: failures counted twice; the log of the case shows one end of the task before the job ends.

Promise: a job is judged by the terms under which it was accepted, or by those that the operator has put in their place. The paths that keep it: the limit of attempts, the priority, the objective and the need for advice, in the plan of the owner that saw the submission and of one that reads the job from the store.

Change: the record has the origin of the job (name, host, prefix, terms). catalog.TermsOf gives the terms in force: of the queue of that name, else of the queue at that place, else those recorded. Why this works: the record is written with the acceptance and never changes, so no later version of the configuration can take the terms away.

--- a/ctl/fleet_test.go
+++ b/ctl/fleet_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
 	"fuchsiafront.example/fuchsiafront/decision/workload"
 	"fuchsiafront.example/fuchsiafront/services"
 	"fuchsiafront.example/fuchsiafront/standin/fleetplatform"
@@ -32,7 +33,7 @@
 		assert.NilError(t, err)
 		fleet.Store.PutBytes(key.Table, key.Part, key.Key, value)
 	}
-	spec := &workload.Spec{ID: fleetJob, Queue: "queue", Tenant: fleetTenant, AcceptedAt: time.UnixMilli(1_780_000_000_000), Steps: []workload.Step{{Count: 2}, {Count: 1, After: []int{0}}}}
+	spec := &workload.Spec{ID: fleetJob, Queue: catalog.Origin{Name: "queue"}, Tenant: fleetTenant, AcceptedAt: time.UnixMilli(1_780_000_000_000), Steps: []workload.Step{{Count: 2}, {Count: 1, After: []int{0}}}}
 	value, err := jobrecord.EncodeSpec(spec)
 	put(jobrecord.JobKey(fleet.Service, fleetJob), value, err)
 	value, err = jobrecord.EncodeProgress(&workload.Progress{
--- a/ctl/fleetjob.go
+++ b/ctl/fleetjob.go
@@ -69,7 +69,7 @@
 // newJobView combines a job with its progress.
 func newJobView(pool string, spec *workload.Spec, version int64, p workload.Progress) jobView {
 	j := jobView{
-		ID: spec.ID, Pool: pool, Queue: spec.Queue, Tenant: spec.Tenant, Accepted: spec.AcceptedAt, RecordedAt: version,
+		ID: spec.ID, Pool: pool, Queue: spec.Queue.Name, Tenant: spec.Tenant, Accepted: spec.AcceptedAt, RecordedAt: version,
 		SilentOwner: spec.SilentOwner, State: p.State.String(), Done: len(p.Done),
 	}
 	if p.State.Ended() {
--- a/decision/catalog/catalog.go
+++ b/decision/catalog/catalog.go
@@ -17,8 +17,9 @@
 	Services map[string]Service `json:"Services"`
 	Tenants  map[string]Tenant  `json:"Tenants"`
 
-	byHost map[string][]*Queue
-	byName map[string]*Queue
+	byHost  map[string][]*Queue
+	byName  map[string]*Queue
+	byPlace map[Place]*Queue
 	// byKey has the tenants by the digest of a key, so that the time of a look-up
 	// tells nothing about the keys.
 	byKey map[[sha256.Size]byte]string
@@ -26,12 +27,23 @@
 
 // Queue carries work to the executors of one service.
 type Queue struct {
-	Name       string `json:"Name"`
+	Name string `json:"Name"`
+	Place
+	Service string `json:"Service"`
+	// Public queues need no key.
+	Public  bool          `json:"Public"`
+	Timeout time.Duration `json:"Timeout"`
+	Terms
+}
+
+// Place is where callers address a queue.
+type Place struct {
 	Host       string `json:"Host"`
 	PathPrefix string `json:"PathPrefix"`
-	Service    string `json:"Service"`
-	// Public queues need no key.
-	Public bool `json:"Public"`
+}
+
+// Terms are what the jobs of a queue are judged by after they were accepted.
+type Terms struct {
 	// Priority zero is served first and may preempt other queues.
 	Priority    int `json:"Priority"`
 	MaxAttempts int `json:"MaxAttempts"`
@@ -39,12 +51,22 @@
 	// LatencyTarget, is the objective for a job's completion.
 	SlackFactor   float64       `json:"Slack"`
 	LatencyTarget time.Duration `json:"LatencyTarget"`
-	Timeout       time.Duration `json:"Timeout"`
 	// Advice is set when another service decides which executors may run a
 	// step.
 	Advice *Advice `json:"Advice"`
 }
 
+// Origin is the queue that accepted a job, as it was then. It is kept with the job,
+// because a later version of the configuration may rename, move or remove the queue.
+type Origin struct {
+	Name string
+	Place
+	Terms
+}
+
+// Origin returns the queue as the origin of a job that it accepts now.
+func (q *Queue) Origin() Origin { return Origin{q.Name, q.Place, q.Terms} }
+
 // Advice has the timing of the advice service for one queue.
 type Advice struct {
 	DecisionTime    time.Duration `json:"Decision"`
@@ -80,6 +102,7 @@
 		Tenants:  make(map[string]Tenant, len(tenants)),
 		byHost:   make(map[string][]*Queue),
 		byName:   make(map[string]*Queue, len(queues)),
+		byPlace:  make(map[Place]*Queue, len(queues)),
 		byKey:    make(map[[sha256.Size]byte]string),
 	}
 	for i := range queues {
@@ -88,6 +111,9 @@
 		if c.byName[q.Name] == nil {
 			c.byName[q.Name] = q
 		}
+		if c.byPlace[q.Place] == nil {
+			c.byPlace[q.Place] = q
+		}
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
@@ -133,6 +159,25 @@
 	return q, q != nil
 }
 
+// QueueOf returns the queue that stands for the origin of a job now: the one of that
+// name, or else the one that has replaced it at its place.
+func (c *Catalog) QueueOf(o *Origin) (*Queue, bool) {
+	q := c.byName[o.Name]
+	if q == nil {
+		q = c.byPlace[o.Place]
+	}
+	return q, q != nil
+}
+
+// TermsOf returns the terms that hold for jobs of an origin: those of the queue that
+// stands for it now, or those under which the job was accepted if there is none.
+func (c *Catalog) TermsOf(o *Origin) *Terms {
+	if q, ok := c.QueueOf(o); ok {
+		return &q.Terms
+	}
+	return &o.Terms
+}
+
 // Authenticate returns the tenant that holds key.
 func (c *Catalog) Authenticate(key string) (tenant string, ok bool) {
 	tenant, ok = c.byKey[sha256.Sum256([]byte(key))]
--- a/decision/catalog/catalog_test.go
+++ b/decision/catalog/catalog_test.go
@@ -9,7 +9,7 @@
 // Guards against a host given as an IPv6 address that is cut at its last colon, and
 // against a port that hides the queue.
 func TestRouteIgnoresPort(t *testing.T) {
-	c := New(1, []Queue{{Name: "a", Host: "[::1]", PathPrefix: "/"}, {Name: "b", Host: "h.example", PathPrefix: "/"}}, nil, nil)
+	c := New(1, []Queue{{Name: "a", Place: Place{Host: "[::1]", PathPrefix: "/"}}, {Name: "b", Place: Place{Host: "h.example", PathPrefix: "/"}}}, nil, nil)
 	for host, want := range map[string]string{"[::1]": "a", "[::1]:80": "a", "h.example": "b", "h.example:80": "b"} {
 		q, _, ok := c.Route(host, "/x")
 		assert.Assert(t, ok, host)
--- a/decision/poolplan/accounting_test.go
+++ b/decision/poolplan/accounting_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
 	"fuchsiafront.example/fuchsiafront/decision/workload"
 )
 
@@ -16,7 +17,7 @@
 	sim := newSimulation(t, 2)
 	sim.plan.Inherit(sim.now, executorInfo("1"))
 	sim.register("1")
-	spec := &workload.Spec{ID: "a", Queue: "queue", Tenant: "tenant", Steps: []workload.Step{step(1)}, AcceptedAt: sim.now}
+	spec := &workload.Spec{ID: "a", Queue: catalog.Origin{Name: "queue"}, Tenant: "tenant", Steps: []workload.Step{step(1)}, AcceptedAt: sim.now}
 	sim.plan.AddJob(sim.now, spec, workload.Progress{Failures: map[workload.TaskName][]int{{}: {1, 2}}, HighestAttempt: 2}, true)
 	sim.step()
 	sim.answerLeaseRenewal(sim.takeLeaseRenewal(), nil,
--- a/decision/poolplan/advise.go
+++ b/decision/poolplan/advise.go
@@ -49,8 +49,7 @@
 
 // needsAdvice reports whether the group's tasks need tickets.
 func (p *Plan) needsAdvice(g *group) bool {
-	q, ok := p.catalog.Queue(g.job.spec.Queue)
-	return ok && q.Advice != nil
+	return p.catalog.TermsOf(&g.job.spec.Queue).Advice != nil
 }
 
 // placeWithAdvice starts tasks of a group on executors that may run them, and
--- a/decision/poolplan/advise_test.go
+++ b/decision/poolplan/advise_test.go
@@ -16,8 +16,11 @@
 func newAdvisedSimulation(t *testing.T, n int) *simulation {
 	sim := newSimulation(t, 1)
 	sim.plan.SetCatalog(catalog.New(1, []catalog.Queue{{
-		Name: "queue", Service: "pool", MaxAttempts: 3, SlackFactor: 1.6, LatencyTarget: time.Second,
-		Advice: &catalog.Advice{DecisionTime: 10 * time.Millisecond, TimePerExecutor: time.Millisecond, Validity: adviceValidity},
+		Name: "queue", Service: "pool",
+		Terms: catalog.Terms{
+			MaxAttempts: 3, SlackFactor: 1.6, LatencyTarget: time.Second,
+			Advice: &catalog.Advice{DecisionTime: 10 * time.Millisecond, TimePerExecutor: time.Millisecond, Validity: adviceValidity},
+		},
 	}}, []catalog.Service{{Name: "pool"}}, []catalog.Tenant{{Name: "tenant"}}))
 	ids := make([]string, n)
 	for i := range ids {
--- a/decision/poolplan/bench_test.go
+++ b/decision/poolplan/bench_test.go
@@ -15,7 +15,7 @@
 func benchPlan(executors, jobs, queues int) (*Plan, time.Time) {
 	now := time.UnixMilli(1_000_000)
 	p := New(1, now, 0, testParams)
-	list := []catalog.Queue{{Name: "queue", Service: "pool", MaxAttempts: 3, SlackFactor: 1.6, LatencyTarget: time.Second}}
+	list := []catalog.Queue{{Name: "queue", Service: "pool", Terms: catalog.Terms{MaxAttempts: 3, SlackFactor: 1.6, LatencyTarget: time.Second}}}
 	for i := range queues {
 		list = append(list, catalog.Queue{Name: fmt.Sprintf("other-%d", i), Service: "pool"})
 	}
@@ -32,7 +32,7 @@
 	for i := range jobs {
 		steps := []workload.Step{step(8), step(8)}
 		steps[1].After = []int{0}
-		p.AddJob(now, &workload.Spec{ID: fmt.Sprintf("%016x", i), Queue: "queue", Tenant: "tenant", Steps: steps, AcceptedAt: now}, workload.Progress{}, false)
+		p.AddJob(now, &workload.Spec{ID: fmt.Sprintf("%016x", i), Queue: catalog.Origin{Name: "queue"}, Tenant: "tenant", Steps: steps, AcceptedAt: now}, workload.Progress{}, false)
 	}
 	for _, o := range p.Step(now) {
 		if s, ok := o.(Start); ok {
--- a/decision/poolplan/blocked_test.go
+++ b/decision/poolplan/blocked_test.go
@@ -15,7 +15,7 @@
 func newLimitedSimulation(t *testing.T, cpu int64) *simulation {
 	sim := newSimulation(t, 1)
 	sim.plan.SetCatalog(catalog.New(1, []catalog.Queue{
-		{Name: "queue", Service: "pool", MaxAttempts: 3, SlackFactor: 1.6, LatencyTarget: time.Second},
+		{Name: "queue", Service: "pool", Terms: catalog.Terms{MaxAttempts: 3, SlackFactor: 1.6, LatencyTarget: time.Second}},
 	}, []catalog.Service{{Name: "pool"}}, []catalog.Tenant{{Name: "tenant", Maximum: fleet.Resources{MilliCPU: 40000}}}))
 	sim.register("1", "2", "3")
 	sim.plan.SetLimits(map[string]fleet.Resources{"tenant": {MilliCPU: cpu}})
--- a/decision/poolplan/failure_test.go
+++ b/decision/poolplan/failure_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/decision/workload"
 )
 
 // failTask accepts a start and reports that its task failed.
@@ -68,3 +71,38 @@
 	sim.advance(50 * time.Millisecond)
 	assert.Assert(t, sim.takeStart().Executor != first.Executor)
 }
+
+// Guards against a job shown as failed after fewer attempts than its queue allows,
+// because the operator had renamed, moved or removed the queue after the job was
+// accepted.
+func TestAttemptsOfReplacedQueue(t *testing.T) {
+	queue := func(name string, attempts int) catalog.Queue {
+		return catalog.Queue{Name: name, Place: testPlace, Service: "pool", Terms: catalog.Terms{MaxAttempts: attempts}}
+	}
+	for name, test := range map[string]struct {
+		queues []catalog.Queue
+		want   int
+	}{
+		"unchanged":             {[]catalog.Queue{queue("queue", 3)}, 3},
+		"removed":               {nil, 3},
+		"renamed":               {[]catalog.Queue{queue("other", 3)}, 3},
+		"replaced by a laxer":   {[]catalog.Queue{queue("other", 4)}, 4},
+		"renamed, place reused": {[]catalog.Queue{queue("queue", 3), queue("other", 2)}, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 1)
+			sim.register("1", "2", "3", "4")
+			sim.addJob("a", false, step(1))
+			sim.plan.SetCatalog(catalog.New(2, test.queues, []catalog.Service{{Name: "pool"}}, []catalog.Tenant{{Name: "tenant"}}))
+			numbers := make(map[string]int64)
+			for attempt := 1; attempt <= test.want; attempt++ {
+				assert.Equal(t, sim.plan.jobs["a"].progress.State, workload.Queued, "before attempt %d", attempt)
+				sim.advance(50 * time.Millisecond)
+				start := sim.takeStart()
+				numbers[start.Executor]++
+				sim.failTask(start, numbers[start.Executor])
+			}
+			assert.Equal(t, sim.plan.jobs["a"].progress.State, workload.Failed)
+		})
+	}
+}
--- a/decision/poolplan/harness_test.go
+++ b/decision/poolplan/harness_test.go
@@ -15,6 +15,12 @@
 	MaxLease: 6 * time.Second, LeaseCap: 6 * time.Second, StopTime: 900 * time.Millisecond,
 }
 
+// testPlace and testTerms are those of the queue of most jobs.
+var (
+	testPlace = catalog.Place{Host: "jobs.example", PathPrefix: "/q/"}
+	testTerms = catalog.Terms{MaxAttempts: 3, SlackFactor: 1.6, LatencyTarget: time.Second}
+)
+
 // simulation drives a plan in virtual time. It keeps orders until a test
 // answers them.
 type simulation struct {
@@ -35,7 +41,7 @@
 	sim := &simulation{t: t, now: time.UnixMilli(1_000_000)}
 	sim.plan = New(term, sim.now, 0, testParams)
 	sim.plan.SetCatalog(catalog.New(1, []catalog.Queue{
-		{Name: "queue", Service: "pool", MaxAttempts: 3, SlackFactor: 1.6, LatencyTarget: time.Second},
+		{Name: "queue", Place: testPlace, Service: "pool", Terms: testTerms},
 	}, []catalog.Service{{Name: "pool"}}, []catalog.Tenant{{Name: "tenant"}}))
 	return sim
 }
@@ -67,7 +73,8 @@
 }
 
 func (sim *simulation) addJob(id string, inherited bool, steps ...workload.Step) {
-	spec := &workload.Spec{ID: id, Queue: "queue", Tenant: "tenant", Steps: steps, AcceptedAt: sim.now}
+	queue := catalog.Origin{Name: "queue", Place: testPlace, Terms: testTerms}
+	spec := &workload.Spec{ID: id, Queue: queue, Tenant: "tenant", Steps: steps, AcceptedAt: sim.now}
 	sim.plan.AddJob(sim.now, spec, workload.Progress{}, inherited)
 }
 
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -363,7 +363,7 @@
 		}
 		switch {
 		case !j.begun:
-			pending[j.spec.Queue]++
+			pending[j.spec.Queue.Name]++
 		case j.progress.State == workload.Queued:
 			begun = append(begun, id)
 		}
--- a/decision/poolplan/learn.go
+++ b/decision/poolplan/learn.go
@@ -63,7 +63,7 @@
 	if r == nil || r.confirmedAt.IsZero() || r.task.group.step.Service || r.task.group.step.BestEffort {
 		return
 	}
-	queue := r.task.group.job.spec.Queue
+	queue := r.task.group.job.spec.Queue.Name
 	if p.taskDurations[queue] == nil {
 		p.taskDurations[queue] = new(durationEstimator)
 	}
@@ -72,18 +72,15 @@
 
 // remainingTime returns the expected time that a job needs from step first on.
 func (p *Plan) remainingTime(s *workload.Spec, first int) time.Duration {
-	d := p.taskDurations[s.Queue]
+	d := p.taskDurations[s.Queue.Name]
 	return criticalPath(s.Steps, first, func(st *workload.Step) time.Duration { return d.expected(st.Estimate) })
 }
 
 // allowedTime returns the time within which a job has to be complete to be on
 // time.
 func (p *Plan) allowedTime(s *workload.Spec) time.Duration {
-	slack, target := 1.5, time.Second
-	if q, ok := p.catalog.Queue(s.Queue); ok {
-		slack, target = q.SlackFactor, q.LatencyTarget
-	}
-	return time.Duration(float64(p.remainingTime(s, 0))*slack) + target
+	terms := p.catalog.TermsOf(&s.Queue)
+	return time.Duration(float64(p.remainingTime(s, 0))*terms.SlackFactor) + terms.LatencyTarget
 }
 
 // criticalPath returns the duration of the longest chain of dependent steps
--- a/decision/poolplan/priority.go
+++ b/decision/poolplan/priority.go
@@ -50,7 +50,7 @@
 		}
 	}
 	for _, g := range p.readyGroups {
-		g.lateness, g.priority = p.lateness(now, g), p.priority(g.job)
+		g.lateness, g.priority = p.lateness(now, g), p.catalog.TermsOf(&g.job.spec.Queue).Priority
 	}
 	slices.SortFunc(p.readyGroups, compareGroups)
 }
@@ -131,13 +131,6 @@
 	return onTime
 }
 
-func (p *Plan) priority(j *job) int {
-	if q, ok := p.catalog.Queue(j.spec.Queue); ok {
-		return q.Priority
-	}
-	return 0
-}
-
 // compareAge orders groups of one class and priority: on-time jobs that have
 // begun come first, because their work is lost when they are late, then the
 // oldest. Of the tight ones the newest comes first: when a queue asks for more
--- a/decision/poolplan/renewal_test.go
+++ b/decision/poolplan/renewal_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
 	"fuchsiafront.example/fuchsiafront/decision/workload"
 )
 
@@ -64,7 +65,7 @@
 	sim.ownershipRenewalStopped = true
 	sim.plan.SetOwnershipRenewed(sim.now, 40)
 	sim.register("1")
-	spec := &workload.Spec{ID: "a", Queue: "queue", Tenant: "tenant", Steps: []workload.Step{step(1)}, AcceptedAt: sim.now, SilentOwner: 40}
+	spec := &workload.Spec{ID: "a", Queue: catalog.Origin{Name: "queue"}, Tenant: "tenant", Steps: []workload.Step{step(1)}, AcceptedAt: sim.now, SilentOwner: 40}
 	sim.plan.AddJob(sim.now, spec, workload.Progress{}, false)
 	sim.advance(time.Second)
 	assert.Equal(t, len(sim.starts), 0)
--- a/decision/poolplan/runend.go
+++ b/decision/poolplan/runend.go
@@ -99,11 +99,7 @@
 	if t.group.step.Service {
 		return
 	}
-	limit := 1
-	if q, ok := p.catalog.Queue(j.spec.Queue); ok {
-		limit = q.MaxAttempts
-	}
-	if len(t.failedAttempts) >= limit {
+	if len(t.failedAttempts) >= p.catalog.TermsOf(&j.spec.Queue).MaxAttempts {
 		p.endJob(now, j, workload.Failed)
 	}
 }
--- a/decision/poolplan/share_test.go
+++ b/decision/poolplan/share_test.go
@@ -16,11 +16,11 @@
 func TestShareComesBeforeExcess(t *testing.T) {
 	sim := newSimulation(t, 1)
 	sim.plan.SetCatalog(catalog.New(2, []catalog.Queue{
-		{Name: "queue", Service: "pool", MaxAttempts: 3, SlackFactor: 1.6, LatencyTarget: time.Second},
+		{Name: "queue", Service: "pool", Terms: catalog.Terms{MaxAttempts: 3, SlackFactor: 1.6, LatencyTarget: time.Second}},
 	}, []catalog.Service{{Name: "pool"}}, []catalog.Tenant{{Name: "greedy", Weight: 2}, {Name: "modest", Weight: 2}}))
 	sim.register("1")
 	submit := func(id, tenant string) {
-		spec := &workload.Spec{ID: id, Queue: "queue", Tenant: tenant, Steps: []workload.Step{step(1)}, AcceptedAt: sim.now}
+		spec := &workload.Spec{ID: id, Queue: catalog.Origin{Name: "queue"}, Tenant: tenant, Steps: []workload.Step{step(1)}, AcceptedAt: sim.now}
 		sim.plan.AddJob(sim.now, spec, workload.Progress{}, false)
 	}
 	for i := range 20 {
--- a/decision/workload/workload.go
+++ b/decision/workload/workload.go
@@ -6,13 +6,15 @@
 	"strconv"
 	"time"
 
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
 	"fuchsiafront.example/fuchsiafront/fleet"
 )
 
 // Spec is a job as it was submitted. It never changes.
 type Spec struct {
-	ID     string
-	Queue  string
+	ID string
+	// Queue is the queue that accepted the job, as it was then.
+	Queue  catalog.Origin
 	Tenant string
 	// Text is opaque; it is passed to the executor with each task.
 	Text  string
--- a/services/pools/follow.go
+++ b/services/pools/follow.go
@@ -78,7 +78,7 @@
 // this process took the pool over.
 func (p *planner) applyChanges(m *managedPool, state poolState) {
 	for _, j := range state.jobs {
-		p.s.log.Info().Str("pool", m.name).Str("job", j.spec.ID).Str("queue", j.spec.Queue).Int64("version", j.version).
+		p.s.log.Info().Str("pool", m.name).Str("job", j.spec.ID).Str("queue", j.spec.Queue.Name).Int64("version", j.version).
 			Dur("age", p.now.Sub(j.spec.AcceptedAt)).Msg("job known to the owner")
 		m.plan.AddJob(p.now, j.spec, j.progress, m.inherited(&j))
 	}
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -17,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
 	"fuchsiafront.example/fuchsiafront/decision/workload"
 	"fuchsiafront.example/fuchsiafront/fleet"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -214,6 +215,7 @@
 
 type specRecord struct {
 	Queue      string       `json:"q"`
+	Origin     originRecord `json:"w"`
 	Tenant     string       `json:"t,omitempty"`
 	Text       string       `json:"x,omitempty"`
 	Steps      []stepRecord `json:"s"`
@@ -225,6 +227,60 @@
 	AcceptedMs  int64 `json:"r"`
 }
 
+// originRecord has the place and the terms of the queue that accepted a job.
+type originRecord struct {
+	Host            string        `json:"h,omitempty"`
+	PathPrefix      string        `json:"p,omitempty"`
+	Priority        int           `json:"y,omitempty"`
+	MaxAttempts     int           `json:"m,omitempty"`
+	SlackFactor     float64       `json:"k,omitempty"`
+	LatencyTargetMs int64         `json:"l,omitempty"`
+	Advice          *adviceRecord `json:"a,omitempty"`
+}
+
+type adviceRecord struct {
+	DecisionMs        int64 `json:"d"`
+	TimePerExecutorMs int64 `json:"e"`
+	ValidityMs        int64 `json:"v"`
+}
+
+// Terms of jobs that were recorded without any, by earlier versions of this program.
+const (
+	unrecordedMaxAttempts   = 1
+	unrecordedSlackFactor   = 1.5
+	unrecordedLatencyTarget = time.Second
+)
+
+func encodeOrigin(o *catalog.Origin) originRecord {
+	record := originRecord{
+		Host: o.Host, PathPrefix: o.PathPrefix, Priority: o.Priority, MaxAttempts: o.MaxAttempts,
+		SlackFactor: o.SlackFactor, LatencyTargetMs: o.LatencyTarget.Milliseconds(),
+	}
+	if o.Advice != nil {
+		record.Advice = &adviceRecord{o.Advice.DecisionTime.Milliseconds(), o.Advice.TimePerExecutor.Milliseconds(), o.Advice.Validity.Milliseconds()}
+	}
+	return record
+}
+
+func (r *originRecord) origin(name string) catalog.Origin {
+	o := catalog.Origin{Name: name, Place: catalog.Place{Host: r.Host, PathPrefix: r.PathPrefix}}
+	if *r == (originRecord{}) {
+		o.Terms = catalog.Terms{MaxAttempts: unrecordedMaxAttempts, SlackFactor: unrecordedSlackFactor, LatencyTarget: unrecordedLatencyTarget}
+		return o
+	}
+	o.Terms = catalog.Terms{
+		Priority: r.Priority, MaxAttempts: r.MaxAttempts, SlackFactor: r.SlackFactor,
+		LatencyTarget: time.Duration(r.LatencyTargetMs) * time.Millisecond,
+	}
+	if a := r.Advice; a != nil {
+		o.Advice = &catalog.Advice{
+			DecisionTime: time.Duration(a.DecisionMs) * time.Millisecond, TimePerExecutor: time.Duration(a.TimePerExecutorMs) * time.Millisecond,
+			Validity: time.Duration(a.ValidityMs) * time.Millisecond,
+		}
+	}
+	return o
+}
+
 type stepRecord struct {
 	Count          int             `json:"n"`
 	Size           fleet.Resources `json:"z"`
@@ -247,7 +303,7 @@
 // EncodeSpec encodes the specification of a job.
 func EncodeSpec(spec *workload.Spec) ([]byte, error) {
 	record := specRecord{
-		Queue: spec.Queue, Tenant: spec.Tenant, Text: spec.Text, Times: spec.Times, SilentOwner: spec.SilentOwner,
+		Queue: spec.Queue.Name, Origin: encodeOrigin(&spec.Queue), Tenant: spec.Tenant, Text: spec.Text, Times: spec.Times, SilentOwner: spec.SilentOwner,
 		IntervalMs: spec.Interval.Milliseconds(), AcceptedMs: spec.AcceptedAt.UnixMilli(),
 	}
 	if spec.Times > 0 {
@@ -272,7 +328,7 @@
 		return nil, ErrRecord.New("decode job %s: %v", id, err)
 	}
 	spec := &workload.Spec{
-		ID: id, Queue: record.Queue, Tenant: record.Tenant, Text: record.Text, Times: record.Times, SilentOwner: record.SilentOwner,
+		ID: id, Queue: record.Origin.origin(record.Queue), Tenant: record.Tenant, Text: record.Text, Times: record.Times, SilentOwner: record.SilentOwner,
 		Interval: time.Duration(record.IntervalMs) * time.Millisecond, AcceptedAt: time.UnixMilli(record.AcceptedMs),
 	}
 	if record.Times > 0 {
