Bound the records of progress and keep one job from holding up others

Cause: each failed attempt was recorded by number, also for service tasks, which no number of failures ends, until the row passed row-bytes. The transaction with the progress of up to 60 jobs was then repeated as it was, for ever; ends stayed unacknowledged, executors listed 500 of them, and later ends were not seen.

Promise: every row that is written has a bound under row-bytes that follows from the limits of the input, and one thing that cannot be stored never holds up another.

Change: failures of service tasks are not recorded; those of others are counted, and the last 8 attempts are kept by number, in memory too. Progress is recorded in parts of 250 tasks, of which only changed ones are written, so that jobs of 50,000 tasks or thousands of occurrences fit. Records of earlier versions are read and divided. Saves are bounded by size and by parts of one job, and take the longest waiting job first. A refused transaction is split into its jobs, and one that is refused alone is left out for 5 s. A submission whose record does not fit is refused with 400. The numbers of attempts after a takeover begin above the recorded highest one, for tasks without recorded failures too.

--- a/ctl/fleet_test.go
+++ b/ctl/fleet_test.go
@@ -37,9 +37,9 @@
 	value, err := jobrecord.EncodeSpec(spec)
 	put(jobrecord.JobKey(fleet.Service, fleetJob), value, err)
 	value, err = jobrecord.EncodeProgress(&workload.Progress{
-		State: workload.Running, Done: []workload.TaskName{{Index: 1}}, Failures: map[workload.TaskName][]int{{Index: 0}: {1}},
+		State: workload.Running, Done: []workload.TaskName{{Index: 1}}, Failures: map[workload.TaskName]workload.Failures{{Index: 0}: {Count: 1, Attempts: []int{1}}},
 	})
-	put(jobrecord.ProgressKey(fleet.Service, fleetJob), value, err)
+	put(jobrecord.ProgressKey(fleet.Service, fleetJob, 0), value, err)
 	value, err = json.Marshal(jobrecord.OwnerRecord{Holder: "edge-1", Term: 4, Renewals: 7})
 	put(jobrecord.OwnerKey(fleet.Service), value, err)
 	value, err = json.Marshal(jobrecord.StatusRecord{Term: 4, Pending: map[string]int{"queue": 5}, DemandMilliCPU: 2500, CapacityMilliCPU: 8000})
--- a/ctl/fleetjob.go
+++ b/ctl/fleetjob.go
@@ -85,7 +85,7 @@
 			}
 			for task, failures := range p.Failures {
 				if task.Occurrence == occurrence && task.Step == n {
-					view.Failures += len(failures)
+					view.Failures += failures.Count
 				}
 			}
 			j.Tasks += step.Count
@@ -108,7 +108,9 @@
 		if err != nil {
 			return nil, newExitError(exitFailed, "read progress", "%s: %w", id, err)
 		}
-		progressByID[id] = p
+		merged := progressByID[id]
+		merged.Merge(p)
+		progressByID[id] = merged
 	}
 	var views []jobView
 	cancelled := make(map[string]bool)
--- a/decision/poolplan/accounting_test.go
+++ b/decision/poolplan/accounting_test.go
@@ -18,7 +18,7 @@
 	sim.plan.Inherit(sim.now, executorInfo("1"))
 	sim.register("1")
 	spec := &workload.Spec{ID: "a", Queue: catalog.Origin{Name: "queue"}, Tenant: "tenant", Steps: []workload.Step{step(1)}, AcceptedAt: sim.now}
-	sim.plan.AddJob(sim.now, spec, workload.Progress{Failures: map[workload.TaskName][]int{{}: {1, 2}}, HighestAttempt: 2}, true)
+	sim.plan.AddJob(sim.now, spec, workload.Progress{Failures: map[workload.TaskName]workload.Failures{{}: {Count: 2, Attempts: []int{1, 2}}}, HighestAttempt: 2}, true)
 	sim.step()
 	sim.answerLeaseRenewal(sim.takeLeaseRenewal(), nil,
 		EndReport{Number: 1, Task: taskID("a"), Attempt: 1, Ending: EndedFailed},
--- a/decision/poolplan/ended_test.go
+++ b/decision/poolplan/ended_test.go
@@ -18,7 +18,7 @@
 	sim.plan.StartDone(sim.now, s, sim.outcome(Accepted))
 	sim.now = sim.now.Add(time.Second)
 	sim.answerLeaseRenewal(RenewLease{Target: s.Target}, nil, EndReport{Number: 1, Task: s.Task, Attempt: s.Attempt, Ending: EndedDone})
-	for _, save := range sim.plan.Saves(10) {
+	for _, save := range sim.plan.Saves(sim.now, testSaveLimit) {
 		sim.plan.SaveDone(sim.now, save, true)
 	}
 	sim.addJob("a", false, step(1))
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -21,21 +21,15 @@
 	occurrences []*occurrence
 	progress    workload.Progress
 	begun       bool
-	saving      bool
-	unsaved     bool
-	// endsToSave lists the run ends that the next save makes durable.
-	endsToSave []endRef
+	// begunRecorded is set once a record shows that the job has begun.
+	begunRecorded bool
+	// highestAttempt is the highest number of an attempt of any task.
+	highestAttempt int
+	saveState
 	// failedOn lists the executors on which tasks of the job have failed.
 	failedOn []string
 }
 
-// endRef names one run end listed by an incarnation of an executor.
-type endRef struct {
-	executor  string
-	startedMs int64
-	number    int64
-}
-
 // occurrence is one execution of all steps of a job.
 type occurrence struct {
 	number    int
@@ -50,9 +44,11 @@
 	stepIndex  int
 	step       *workload.Step
 	tasks      []*task
-	doneCount  int
-	ready      bool
-	readyAt    time.Time
+	// firstTask is the number of the first task among all of the job.
+	firstTask int
+	doneCount int
+	ready     bool
+	readyAt   time.Time
 	// loggedWait is the last reason for waiting that was logged, at waitLoggedAt.
 	loggedWait   waitReason
 	waitLoggedAt time.Time
@@ -65,13 +61,13 @@
 
 // task is one task of a group.
 type task struct {
-	group *group
-	index int
-	done  bool
-	// failedAttempts lists the numbers of the attempts that failed.
-	failedAttempts []int
-	lastAttempt    int
-	runs           []*run
+	group       *group
+	index       int
+	done        bool
+	failures    workload.Failures
+	lastAttempt int
+	restart     restart
+	runs        []*run
 	// checkpoint is the latest state from which the task can resume.
 	checkpoint string
 	// failedOn lists the executors on which the task failed or stalled.
@@ -90,6 +86,12 @@
 	return workload.TaskName{Occurrence: t.group.occurrence, Step: t.group.stepIndex, Index: t.index}
 }
 
+// recordAttempt records that an attempt of the task exists.
+func (t *task) recordAttempt(number int) {
+	t.lastAttempt = max(t.lastAttempt, number)
+	t.group.job.highestAttempt = max(t.group.job.highestAttempt, number)
+}
+
 func (g *group) waitingTasks() int {
 	n := 0
 	for _, t := range g.tasks {
@@ -150,20 +152,27 @@
 	if _, ended := p.recentlyEnded[spec.ID]; ended || p.jobs[spec.ID] != nil || progress.State.Ended() {
 		return
 	}
-	j := &job{spec: spec, inherited: inherited, progress: progress, beyondShare: p.chargeShare(spec)}
+	j := &job{spec: spec, inherited: inherited, progress: progress, beyondShare: p.chargeShare(spec), highestAttempt: progress.HighestAttempt}
+	j.begunRecorded = progress.State != workload.Queued
+	j.begun = j.begunRecorded
+	firstTask := 0
 	for k := range spec.Occurrences() {
-		j.occurrences = append(j.occurrences, newOccurrence(j, k))
+		o := newOccurrence(j, k, firstTask)
+		j.occurrences = append(j.occurrences, o)
+		firstTask += o.openTasks
 	}
 	for _, n := range progress.Done {
 		if t := j.task(n); t != nil && !t.done {
 			t.markDone()
 			j.begun = true
+			p.divideProgress(t, &progress)
 		}
 	}
 	for n, failures := range progress.Failures {
 		if t := j.task(n); t != nil {
-			t.failedAttempts, t.lastAttempt = slices.Clone(failures), progress.HighestAttempt
+			t.failures = failures.Clone()
 			j.begun = true
+			p.divideProgress(t, &progress)
 		}
 	}
 	p.jobs[spec.ID] = j
@@ -171,11 +180,19 @@
 	p.completeIfDone(now, j)
 }
 
-func newOccurrence(j *job, number int) *occurrence {
+// divideProgress has the progress of a task recorded in its part, if it was recorded
+// as a whole with that of all others.
+func (p *Plan) divideProgress(t *task, progress *workload.Progress) {
+	if progress.Undivided && t.part() > 0 {
+		p.markTaskUnsaved(t)
+	}
+}
+
+func newOccurrence(j *job, number, firstTask int) *occurrence {
 	o := &occurrence{number: number}
 	for i := range j.spec.Steps {
 		step := &j.spec.Steps[i]
-		g := &group{job: j, occurrence: number, stepIndex: i, step: step}
+		g := &group{job: j, occurrence: number, stepIndex: i, step: step, firstTask: firstTask + o.openTasks}
 		for k := range step.Count {
 			g.tasks = append(g.tasks, &task{group: g, index: k})
 		}
@@ -270,108 +287,6 @@
 	p.endJob(now, j, workload.Completed)
 }
 
-// markUnsaved marks a job as changed since it was last saved.
-func (p *Plan) markUnsaved(j *job) {
-	j.unsaved = true
-	p.unsavedJobs[j.spec.ID] = j
-}
-
-// Save is the progress of a job that has to be made durable.
-type Save struct {
-	Job      string
-	Progress workload.Progress
-	ends     []endRef
-}
-
-// Saves returns up to limit jobs whose progress has to be saved. The caller
-// must call SaveDone for each; until then the job is not returned again.
-func (p *Plan) Saves(limit int) []Save {
-	var saves []Save
-	for _, id := range slices.Sorted(maps.Keys(p.unsavedJobs)) {
-		if len(saves) == limit {
-			break
-		}
-		j := p.unsavedJobs[id]
-		if j.saving {
-			continue
-		}
-		j.saving, j.unsaved = true, false
-		delete(p.unsavedJobs, id)
-		saves = append(saves, Save{Job: id, Progress: j.snapshot(), ends: j.endsToSave})
-		j.endsToSave = nil
-	}
-	return saves
-}
-
-// HasUnsaved reports whether progress waits to be saved.
-func (p *Plan) HasUnsaved() bool { return len(p.unsavedJobs) > 0 }
-
-func (j *job) snapshot() workload.Progress {
-	s := workload.Progress{State: j.progress.State, EndedAt: j.progress.EndedAt, Failures: make(map[workload.TaskName][]int)}
-	if s.State == workload.Queued && j.begun {
-		s.State = workload.Running
-	}
-	for _, o := range j.occurrences {
-		for _, g := range o.groups {
-			for _, t := range g.tasks {
-				s.HighestAttempt = max(s.HighestAttempt, t.lastAttempt)
-				if t.done {
-					s.Done = append(s.Done, t.name())
-				}
-				if len(t.failedAttempts) > 0 {
-					s.Failures[t.name()] = slices.Clone(t.failedAttempts)
-				}
-			}
-		}
-	}
-	return s
-}
-
-// SaveDone records whether a save is durable. If it is not, Saves returns the
-// job again.
-func (p *Plan) SaveDone(now time.Time, s Save, ok bool) {
-	j := p.jobs[s.Job]
-	if j == nil {
-		return
-	}
-	j.saving = false
-	if !ok {
-		j.endsToSave = append(s.ends, j.endsToSave...)
-		p.markUnsaved(j)
-		return
-	}
-	for _, m := range s.ends {
-		p.endSaved(m)
-	}
-	if j.unsaved {
-		p.unsavedJobs[s.Job] = j
-		return
-	}
-	if j.progress.State == workload.Completed {
-		p.removeJob(now, s.Job)
-	}
-}
-
-// Pending returns, for each queue, the number of jobs of which no task has
-// started, and the jobs that have begun but whose saved progress does not show
-// it yet.
-func (p *Plan) Pending() (pending map[string]int, begun []string) {
-	pending = make(map[string]int)
-	for id, j := range p.jobs {
-		if j.closed() {
-			continue
-		}
-		switch {
-		case !j.begun:
-			pending[j.spec.Queue.Name]++
-		case j.progress.State == workload.Queued:
-			begun = append(begun, id)
-		}
-	}
-	slices.Sort(begun)
-	return pending, begun
-}
-
 // charge adds the demand of a run, times sign, to the use of its executor and
 // tenant.
 func (p *Plan) charge(r *run, sign int64) {
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -133,6 +133,10 @@
 			reason = waitPossibleSuccessor
 			continue
 		}
+		if now.Before(t.restart.notBefore) {
+			reason = waitRestartDelay
+			continue
+		}
 		if !p.withinLimit(g, 1) {
 			p.recordBlocked(now, g, 1)
 			return waitLimit
@@ -288,7 +292,8 @@
 }
 
 func (p *Plan) nextAttempt(t *task) int {
-	base := t.lastAttempt
+	// The recorded progress does not say how many attempts each task has had.
+	base := max(t.lastAttempt, t.group.job.progress.HighestAttempt)
 	if t.group.job.inherited {
 		base = max(base, (p.term-1)*attemptsPerTerm)
 	}
@@ -299,7 +304,8 @@
 	g := t.group
 	p.release(t)
 	exclusive := t.runLost
-	t.lastAttempt, t.runLost = attempt, false
+	t.recordAttempt(attempt)
+	t.runLost = false
 	r := &run{
 		key:              runKey{t.id(), attempt},
 		task:             t,
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -97,8 +97,10 @@
 	round          int64
 	orders         []Order
 	unsavedJobs    map[string]*job
-	superseded     bool
-	takenOverAt    time.Time
+	// unsavedCount numbers the jobs in the order in which they became unsaved.
+	unsavedCount int64
+	superseded   bool
+	takenOverAt  time.Time
 	// firstStepAt is the time of the first Step, from which executors are asked.
 	firstStepAt time.Time
 	// predecessorSilence is how long the previous owner had not renewed its
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -138,7 +138,7 @@
 		p.orders = append(p.orders, Stop{Target: e.target(), Task: report.Task, Attempt: report.Attempt, Reason: "unknown task"})
 		return nil
 	}
-	t.lastAttempt = max(t.lastAttempt, report.Attempt)
+	t.recordAttempt(report.Attempt)
 	r := &run{key: runKey{report.Task, report.Attempt}, task: t, executor: e, state: runRunning, orderedAt: now, confirmedAt: now, percentChangedAt: now, speedPercent: 100}
 	// The previous owner may have throttled it.
 	r.speedUnconfirmed = t.group.step.BestEffort
--- a/decision/poolplan/runend.go
+++ b/decision/poolplan/runend.go
@@ -1,7 +1,6 @@
 package poolplan
 
 import (
-	"slices"
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/workload"
@@ -29,7 +28,7 @@
 		return
 	}
 	j := t.group.job
-	t.lastAttempt = max(t.lastAttempt, end.Attempt)
+	t.recordAttempt(end.Attempt)
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
 	}
@@ -47,7 +46,11 @@
 		p.saveWithEnd(e, j, end.Number)
 		p.completeIfDone(now, j)
 	case EndedFailed:
-		p.recordTaskFailure(now, e, t, end.Attempt)
+		ranFor := time.Duration(0)
+		if run != nil {
+			ranFor = now.Sub(run.orderedAt)
+		}
+		p.recordTaskFailure(now, e, t, end.Attempt, ranFor)
 		p.saveWithEnd(e, j, end.Number)
 	default:
 		p.addEvent(Event{Kind: "run ended", Job: j.spec.ID, Task: end.Task.String(), Peer: e.ID, Reason: end.Ending.String()})
@@ -65,6 +68,7 @@
 			continue
 		}
 		m.markDone()
+		p.markTaskUnsaved(m)
 		p.groupsChanged = p.groupsChanged || m.group.doneCount == len(m.group.tasks)
 		m.group.job.begun = true
 		for _, r := range append([]*run(nil), m.runs...) {
@@ -77,14 +81,17 @@
 	}
 }
 
-func (p *Plan) recordTaskFailure(now time.Time, e *executor, t *task, attempt int) {
+// recordTaskFailure records that an attempt of a task failed after it had run for
+// ranFor, which is zero if this is not known.
+func (p *Plan) recordTaskFailure(now time.Time, e *executor, t *task, attempt int, ranFor time.Duration) {
 	j := t.group.job
-	if slices.Contains(t.failedAttempts, attempt) {
-		return
-	}
-	t.failedAttempts = append(t.failedAttempts, attempt)
-	p.markUnsaved(j)
-	if !t.group.step.Service {
+	if t.group.step.Service {
+		t.restart.recordFailure(now, ranFor)
+	} else {
+		if !t.failures.Add(attempt) {
+			return
+		}
+		p.markTaskUnsaved(t)
 		t.recordFailureOn(e)
 		j.recordFailureOn(e)
 	}
@@ -99,7 +106,7 @@
 	if t.group.step.Service {
 		return
 	}
-	if len(t.failedAttempts) >= p.catalog.TermsOf(&j.spec.Queue).MaxAttempts {
+	if t.failures.Count >= p.catalog.TermsOf(&j.spec.Queue).MaxAttempts {
 		p.endJob(now, j, workload.Failed)
 	}
 }
--- a/decision/poolplan/silence_test.go
+++ b/decision/poolplan/silence_test.go
@@ -75,7 +75,7 @@
 	sim.now = sim.now.Add(100 * time.Millisecond)
 	sim.answerLeaseRenewal(RenewLease{Target: first.Target}, nil, EndReport{Number: 1, Task: first.Task, Attempt: first.Attempt, Ending: EndedDone})
 	assert.Equal(t, len(sim.starts), 0)
-	assert.Equal(t, sim.plan.Saves(1)[0].Progress.State, workload.Completed)
+	assert.Equal(t, sim.plan.Saves(sim.now, testSaveLimit)[0].Parts[0].Progress.State, workload.Completed)
 }
 
 // Guards against executors that are never used again: an idle executor that
--- a/decision/poolplan/wait.go
+++ b/decision/poolplan/wait.go
@@ -16,6 +16,8 @@
 	// waitPossibleSuccessor means that a later owner may have recorded their
 	// end.
 	waitPossibleSuccessor
+	// waitRestartDelay means that service tasks fail soon after each start.
+	waitRestartDelay
 	// waitAdvice means that the advice service has not answered.
 	waitAdvice
 	// waitGang means that earlier runs of the gang have not ended.
@@ -26,7 +28,7 @@
 	waitRoom
 )
 
-var waitReasonNames = [...]string{"", "inherited", "renewal", "possible-successor", "advice", "gang-members", "tenant-limit", "room"}
+var waitReasonNames = [...]string{"", "inherited", "renewal", "possible-successor", "restart-delay", "advice", "gang-members", "tenant-limit", "room"}
 
 const (
 	// waitLogDelay is how long a group must have waited before its reason is
--- a/decision/workload/workload.go
+++ b/decision/workload/workload.go
@@ -3,6 +3,8 @@
 package workload
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -123,13 +125,71 @@
 	State State
 	// Done lists the tasks that succeeded.
 	Done []TaskName
-	// Failures lists the failed attempts of each task that has any. They are
-	// kept by number, because an executor reports an end until it is
-	// acknowledged, and a later owner must not count it twice.
-	Failures map[TaskName][]int
+	// Failures has the failed attempts of each task that has any. Tasks of services
+	// have none, because no number of failures ends them.
+	Failures map[TaskName]Failures
 	// HighestAttempt is an upper bound of the attempt numbers of all runs of
 	// tasks that have ended.
 	HighestAttempt int
 	// EndedAt is set once State.Ended.
 	EndedAt time.Time
+	// Undivided is set if the progress was recorded as a whole, by an earlier
+	// version of this program, and not in parts.
+	Undivided bool
 }
+
+// TasksPerPart is the number of consecutive tasks of a job whose progress is recorded
+// together, so that no record grows with the size of the job.
+const TasksPerPart = 250
+
+// ProgressPart is the progress of a part of a job's tasks. Part zero also has the
+// state of the job.
+type ProgressPart struct {
+	Number   int
+	Progress Progress
+}
+
+// Merge adds another part of the same job's progress.
+func (p *Progress) Merge(o Progress) {
+	p.State = max(p.State, o.State)
+	p.HighestAttempt = max(p.HighestAttempt, o.HighestAttempt)
+	if o.EndedAt.After(p.EndedAt) {
+		p.EndedAt = o.EndedAt
+	}
+	p.Undivided = p.Undivided || o.Undivided
+	p.Done = append(p.Done, o.Done...)
+	if p.Failures == nil {
+		p.Failures = make(map[TaskName]Failures, len(o.Failures))
+	}
+	maps.Copy(p.Failures, o.Failures)
+}
+
+// MaxListedAttempts bounds the failed attempts of a task that are kept by number.
+const MaxListedAttempts = 8
+
+// Failures are the failed attempts of one task.
+type Failures struct {
+	Count int
+	// Attempts lists the latest ones in ascending order, at most MaxListedAttempts.
+	// They are kept by number, because an executor reports an end until it is
+	// acknowledged, and a later owner must not count it twice.
+	Attempts []int
+}
+
+// Add counts a failed attempt and reports whether it is new. Once some attempts are
+// not listed any more, those below all that are listed count as known.
+func (f *Failures) Add(attempt int) bool {
+	i, listed := slices.BinarySearch(f.Attempts, attempt)
+	if listed || i == 0 && f.Count > len(f.Attempts) {
+		return false
+	}
+	f.Count++
+	f.Attempts = slices.Insert(f.Attempts, i, attempt)
+	if len(f.Attempts) > MaxListedAttempts {
+		f.Attempts = slices.Delete(f.Attempts, 0, 1)
+	}
+	return true
+}
+
+// Clone returns a copy that shares nothing with f.
+func (f *Failures) Clone() Failures { return Failures{f.Count, slices.Clone(f.Attempts)} }
--- a/fleethost/fleethost_test.go
+++ b/fleethost/fleethost_test.go
@@ -213,6 +213,23 @@
 	assert.Assert(t, c.completed(c.hosts[0], jobID(1)), "an earlier progress write replaced a later one")
 }
 
+// Guards against jobs whose progress is never saved because that of one job of their
+// pool cannot be.
+func TestRefusedProgressHoldsUpNoOtherJob(t *testing.T) {
+	c := startCluster(t, 1, 3, 50*time.Millisecond)
+	c.fleet.Store.RefuseKeys(jobID(0) + "/progress")
+	for n := range 10 {
+		status, _ := c.call(c.hosts[0], http.MethodPost, jobID(n), testKey, twoStepJob())
+		assert.Equal(t, status, http.StatusOK)
+	}
+	for n := 1; n < 10; n++ {
+		c.eventually("the job is completed", func() bool { return c.completed(c.hosts[0], jobID(n)) })
+	}
+	assert.Assert(t, !c.completed(c.hosts[0], jobID(0)))
+	c.fleet.Store.RefuseKeys("")
+	c.eventually("the job is completed as well", func() bool { return c.completed(c.hosts[0], jobID(0)) })
+}
+
 // Guards against a pool that starts no tasks because its owner's record of the
 // executors exceeds the size limit of a row in the store.
 func TestLargePoolIsServed(t *testing.T) {
--- a/services/jobintake/jobintake.go
+++ b/services/jobintake/jobintake.go
@@ -89,6 +89,9 @@
 	if err != nil {
 		return fault.New(&fault.Invalid, fault.ReasonMalformed, "encode job", "", "job %q: %w", spec.ID, err)
 	}
+	if len(value) > jobrecord.MaxRecordBytes {
+		return fault.New(&fault.Invalid, fault.ReasonBodyTooLarge, "encode job", "", "job %q: its record has %d bytes; want at most %d", spec.ID, len(value), jobrecord.MaxRecordBytes)
+	}
 	key := jobrecord.JobKey(q.Service, spec.ID)
 	tx := services.RecordTx{
 		Conditions: []services.RecordCondition{{RecordKey: key}},
@@ -190,7 +193,9 @@
 
 // readProgress reports whether there is recorded progress of the job.
 func (s *Service) readProgress(ctx context.Context, j *job, id string) (bool, error) {
-	records, err := s.scan(ctx, jobrecord.ProgressRange(j.pool, id))
+	r := jobrecord.ProgressRange(j.pool, id)
+	r.Limit = 1
+	records, err := s.scan(ctx, r)
 	if err != nil || len(records) == 0 {
 		return false, err
 	}
--- a/services/pools/expire.go
+++ b/services/pools/expire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/services"
@@ -41,16 +42,18 @@
 	if err != nil {
 		return expireDone{c, 0, err}
 	}
-	var old []string
+	keys := make(map[string][]services.RecordKey)
+	for i := range records {
+		id, _ := jobrecord.ParseKey(records[i].Key)
+		keys[id] = append(keys[id], records[i].RecordKey)
+	}
+	deleted := 0
 	progress, _ := s.decodeProgress(records)
 	for id, p := range progress {
-		if p.State.Ended() && jobrecord.RetentionExpired(p.EndedAt, c.now, s.settings.JobRetention) {
-			old = append(old, id)
+		if !p.State.Ended() || !jobrecord.RetentionExpired(p.EndedAt, c.now, s.settings.JobRetention) {
+			continue
 		}
-	}
-	deleted := 0
-	for _, id := range old {
-		if err := s.deleteJob(ctx, c, id); err != nil {
+		if err := s.deleteJob(ctx, c, id, keys[id]); err != nil {
 			return expireDone{c, deleted, err}
 		}
 		deleted++
@@ -59,19 +62,27 @@
 }
 
 // deleteJob deletes a job and then its progress. In the reverse order, a failure
-// in between would leave a job that looks as if it had not begun.
-func (s *Service) deleteJob(ctx context.Context, c expireCall, id string) error {
+// in between would leave a job that looks as if it had not begun. The first key of its
+// progress, which says that the job has ended, goes last, so that what a failure leaves
+// is found again.
+func (s *Service) deleteJob(ctx context.Context, c expireCall, id string, progress []services.RecordKey) error {
 	if _, err := s.records.Commit(ctx, services.RecordTx{Writes: []services.RecordWrite{
 		{RecordKey: jobrecord.JobKey(c.pool, id), Delete: true},
 		{RecordKey: jobrecord.CancelKey(c.pool, id), Delete: true},
 	}}); err != nil {
 		return err
 	}
-	_, err := s.records.Commit(ctx, services.RecordTx{
-		Conditions: []services.RecordCondition{c.condition},
-		Writes:     []services.RecordWrite{{RecordKey: jobrecord.ProgressKey(c.pool, id), Delete: true}},
-	})
-	return err
+	slices.Reverse(progress)
+	for chunk := range slices.Chunk(progress, maxPartsPerCommit) {
+		tx := services.RecordTx{Conditions: []services.RecordCondition{c.condition}}
+		for _, key := range chunk {
+			tx.Writes = append(tx.Writes, services.RecordWrite{RecordKey: key, Delete: true})
+		}
+		if _, err := s.records.Commit(ctx, tx); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (c expireCall) notMade() event { return expireDone{c, 0, errBacklogFull} }
--- a/services/pools/load.go
+++ b/services/pools/load.go
@@ -17,9 +17,13 @@
 	// maxFollowWait is how long the store may hold back its response while no job
 	// of the pool changes.
 	maxFollowWait = time.Second
-	// maxSavesPerCommit is the largest number of jobs in one transaction; the store
-	// accepts 100 entries.
-	maxSavesPerCommit = 60
+	// maxPartsPerCommit is the largest number of parts of jobs' progress in one
+	// transaction; the store accepts 100 entries.
+	maxPartsPerCommit = 60
+	// maxProgressPerCommit is the largest sum of their sizes (poolplan.ProgressSize).
+	// A unit takes up to 23 bytes, 31 as the message encodes them, and the store
+	// accepts 1 MB.
+	maxProgressPerCommit = 26_000
 )
 
 // poolState is everything that the store has of a pool, or what has changed.
@@ -198,7 +202,9 @@
 			damaged[id] = true
 			continue
 		}
-		progress[id] = p
+		merged := progress[id]
+		merged.Merge(p)
+		progress[id] = merged
 	}
 	return progress, damaged
 }
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -19,6 +19,8 @@
 	statusInterval = 250 * time.Millisecond
 	// saveRetryDelay is the delay before a failed save is retried.
 	saveRetryDelay = 150 * time.Millisecond
+	// refusedSaveDelay is how long a job whose progress the store refuses is left out.
+	refusedSaveDelay = 5 * time.Second
 	// loadRetryDelay is the delay before a failed read of a pool is retried.
 	loadRetryDelay = 300 * time.Millisecond
 	// maxBacklog is the largest number of calls that wait for room in a ring.
@@ -74,6 +76,9 @@
 	// changesVersion is the version from which the next call reads changes.
 	changesVersion int64
 	nextSaveAt     time.Time
+	// savesAlone is the number of saves that hold one job each, after the store
+	// has refused one with several.
+	savesAlone int
 	// savesVersion is the last known version of the record that each save
 	// changes.
 	savesVersion    int64
--- a/services/pools/save.go
+++ b/services/pools/save.go
@@ -26,7 +26,7 @@
 	if m.inFlight.saveProgress || !m.plan.HasUnsaved() || p.now.Before(m.nextSaveAt) {
 		return
 	}
-	saves := m.plan.Saves(maxSavesPerCommit)
+	saves := m.plan.Saves(p.now, m.saveLimit())
 	if len(saves) == 0 {
 		return
 	}
@@ -42,11 +42,13 @@
 		Writes:     []services.RecordWrite{{RecordKey: jobrecord.SavesKey(c.pool), Value: []byte("{}")}},
 	}
 	for i := range c.saves {
-		value, err := jobrecord.EncodeProgress(&c.saves[i].Progress)
-		if err != nil {
-			return saveDone{c, services.RecordCommit{}, fault.New(&fault.Invalid, fault.ReasonMalformed, "encode progress", c.pool, "%w", err)}
+		for _, part := range c.saves[i].Parts {
+			value, err := jobrecord.EncodeProgress(&part.Progress)
+			if err != nil {
+				return saveDone{c, services.RecordCommit{}, fault.New(&fault.Invalid, fault.ReasonMalformed, "encode progress", c.pool, "%w", err)}
+			}
+			tx.Writes = append(tx.Writes, services.RecordWrite{RecordKey: jobrecord.ProgressKey(c.pool, c.saves[i].Job, part.Number), Value: value})
 		}
-		tx.Writes = append(tx.Writes, services.RecordWrite{RecordKey: jobrecord.ProgressKey(c.pool, c.saves[i].Job), Value: value})
 	}
 	commit, err := s.records.Commit(ctx, tx)
 	s.meters.saveTime.RecordDuration(s.clock().Sub(start))
@@ -66,7 +68,12 @@
 	for _, s := range e.saves {
 		m.plan.SaveDone(p.now, s, saved)
 	}
+	if m.savesAlone > 0 {
+		m.savesAlone--
+	}
 	switch {
+	case isRefused(e.err):
+		p.handleRefusedSave(m, e)
 	case e.err != nil:
 		p.s.log.Warn().Err(e.err).Str("pool", m.name).Int("jobs", len(e.saves)).Msg("progress not saved; retrying")
 		m.nextSaveAt = p.now.Add(saveRetryDelay)
@@ -80,6 +87,33 @@
 	}
 }
 
+// saveLimit bounds the next save by the store's limits.
+func (m *managedPool) saveLimit() poolplan.SaveLimit {
+	if m.savesAlone > 0 {
+		return poolplan.SaveLimit{Jobs: 1, Parts: maxPartsPerCommit, Size: maxProgressPerCommit}
+	}
+	return poolplan.SaveLimit{Jobs: maxPartsPerCommit, Parts: maxPartsPerCommit, Size: maxProgressPerCommit}
+}
+
+// isRefused reports whether the store refuses a write and will do so again.
+func isRefused(err error) bool {
+	f, ok := fault.As(err)
+	return ok && f.HasClass(&fault.Invalid)
+}
+
+// handleRefusedSave finds the job whose progress the store refuses: the jobs are saved
+// one by one, and the one that is refused alone is left out for a while.
+func (p *planner) handleRefusedSave(m *managedPool, e saveDone) {
+	if len(e.saves) > 1 {
+		m.savesAlone = len(e.saves)
+		p.s.log.Warn().Err(e.err).Str("pool", m.name).Int("jobs", len(e.saves)).Msg("progress refused; saving the jobs one by one")
+		return
+	}
+	job := e.saves[0].Job
+	m.plan.DelaySave(job, p.now.Add(refusedSaveDelay))
+	p.s.log.Error().Err(e.err).Str("pool", m.name).Str("job", job).Dur("delay", refusedSaveDelay).Msg("progress of the job refused; other jobs are saved without it")
+}
+
 // dropIfTermChanged drops the pool if the records of a failed condition show that
 // its term has ended, and reports whether they do.
 func (p *planner) dropIfTermChanged(m *managedPool, current []services.Record) bool {
--- a/services/pools/status.go
+++ b/services/pools/status.go
@@ -27,7 +27,7 @@
 		return
 	}
 	m.statusCheckedAt = p.now
-	value, err := json.Marshal(p.statusRecord(m))
+	value, err := p.encodeStatus(m)
 	if err != nil {
 		p.s.log.Error().Err(err).Str("pool", m.name).Msg("status not published: it cannot be encoded")
 		return
@@ -39,6 +39,19 @@
 	p.send(p.s.recordCalls, statusCall{m.ref(), m.statusVersion, value})
 }
 
+// encodeStatus encodes the pool's status. If it is too large for a record, it is
+// published without the use of the machines, which only moves depend on.
+func (p *planner) encodeStatus(m *managedPool) ([]byte, error) {
+	record := p.statusRecord(m)
+	value, err := json.Marshal(record)
+	if err != nil || len(value) <= jobrecord.MaxRecordBytes {
+		return value, err
+	}
+	p.s.log.Warn().Str("pool", m.name).Int("bytes", len(value)).Int("machines", len(record.Machines)).Msg("status too large for a record; published without the machines")
+	record.Machines = nil
+	return json.Marshal(record)
+}
+
 func (p *planner) statusRecord(m *managedPool) jobrecord.StatusRecord {
 	pending, begun := m.plan.Pending()
 	record := jobrecord.StatusRecord{Term: m.ownership.Term, CordonsVersion: m.cordonsVersion, Pending: pending, StartedUnrecorded: begun, Machines: make(map[string]jobrecord.MachineUse)}
--- a/standin/fleetplatform/store.go
+++ b/standin/fleetplatform/store.go
@@ -46,6 +46,9 @@
 	delayedTable   string
 	commitsToDelay int
 	delayed        []commitBody
+	// refusedPrefix is the beginning of the keys whose values are refused; none if
+	// empty.
+	refusedPrefix string
 }
 
 // NewStore returns an empty store.
@@ -75,6 +78,14 @@
 	s.delayedTable, s.commitsToDelay = table, n
 }
 
+// RefuseKeys makes the store refuse transactions that set a key with a prefix, as it
+// does with values that are too large. An empty prefix ends that.
+func (s *Store) RefuseKeys(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusedPrefix = prefix
+}
+
 // ApplyDelayed applies the delayed transactions whose conditions still hold, and
 // returns how many were delayed.
 func (s *Store) ApplyDelayed() int {
@@ -170,6 +181,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if body.setsPrefix(s.refusedPrefix) {
+		s.mu.Unlock()
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	if s.commitsToDelay > 0 && body.writes(s.delayedTable) {
 		s.commitsToDelay--
 		s.delayed = append(s.delayed, body)
@@ -211,6 +227,11 @@
 	return slices.ContainsFunc(b.Sets, func(r Row) bool { return r.Table == table })
 }
 
+// setsPrefix reports whether a transaction sets a key with a prefix that is not empty.
+func (b *commitBody) setsPrefix(prefix string) bool {
+	return prefix != "" && slices.ContainsFunc(b.Sets, func(r Row) bool { return strings.HasPrefix(r.Key, prefix) })
+}
+
 // Limits of the store.
 const (
 	maxValueBytes         = 65536
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -10,6 +10,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,9 @@
 // ErrRecord is the class of errors for records that cannot be encoded or decoded.
 var ErrRecord = errs.Class("record")
 
+// MaxRecordBytes is the size of a value above which the store refuses it.
+const MaxRecordBytes = 65536
+
 // Tables of the store.
 const (
 	tableJobsPrefix = "jobs."
@@ -102,9 +106,14 @@
 	return services.RecordKey{Table: TableJobs(pool), Part: jobPart(pool, id), Key: id + suffixCancel}
 }
 
-// ProgressKey returns the key of a job's progress.
-func ProgressKey(pool, id string) services.RecordKey {
-	return services.RecordKey{Table: TableProgress, Part: pool, Key: id + suffixProgress}
+// ProgressKey returns the key of a part of a job's progress. Part zero has the state
+// of the job and comes first in its range.
+func ProgressKey(pool, id string, part int) services.RecordKey {
+	key := services.RecordKey{Table: TableProgress, Part: pool, Key: id + suffixProgress}
+	if part > 0 {
+		key.Key += "/" + strconv.Itoa(part)
+	}
+	return key
 }
 
 // SavesKey returns the key of a record that changes with each save of the progress
@@ -207,7 +216,7 @@
 	if id, ok := strings.CutSuffix(key, suffixCancel); ok {
 		return id, KindCancel
 	}
-	if id, ok := strings.CutSuffix(key, suffixProgress); ok {
+	if id, part, ok := strings.Cut(key, suffixProgress); ok && (part == "" || part[0] == '/') {
 		return id, KindProgress
 	}
 	return "", KindOther
@@ -350,29 +359,46 @@
 }
 
 type progressRecord struct {
-	State          int              `json:"s"`
-	Done           map[string][]int `json:"d,omitempty"`
-	Failures       map[string][]int `json:"f,omitempty"`
-	HighestAttempt int              `json:"a,omitempty"`
-	EndedAt        int64            `json:"e,omitempty"`
-}
+	State    int              `json:"s"`
+	Done     map[string][]int `json:"d,omitempty"`
+	Failures map[string][]int `json:"f,omitempty"`
+	// FailureCounts has the failures of tasks of which not all are listed.
+	FailureCounts  map[string]int `json:"c,omitempty"`
+	HighestAttempt int            `json:"a,omitempty"`
+	EndedAt        int64          `json:"e,omitempty"`
+	// Divided is set if the record has the tasks of one part only. Earlier versions
+	// of this program recorded all tasks together.
+	Divided bool `json:"p,omitempty"`
+}
+
+// Bounds on the size in bytes of an encoded part: bytesPerDone for each task that is
+// done, bytesPerFailure for each that has failed, and bytesPerPart.
+const (
+	bytesPerDone    = 23
+	bytesPerFailure = 210
+	bytesPerPart    = 150
+)
 
-// EncodeProgress encodes the progress of a job. Once the job has ended, finished
-// tasks and failures are omitted.
+// EncodeProgress encodes a part of the progress of a job.
 func EncodeProgress(p *workload.Progress) ([]byte, error) {
 	record := progressRecord{State: int(p.State), HighestAttempt: p.HighestAttempt}
 	if p.State.Ended() {
 		record.EndedAt = p.EndedAt.UnixMilli()
 		return json.Marshal(record)
 	}
+	record.Divided = true
 	record.Done = make(map[string][]int)
 	for _, n := range p.Done {
 		step := stepName(n)
 		record.Done[step] = append(record.Done[step], n.Index)
 	}
 	record.Failures = make(map[string][]int, len(p.Failures))
+	record.FailureCounts = make(map[string]int)
 	for n, failures := range p.Failures {
-		record.Failures[n.String()] = failures
+		record.Failures[n.String()] = failures.Attempts
+		if failures.Count > len(failures.Attempts) {
+			record.FailureCounts[n.String()] = failures.Count
+		}
 	}
 	return json.Marshal(record)
 }
@@ -391,7 +417,8 @@
 	if !workload.State(record.State).Valid() {
 		return workload.Progress{}, ErrRecord.New("decode progress of job %s: state %d is not known", id, record.State)
 	}
-	p := workload.Progress{State: workload.State(record.State), HighestAttempt: record.HighestAttempt, Failures: make(map[workload.TaskName][]int)}
+	p := workload.Progress{State: workload.State(record.State), HighestAttempt: record.HighestAttempt, Failures: make(map[workload.TaskName]workload.Failures)}
+	p.Undivided = !record.Divided && !p.State.Ended()
 	if record.EndedAt > 0 {
 		p.EndedAt = time.UnixMilli(record.EndedAt)
 	}
@@ -407,12 +434,13 @@
 			p.Done = append(p.Done, workload.TaskName{Occurrence: n.Occurrence, Step: n.Step, Index: i})
 		}
 	}
-	for name, failures := range record.Failures {
+	for name, attempts := range record.Failures {
 		n, err := workload.ParseTaskName(name)
 		if err != nil {
 			return workload.Progress{}, ErrRecord.New("decode progress of job %s: %v", id, err)
 		}
-		p.Failures[n] = failures
+		slices.Sort(attempts)
+		p.Failures[n] = workload.Failures{Count: max(len(attempts), record.FailureCounts[name]), Attempts: attempts}
 	}
 	return p, nil
 }
--- a/wire/jobrecord/jobrecord_test.go
+++ b/wire/jobrecord/jobrecord_test.go
@@ -1,6 +1,7 @@
 package jobrecord
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -29,3 +30,50 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, spec)
 }
+
+// Guards against a part of a job's progress that is too large for a row of the store.
+func TestPartsOfProgressFitRecords(t *testing.T) {
+	const tasksPerJob = 50_000
+	p := workload.Progress{HighestAttempt: math.MaxInt, Failures: make(map[workload.TaskName]workload.Failures)}
+	var attempts []int
+	for n := range workload.MaxListedAttempts {
+		attempts = append(attempts, math.MaxInt-workload.MaxListedAttempts+n)
+	}
+	for n := range workload.TasksPerPart {
+		p.Failures[workload.TaskName{Occurrence: tasksPerJob - n, Step: tasksPerJob}] = workload.Failures{Count: math.MaxInt32, Attempts: attempts}
+	}
+	value, err := EncodeProgress(&p)
+	assert.NilError(t, err)
+	bound := bytesPerPart + bytesPerFailure*workload.TasksPerPart
+	assert.Assert(t, len(value) <= bound && bound <= MaxRecordBytes, "%d bytes, bound %d", len(value), bound)
+
+	p = workload.Progress{State: workload.Running, HighestAttempt: math.MaxInt}
+	for n := range workload.TasksPerPart {
+		p.Done = append(p.Done, workload.TaskName{Occurrence: tasksPerJob - n, Step: tasksPerJob, Index: 9999})
+	}
+	value, err = EncodeProgress(&p)
+	assert.NilError(t, err)
+	bound = bytesPerPart + bytesPerDone*workload.TasksPerPart
+	assert.Assert(t, len(value) <= bound, "%d bytes, bound %d", len(value), bound)
+}
+
+// Guards against failures that are counted twice, or not at all, after an owner has read
+// them from the store.
+func TestFailuresSurviveTheRecord(t *testing.T) {
+	name := workload.TaskName{Step: 1}
+	var f workload.Failures
+	for _, attempt := range []int{3, 1, 2, 70, 71, 72, 73, 74, 75, 76} {
+		assert.Assert(t, f.Add(attempt))
+	}
+	value, err := EncodeProgress(&workload.Progress{Failures: map[workload.TaskName]workload.Failures{name: f}})
+	assert.NilError(t, err)
+	p, err := DecodeProgress("a", value)
+	assert.NilError(t, err)
+	got := p.Failures[name]
+	assert.DeepEqual(t, got, f)
+	for _, attempt := range []int{1, 3, 70, 76} {
+		assert.Assert(t, !got.Add(attempt), "attempt %d was counted before", attempt)
+	}
+	assert.Assert(t, got.Add(77))
+	assert.Equal(t, got.Count, 11)
+}
--- a/wire/jobrecord/pool_test.go
+++ b/wire/jobrecord/pool_test.go
@@ -11,9 +11,6 @@
 	"fuchsiafront.example/fuchsiafront/fleet"
 )
 
-// maxRecordBytes is the largest record that the platform's store accepts.
-const maxRecordBytes = 65536
-
 func makeExecutors(n int) []poolplan.Executor {
 	list := make([]poolplan.Executor, n)
 	for i := range list {
@@ -34,7 +31,7 @@
 	got := make(map[string]poolplan.Executor)
 	for _, w := range writes {
 		assert.Assert(t, IsExecutorShard(w.RecordKey) && w.RecordKey != ExecutorsKey("pool"))
-		assert.Assert(t, len(w.Value) <= maxRecordBytes, "record %s has %d bytes, want at most %d", w.Key, len(w.Value), maxRecordBytes)
+		assert.Assert(t, len(w.Value) <= MaxRecordBytes, "record %s has %d bytes, want at most %d", w.Key, len(w.Value), MaxRecordBytes)
 		list, err := DecodeExecutors(w.Value)
 		assert.NilError(t, err)
 		for _, e := range list {
