Make one identifier one job in all pools

Cause: the write that records a job was conditional on its record in the pool of the queue's present service alone. Ruled out: a look at other pools before the write, since hosts follow the configuration at different moments and both submissions may be under way at once.

Promise: one identifier is one job, in each of its states, at each host, whatever has become of its queue, for as long as its status is kept.

Change: the part of a job's record depends on its identifier alone, so that one transaction records the job and the identifier (table ids), on the condition that no pool has it. States and cancellations use the pool that ids names when the pool of the queue does not have the job; before, all configured services were tried, and a service that had been removed was not. A submission stays one call (three entries in place of two). Jobs that earlier versions recorded in parts of the pool are still read, run and deleted: owner records say whether there may be any.

--- a/ctl/fleetjob.go
+++ b/ctl/fleetjob.go
@@ -138,7 +138,7 @@
 // readJobs returns the jobs of a pool, the oldest first.
 func readJobs(ctx context.Context, a *platform.Adapter, pool string) ([]jobView, error) {
 	var jobs []services.Record
-	for _, part := range jobrecord.JobParts(pool) {
+	for _, part := range jobrecord.JobParts() {
 		records, _, err := services.ScanAll(ctx, a, services.RecordRange{Table: jobrecord.TableJobs(pool), Part: part})
 		if err != nil {
 			return nil, err
--- a/services/jobintake/jobintake.go
+++ b/services/jobintake/jobintake.go
@@ -80,7 +80,7 @@
 func (s *Service) Ready() bool { return s.storeHealth.UnreachableFor() < maxStoreSilence }
 
 // Submit implements services.JobIntake. A repeat under the same identifier finds
-// the record of the first submission and succeeds.
+// the record of the first submission and succeeds, whatever pool that is in.
 func (s *Service) Submit(ctx context.Context, q *catalog.Queue, spec *workload.Spec) error {
 	start := s.clock()
 	defer func() { s.submitLatency.RecordDuration(s.clock().Sub(start)) }()
@@ -92,18 +92,27 @@
 	if len(value) > jobrecord.MaxRecordBytes {
 		return fault.New(&fault.Invalid, fault.ReasonBodyTooLarge, "encode job", "", "job %q: its record has %d bytes; want at most %d", spec.ID, len(value), jobrecord.MaxRecordBytes)
 	}
-	key := jobrecord.JobKey(q.Service, spec.ID)
+	// The identifier is taken in the transaction that records the job, because another
+	// version of the configuration may send its queue to another pool.
+	idKey := jobrecord.IDKey(spec.ID)
 	tx := services.RecordTx{
-		Conditions: []services.RecordCondition{{RecordKey: key}},
-		Writes:     []services.RecordWrite{{RecordKey: key, Value: value}},
+		Conditions: []services.RecordCondition{{RecordKey: idKey}},
+		Writes: []services.RecordWrite{
+			{RecordKey: idKey, Value: []byte(q.Service)},
+			{RecordKey: jobrecord.JobKey(q.Service, spec.ID), Value: value},
+		},
 	}
 	commit, err := s.commit(ctx, tx, "submit")
-	log := s.log.Info().Str("job", spec.ID).Str("queue", q.Name).Str("tenant", spec.Tenant).Str("pool", q.Service).Int64("silent_owner", spec.SilentOwner).Dur("took", s.clock().Sub(start))
+	log := s.log.Info().Str("job", spec.ID).Str("queue", q.Name).Str("tenant", spec.Tenant).Int64("silent_owner", spec.SilentOwner).Dur("took", s.clock().Sub(start))
 	if err != nil {
-		log.Err(err).Msg("job refused")
+		log.Str("pool", q.Service).Err(err).Msg("job refused")
 		return err
 	}
-	log.Int64("version", commit.Version).Bool("repeat", !commit.Committed).Msg("job accepted")
+	pool := q.Service
+	for i := range commit.Current {
+		pool = string(commit.Current[i].Value)
+	}
+	log.Str("pool", pool).Int64("version", commit.Version).Bool("repeat", !commit.Committed).Msg("job accepted")
 	return nil
 }
 
@@ -145,22 +154,20 @@
 	cancelled bool
 }
 
-// findJob looks a job up in the pool of its queue, and then in the others,
-// because the queue may have had another pool when the job was recorded.
+// findJob looks a job up in the pool of its queue, and then in the pool that recorded
+// it, because the queue may have had another one then, which the configuration need not
+// have any more.
 func (s *Service) findJob(ctx context.Context, q *catalog.Queue, id string) (*job, error) {
 	found, err := s.findJobInPool(ctx, q.Service, id)
 	if found != nil || err != nil {
 		return found, err
 	}
-	for name := range s.catalogs.Catalog().Services {
-		if name == q.Service {
-			continue
-		}
-		if found, err = s.findJobInPool(ctx, name, id); found != nil || err != nil {
-			return found, err
-		}
+	key := jobrecord.IDKey(id)
+	records, err := s.scan(ctx, services.RecordRange{Table: key.Table, Part: key.Part, From: key.Key, Limit: 1})
+	if err != nil || len(records) == 0 || records[0].Key != key.Key {
+		return nil, err
 	}
-	return nil, nil
+	return s.findJobInPool(ctx, string(records[0].Value), id)
 }
 
 func (s *Service) findJobInPool(ctx context.Context, pool, id string) (*job, error) {
@@ -170,7 +177,7 @@
 		return j, err
 	}
 	records, err := s.scan(ctx, jobrecord.JobRange(pool, id))
-	if err != nil || len(records) == 0 {
+	if err != nil || len(records) == 0 && !hasProgress {
 		return nil, err
 	}
 	for i := range records {
--- a/services/ownership/claim.go
+++ b/services/ownership/claim.go
@@ -55,7 +55,8 @@
 		p.claimedAt = now
 		// Counts the pool as owned when the next pools of this round are considered.
 		host.OwnedPoolCount++
-		next := jobrecord.OwnerRecord{Holder: s.settings.Host, Incarnation: s.settings.Incarnation, Term: p.record.Term + 1, CPUShare: s.settings.CPUShare}
+		next := jobrecord.OwnerRecord{Holder: s.settings.Host, Incarnation: s.settings.Incarnation, Term: p.record.Term + 1, CPUShare: s.settings.CPUShare, SharedParts: true}
+		next.PoolParts = p.version > 0 && (p.record.PoolParts || !p.record.SharedParts)
 		writes = append(writes, &ownerWrite{pool: p, next: next, takeover: true, reason: reason})
 	}
 	if !s.writeAll(ctx, writes) {
@@ -105,8 +106,8 @@
 	p.nextRenewalAt = p.claimedAt.Add(ownership.RenewalInterval)
 	p.ownership = &services.PoolOwnership{
 		Pool: p.name, Term: record.Term, FencingToken: version, RenewedAt: p.claimedAt, ClaimedAt: p.claimedAt, AcquiredVersion: version,
-		RenewalVersion: version,
-		Condition:      services.RecordCondition{RecordKey: jobrecord.TermKey(p.name), Version: version},
+		RenewalVersion: version, PoolParts: record.PoolParts,
+		Condition: services.RecordCondition{RecordKey: jobrecord.TermKey(p.name), Version: version},
 	}
 }
 
--- a/services/pools/expire.go
+++ b/services/pools/expire.go
@@ -15,6 +15,7 @@
 
 type expireCall struct {
 	ownershipRef
+	poolParts bool
 	condition services.RecordCondition
 	now       time.Time
 }
@@ -34,7 +35,7 @@
 		return
 	}
 	m.inFlight.expireJobs, m.nextExpiryAt = true, p.now.Add(expiryInterval)
-	p.send(p.s.recordCalls, expireCall{m.ref(), m.ownership.Condition, p.now})
+	p.send(p.s.recordCalls, expireCall{m.ref(), m.ownership.PoolParts, m.ownership.Condition, p.now})
 }
 
 func (c expireCall) run(ctx context.Context, s *Service) event {
@@ -66,9 +67,20 @@
 // progress, which says that the job has ended, goes last, so that what a failure leaves
 // is found again.
 func (s *Service) deleteJob(ctx context.Context, c expireCall, id string, progress []services.RecordKey) error {
+	job, cancel := jobrecord.JobKey(c.pool, id), jobrecord.CancelKey(c.pool, id)
+	if c.poolParts {
+		tx := services.RecordTx{Writes: []services.RecordWrite{
+			{RecordKey: jobrecord.PoolPartKey(c.pool, job), Delete: true},
+			{RecordKey: jobrecord.PoolPartKey(c.pool, cancel), Delete: true},
+		}}
+		if _, err := s.records.Commit(ctx, tx); err != nil {
+			return err
+		}
+	}
 	if _, err := s.records.Commit(ctx, services.RecordTx{Writes: []services.RecordWrite{
-		{RecordKey: jobrecord.JobKey(c.pool, id), Delete: true},
-		{RecordKey: jobrecord.CancelKey(c.pool, id), Delete: true},
+		{RecordKey: job, Delete: true},
+		{RecordKey: cancel, Delete: true},
+		{RecordKey: jobrecord.IDKey(id), Delete: true},
 	}}); err != nil {
 		return err
 	}
--- a/services/pools/load.go
+++ b/services/pools/load.go
@@ -64,7 +64,10 @@
 		return
 	}
 	ref := m.ref()
-	parts := jobrecord.JobParts(m.name)
+	parts := jobrecord.JobParts()
+	if m.ownership.PoolParts {
+		parts = append(parts, jobrecord.PoolJobParts(m.name)...)
+	}
 	m.loading = new(poolLoad)
 	for chunk := range slices.Chunk(parts, (len(parts)+parallelScans-1)/parallelScans) {
 		m.loading.scansInFlight++
--- a/services/records.go
+++ b/services/records.go
@@ -262,6 +262,9 @@
 	// Transactions in the pool's part that a former owner must not commit
 	// include it.
 	Condition RecordCondition
+	// PoolParts is set if an owner of an earlier version may have left jobs in the
+	// pool's own parts.
+	PoolParts bool
 	// RenewedAt is the time at which the last confirmed renewal was sent.
 	RenewedAt time.Time
 	// ClaimedAt is the time at which the claim was sent.
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -24,15 +24,22 @@
 	testPrefix = "/q/"
 	testKey    = "key-1"
 	jobBody    = `{"spec":"x","phases":[{"count":2,"cpu":500,"mem-mb":64,"estimate-ms":250},{"count":1,"cpu":500,"mem-mb":64,"estimate-ms":250,"after":[0]}]}`
+	// failingJobID is the job with service tasks that fail soon after each start.
+	failingJobID   = "ffffffffffffffff"
+	failingJobBody = `{"spec":"` + fleetplatform.SpecFails + `","phases":[{"count":4,"cpu":100,"mem-mb":16,"long-running":true}]}`
 	// callTimeout is how long a client waits, since a frozen host never replies.
 	callTimeout = 3 * time.Second
 )
 
 // soakRun is the state of one soak test run.
 type soakRun struct {
-	t                    *testing.T
-	fleet                *fleetplatform.Fleet
-	random               *rand.Rand
+	t      *testing.T
+	fleet  *fleetplatform.Fleet
+	random *rand.Rand
+	// moves decides on changes of the queue, whose name and service are queue and
+	// service.
+	moves                *rand.Rand
+	queue, service       string
 	hosts                []*process
 	executors            []string
 	client               *http.Client
@@ -60,11 +67,12 @@
 
 func newSoakRun(t *testing.T, binary string, seed uint64, hosts int) *soakRun {
 	s := &soakRun{
-		t: t, fleet: fleetplatform.Start(executorCount, taskDuration), random: rand.New(rand.NewPCG(seed, 0)),
+		t: t, fleet: fleetplatform.Start(executorCount, taskDuration), random: rand.New(rand.NewPCG(seed, 0)), moves: rand.New(rand.NewPCG(seed, 1)),
 		client: &http.Client{Timeout: callTimeout}, configurationVersion: 1,
 		accepted: make(map[string]bool), refused: make(map[string]bool),
 	}
 	t.Cleanup(s.fleet.Close)
+	s.queue, s.service = "queue", s.fleet.Service
 	for n := range executorCount {
 		id := fmt.Sprintf("i-%d", n)
 		s.executors = append(s.executors, id)
@@ -72,6 +80,9 @@
 		s.executorProxies = append(s.executorProxies, link)
 		s.fleet.SetRegistryAddress(id, link.address())
 	}
+	for n := range executorCount {
+		s.fleet.AddOtherExecutor(fmt.Sprintf("o-%d", n), taskDuration)
+	}
 	s.fleet.Configure(1, testHost, testPrefix, testKey)
 	for n := range hosts {
 		p := &process{t: t, binary: binary, jobsAddress: freeAddress(t), readyAddress: freeAddress(t), settingsPath: filepath.Join(t.TempDir(), "node.toml")}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,6 +36,10 @@
 	// the work itself.
 	settleTimeout  = 40 * time.Second
 	submitInterval = 60 * time.Millisecond
+	// repeatEvery is the number of jobs after which one that was accepted is submitted
+	// again, repeatAge jobs later.
+	repeatEvery = 4
+	repeatAge   = 30
 )
 
 // TestSoak guards against lost, repeated and overlapping work under series of
@@ -81,8 +85,7 @@
 			return func() { s.fleet.Executor(id).SetLoseReplies(false) }
 		}},
 		{"configuration changes", func() func() {
-			s.configurationVersion++
-			s.fleet.Configure(s.configurationVersion, testHost, testPrefix, testKey, fmt.Sprintf("key-%d", s.configurationVersion))
+			s.configure()
 			return func() {}
 		}},
 		{"odd entry of another writer", func() func() {
@@ -92,6 +95,20 @@
 	}...)
 }
 
+// moveQueue renames the queue, or sends it to the other service, or both.
+func (s *soakRun) moveQueue() {
+	services := []string{s.fleet.Service, s.fleet.OtherService}
+	s.queue, s.service = fmt.Sprintf("queue-%d", s.moves.IntN(3)), services[s.moves.IntN(len(services))]
+	s.t.Logf("queue is now %s of %s", s.queue, s.service)
+	s.configure()
+}
+
+// configure writes another version of the configuration.
+func (s *soakRun) configure() {
+	s.configurationVersion++
+	s.fleet.ConfigureQueue(s.configurationVersion, s.queue, s.service, testHost, testPrefix, testKey, fmt.Sprintf("key-%d", s.configurationVersion))
+}
+
 // randomOddEntry returns an entry of the registry that names no executor: it cannot
 // be read, has values out of range, or belongs to an unknown service and has the
 // address of a real executor.
@@ -134,6 +151,9 @@
 				open = append(open, active{f.name, time.Now().Add(duration), f.inject()})
 			}
 		}
+		if s.moves.IntN(2) == 0 {
+			s.moveQueue()
+		}
 		time.Sleep(time.Duration(s.random.Int64N(int64(1500 * time.Millisecond))))
 		kept := open[:0]
 		for _, a := range open {
@@ -203,9 +223,13 @@
 		*seed, len(s.accepted), len(s.refused), s.unknownOutcomes, len(runs), s.fleet.Store.CommitCount())
 }
 
-// submitJobs submits jobs until stop is closed. Each is submitted once, so that a
-// refusal is final.
+// submitJobs submits jobs until stop is closed. Each is submitted until it is accepted
+// or not, so that a refusal is final; some that were accepted are submitted again seconds
+// later, as if by another attempt of the client. One job has service tasks that fail
+// after each start, so that its progress changes all the time.
 func (s *soakRun) submitJobs(stop <-chan struct{}) {
+	s.call(s.hosts[0], http.MethodPost, failingJobID, strings.NewReader(failingJobBody), nil)
+	var accepted []string
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -217,10 +241,15 @@
 		switch status {
 		case http.StatusOK:
 			s.accepted[id] = true
+			accepted = append(accepted, id)
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 			s.refused[id] = true
 		default:
 			s.unknownOutcomes++
 		}
+		if n%repeatEvery == 0 && len(accepted) > repeatAge {
+			repeated := accepted[len(accepted)-repeatAge]
+			s.call(s.hosts[(n+1)%len(s.hosts)], http.MethodPost, repeated, strings.NewReader(jobBody), nil)
+		}
 	}
 }
--- a/standin/fleetplatform/executor.go
+++ b/standin/fleetplatform/executor.go
@@ -24,6 +24,12 @@
 	EndAckedInLease bool
 }
 
+// SpecFails is the text of jobs whose tasks fail failAfter after each start.
+const (
+	SpecFails = "fails"
+	failAfter = 10 * time.Millisecond
+)
+
 // Executor runs tasks under leases. Each task takes TaskDuration.
 type Executor struct {
 	ID           string
@@ -97,6 +103,7 @@
 type order struct {
 	Task         string `json:"task"`
 	Attempt      int    `json:"attempt"`
+	SpecText     string `json:"spec"`
 	LeaseUntilMs int64  `json:"deadline-ms"`
 	FencingToken int64  `json:"fencing-token"`
 	AckedEnd     int64  `json:"last-seen"`
@@ -152,6 +159,10 @@
 	e.recorder.mu.Lock()
 	e.recorder.runs = append(e.recorder.runs, run)
 	e.recorder.mu.Unlock()
+	if o.SpecText == SpecFails {
+		time.AfterFunc(failAfter, func() { e.endRun(run, "failed") })
+		return http.StatusOK, map[string]any{}
+	}
 	time.AfterFunc(e.TaskDuration, func() { e.endRun(run, "done") })
 	return http.StatusOK, map[string]any{}
 }
--- a/standin/fleetplatform/fleet.go
+++ b/standin/fleetplatform/fleet.go
@@ -12,11 +12,14 @@
 // reportInterval is the time between liveness reports of an executor.
 const reportInterval = 500 * time.Millisecond
 
-// Fleet is a store and the executors of one service on loopback addresses.
+// Fleet is a store and the executors of two services on loopback addresses.
 type Fleet struct {
 	Store    *Store
 	Recorder *RunRecorder
-	Service  string
+	// Service has the executors that Start adds.
+	Service string
+	// OtherService has those that AddOtherExecutor adds.
+	OtherService string
 
 	platformServer *httptest.Server
 	mu             sync.Mutex
@@ -28,6 +31,7 @@
 // servedExecutor is an executor with its HTTP server.
 type servedExecutor struct {
 	executor *Executor
+	service  string
 	server   *httptest.Server
 	// registryAddress is the address that the registry shows.
 	registryAddress string
@@ -35,10 +39,12 @@
 
 // Start starts a fleet with n executors whose tasks each take taskDuration.
 func Start(n int, taskDuration time.Duration) *Fleet {
-	f := &Fleet{Store: NewStore(), Recorder: new(RunRecorder), Service: "svc", executors: make(map[string]*servedExecutor), stop: make(chan struct{})}
+	f := &Fleet{Store: NewStore(), Recorder: new(RunRecorder), Service: "svc", OtherService: "svc-2", executors: make(map[string]*servedExecutor), stop: make(chan struct{})}
 	mux := http.NewServeMux()
 	f.Store.Register(mux)
 	mux.HandleFunc("GET /fuchsiafront/machines", f.serveMachines)
+	mux.HandleFunc("POST /fuchsiafront/machine-move", refuseOrder)
+	mux.HandleFunc("POST /fuchsiafront/machine-upkeep", refuseOrder)
 	f.platformServer = httptest.NewServer(mux)
 	for i := range n {
 		f.AddExecutor(fmt.Sprintf("i-%d", i), taskDuration)
@@ -63,15 +69,24 @@
 
 func address(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
 
-// AddExecutor starts an executor.
+// AddExecutor starts an executor of Service.
 func (f *Fleet) AddExecutor(id string, taskDuration time.Duration) *Executor {
+	return f.addExecutor(f.Service, id, taskDuration)
+}
+
+// AddOtherExecutor starts an executor of OtherService.
+func (f *Fleet) AddOtherExecutor(id string, taskDuration time.Duration) *Executor {
+	return f.addExecutor(f.OtherService, id, taskDuration)
+}
+
+func (f *Fleet) addExecutor(service, id string, taskDuration time.Duration) *Executor {
 	e := NewExecutor(id, taskDuration, f.Recorder)
 	mux := http.NewServeMux()
 	e.Register(mux)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	server := httptest.NewServer(mux)
-	f.executors[id] = &servedExecutor{e, server, address(server)}
+	f.executors[id] = &servedExecutor{e, service, server, address(server)}
 	return e
 }
 
@@ -120,7 +135,7 @@
 	for sequence := 1; ; sequence++ {
 		f.mu.Lock()
 		for id, s := range f.executors {
-			f.Store.Put("servers", "", id, s.executor.RegistryEntry(f.Service, s.registryAddress, sequence))
+			f.Store.Put("servers", "", id, s.executor.RegistryEntry(s.service, s.registryAddress, sequence))
 		}
 		f.mu.Unlock()
 		select {
@@ -131,26 +146,40 @@
 	}
 }
 
-// Configure writes a configuration with one queue.
+// Configure writes a configuration with one queue, which is served by Service.
 func (f *Fleet) Configure(version int, host, prefix string, keys ...string) {
+	f.ConfigureQueue(version, "queue", f.Service, host, prefix, keys...)
+}
+
+// ConfigureQueue writes a configuration with one queue of a name and a service. The
+// configuration has both services.
+func (f *Fleet) ConfigureQueue(version int, name, service, host, prefix string, keys ...string) {
 	f.Store.Put("op", "", "config", map[string]any{
 		"version": version,
 		"routes": []map[string]any{{
-			"name": "queue", "host": host, "path-prefix": prefix, "service": f.Service, "max-attempts": 3,
+			"name": name, "host": host, "path-prefix": prefix, "service": service, "max-attempts": 3,
 			"slack-factor": 1.6, "target-latency-ms": 600, "timeout-ms": 3000,
 		}},
-		"services": []map[string]any{{"name": f.Service, "health-path": "/healthz", "max-conns": 64}},
-		"tenants":  []map[string]any{{"name": "tenant", "api-keys": keys, "weight": 1, "maximum": map[string]any{"cpu": 100000, "mem-mb": 100000}}},
+		"services": []map[string]any{
+			{"name": f.Service, "health-path": "/healthz", "max-conns": 64},
+			{"name": f.OtherService, "health-path": "/healthz", "max-conns": 64},
+		},
+		"tenants": []map[string]any{{"name": "tenant", "api-keys": keys, "weight": 1, "maximum": map[string]any{"cpu": 100000, "mem-mb": 100000}}},
 	})
 }
 
+// refuseOrder responds to orders for machines, which all stay where they are.
+func refuseOrder(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusConflict, map[string]any{"reason": "busy"})
+}
+
 func (f *Fleet) serveMachines(w http.ResponseWriter, _ *http.Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	machines := []map[string]any{}
-	for id := range f.executors {
+	for id, s := range f.executors {
 		machines = append(machines, map[string]any{
-			"machine": "m-" + id, "pool": f.Service, "state": "up", "zone": "z1", "id": id,
+			"machine": "m-" + id, "pool": s.service, "state": "up", "zone": "z1", "id": id,
 			"capacity": map[string]any{"cpu": 4000, "mem-mb": 8192, "gpu": 0},
 		})
 	}
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -37,12 +37,17 @@
 	TableOwners     = "owners"
 	TablePools      = "pools"
 	TableLimits     = "limits"
+	// TableIDs has the pool of each job, by its identifier.
+	TableIDs = "ids"
 	// PartLimits is the only part of TableLimits; its keys are tenants.
 	PartLimits = "limits"
 )
 
 // Keys, and their prefixes and suffixes.
 const (
+	// prefixJobPart is followed by the number of the part.
+	prefixJobPart = "jobs/"
+
 	keyOwner     = "owner"
 	keyTerm      = "term"
 	keyExecutors = "executors"
@@ -69,27 +74,48 @@
 // store lists changes by table only.
 func TableJobs(pool string) string { return tableJobsPrefix + pool }
 
-// jobPartCount is the number of parts over which the jobs of a pool are spread. A
-// slow store executes two transactions a second in each part, and the queues of a
-// pool receive up to 45 jobs a second.
+// jobPartCount is the number of parts over which the jobs of all pools are spread. A
+// slow store executes two transactions a second in each part. Queues have their peaks
+// in turn, so that all pools together receive little more than the one with the most,
+// which is up to 45 jobs a second.
 const jobPartCount = 64
 
-// jobPart returns the name of the part that holds a job.
-func jobPart(pool, id string) string {
-	return numberedPart(pool, int(xxhash.Sum64String(id)%jobPartCount))
-}
+// jobPart returns the name of the part that holds a job. It depends on the identifier
+// alone, so that one transaction can record the job in a pool and check that no pool
+// has a job with that identifier.
+func jobPart(id string) string { return numberedPart(int(xxhash.Sum64String(id) % jobPartCount)) }
 
-func numberedPart(pool string, n int) string { return pool + "/" + strconv.Itoa(n) }
+func numberedPart(n int) string { return prefixJobPart + strconv.Itoa(n) }
 
-// JobParts returns the names of all parts that hold jobs of a pool.
-func JobParts(pool string) []string {
+// JobParts returns the names of all parts that hold jobs.
+func JobParts() []string {
 	parts := make([]string, 0, jobPartCount)
 	for n := range jobPartCount {
-		parts = append(parts, numberedPart(pool, n))
+		parts = append(parts, numberedPart(n))
 	}
 	return parts
 }
 
+// PoolJobParts returns the names of the parts in which earlier versions of this program
+// recorded the jobs of a pool.
+func PoolJobParts(pool string) []string {
+	parts := JobParts()
+	for i, part := range parts {
+		parts[i] = poolJobPart(pool, part)
+	}
+	return parts
+}
+
+func poolJobPart(pool, part string) string {
+	return pool + "/" + strings.TrimPrefix(part, prefixJobPart)
+}
+
+// PoolPartKey returns the key that earlier versions used in place of a key of a job.
+func PoolPartKey(pool string, key services.RecordKey) services.RecordKey {
+	key.Part = poolJobPart(pool, key.Part)
+	return key
+}
+
 // OwnerRange selects the records in the table of the pool's jobs that only the
 // pool's owner and the owner of the machine management write.
 func OwnerRange(pool string) services.RecordRange {
@@ -98,12 +124,18 @@
 
 // JobKey returns the key of a job.
 func JobKey(pool, id string) services.RecordKey {
-	return services.RecordKey{Table: TableJobs(pool), Part: jobPart(pool, id), Key: id + suffixJob}
+	return services.RecordKey{Table: TableJobs(pool), Part: jobPart(id), Key: id + suffixJob}
+}
+
+// IDKey returns the key of the record that says which pool a job is in. Its value is
+// the name of the pool.
+func IDKey(id string) services.RecordKey {
+	return services.RecordKey{Table: TableIDs, Part: jobPart(id), Key: id}
 }
 
 // CancelKey returns the key of a job's cancellation.
 func CancelKey(pool, id string) services.RecordKey {
-	return services.RecordKey{Table: TableJobs(pool), Part: jobPart(pool, id), Key: id + suffixCancel}
+	return services.RecordKey{Table: TableJobs(pool), Part: jobPart(id), Key: id + suffixCancel}
 }
 
 // ProgressKey returns the key of a part of a job's progress. Part zero has the state
@@ -130,7 +162,7 @@
 
 // JobRange selects a job and its cancellation.
 func JobRange(pool, id string) services.RecordRange {
-	return services.RecordRange{Table: TableJobs(pool), Part: jobPart(pool, id), From: id + "/", To: id + suffixEnd}
+	return services.RecordRange{Table: TableJobs(pool), Part: jobPart(id), From: id + "/", To: id + suffixEnd}
 }
 
 // OwnerKey returns the key of a pool's OwnerRecord.
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -22,6 +22,11 @@
 	// Renewals is incremented by each renewal, so that the record's value
 	// changes.
 	Renewals int64 `json:"renewals"`
+	// SharedParts is set by owners that read the jobs in JobParts. Earlier versions of
+	// this program recorded jobs in PoolJobParts only.
+	SharedParts bool `json:"sharedParts,omitempty"`
+	// PoolParts is set if jobs may be in PoolJobParts.
+	PoolParts bool `json:"poolParts,omitempty"`
 	// Released is true when the owner has given up the pool.
 	Released bool `json:"released,omitempty"`
 }
