Follow the store with calls that do not wait for overdue ones

Cause: one call at a time followed the configuration. One that the store received just before its return was never answered; it was given up after its wait of 1 s and a timeout that had grown to 2 s, and the next one followed 250 ms later: 3.25 s, where contact-ms is 3 s. Ruled out: late decoding or publication; the first answered call of each process has the new version.

The jobs and cancellations of a pool had the same fault (3.3 s, cancel_ms is 3 s).

Change: decision/follow decides when the next call is sent. Once an answer is overdue by 0.4 s to 0.8 s another call is sent, three at most at once, and the store is then asked for an answer at once. The catalog has three duties for its calls; the planner of pools uses its own. The longest time between two calls is 1.8 s whatever becomes of them, since slots free sooner than that: a call takes 2 s at most. While the store answers, calls are as many as before.

--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -1,6 +1,7 @@
 // Package catalog is the service that follows the operator's configuration and
-// waves. The duty catalog.follow owns the state. Readers get the latest version,
-// which never decreases.
+// waves. The duty catalog.follow owns the state; the duties catalog.calls read it
+// from the store for it, several at once when answers are overdue. Readers get the
+// latest version, which never decreases.
 package catalog
 
 import (
@@ -14,28 +15,32 @@
 	"github.com/uber-go/tally/v4"
 
 	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/decision/follow"
+	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
 )
 
 const (
-	// maxFollowWait is how long the store may hold back a response while nothing
-	// changes. A silent connection is detected that much later.
-	maxFollowWait = time.Second
-	// retryDelay is the delay before a failed read is retried.
-	retryDelay = 250 * time.Millisecond
+	callsRingCapacity    = follow.MaxOpen
+	outcomesRingCapacity = 2 * follow.MaxOpen
 )
 
 // Service implements services.Catalogs.
 type Service struct {
 	log         zerolog.Logger
 	operator    services.OperatorStore
+	storeHealth services.StoreHealth
 	clock       services.Clock
+	calls       *ring.Ring[readCall]
+	outcomes    *ring.Ring[readDone]
 	view        atomic.Pointer[view]
 	changeRings []*ring.Ring[struct{}]
 	ageGauge    tally.Gauge
 	scope       tally.Scope
+	// followRuns counts the starts of catalog.follow, which owns it.
+	followRuns int64
 }
 
 // view is the state that readers see. It is not modified once published.
@@ -57,9 +62,19 @@
 	s.log, s.scope = c.Log, c.Scope
 	s.ageGauge = c.Scope.Gauge("catalog_age_seconds")
 	var err error
-	s.operator, err = kernel.Lookup[services.OperatorStore](c, services.NamePlatform)
+	if s.operator, err = kernel.Lookup[services.OperatorStore](c, services.NamePlatform); err != nil {
+		return err
+	}
+	if s.storeHealth, err = kernel.Lookup[services.StoreHealth](c, services.NamePlatform); err != nil {
+		return err
+	}
+	s.calls = ring.New[readCall]("catalog.calls", callsRingCapacity, c.Scope)
+	s.outcomes = ring.New[readDone]("catalog.outcomes", outcomesRingCapacity, c.Scope)
 	c.AddRestartableDuty("catalog.follow", s.follow)
-	return err
+	for range follow.MaxOpen {
+		c.AddRestartableDuty("catalog.calls", s.runCalls)
+	}
+	return nil
 }
 
 // Catalog implements services.Catalogs.
@@ -82,31 +97,105 @@
 	return r
 }
 
-// follow reads the whole state once, then its changes.
-func (s *Service) follow(ctx context.Context) {
-	version := int64(0)
-	for ctx.Err() == nil {
-		state, err := s.read(ctx, version)
+// readCall reads the changes after a version, or the whole state if it is zero.
+type readCall struct {
+	follow.Call
+	run   int64
+	after int64
+}
+
+type readDone struct {
+	readCall
+	state services.OperatorState
+	err   error
+}
+
+// runCalls is a duty that reads the state from the store. A call that panics has the
+// outcome of one that failed.
+func (s *Service) runCalls(ctx context.Context) {
+	for {
+		c, err := s.calls.Take(ctx)
 		if err != nil {
-			s.ageGauge.Update(s.clock().Sub(s.view.Load().readAt).Seconds())
-			services.Sleep(ctx, retryDelay)
-			continue
-		}
-		if state.VersionExpired {
-			s.log.Info().Int64("version", version).Msg("store no longer has the changes since this version; reading all")
-			version = 0
-			continue
+			return
 		}
-		version = max(version, state.Version)
-		s.apply(state)
+		s.runCall(ctx, c)
 	}
 }
 
-func (s *Service) read(ctx context.Context, version int64) (services.OperatorState, error) {
-	if version == 0 {
+func (s *Service) runCall(ctx context.Context, c readCall) {
+	done := readDone{readCall: c, err: errPanicked}
+	defer func() {
+		if err := s.outcomes.Put(ctx, done); err != nil {
+			s.log.Debug().Err(err).Msg("outcome of a read dropped: the process stops")
+		}
+	}()
+	done.state, done.err = s.read(ctx, c)
+}
+
+var errPanicked = fault.New(&fault.Unknown, fault.ReasonWrongReply, "read configuration", "", "the call panicked")
+
+func (s *Service) read(ctx context.Context, c readCall) (services.OperatorState, error) {
+	if c.after == 0 {
 		return s.operator.ReadOperatorState(ctx)
 	}
-	return s.operator.AwaitOperatorChange(ctx, version, maxFollowWait)
+	return s.operator.AwaitOperatorChange(ctx, c.after, c.Wait)
+}
+
+// follow reads the whole state once, then its changes.
+func (s *Service) follow(ctx context.Context) {
+	s.followRuns++
+	f := follower{s: s, run: s.followRuns}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case done := <-s.outcomes.C():
+			f.handle(done)
+		case <-timer.C:
+		}
+		timer.Reset(f.sendCall())
+	}
+}
+
+// follower is the state of one run of the duty catalog.follow.
+type follower struct {
+	s *Service
+	// run tells the outcomes of this run's calls from those of a run that panicked.
+	run      int64
+	schedule follow.Follower
+	// version is where the next call resumes; zero if all must be read.
+	version int64
+}
+
+// sendCall sends the next call if it is time, and returns the time until it may be time
+// for another.
+func (f *follower) sendCall() time.Duration {
+	now := f.s.clock()
+	call, ok, again := f.schedule.Next(now, f.s.storeHealth.ResponseTime())
+	if ok && !f.s.calls.Offer(readCall{call, f.run, f.version}) {
+		f.schedule.Done(now, call.Number, false)
+	}
+	return again.Sub(now)
+}
+
+func (f *follower) handle(done readDone) {
+	if done.run != f.run {
+		return
+	}
+	now := f.s.clock()
+	f.schedule.Done(now, done.Number, done.err == nil)
+	switch {
+	case done.err != nil:
+		f.s.ageGauge.Update(now.Sub(f.s.view.Load().readAt).Seconds())
+	case !done.state.VersionExpired:
+		f.version = max(f.version, done.state.Version)
+		f.s.apply(done.state)
+	case done.after == f.version:
+		f.s.log.Info().Int64("version", f.version).Msg("store no longer has the changes since this version; reading all")
+		f.version = 0
+	}
 }
 
 func (s *Service) apply(state services.OperatorState) {
--- a/services/pools/follow.go
+++ b/services/pools/follow.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 
+	"fuchsiafront.example/fuchsiafront/decision/follow"
 	"fuchsiafront.example/fuchsiafront/services"
 	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
 )
 
 type followCall struct {
 	ownershipRef
+	follow.Call
 	after int64
 }
 
@@ -20,15 +22,16 @@
 
 // followJobs requests the changes of a pool's jobs.
 func (p *planner) followJobs(m *managedPool) {
-	if m.inFlight.followJobs || m.loading != nil || p.now.Before(m.retryAt) {
+	if m.loading != nil {
 		return
 	}
-	m.inFlight.followJobs = true
-	p.send(p.s.recordCalls, followCall{m.ref(), m.changesVersion})
+	if call, ok, _ := m.follower.Next(p.now, p.s.storeHealth.ResponseTime()); ok {
+		p.send(p.s.recordCalls, followCall{m.ref(), call, m.changesVersion})
+	}
 }
 
 func (c followCall) run(ctx context.Context, s *Service) event {
-	changes, err := s.records.Changes(ctx, jobrecord.TableJobs(c.pool), c.after, maxFollowWait)
+	changes, err := s.records.Changes(ctx, jobrecord.TableJobs(c.pool), c.after, c.Wait)
 	return followDone{c, changes, err}
 }
 
@@ -39,12 +42,14 @@
 	if m == nil {
 		return
 	}
-	m.inFlight.followJobs = false
 	p.now = p.s.clock()
+	m.follower.Done(p.now, e.Number, e.err == nil)
 	switch {
 	case e.err != nil:
 		p.s.log.Debug().Err(e.err).Str("pool", m.name).Int64("version", e.after).Msg("changes of the jobs not read; retrying")
-		m.retryAt = p.now.Add(loadRetryDelay)
+		return
+	case e.changes.VersionExpired && e.after < m.changesVersion:
+		// A later call has been answered.
 		return
 	case e.changes.VersionExpired:
 		p.s.log.Info().Str("pool", m.name).Int64("version", e.after).Msg("store no longer has the changes since this version; reading all jobs")
--- a/services/pools/load.go
+++ b/services/pools/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
 	"fuchsiafront.example/fuchsiafront/decision/workload"
@@ -14,9 +13,6 @@
 const (
 	// parallelScans is the number of calls that read the jobs of a pool at once.
 	parallelScans = 16
-	// maxFollowWait is how long the store may hold back its response while no job
-	// of the pool changes.
-	maxFollowWait = time.Second
 	// maxPartsPerCommit is the largest number of parts of jobs' progress in one
 	// transaction; the store accepts 100 entries.
 	maxPartsPerCommit = 60
--- a/services/pools/permission_test.go
+++ b/services/pools/permission_test.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"fuchsiafront.example/fuchsiafront/decision/follow"
 	"fuchsiafront.example/fuchsiafront/decision/ownership"
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
 	"fuchsiafront.example/fuchsiafront/ring"
@@ -55,10 +56,17 @@
 
 // newTestService returns a service whose pool was renewed at the epoch, with the
 // clock that the caller sets.
+// healthyStore implements services.StoreHealth.
+type healthyStore struct{}
+
+func (healthyStore) ResponseTime() time.Duration   { return 10 * time.Millisecond }
+func (healthyStore) UnreachableFor() time.Duration { return 0 }
+
 func newTestService(now *time.Time) (*Service, *fixedOwnership, *countingExecutors) {
 	owner := &fixedOwnership{owned: services.PoolOwnership{Pool: testPool, Term: 3, RenewedAt: *now}}
 	executors := new(countingExecutors)
 	s := New(Settings{}, func() time.Time { return *now })
+	s.storeHealth = healthyStore{}
 	s.log, s.ownership, s.executors, s.meters = zerolog.Nop(), owner, executors, newMeters(tally.NoopScope)
 	s.events = ring.New[event]("events", 8, nil)
 	s.recordCalls = ring.New[call]("records", 1, nil)
@@ -91,7 +99,7 @@
 }
 
 // Guards against a pool that is never followed, saved or renewed again, because a
-// call was dropped at a full backlog while its in-flight mark stayed set.
+// call was dropped at a full backlog and its outcome was still waited for.
 func TestCallWithoutRoomIsTriedAgain(t *testing.T) {
 	now := time.Unix(0, 0)
 	s, owner, _ := newTestService(&now)
@@ -99,10 +107,13 @@
 	m := &managedPool{name: testPool, ownership: owner.owned}
 	p.pools[testPool] = m
 	p.backlog = make([]pendingCall, maxBacklog)
-	p.followJobs(m)
-	assert.Assert(t, m.inFlight.followJobs)
-	p.handleNotMade()
-	assert.Assert(t, !m.inFlight.followJobs, "the pool waits for a call that was never made")
+	for range 2 * follow.MaxOpen {
+		p.followJobs(m)
+		assert.Equal(t, len(p.notMade), 1, "the pool waits for a call that was never made")
+		p.handleNotMade()
+		now = now.Add(follow.RetryDelay)
+		p.now = now
+	}
 }
 
 type panickingCall struct{}
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/decision/follow"
 	"fuchsiafront.example/fuchsiafront/decision/ownership"
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -73,6 +74,7 @@
 	loading  *poolLoad
 	inFlight callsInFlight
 
+	follower follow.Follower
 	// changesVersion is the version from which the next call reads changes.
 	changesVersion int64
 	nextSaveAt     time.Time
@@ -96,7 +98,7 @@
 // callsInFlight has the calls of a pool that are in flight, at most one of each
 // kind.
 type callsInFlight struct {
-	followJobs, saveProgress, recordExecutors, publishStatus, expireJobs bool
+	saveProgress, recordExecutors, publishStatus, expireJobs bool
 }
 
 func newPlanner(s *Service) *planner {
--- a/services/pools/pools.go
+++ b/services/pools/pools.go
@@ -53,15 +53,16 @@
 
 // Service is registered under services.NamePools.
 type Service struct {
-	settings  Settings
-	clock     services.Clock
-	log       zerolog.Logger
-	records   services.Records
-	registry  services.Registry
-	executors services.Executors
-	advisor   services.Advisor
-	catalogs  services.Catalogs
-	ownership services.Ownership
+	settings    Settings
+	clock       services.Clock
+	log         zerolog.Logger
+	records     services.Records
+	storeHealth services.StoreHealth
+	registry    services.Registry
+	executors   services.Executors
+	advisor     services.Advisor
+	catalogs    services.Catalogs
+	ownership   services.Ownership
 
 	events            *ring.Ring[event]
 	orderCalls        *ring.Ring[call]
@@ -137,6 +138,9 @@
 	if s.records, err = kernel.Lookup[services.Records](c, services.NamePlatform); err != nil {
 		return err
 	}
+	if s.storeHealth, err = kernel.Lookup[services.StoreHealth](c, services.NamePlatform); err != nil {
+		return err
+	}
 	if s.registry, err = kernel.Lookup[services.Registry](c, services.NamePlatform); err != nil {
 		return err
 	}
