Add jobs read from the store in the order in which they were accepted

Callers saw: after a takeover, jobs within their tenant's share could be put behind all others, as if they were beyond it.

Cause: a plan measures a tenant's share by a bucket that fills with the times at which jobs were accepted, and a load added jobs in the order of the store's parts. After a late job, earlier ones found the bucket unfilled.

Change: AddJobs adds them in the order of acceptance.

Test: TestShareOfJobsReadFromTheStore fails without the sort (job 08 is beyond a share of one job a second, though the jobs were accepted a second apart).

--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -180,6 +180,22 @@
 	p.completeIfDone(now, j)
 }
 
+// RecordedJob is a job as the store has it.
+type RecordedJob struct {
+	Spec      *workload.Spec
+	Progress  workload.Progress
+	Inherited bool
+}
+
+// AddJobs adds recorded jobs in the order in which they were accepted, because that order
+// decides which of them are within their tenant's share.
+func (p *Plan) AddJobs(now time.Time, jobs []RecordedJob) {
+	sorted := slices.SortedFunc(slices.Values(jobs), func(a, b RecordedJob) int { return compareAcceptance(a.Spec, b.Spec) })
+	for _, j := range sorted {
+		p.AddJob(now, j.Spec, j.Progress, j.Inherited)
+	}
+}
+
 // divideProgress has the progress of a task recorded in its part, if it was recorded
 // as a whole with that of all others.
 func (p *Plan) divideProgress(t *task, progress *workload.Progress) {
--- a/decision/poolplan/share_test.go
+++ b/decision/poolplan/share_test.go
@@ -40,3 +40,23 @@
 	assert.Assert(t, len(sim.starts) > 0)
 	assert.Equal(t, sim.starts[0].Task.Job, "modest")
 }
+
+// Guards against jobs within their tenant's share that a new owner puts behind all
+// others, because it read them from the store in another order than that in which they
+// were accepted.
+func TestShareOfJobsReadFromTheStore(t *testing.T) {
+	sim := newSimulation(t, 2)
+	sim.plan.SetCatalog(catalog.New(2, nil, []catalog.Service{{Name: "pool"}}, []catalog.Tenant{{Name: "tenant", Weight: 1}}))
+	var jobs []RecordedJob
+	for n := range 20 {
+		spec := &workload.Spec{
+			ID: fmt.Sprintf("%02d", n), Queue: catalog.Origin{Name: "queue", Terms: testTerms}, Tenant: "tenant", Steps: []workload.Step{step(1)},
+			AcceptedAt: sim.now.Add(-time.Duration(n) * time.Second),
+		}
+		jobs = append(jobs, RecordedJob{Spec: spec, Inherited: true})
+	}
+	sim.plan.AddJobs(sim.now, jobs)
+	for id, j := range sim.plan.jobs {
+		assert.Assert(t, !j.beyondShare, "job %s was accepted a second after the one before, and the share is one job a second", id)
+	}
+}
--- a/services/pools/follow.go
+++ b/services/pools/follow.go
@@ -85,8 +85,8 @@
 	for _, j := range state.jobs {
 		p.s.log.Info().Str("pool", m.name).Str("job", j.spec.ID).Str("queue", j.spec.Queue.Name).Int64("version", j.version).
 			Dur("age", p.now.Sub(j.spec.AcceptedAt)).Msg("job known to the owner")
-		m.plan.AddJob(p.now, j.spec, j.progress, m.inherited(&j))
 	}
+	m.plan.AddJobs(p.now, m.recordedJobs(state.jobs))
 	for _, id := range state.cancelled {
 		m.plan.CancelJob(p.now, id)
 	}
--- a/services/pools/load.go
+++ b/services/pools/load.go
@@ -276,9 +276,7 @@
 	for _, x := range e.state.executors {
 		plan.Inherit(p.now, x)
 	}
-	for _, j := range e.state.jobs {
-		plan.AddJob(p.now, j.spec, j.progress, m.inherited(&j))
-	}
+	plan.AddJobs(p.now, m.recordedJobs(e.state.jobs))
 	for _, id := range e.state.cancelled {
 		plan.CancelJob(p.now, id)
 	}
@@ -290,6 +288,15 @@
 	p.applyRegistry(m)
 }
 
+// recordedJobs returns jobs as the plan takes them.
+func (m *managedPool) recordedJobs(loaded []loadedJob) []poolplan.RecordedJob {
+	jobs := make([]poolplan.RecordedJob, len(loaded))
+	for i := range loaded {
+		jobs[i] = poolplan.RecordedJob{Spec: loaded[i].spec, Progress: loaded[i].progress, Inherited: m.inherited(&loaded[i])}
+	}
+	return jobs
+}
+
 // inherited reports whether an earlier owner may have started the job.
 func (m *managedPool) inherited(j *loadedJob) bool {
 	if j.spec.SilentOwner > 0 && j.spec.SilentOwner == m.ownership.ReplacedVersion {
