Count pending jobs for the queue that stands for theirs now

Cause: the status of a pool counted jobs by the name that their queue had when it accepted them, and the number was read from the pool that serves the queue now.

Change: the status has the place of each queue, and the reader finds the queue that stands for it now (catalog.QueueOf). Jobs in a pool whose queues another service serves are published among the status records of that service, so that one call reads all; the pool's own status names these records first, so that a later owner finds and deletes them. A look at the number of pending jobs stays one call; records are written only while there are such jobs.

Test: TestPendingJobsOfMovedQueue fails when names alone count ("the jobs in the former pool are pending" is not met).

--- a/ctl/fleet_test.go
+++ b/ctl/fleet_test.go
@@ -42,7 +42,7 @@
 	put(jobrecord.ProgressKey(fleet.Service, fleetJob, 0), value, err)
 	value, err = json.Marshal(jobrecord.OwnerRecord{Holder: "edge-1", Term: 4, Renewals: 7})
 	put(jobrecord.OwnerKey(fleet.Service), value, err)
-	value, err = json.Marshal(jobrecord.StatusRecord{Term: 4, Pending: map[string]int{"queue": 5}, DemandMilliCPU: 2500, CapacityMilliCPU: 8000})
+	value, err = json.Marshal(jobrecord.StatusRecord{Term: 4, PendingRecord: jobrecord.PendingRecord{Pending: map[string]int{"queue": 5}}, DemandMilliCPU: 2500, CapacityMilliCPU: 8000})
 	put(jobrecord.StatusKey(fleet.Service), value, err)
 	put(jobrecord.LimitKey(fleetTenant), fmt.Appendf(nil, `{"pools":{%q:{"MilliCPU":3000}},"reservations":{%q:{"Need":{"MilliCPU":4000},"SinceMs":1780000000000}}}`, fleet.Service, fleet.Service), nil)
 	return fleet
--- a/decision/poolplan/save.go
+++ b/decision/poolplan/save.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
 	"fuchsiafront.example/fuchsiafront/decision/workload"
 )
 
@@ -222,17 +223,24 @@
 	maxBegunListed = 1000
 )
 
-// Pending returns, for each queue, the number of jobs of which no task has
+// PendingQueue has the jobs of one queue of which no task has started.
+type PendingQueue struct {
+	Place catalog.Place
+	Jobs  int
+}
+
+// Pending returns, for each queue that accepted jobs, those of which no task has
 // started, and the jobs that have begun but whose saved progress does not show
 // it yet.
-func (p *Plan) Pending() (pending map[string]int, begun []string) {
-	pending = make(map[string]int)
+func (p *Plan) Pending() (pending map[string]PendingQueue, begun []string) {
+	pending = make(map[string]PendingQueue)
 	var unrecorded []*job
 	for _, j := range p.jobs {
 		switch {
 		case j.closed() || j.begunRecorded:
 		case !j.begun:
-			pending[j.spec.Queue.Name]++
+			q := &j.spec.Queue
+			pending[q.Name] = PendingQueue{q.Place, pending[q.Name].Jobs + 1}
 		default:
 			unrecorded = append(unrecorded, j)
 		}
--- a/fleethost/movedqueue_test.go
+++ b/fleethost/movedqueue_test.go
@@ -32,6 +32,49 @@
 	return state
 }
 
+// Guards against jobs that no count of pending jobs includes any more, because their
+// queue was renamed and moved after they were accepted.
+func TestPendingJobsOfMovedQueue(t *testing.T) {
+	c := startCluster(t, 2, 0, time.Second)
+	for n := range 5 {
+		status, _ := c.call(c.hosts[0], http.MethodPost, jobID(n), testKey, twoStepJob())
+		assert.Equal(t, status, http.StatusOK)
+	}
+	pendingIs := func(want float64) func() bool {
+		return func() bool {
+			for _, h := range c.hosts {
+				if _, answer := c.call(h, http.MethodGet, "", testKey, nil); answer["pending"] != want {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	c.eventually("all jobs are pending", pendingIs(5))
+	c.moveQueue(2)
+	c.eventually("the jobs in the former pool are pending", pendingIs(5))
+	status, _ := c.call(c.hosts[0], http.MethodPost, jobID(5), testKey, twoStepJob())
+	assert.Equal(t, status, http.StatusOK)
+	c.eventually("the jobs in both pools are pending", pendingIs(6))
+	// The owners of the pools change.
+	c.hosts[0].stop()
+	assert.NilError(t, <-c.hosts[0].ended)
+	c.hosts[0].ended <- nil
+	c.hosts = append(c.hosts[1:], c.startHost("h2"))
+	for n := range 3 {
+		c.eventually("a job is cancelled", func() bool {
+			status, _ := c.call(c.hosts[0], http.MethodDelete, jobID(n), testKey, nil)
+			return status == http.StatusOK
+		})
+	}
+	c.eventually("cancelled jobs are not pending", pendingIs(3))
+	for n := 3; n < 6; n++ {
+		status, _ := c.call(c.hosts[0], http.MethodDelete, jobID(n), testKey, nil)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	c.eventually("no job is pending", pendingIs(0))
+}
+
 // Guards against a job that runs a second time because its submission arrives again
 // after the operator has sent its queue to another service: in each of its states, and
 // on each host, the identifier stands for the job that was accepted first.
--- a/services/jobintake/jobintake.go
+++ b/services/jobintake/jobintake.go
@@ -275,8 +275,21 @@
 	return true, nil
 }
 
-// Pending implements services.JobIntake.
+// Pending implements services.JobIntake. Jobs count that were accepted when the queue
+// had another name, or was served by another pool.
 func (s *Service) Pending(ctx context.Context, q *catalog.Queue) (int, error) {
-	status, err := s.poolStatus(ctx, q.Service)
-	return status.Pending[q.Name], err
+	records, err := s.scan(ctx, jobrecord.StatusRange(q.Service))
+	if err != nil {
+		return 0, err
+	}
+	c, jobs := s.catalogs.Catalog(), 0
+	for i := range records {
+		// A MovedRecord has the fields of a StatusRecord that matter here.
+		var record jobrecord.PendingRecord
+		if err := json.Unmarshal(records[i].Value, &record); err != nil {
+			return 0, fault.New(&fault.NotRun, fault.ReasonMalformed, "read status", records[i].Part+"/"+records[i].Key, "%w", err)
+		}
+		jobs += record.JobsOf(c, q.Name)
+	}
+	return jobs, nil
 }
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -89,6 +89,7 @@
 	publishedStatus string
 	// statusVersion is the last known version of the status record.
 	statusVersion  int64
+	moved          movedPending
 	cordoned       map[string]bool
 	leaving        map[string]bool
 	cordonsVersion int64
@@ -98,7 +99,7 @@
 // callsInFlight has the calls of a pool that are in flight, at most one of each
 // kind.
 type callsInFlight struct {
-	saveProgress, recordExecutors, publishStatus, expireJobs bool
+	publishMoved, saveProgress, recordExecutors, publishStatus, expireJobs bool
 }
 
 func newPlanner(s *Service) *planner {
--- a/services/pools/status.go
+++ b/services/pools/status.go
@@ -13,6 +13,7 @@
 	ownershipRef
 	version int64
 	value   []byte
+	movedTo []string
 }
 
 type statusDone struct {
@@ -27,6 +28,7 @@
 		return
 	}
 	m.statusCheckedAt = p.now
+	p.publishMoved(m)
 	value, err := p.encodeStatus(m)
 	if err != nil {
 		p.s.log.Error().Err(err).Str("pool", m.name).Msg("status not published: it cannot be encoded")
@@ -36,7 +38,7 @@
 		return
 	}
 	m.inFlight.publishStatus = true
-	p.send(p.s.recordCalls, statusCall{m.ref(), m.statusVersion, value})
+	p.send(p.s.recordCalls, statusCall{m.ref(), m.statusVersion, value, m.moved.services()})
 }
 
 // encodeStatus encodes the pool's status. If it is too large for a record, it is
@@ -54,7 +56,13 @@
 
 func (p *planner) statusRecord(m *managedPool) jobrecord.StatusRecord {
 	pending, begun := m.plan.Pending()
-	record := jobrecord.StatusRecord{Term: m.ownership.Term, CordonsVersion: m.cordonsVersion, Pending: pending, StartedUnrecorded: begun, Machines: make(map[string]jobrecord.MachineUse)}
+	record := jobrecord.StatusRecord{Term: m.ownership.Term, CordonsVersion: m.cordonsVersion, StartedUnrecorded: begun, Machines: make(map[string]jobrecord.MachineUse)}
+	record.Pending = make(map[string]int)
+	for queue, q := range pending {
+		record.Add(queue, q.Place, q.Jobs)
+	}
+	m.moved.set(p.catalog, m.name, pending)
+	record.MovedTo = m.moved.services()
 	record.DemandMilliCPU, record.CapacityMilliCPU = m.plan.Load()
 	for machine, u := range m.plan.MachineUses() {
 		record.Machines[machine] = jobrecord.MachineUse{MilliCPU: u.MilliCPU, Tasks: u.Tasks, Services: u.ServiceTasks}
@@ -90,6 +98,7 @@
 	case e.err != nil:
 	case e.commit.Committed:
 		m.publishedStatus, m.statusVersion = string(e.value), e.commit.Version
+		m.moved.announced = e.movedTo
 	default:
 		p.handleStatusConflict(m, e.commit.Current)
 	}
@@ -106,6 +115,7 @@
 			p.s.log.Error().Err(err).Str("pool", m.name).Msg("stored status cannot be decoded; it is overwritten")
 		}
 		m.statusVersion = current[i].Version
+		m.moved.inherit(status.MovedTo)
 		if status.Term > m.ownership.Term {
 			p.s.log.Warn().Str("pool", m.name).Int("term", m.ownership.Term).Int("later", status.Term).Msg("giving the pool up: a later owner has published its status")
 			p.dropLostPool(m)
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -52,8 +52,10 @@
 	keyTerm      = "term"
 	keyExecutors = "executors"
 	// prefixExecutors is followed by the number of the shard.
-	prefixExecutors  = "executors/"
-	keyStatus        = "status"
+	prefixExecutors = "executors/"
+	keyStatus       = "status"
+	// prefixMoved is followed by the name of a pool.
+	prefixMoved      = "moved/"
 	suffixStatusPart = "/status"
 	keyCordons       = "cordons"
 	prefixWave       = "wave/"
@@ -199,6 +201,16 @@
 	return services.RecordKey{Table: TablePools, Part: pool + suffixStatusPart, Key: keyStatus}
 }
 
+// StatusRange selects a pool's StatusRecord and the MovedRecords of other pools.
+func StatusRange(pool string) services.RecordRange {
+	return services.RecordRange{Table: TablePools, Part: pool + suffixStatusPart}
+}
+
+// MovedKey returns the key of the MovedRecord of a pool for the pool of a service.
+func MovedKey(service, pool string) services.RecordKey {
+	return services.RecordKey{Table: TablePools, Part: service + suffixStatusPart, Key: prefixMoved + pool}
+}
+
 // CordonsKey returns the key of a pool's CordonRecord. It is in the table that the
 // pool's owner follows.
 func CordonsKey(pool string) services.RecordKey {
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"fuchsiafront.example/fuchsiafront/decision/catalog"
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
 	"fuchsiafront.example/fuchsiafront/fleet"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -34,8 +35,9 @@
 // StatusRecord is the status that the owner of a pool publishes.
 type StatusRecord struct {
 	Term int `json:"term"`
-	// Pending is the number of jobs without a started task, by queue.
-	Pending map[string]int `json:"pending"`
+	PendingRecord
+	// MovedTo lists the services that have a MovedRecord of the pool.
+	MovedTo []string `json:"movedTo,omitempty"`
 	// StartedUnrecorded lists the jobs whose tasks have started but whose
 	// progress is not recorded yet.
 	StartedUnrecorded []string `json:"begun,omitempty"`
@@ -52,6 +54,45 @@
 	Machines map[string]MachineUse `json:"machines,omitempty"`
 }
 
+// PendingRecord has the jobs without a started task.
+type PendingRecord struct {
+	// Pending is their number, by the name of the queue that accepted them.
+	Pending map[string]int `json:"pending"`
+	// Places has the place of each of these queues, by which one that was renamed or
+	// moved since is found.
+	Places map[string]catalog.Place `json:"places,omitempty"`
+}
+
+// Add adds the jobs of a queue.
+func (r *PendingRecord) Add(queue string, place catalog.Place, jobs int) {
+	if r.Pending == nil {
+		r.Pending = make(map[string]int)
+	}
+	if r.Places == nil {
+		r.Places = make(map[string]catalog.Place)
+	}
+	r.Pending[queue] += jobs
+	r.Places[queue] = place
+}
+
+// JobsOf returns the number of jobs whose queue is now the one of a name.
+func (r *PendingRecord) JobsOf(c *catalog.Catalog, queue string) int {
+	jobs := 0
+	for name, n := range r.Pending {
+		if q, ok := c.QueueOf(&catalog.Origin{Name: name, Place: r.Places[name]}); ok && q.Name == queue {
+			jobs += n
+		}
+	}
+	return jobs
+}
+
+// MovedRecord has the pending jobs of a pool whose queues another service serves now. It
+// is among the status records of that service, so that a read of these has them.
+type MovedRecord struct {
+	Term int `json:"term"`
+	PendingRecord
+}
+
 // MachineUse is how much of a machine is in use.
 type MachineUse struct {
 	MilliCPU int64 `json:"cpu"`
