Leave executors that do not fit their record out, and record the others

Cause: each '<' takes six bytes in the record, which outgrew a row; all shards are written in one transaction, and the store refused it for ever.

Promise: every row that is written has a bound, and one thing that cannot be stored never holds up another.

Change: EncodeExecutors leaves out an executor for which its shard or the transaction has no room, and returns those it recorded; only these are used.

Tests: TestExecutorThatDoesNotFitIsLeftOut and TestRecordsOfExecutorsFitOneTransaction could not compile before; the first bound of the transaction (700,000 bytes) failed TestExecutorsOfLargePoolFitRecords, which wants 3,000 executors, and became 735,000 (980,000 as the message encodes them).

--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -75,6 +75,9 @@
 	// openStarts counts the starts that have not been answered.
 	openStarts           int
 	startUnansweredSince time.Time
+	// addressDoubtful is set while another entry has the address and no report has
+	// arrived since.
+	addressDoubtful bool
 	// lastEnd is the highest run-end number seen, ackedEnd the highest sent in a
 	// lease renewal.
 	lastEnd  int64
@@ -163,7 +166,7 @@
 // owner must be known first.
 func (e *executor) acceptsWork() bool {
 	known := e.fencingTokenSeen || !e.inherited
-	return e.listed && e.recorded && known && e.unknownRuns == 0 && !e.Draining && !e.Cordoned && e.reachable()
+	return e.listed && e.recorded && known && e.unknownRuns == 0 && !e.addressDoubtful && !e.Draining && !e.Cordoned && e.reachable()
 }
 
 // recordAnswer records when an answer arrived and the executor's clock in it.
@@ -235,9 +238,14 @@
 
 func (p *Plan) addExecutor(now time.Time, info Executor, inherited bool) *executor {
 	for _, other := range p.executors {
-		if other.Address == info.Address && other.ID != info.ID && other.StartedMs < info.StartedMs {
-			p.endIncarnation(now, other, "address belongs to another executor")
+		if other.Address != info.Address || other.ID == info.ID || other.StartedMs >= info.StartedMs {
+			continue
+		}
+		if other.listed {
+			p.doubtAddress(now, other)
+			continue
 		}
+		p.endIncarnation(now, other, "address belongs to another executor")
 	}
 	e := &executor{Executor: info, clockMs: info.ClockMs, listed: !inherited, inherited: inherited, recorded: inherited, runs: make(map[runKey]*run), leaseSentAt: now}
 	if info.ClockMs > 0 {
@@ -248,6 +256,14 @@
 	return e
 }
 
+// doubtAddress requests a report from an executor whose address another entry has. The
+// entry may be that of another writer; if it is right, the process at the address does
+// not answer for the executor.
+func (p *Plan) doubtAddress(now time.Time, e *executor) {
+	p.addEvent(Event{Kind: "executor's address in another entry", Peer: e.ID})
+	e.addressDoubtful, e.nextLeaseRenewalAt = true, now
+}
+
 // Inherit adds an executor that a previous owner may have used. It must be
 // called before the first Step.
 func (p *Plan) Inherit(now time.Time, info Executor) {
--- a/decision/poolplan/lease.go
+++ b/decision/poolplan/lease.go
@@ -58,7 +58,7 @@
 }
 
 func (p *Plan) needsLeaseRenewal(now time.Time, e *executor) bool {
-	if e.inherited && !e.fencingTokenSeen {
+	if e.inherited && !e.fencingTokenSeen || e.addressDoubtful {
 		return true
 	}
 	if e.listed && !e.reachable() && len(e.runs) == 0 {
@@ -72,7 +72,7 @@
 
 func (p *Plan) renewLease(now time.Time, e *executor) {
 	o := RenewLease{Target: e.target(), AckedEnd: e.ackableEnd(), Wait: reportWait}
-	if len(e.runs)+e.unknownRuns == 0 || !e.reachable() || len(e.unsavedEnds) > 0 || !e.fencingTokenSeen {
+	if len(e.runs)+e.unknownRuns == 0 || e.addressDoubtful || !e.reachable() || len(e.unsavedEnds) > 0 || !e.fencingTokenSeen {
 		o.Wait = 0
 	}
 	if p.relocating && e.serviceRuns > 0 {
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -43,6 +43,7 @@
 	first := !e.fencingTokenSeen
 	e.missedAnswers, e.fencingTokenSeen = 0, true
 	e.startUnansweredSince = time.Time{}
+	e.addressDoubtful = false
 	e.recordAnswer(now, r.Outcome)
 	if first {
 		e.fencingTokenSeenAt = now
--- a/decision/poolplan/takeover_test.go
+++ b/decision/poolplan/takeover_test.go
@@ -171,3 +171,40 @@
 	}
 	assert.Equal(t, len(silent.starts), 1, "an executor that does not answer holds the task up for ever")
 }
+
+// Guards against runs of a live executor that start again elsewhere, because another
+// writer's entry in the registry has its address: only an answer from the address shows
+// who is there.
+func TestEntryWithAddressOfListedExecutorEndsNothing(t *testing.T) {
+	for name, test := range map[string]struct {
+		answer   Answer
+		wantRuns int
+	}{"executor answers": {Accepted, 1}, "another answers": {WrongIncarnation, 0}} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 1)
+			sim.register("1")
+			sim.addJob("a", false, step(1))
+			sim.step()
+			s := sim.takeStart()
+			sim.plan.StartDone(sim.now, s, sim.outcome(Accepted))
+			sim.advance(10 * time.Millisecond)
+			sim.answerLeaseRenewal(sim.takeLeaseRenewal(), []RunReport{runReport(s)})
+			sim.leaseRenewals = nil
+			sim.plan.executors["1"].leaseRenewalOpen = false
+			odd := executorInfo("odd")
+			odd.Address, odd.StartedMs = executorInfo("1").Address, 5000
+			sim.plan.SetExecutors(sim.now, []Executor{executorInfo("1"), odd})
+			sim.step()
+			assert.Equal(t, sim.plan.RunCount(), 1)
+			assert.Assert(t, !sim.plan.executors["1"].acceptsWork())
+			renewal := sim.takeLeaseRenewal()
+			assert.Equal(t, renewal.Executor, "1")
+			assert.Equal(t, renewal.Wait, time.Duration(0))
+			sim.plan.RenewLeaseDone(sim.now, renewal, Report{Outcome: sim.outcome(test.answer), StartedMs: 1000, Running: []RunReport{runReport(s)}})
+			assert.Equal(t, sim.plan.RunCount(), test.wantRuns)
+			if test.answer == Accepted {
+				assert.Assert(t, sim.plan.executors["1"].acceptsWork())
+			}
+		})
+	}
+}
--- a/fleethost/fleethost_test.go
+++ b/fleethost/fleethost_test.go
@@ -144,13 +144,21 @@
 	}
 	c.eventually("work has begun", func() bool { return len(c.fleet.Recorder.Runs()) > 1 })
 	odd := func(id string, changes map[string]any) {
-		entry := map[string]any{"service": "svc", "address": address, "state": "ready", "sequence": 1, "capacity": map[string]any{"cpu": 1000, "mem-mb": 10}}
+		entry := map[string]any{
+			"service": "svc", "address": address, "zone": "z1", "version": "v1", "slots": 8, "warmup-left-ms": 0, "labels": []string{"a", "r1-1"},
+			"state": "ready", "sequence": 1, "capacity": map[string]any{"cpu": 1000, "mem-mb": 10},
+		}
 		for field, value := range changes {
 			entry[field] = value
+			if value == nil {
+				delete(entry, field)
+			}
 		}
 		c.fleet.Store.Put("servers", "", id, entry)
 	}
 	odd("i-later", map[string]any{"service": "unknown", "born": time.Now().Add(time.Hour).UnixMilli()})
+	odd("i-lacking", map[string]any{"born": time.Now().Add(time.Hour).UnixMilli(), "version": nil, "slots": nil})
+	odd("i-complete", map[string]any{"born": time.Now().Add(time.Hour).UnixMilli()})
 	odd("i-number", map[string]any{"born": json.Number("99999999999999999999999")})
 	odd("i-exponent", map[string]any{"capacity": map[string]any{"cpu": json.Number("1e400")}})
 	odd("i-most", map[string]any{"born": json.Number("9223372036854775807")})
--- a/services/pools/registry.go
+++ b/services/pools/registry.go
@@ -56,12 +56,15 @@
 	if m.inFlight.recordExecutors || len(m.plan.UnrecordedExecutors()) == 0 && !m.plan.ExecutorRecordOutdated() {
 		return
 	}
-	executors := m.plan.ExecutorsToRecord()
-	shards, err := jobrecord.EncodeExecutors(m.name, executors)
+	all := m.plan.ExecutorsToRecord()
+	shards, executors, err := jobrecord.EncodeExecutors(m.name, all)
 	if err != nil {
 		p.s.log.Error().Err(err).Str("pool", m.name).Msg("executors not recorded: they cannot be encoded")
 		return
 	}
+	if len(executors) < len(all) {
+		p.s.log.Error().Str("pool", m.name).Int("executors", len(all)).Int("recorded", len(executors)).Msg("not all executors fit the record; the others are not used")
+	}
 	shards = m.executorRecords.dropUnchanged(shards)
 	guard := jobrecord.ExecutorsKey(m.name)
 	tx := services.RecordTx{
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -110,12 +110,12 @@
 }
 
 // randomOddEntry returns an entry of the registry that names no executor: it cannot
-// be read, has values out of range, or belongs to an unknown service and has the
-// address of a real executor.
+// be read, has values out of range, or has the address of a real executor and belongs
+// to an unknown service or lacks a field.
 func (s *soakRun) randomOddEntry() []byte {
 	address := s.fleet.ExecutorAddress(s.executors[s.random.IntN(len(s.executors))])
 	entry := func(service, address, born string) string {
-		return fmt.Sprintf(`{"service":%q,"address":%q,"state":"ready","sequence":1,"capacity":{"cpu":1000,"mem-mb":10},"born":%s}`, service, address, born)
+		return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z1","version":"v1","slots":8,"warmup-left-ms":0,"labels":["a"],"state":"ready","sequence":1,"capacity":{"cpu":1000,"mem-mb":10},"born":%s}`, service, address, born)
 	}
 	entries := []string{
 		"{",
@@ -125,6 +125,10 @@
 		entry("svc", address, "1e400"),
 		entry("unknown", address, fmt.Sprint(time.Now().Add(time.Hour).UnixMilli())),
 	}
+	if s.moves.IntN(4) == 0 {
+		later := entry("svc", address, fmt.Sprint(time.Now().Add(time.Hour).UnixMilli()))
+		return []byte(strings.Replace(later, `"version":"v1",`, "", 1))
+	}
 	return []byte(entries[s.random.IntN(len(entries))])
 }
 
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -161,13 +161,33 @@
 // size of a pool is 75.
 const executorShardCount = 32
 
-// EncodeExecutors encodes the used executors of a pool. A shard without executors
-// is deleted.
-func EncodeExecutors(pool string, list []poolplan.Executor) ([]services.RecordWrite, error) {
-	shards := make([][]executorRecord, executorShardCount)
+// maxExecutorsBytes bounds the values of all shards, which are written in one
+// transaction. The message encodes them with a third more, and the store accepts 1 MB.
+const maxExecutorsBytes = 735_000
+
+// EncodeExecutors encodes the used executors of a pool, and returns those that the
+// records hold. An executor for which there is no room is left out, so that it does not
+// keep the others from being recorded. A shard without executors is deleted.
+func EncodeExecutors(pool string, list []poolplan.Executor) ([]services.RecordWrite, []poolplan.Executor, error) {
+	shards := make([][]json.RawMessage, executorShardCount)
+	sizes := make([]int, executorShardCount)
+	total := 0
+	recorded := make([]poolplan.Executor, 0, len(list))
 	for _, e := range list {
+		value, err := json.Marshal(executorRecord{ID: e.ID, StartedMs: e.StartedMs, Machine: e.Machine, Address: e.Address, Zone: e.Zone, Labels: e.Labels, Rack: e.Rack, Capacity: e.Capacity})
+		if err != nil {
+			return nil, nil, ErrRecord.New("encode executor %s of pool %s: %v", e.ID, pool, err)
+		}
 		n := xxhash.Sum64String(e.ID) % executorShardCount
-		shards[n] = append(shards[n], executorRecord{ID: e.ID, StartedMs: e.StartedMs, Machine: e.Machine, Address: e.Address, Zone: e.Zone, Labels: e.Labels, Rack: e.Rack, Capacity: e.Capacity})
+		// Each entry has a comma or a bracket beside it.
+		size := len(value) + 2
+		if sizes[n]+size > MaxRecordBytes || total+size > maxExecutorsBytes {
+			continue
+		}
+		sizes[n] += size
+		total += size
+		shards[n] = append(shards[n], value)
+		recorded = append(recorded, e)
 	}
 	writes := make([]services.RecordWrite, executorShardCount)
 	for n, shard := range shards {
@@ -177,10 +197,10 @@
 		}
 		var err error
 		if writes[n].Value, err = json.Marshal(shard); err != nil {
-			return nil, ErrRecord.New("encode executors of pool %s: %v", pool, err)
+			return nil, nil, ErrRecord.New("encode executors of pool %s: %v", pool, err)
 		}
 	}
-	return writes, nil
+	return writes, recorded, nil
 }
 
 // DecodeExecutors decodes one record made by EncodeExecutors.
--- a/wire/jobrecord/pool_test.go
+++ b/wire/jobrecord/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -26,8 +27,9 @@
 // executors is too large for the store, as happened with 613 executors in a sweep.
 func TestExecutorsOfLargePoolFitRecords(t *testing.T) {
 	all := makeExecutors(3000)
-	writes, err := EncodeExecutors("pool", all)
+	writes, recorded, err := EncodeExecutors("pool", all)
 	assert.NilError(t, err)
+	assert.Equal(t, len(recorded), len(all))
 	got := make(map[string]poolplan.Executor)
 	for _, w := range writes {
 		assert.Assert(t, IsExecutorShard(w.RecordKey) && w.RecordKey != ExecutorsKey("pool"))
@@ -44,10 +46,40 @@
 	}
 }
 
+// Guards against a pool that uses none of its executors, because the entry of one of them
+// outgrows a record: characters such as '<' take six bytes each.
+func TestExecutorThatDoesNotFitIsLeftOut(t *testing.T) {
+	all := makeExecutors(200)
+	for range 60 {
+		all[7].Labels = append(all[7].Labels, strings.Repeat("<", 190))
+	}
+	writes, recorded, err := EncodeExecutors("pool", all)
+	assert.NilError(t, err)
+	assert.Equal(t, len(recorded), len(all)-1)
+	for _, e := range recorded {
+		assert.Assert(t, e.ID != all[7].ID)
+	}
+	for _, w := range writes {
+		assert.Assert(t, len(w.Value) <= MaxRecordBytes)
+	}
+}
+
+// Guards against a transaction that the store refuses as a whole, because all records of
+// executors together are too large for it.
+func TestRecordsOfExecutorsFitOneTransaction(t *testing.T) {
+	writes, recorded, err := EncodeExecutors("pool", makeExecutors(20_000))
+	assert.NilError(t, err)
+	total := 0
+	for _, w := range writes {
+		total += len(w.Value)
+	}
+	assert.Assert(t, total <= maxExecutorsBytes && len(recorded) > 3000, "%d bytes for %d executors", total, len(recorded))
+}
+
 // Guards against an executor that stays recorded after it has left: the next owner
 // of the pool would wait for it.
 func TestEmptyRecordOfExecutorsIsDeleted(t *testing.T) {
-	writes, err := EncodeExecutors("pool", nil)
+	writes, _, err := EncodeExecutors("pool", nil)
 	assert.NilError(t, err)
 	for _, w := range writes {
 		assert.Assert(t, w.Delete)
