Keep runs that a restarted executor may have begun in its new life

Cause: orders name an executor by its identifier only, so that a later life takes those meant for the earlier one. When the owner noticed the later start, in the registry or in a report, it gave up all runs of the executor and started their tasks elsewhere; the report that showed the restart was dropped, with the run that it listed.

Change: runs that no report of the earlier life has listed move to the later one and stay until a report requested after their start lists them or not; the report that shows the restart is applied. Answers to starts that were sent before the restart count for a run that has moved.

Test: TestRunOfRestartedExecutorIsKept; without the move, the cases noticed in the registry fail (the task starts again).

--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -30,10 +30,22 @@
 	return e
 }
 
+// findRunTarget returns the executor of a target, also if a later incarnation of it now
+// has the run.
+func (p *Plan) findRunTarget(t Target, key runKey) *executor {
+	if e := p.findTarget(t); e != nil {
+		return e
+	}
+	if e := p.executors[t.Executor]; e != nil && e.runs[key] != nil {
+		return e
+	}
+	return nil
+}
+
 // StartDone records the answer to a start.
 func (p *Plan) StartDone(now time.Time, s Start, o Outcome) {
 	p.openStarts--
-	e := p.findTarget(s.Target)
+	e := p.findRunTarget(s.Target, runKey{s.Task, s.Attempt})
 	if e == nil {
 		return
 	}
@@ -45,7 +57,9 @@
 	}
 	r.startUnanswered = false
 	if o.Answer != NoAnswer && o.Answer != NotSent && o.Answer != Withheld {
-		e.recordAnswer(now, o)
+		if p.findTarget(s.Target) != nil {
+			e.recordAnswer(now, o)
+		}
 		e.startUnansweredSince = time.Time{}
 		e.missedAnswers = 0
 	}
@@ -136,6 +150,7 @@
 	}
 	r.startTries++
 	r.startUnanswered = true
+	s.Target = e.target()
 	s.LeaseUntilMs = max(s.LeaseUntilMs, e.leaseEnd(now, p.leaseDuration(now)))
 	e.recordLease(now, s.LeaseUntilMs)
 	s.Reason = "repeat"
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -121,14 +121,16 @@
 
 // run is one attempt of a task on an executor.
 type run struct {
-	key               runKey
-	task              *task
-	executor          *executor
-	state             runState
-	orderedAt         time.Time
-	confirmedAt       time.Time
-	startTries        int
-	startUnanswered   bool
+	key             runKey
+	task            *task
+	executor        *executor
+	state           runState
+	orderedAt       time.Time
+	confirmedAt     time.Time
+	startTries      int
+	startUnanswered bool
+	// listed is set once a report has listed the run.
+	listed            bool
 	percent           int
 	percentChangedAt  time.Time
 	measurement       int
@@ -218,8 +220,8 @@
 		if info.StartedMs < e.StartedMs {
 			return
 		}
-		p.endIncarnation(now, e, "executor started again")
-		e = nil
+		p.restartExecutor(now, e, info)
+		return
 	}
 	if e == nil {
 		p.addExecutor(now, info, false)
@@ -346,6 +348,32 @@
 	p.dropExecutor(e)
 }
 
+// restartExecutor replaces an executor by a later incarnation under its identifier.
+// Orders name the identifier only, so the later incarnation may have begun the runs that
+// no report of the earlier one has listed. They are kept until a report shows.
+func (p *Plan) restartExecutor(now time.Time, e *executor, info Executor) *executor {
+	var undecided []*run
+	for _, r := range sortedRuns(e) {
+		if !r.listed {
+			undecided = append(undecided, r)
+			p.charge(r, -1)
+			delete(e.runs, r.key)
+		}
+	}
+	p.endIncarnation(now, e, "executor started again")
+	next := p.addExecutor(now, info, false)
+	next.assumeInheritedLease(p.params.MaxLease)
+	for _, r := range undecided {
+		r.executor, r.stopInFlight = next, false
+		next.runs[r.key] = r
+		p.charge(r, 1)
+		if r.state == runStarting || r.startUnanswered {
+			next.openStarts++
+		}
+	}
+	return next
+}
+
 // dropExecutor removes an executor that has certainly ended.
 func (p *Plan) dropExecutor(e *executor) {
 	delete(p.executors, e.ID)
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -28,11 +28,10 @@
 		return
 	}
 	if e.StartedMs != 0 && r.StartedMs > e.StartedMs {
-		info := e.Executor
-		p.endIncarnation(now, e, "executor started again")
-		info.StartedMs = r.StartedMs
-		p.addExecutor(now, info, false)
-		return
+		info, listed := e.Executor, e.listed
+		info.StartedMs, info.ClockMs = r.StartedMs, 0
+		e = p.restartExecutor(now, e, info)
+		e.listed = listed
 	}
 	if e.StartedMs == 0 {
 		e.StartedMs = r.StartedMs
@@ -118,6 +117,7 @@
 	if r.state == runStarting {
 		r.state = runRunning
 	}
+	r.listed = true
 	if r.confirmedAt.IsZero() {
 		r.confirmedAt = now
 	}
--- /dev/null
+++ b/decision/poolplan/restarted_test.go
@@ -0,0 +1,74 @@
+package poolplan
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a task that runs twice, because its executor had crashed and started
+// again under its identifier, had accepted the start in its new life, and the owner then
+// gave up all runs of the executor when it noticed the restart.
+func TestRunOfRestartedExecutorIsKept(t *testing.T) {
+	const newLife = 2000
+	for name, test := range map[string]struct {
+		viaReport, listed, answerLate bool
+	}{
+		"noticed in the registry":             {listed: true},
+		"noticed in the registry, not listed": {},
+		"answer after the restart":            {listed: true, answerLate: true},
+		"noticed in a report":                 {viaReport: true, listed: true},
+		"noticed in a report, not listed":     {viaReport: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 1)
+			sim.register("1")
+			sim.addJob("a", false, step(1))
+			sim.step()
+			old := sim.takeStart()
+			sim.plan.StartDone(sim.now, old, sim.outcome(Accepted))
+			sim.advance(10 * time.Millisecond)
+			sim.answerLeaseRenewal(sim.takeLeaseRenewal(), []RunReport{runReport(old)})
+			sim.addJob("b", false, step(1))
+			sim.advance(10 * time.Millisecond)
+			start := sim.takeStart()
+			if !test.answerLate {
+				sim.plan.StartDone(sim.now, start, sim.outcome(Accepted))
+			}
+			sim.advance(100 * time.Millisecond)
+			// Another executor has room for what starts again.
+			sim.register("1", "2", "3")
+			pending := sim.leaseRenewals
+			sim.leaseRenewals = nil
+			if !test.viaReport {
+				restarted := executorInfo("1")
+				restarted.StartedMs = newLife
+				sim.plan.SetExecutors(sim.now, []Executor{restarted, executorInfo("2"), executorInfo("3")})
+				sim.plan.MarkRecorded(sim.plan.ExecutorsToRecord())
+				sim.advance(10 * time.Millisecond)
+				pending = sim.leaseRenewals
+			}
+			if test.answerLate {
+				sim.plan.StartDone(sim.now, start, sim.outcome(Accepted))
+				sim.advance(100 * time.Millisecond)
+			}
+			assert.Assert(t, len(pending) > 0, "no report was requested")
+			report := Report{Outcome: sim.outcome(Accepted), StartedMs: newLife}
+			if test.listed {
+				report.Running = []RunReport{runReport(start)}
+			}
+			sim.plan.RenewLeaseDone(sim.now, pending[len(pending)-1], report)
+			sim.plan.MarkRecorded(sim.plan.ExecutorsToRecord())
+			sim.advance(10 * time.Millisecond)
+			started := make(map[string]bool)
+			for _, s := range sim.starts {
+				started[s.Task.Job] = true
+			}
+			assert.Assert(t, started["a"], "the run of the earlier life is over")
+			assert.Equal(t, started["b"], !test.listed)
+			assert.Equal(t, sim.plan.openStarts, len(sim.starts))
+			assert.Assert(t, sim.plan.executors["1"].openStarts <= len(sim.starts))
+		})
+	}
+}
