Keep the condition of a restart until an executor has accepted it

Cause: a task whose run was lost without a report may have an end that a successor recorded, so that its next start needs certain ownership. Change: the run carries the mark, and a start that did not begin gives it back.

--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -89,7 +89,6 @@
 			return
 		}
 		p.discardUnstartedRun(now, r, "start withheld")
-		r.task.runLost = s.Exclusive
 	case RefusedOld:
 		p.handleOldAttempt(now, r)
 	case WrongIncarnation:
@@ -210,10 +209,11 @@
 	p.addEvent(Event{Kind: "run lost", Job: r.key.task.Job, Task: r.key.task.String(), Peer: r.executor.ID, Reason: reason, Age: now.Sub(r.orderedAt)})
 }
 
-// discardUnstartedRun removes a run that its executor never began.
+// discardUnstartedRun removes a run that its executor never began. If the run before was
+// lost, the task still has no report of its end.
 func (p *Plan) discardUnstartedRun(now time.Time, r *run, reason string) {
 	p.loseRun(now, r, reason)
-	r.task.runLost = false
+	r.task.runLost = r.exclusive
 }
 
 // removeRun removes a run and releases its resources.
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -129,6 +129,8 @@
 	confirmedAt     time.Time
 	startTries      int
 	startUnanswered bool
+	// exclusive is set if the run before was lost without a report of its end.
+	exclusive bool
 	// listed is set once a report has listed the run.
 	listed            bool
 	percent           int
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -303,9 +303,7 @@
 func (p *Plan) startTask(now time.Time, t *task, e *executor, attempt int) {
 	g := t.group
 	p.release(t)
-	exclusive := t.runLost
 	t.recordAttempt(attempt)
-	t.runLost = false
 	r := &run{
 		key:              runKey{t.id(), attempt},
 		task:             t,
@@ -313,8 +311,10 @@
 		orderedAt:        now,
 		percentChangedAt: now,
 		startTries:       1,
+		exclusive:        t.runLost,
 		speedPercent:     100,
 	}
+	t.runLost = false
 	e.runs[r.key] = r
 	t.runs = append(t.runs, r)
 	g.job.begun = true
@@ -328,7 +328,7 @@
 		SpecText:     g.job.spec.Text,
 		LeaseUntilMs: untilMs,
 		Reason:       "room",
-		Exclusive:    exclusive,
+		Exclusive:    r.exclusive,
 		Waited:       now.Sub(g.readyAt),
 	}
 	if g.step.Checkpoints {
--- a/decision/poolplan/withheld_test.go
+++ b/decision/poolplan/withheld_test.go
@@ -29,13 +29,20 @@
 }
 
 // Guards against a restart of a lost task that is sent although a successor may
-// have recorded the task's end: such a start needs exclusive ownership until sent.
+// have recorded the task's end: such a start needs exclusive ownership until an executor
+// has accepted it.
 func TestRestartOfLostTaskIsExclusive(t *testing.T) {
-	sim := newSimulation(t, 1)
-	expireSilentExecutor(sim)
-	start := sim.takeStart()
-	assert.Assert(t, start.Exclusive)
-	sim.plan.StartDone(sim.now, start, sim.outcome(Withheld))
-	sim.advance(10 * time.Millisecond)
-	assert.Assert(t, sim.takeStart().Exclusive, "a withheld restart lost its condition")
+	for _, answer := range []Answer{Withheld, NotSent, RefusedRoom, RefusedBusy, RefusedLate, RefusedOld} {
+		t.Run(answer.String(), func(t *testing.T) {
+			sim := newSimulation(t, 1)
+			expireSilentExecutor(sim)
+			start := sim.takeStart()
+			assert.Assert(t, start.Exclusive)
+			sim.plan.StartDone(sim.now, start, sim.outcome(answer))
+			sim.advance(10 * time.Millisecond)
+			sim.register("1", "2", "3")
+			sim.advance(10 * time.Millisecond)
+			assert.Assert(t, sim.takeStart().Exclusive, "a restart that did not begin lost its condition")
+		})
+	}
 }
