--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -47,8 +47,11 @@
 	// firstTask is the number of the first task among all of the job.
 	firstTask int
 	doneCount int
-	ready     bool
-	readyAt   time.Time
+	// checkpoint is the latest state of any member of a gang. It is valid for all of
+	// them, and all must resume from the same one.
+	checkpoint string
+	ready      bool
+	readyAt    time.Time
 	// loggedWait is the last reason for waiting that was logged, at waitLoggedAt.
 	loggedWait   waitReason
 	waitLoggedAt time.Time
@@ -86,6 +89,14 @@
 	return workload.TaskName{Occurrence: t.group.occurrence, Step: t.group.stepIndex, Index: t.index}
 }
 
+// checkpointRef returns where the state is kept from which the task can resume.
+func (t *task) checkpointRef() *string {
+	if t.group.step.Gang {
+		return &t.group.checkpoint
+	}
+	return &t.checkpoint
+}
+
 // recordAttempt records that an attempt of the task exists.
 func (t *task) recordAttempt(number int) {
 	t.lastAttempt = max(t.lastAttempt, number)
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -332,7 +332,7 @@
 		Waited:       now.Sub(g.readyAt),
 	}
 	if g.step.Checkpoints {
-		s.Checkpoint = t.checkpoint
+		s.Checkpoint = *t.checkpointRef()
 	}
 	if g.advice != nil {
 		s.Ticket = g.advice.tickets[e.ID].text
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -127,7 +127,7 @@
 	r.measurement = report.Measurement
 	if report.Checkpoint != "" {
 		r.checkpoint = report.Checkpoint
-		r.task.checkpoint = report.Checkpoint
+		*r.task.checkpointRef() = report.Checkpoint
 	}
 }
 
--- a/decision/poolplan/runend.go
+++ b/decision/poolplan/runend.go
@@ -30,7 +30,7 @@
 	j := t.group.job
 	t.recordAttempt(end.Attempt)
 	if end.Checkpoint != "" {
-		t.checkpoint = end.Checkpoint
+		*t.checkpointRef() = end.Checkpoint
 	}
 	if t.done || j.progress.State.Ended() {
 		return
