Go on with a load where it failed, and trim records of ended jobs

Cause: 16 calls at once read the parts of the pool and shared the link, so that all timed out together, and one that did made the owner drop what it had read. The store had the texts of up to 4,000 bytes of all jobs of the last minutes.

Change: what has been read stays, parts that are missing are read again, and the number of calls at once is halved with each that fails. An answer has at most 50 jobs.

--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -12,6 +12,8 @@
 // job is a job of this pool that has not ended.
 type job struct {
 	spec *workload.Spec
+	// version is that of the job's record; zero if it is not known.
+	version int64
 	// inherited is set when a previous owner may have started the job.
 	inherited bool
 	cancelled bool
@@ -160,7 +162,7 @@
 // owner took over. A job that is already known or ended here recently is
 // ignored, because its progress may have been read before it ended.
 func (p *Plan) AddJob(now time.Time, spec *workload.Spec, progress workload.Progress, inherited bool) {
-	if _, ended := p.recentlyEnded[spec.ID]; ended || p.jobs[spec.ID] != nil || progress.State.Ended() {
+	if _, ended := p.recentlyEnded[spec.ID]; ended || spec.Ended || p.jobs[spec.ID] != nil || progress.State.Ended() {
 		return
 	}
 	j := &job{spec: spec, inherited: inherited, progress: progress, beyondShare: p.chargeShare(spec), highestAttempt: progress.HighestAttempt}
@@ -194,6 +196,7 @@
 // RecordedJob is a job as the store has it.
 type RecordedJob struct {
 	Spec      *workload.Spec
+	Version   int64
 	Progress  workload.Progress
 	Inherited bool
 }
@@ -204,6 +207,9 @@
 	sorted := slices.SortedFunc(slices.Values(jobs), func(a, b RecordedJob) int { return compareAcceptance(a.Spec, b.Spec) })
 	for _, j := range sorted {
 		p.AddJob(now, j.Spec, j.Progress, j.Inherited)
+		if added := p.jobs[j.Spec.ID]; added != nil && added.version == 0 {
+			added.version = j.Version
+		}
 	}
 }
 
--- a/decision/poolplan/save.go
+++ b/decision/poolplan/save.go
@@ -82,7 +82,10 @@
 	Job string
 	// Parts has part zero, and others that have changed.
 	Parts []workload.ProgressPart
-	ends  []endRef
+	// Spec and Version are the job as the store has it, and the version of its record.
+	Spec    *workload.Spec
+	Version int64
+	ends    []endRef
 }
 
 // Saves returns jobs whose progress has to be saved, the longest waiting first. The
@@ -111,7 +114,7 @@
 		// The record of a job that has ended names no tasks.
 		j.unsavedParts = nil
 	}
-	s := Save{Job: j.spec.ID}
+	s := Save{Job: j.spec.ID, Spec: j.spec, Version: j.version}
 	delete(j.unsavedParts, 0)
 	numbers := append([]int{0}, slices.Sorted(maps.Keys(j.unsavedParts))...)
 	for _, n := range numbers[:min(len(numbers), maxPartsPerJob)] {
--- a/decision/workload/workload.go
+++ b/decision/workload/workload.go
@@ -15,6 +15,8 @@
 // Spec is a job as it was submitted. It never changes.
 type Spec struct {
 	ID string
+	// Ended is set if the job has ended and Text is not kept any more.
+	Ended bool
 	// Queue is the queue that accepted the job, as it was then.
 	Queue  catalog.Origin
 	Tenant string
--- a/services/pools/load.go
+++ b/services/pools/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
 	"fuchsiafront.example/fuchsiafront/decision/workload"
@@ -11,8 +12,14 @@
 )
 
 const (
-	// parallelScans is the number of calls that read the jobs of a pool at once.
+	// parallelScans is the largest number of calls that read the jobs of a pool at
+	// once, and partsPerScan the number of parts that one of them reads.
 	parallelScans = 16
+	partsPerScan  = 4
+	// scanPageRows bounds the answers to these calls. A job takes up to 6 KB of them,
+	// and the slowest links of entry hosts carry 10 Mbit/s: 50 jobs take a quarter of
+	// a second, which is less than the shortest timeout.
+	scanPageRows = 50
 	// maxPartsPerCommit is the largest number of parts of jobs' progress in one
 	// transaction; the store accepts 100 entries.
 	maxPartsPerCommit = 60
@@ -44,30 +51,51 @@
 
 // poolLoad is a read of a pool in progress. The parts that hold the jobs are read
 // by several calls at once, and everything else after them: a term record that
-// is read last reveals a later owner whose jobs may have been read.
+// is read last reveals a later owner whose jobs may have been read. What has been
+// read stays when a call fails.
 type poolLoad struct {
+	// unread has the parts that no call has read or is reading.
+	unread        []string
 	scansInFlight int
-	jobRecords    []services.Record
+	// maxScans is the number of calls at once. All share the link of the host, so it
+	// shrinks when calls time out.
+	maxScans   int
+	nextCallAt time.Time
+	jobRecords []services.Record
 	// version is the lowest version of all scans, so that no change after it is
 	// missed.
 	version int64
-	err     error
+	// restInFlight is set while the remaining records are read.
+	restInFlight bool
 }
 
 // startLoad starts reading everything that the store has of a pool.
 func (p *planner) startLoad(m *managedPool) {
-	if m.loading != nil || p.now.Before(m.retryAt) {
+	if m.loading == nil {
+		parts := jobrecord.JobParts()
+		if m.ownership.PoolParts {
+			parts = append(parts, jobrecord.PoolJobParts(m.name)...)
+		}
+		m.loading = &poolLoad{unread: parts, maxScans: parallelScans}
+	}
+	p.continueLoad(m)
+}
+
+// continueLoad sends the next calls of a load.
+func (p *planner) continueLoad(m *managedPool) {
+	l := m.loading
+	if l == nil || l.restInFlight || p.now.Before(l.nextCallAt) {
 		return
 	}
-	ref := m.ref()
-	parts := jobrecord.JobParts()
-	if m.ownership.PoolParts {
-		parts = append(parts, jobrecord.PoolJobParts(m.name)...)
+	for l.scansInFlight < l.maxScans && len(l.unread) > 0 {
+		n := min(partsPerScan, len(l.unread))
+		l.scansInFlight++
+		p.send(p.s.recordCalls, scanCall{m.ref(), slices.Clone(l.unread[:n])})
+		l.unread = l.unread[n:]
 	}
-	m.loading = new(poolLoad)
-	for chunk := range slices.Chunk(parts, (len(parts)+parallelScans-1)/parallelScans) {
-		m.loading.scansInFlight++
-		p.send(p.s.recordCalls, scanCall{ref, chunk})
+	if l.scansInFlight == 0 && len(l.unread) == 0 {
+		l.restInFlight = true
+		p.send(p.s.recordCalls, loadCall{m.ref(), l.jobRecords, l.version})
 	}
 }
 
@@ -81,15 +109,18 @@
 	scanCall
 	records []services.Record
 	version int64
-	err     error
+	// unread has the parts that were not read, if err is set.
+	unread []string
+	err    error
 }
 
 func (c scanCall) run(ctx context.Context, s *Service) event {
 	done := scanDone{scanCall: c}
-	for _, part := range c.parts {
-		records, version, err := services.ScanAll(ctx, s.records, services.RecordRange{Table: jobrecord.TableJobs(c.pool), Part: part})
+	for i, part := range c.parts {
+		r := services.RecordRange{Table: jobrecord.TableJobs(c.pool), Part: part, Limit: scanPageRows}
+		records, version, err := services.ScanAll(ctx, s.records, r)
 		if err != nil {
-			done.err = err
+			done.unread, done.err = c.parts[i:], err
 			return done
 		}
 		done.records = append(done.records, records...)
@@ -106,33 +137,33 @@
 	return a
 }
 
-func (c scanCall) notMade() event { return scanDone{scanCall: c, err: errBacklogFull} }
+func (c scanCall) notMade() event { return scanDone{scanCall: c, unread: c.parts, err: errBacklogFull} }
 
 func (e scanDone) handle(p *planner) {
 	m := p.managedPool(e.pool, e.term)
 	if m == nil || m.loading == nil {
 		return
 	}
+	p.now = p.s.clock()
 	l := m.loading
 	l.scansInFlight--
 	l.jobRecords = append(l.jobRecords, e.records...)
 	l.version = lowestVersion(l.version, e.version)
-	if l.err == nil {
-		l.err = e.err
-	}
-	switch {
-	case l.scansInFlight > 0:
-	case l.err != nil:
-		p.handleLoadError(m, l.err)
-	default:
-		p.send(p.s.recordCalls, loadCall{e.ownershipRef, l.jobRecords, l.version})
+	l.unread = append(l.unread, e.unread...)
+	if e.err == nil {
+		l.maxScans = min(l.maxScans+1, parallelScans)
+	} else {
+		l.maxScans = max(l.maxScans/2, 1)
+		p.delayLoad(m, e.err)
 	}
+	p.continueLoad(m)
 }
 
-func (p *planner) handleLoadError(m *managedPool, err error) {
-	p.now = p.s.clock()
-	p.s.log.Warn().Err(err).Str("pool", m.name).Msg("pool not loaded; retrying")
-	m.loading, m.retryAt = nil, p.now.Add(loadRetryDelay)
+// delayLoad delays the next call of a load after one that failed.
+func (p *planner) delayLoad(m *managedPool, err error) {
+	l := m.loading
+	l.nextCallAt = p.now.Add(loadRetryDelay)
+	p.s.log.Warn().Err(err).Str("pool", m.name).Int("parts", len(l.unread)).Int("records", len(l.jobRecords)).Int("calls", l.maxScans).Msg("pool not loaded; retrying")
 }
 
 // loadCall reads the remaining records once the jobs have been read.
@@ -254,15 +285,16 @@
 
 func (e loadDone) handle(p *planner) {
 	m := p.managedPool(e.pool, e.term)
-	if m == nil {
+	if m == nil || m.loading == nil {
 		return
 	}
+	p.now = p.s.clock()
 	if e.err != nil {
-		p.handleLoadError(m, e.err)
+		m.loading.restInFlight = false
+		p.delayLoad(m, e.err)
 		return
 	}
 	m.loading = nil
-	p.now = p.s.clock()
 	if p.dropIfSuperseded(m, e.state.ownerRecords) {
 		return
 	}
@@ -277,6 +309,11 @@
 		plan.Inherit(p.now, x)
 	}
 	plan.AddJobs(p.now, m.recordedJobs(e.state.jobs))
+	for _, j := range e.state.jobs {
+		if j.progress.State.Ended() {
+			m.trim.add(j.spec, j.version)
+		}
+	}
 	for _, id := range e.state.cancelled {
 		plan.CancelJob(p.now, id)
 	}
@@ -292,7 +329,7 @@
 func (m *managedPool) recordedJobs(loaded []loadedJob) []poolplan.RecordedJob {
 	jobs := make([]poolplan.RecordedJob, len(loaded))
 	for i := range loaded {
-		jobs[i] = poolplan.RecordedJob{Spec: loaded[i].spec, Progress: loaded[i].progress, Inherited: m.inherited(&loaded[i])}
+		jobs[i] = poolplan.RecordedJob{Spec: loaded[i].spec, Version: loaded[i].version, Progress: loaded[i].progress, Inherited: m.inherited(&loaded[i])}
 	}
 	return jobs
 }
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -22,7 +22,7 @@
 	saveRetryDelay = 150 * time.Millisecond
 	// refusedSaveDelay is how long a job whose progress the store refuses is left out.
 	refusedSaveDelay = 5 * time.Second
-	// loadRetryDelay is the delay before a failed read of a pool is retried.
+	// loadRetryDelay is the delay before a load goes on after a failed call.
 	loadRetryDelay = 300 * time.Millisecond
 	// maxBacklog is the largest number of calls that wait for room in a ring.
 	maxBacklog = 4096
@@ -69,7 +69,6 @@
 	ownership services.PoolOwnership
 	plan      *poolplan.Plan
 	loaded    bool
-	retryAt   time.Time
 	// loading is the read in progress, or nil.
 	loading  *poolLoad
 	inFlight callsInFlight
@@ -90,6 +89,7 @@
 	// statusVersion is the last known version of the status record.
 	statusVersion  int64
 	moved          movedPending
+	trim           trimQueue
 	cordoned       map[string]bool
 	leaving        map[string]bool
 	cordonsVersion int64
@@ -251,6 +251,7 @@
 		p.startLoad(m)
 		return loadRetryDelay
 	}
+	p.continueLoad(m)
 	p.followJobs(m)
 	p.recordExecutors(m)
 	if p.now.Sub(m.ownership.RenewedAt) > ownership.RenewalTimeout {
@@ -271,6 +272,7 @@
 	p.saveProgress(m)
 	p.publishStatus(m)
 	p.expireJobs(m)
+	p.trimJobs(m)
 	return m.plan.NextStep(p.now).Sub(p.now)
 }
 
--- a/services/pools/save.go
+++ b/services/pools/save.go
@@ -67,6 +67,9 @@
 	saved := e.err == nil && e.commit.Committed
 	for _, s := range e.saves {
 		m.plan.SaveDone(p.now, s, saved)
+		if saved && s.Parts[0].Progress.State.Ended() {
+			m.trim.add(s.Spec, s.Version)
+		}
 	}
 	if m.savesAlone > 0 {
 		m.savesAlone--
--- a/standin/fleetplatform/store.go
+++ b/standin/fleetplatform/store.go
@@ -106,6 +106,19 @@
 	s.history, s.historyFloor = nil, s.version
 }
 
+// TableBytes returns the size of all values in a table.
+func (s *Store) TableBytes(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for id, row := range s.rows {
+		if id.table == table {
+			total += len(row.Value)
+		}
+	}
+	return total
+}
+
 // CommitCount returns the number of transactions applied.
 func (s *Store) CommitCount() int {
 	s.mu.Lock()
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -278,6 +278,8 @@
 	// SilentOwner is the version of an owner record.
 	SilentOwner int64 `json:"o,omitempty"`
 	AcceptedMs  int64 `json:"r"`
+	// Ended is set if the job has ended, and the text is left out.
+	Ended bool `json:"z,omitempty"`
 }
 
 // originRecord has the place and the terms of the queue that accepted a job.
@@ -354,7 +356,16 @@
 }
 
 // EncodeSpec encodes the specification of a job.
-func EncodeSpec(spec *workload.Spec) ([]byte, error) {
+func EncodeSpec(spec *workload.Spec) ([]byte, error) { return json.Marshal(newSpecRecord(spec)) }
+
+// EncodeEndedSpec encodes what is kept of the specification of a job that has ended.
+func EncodeEndedSpec(spec *workload.Spec) ([]byte, error) {
+	record := newSpecRecord(spec)
+	record.Ended, record.Text = true, ""
+	return json.Marshal(record)
+}
+
+func newSpecRecord(spec *workload.Spec) specRecord {
 	record := specRecord{
 		Queue: spec.Queue.Name, Origin: encodeOrigin(&spec.Queue), Tenant: spec.Tenant, Text: spec.Text, Times: spec.Times, SilentOwner: spec.SilentOwner,
 		IntervalMs: spec.Interval.Milliseconds(), AcceptedMs: spec.AcceptedAt.UnixMilli(),
@@ -371,17 +382,17 @@
 			TargetMs: step.LatencyTarget.Milliseconds(), BestEffort: step.BestEffort, MaxUnavailable: step.MaxUnavailable,
 		})
 	}
-	return json.Marshal(record)
+	return record
 }
 
-// DecodeSpec is the inverse of EncodeSpec.
+// DecodeSpec is the inverse of EncodeSpec and EncodeEndedSpec.
 func DecodeSpec(id string, value []byte) (*workload.Spec, error) {
 	var record specRecord
 	if err := json.Unmarshal(value, &record); err != nil {
 		return nil, ErrRecord.New("decode job %s: %v", id, err)
 	}
 	spec := &workload.Spec{
-		ID: id, Queue: record.Origin.origin(record.Queue), Tenant: record.Tenant, Text: record.Text, Times: record.Times, SilentOwner: record.SilentOwner,
+		ID: id, Ended: record.Ended, Queue: record.Origin.origin(record.Queue), Tenant: record.Tenant, Text: record.Text, Times: record.Times, SilentOwner: record.SilentOwner,
 		Interval: time.Duration(record.IntervalMs) * time.Millisecond, AcceptedAt: time.UnixMilli(record.AcceptedMs),
 	}
 	if record.Times > 0 {
