Read the whole configuration after failures, and follow jobs by single calls

Cause: the store refused the host for 8 s while some 40 versions of 64 KB were written. Each of up to three calls then asked for all of them; they shared a link of 10 Mbit/s and timed out together. Evidence: the log of edge-curitiba-8 has version 18 in force until 35.4 s, 2.9 s after the last refusal, and then 55, 58 and 60 within 1.1 s.

Change: while calls fail or are overdue, a call reads the whole state, which has one configuration.

--- a/decision/follow/follow_test.go
+++ b/decision/follow/follow_test.go
@@ -47,7 +47,8 @@
 			}
 			return false
 		}
-		var f Follower
+		policy := rapid.SampledFrom([]Policy{Hedged, Single}).Draw(rt, "policy")
+		f := New(policy)
 		var open []openCall
 		var heardAt time.Time
 		for now := start; now.Before(at.Add(10 * time.Second)); now = now.Add(tick) {
@@ -77,10 +78,10 @@
 			} else {
 				assert.Assert(t, again.After(now))
 			}
-			assert.Assert(t, len(open) <= MaxOpen)
+			assert.Assert(t, len(open) <= policy.MaxOpen)
 		}
 		assert.Assert(t, !heardAt.IsZero())
-		bound := MaxGap + response + tick
+		bound := policy.MaxGap(callTimeout) + response + tick
 		assert.Assert(t, heardAt.Sub(at) <= bound, "first answer %v after the last silence, want at most %v", heardAt.Sub(at), bound)
 	})
 }
@@ -89,14 +90,14 @@
 // each Wait, and one that refuses calls gets one each RetryDelay.
 func TestCallsOfHealthyAndRefusingStore(t *testing.T) {
 	now := time.UnixMilli(1_000_000)
-	var f Follower
+	f := New(Hedged)
 	for range 10 {
 		c, ok, _ := f.Next(now, 10*time.Millisecond)
 		assert.Assert(t, ok)
-		assert.Equal(t, c.Wait, Wait)
-		_, ok, _ = f.Next(now.Add(Wait+100*time.Millisecond), 10*time.Millisecond)
+		assert.Equal(t, c.Wait, Hedged.Wait)
+		_, ok, _ = f.Next(now.Add(Hedged.Wait+100*time.Millisecond), 10*time.Millisecond)
 		assert.Assert(t, !ok)
-		now = now.Add(Wait + 10*time.Millisecond)
+		now = now.Add(Hedged.Wait + 10*time.Millisecond)
 		f.Done(now, c.Number, true)
 	}
 	c, _, _ := f.Next(now, 10*time.Millisecond)
@@ -106,5 +107,26 @@
 	assert.Equal(t, again.Sub(now), RetryDelay)
 	c, ok, _ = f.Next(again, 10*time.Millisecond)
 	assert.Assert(t, ok)
+	assert.Assert(t, c.Doubtful)
 	assert.Equal(t, c.Wait, time.Duration(0))
 }
+
+// Guards against calls for large answers that share the link of the host and all time
+// out, as three calls for dozens of versions of the configuration did.
+func TestSingleSendsOneCallAtATime(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	f := New(Single)
+	c, ok, _ := f.Next(now, 10*time.Millisecond)
+	assert.Assert(t, ok)
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		_, ok, _ = f.Next(now, 10*time.Millisecond)
+		assert.Assert(t, !ok)
+	}
+	f.Done(now, c.Number, false)
+	_, ok, again := f.Next(now, 10*time.Millisecond)
+	assert.Assert(t, !ok)
+	c, ok, _ = f.Next(again, 10*time.Millisecond)
+	assert.Assert(t, ok)
+	assert.Assert(t, c.Doubtful)
+}
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -22,9 +22,12 @@
 	"fuchsiafront.example/fuchsiafront/services"
 )
 
-const (
-	callsRingCapacity    = follow.MaxOpen
-	outcomesRingCapacity = 2 * follow.MaxOpen
+// policy is that of the calls to the store: the configuration is one record.
+var policy = follow.Hedged
+
+var (
+	callsRingCapacity    = policy.MaxOpen
+	outcomesRingCapacity = 2 * policy.MaxOpen
 )
 
 // Service implements services.Catalogs.
@@ -71,7 +74,7 @@
 	s.calls = ring.New[readCall]("catalog.calls", callsRingCapacity, c.Scope)
 	s.outcomes = ring.New[readDone]("catalog.outcomes", outcomesRingCapacity, c.Scope)
 	c.AddRestartableDuty("catalog.follow", s.follow)
-	for range follow.MaxOpen {
+	for range policy.MaxOpen {
 		c.AddRestartableDuty("catalog.calls", s.runCalls)
 	}
 	return nil
@@ -144,7 +147,7 @@
 // follow reads the whole state once, then its changes.
 func (s *Service) follow(ctx context.Context) {
 	s.followRuns++
-	f := follower{s: s, run: s.followRuns}
+	f := follower{s: s, run: s.followRuns, schedule: follow.New(policy)}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -164,7 +167,7 @@
 	s *Service
 	// run tells the outcomes of this run's calls from those of a run that panicked.
 	run      int64
-	schedule follow.Follower
+	schedule *follow.Follower
 	// version is where the next call resumes; zero if all must be read.
 	version int64
 }
@@ -174,7 +177,16 @@
 func (f *follower) sendCall() time.Duration {
 	now := f.s.clock()
 	call, ok, again := f.schedule.Next(now, f.s.storeHealth.ResponseTime())
-	if ok && !f.s.calls.Offer(readCall{call, f.run, f.version}) {
+	if !ok {
+		return again.Sub(now)
+	}
+	after := f.version
+	if call.Doubtful {
+		// The changes since that version may be dozens of configurations, while the
+		// whole state has one.
+		after = 0
+	}
+	if !f.s.calls.Offer(readCall{call, f.run, after}) {
 		f.schedule.Done(now, call.Number, false)
 	}
 	return again.Sub(now)
--- a/services/pools/permission_test.go
+++ b/services/pools/permission_test.go
@@ -104,10 +104,10 @@
 	now := time.Unix(0, 0)
 	s, owner, _ := newTestService(&now)
 	p := newPlanner(s)
-	m := &managedPool{name: testPool, ownership: owner.owned}
+	m := &managedPool{name: testPool, ownership: owner.owned, follower: follow.New(follow.Single)}
 	p.pools[testPool] = m
 	p.backlog = make([]pendingCall, maxBacklog)
-	for range 2 * follow.MaxOpen {
+	for range 2 * follow.Hedged.MaxOpen {
 		p.followJobs(m)
 		assert.Equal(t, len(p.notMade), 1, "the pool waits for a call that was never made")
 		p.handleNotMade()
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -73,7 +73,7 @@
 	loading  *poolLoad
 	inFlight callsInFlight
 
-	follower follow.Follower
+	follower *follow.Follower
 	// changesVersion is the version from which the next call reads changes.
 	changesVersion int64
 	nextSaveAt     time.Time
@@ -177,7 +177,7 @@
 	}
 	for name, o := range owned {
 		if name != services.MachineManagementPool && p.pools[name] == nil {
-			p.pools[name] = &managedPool{name: name, ownership: o}
+			p.pools[name] = &managedPool{name: name, ownership: o, follower: follow.New(follow.Single)}
 		}
 	}
 }
