--- a/decision/follow/follow_test.go
+++ b/decision/follow/follow_test.go
@@ -6,11 +6,13 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"fuchsiafront.example/fuchsiafront/decision/calltime"
 )
 
 const (
 	// callTimeout is the longest time after which a call is given up, beyond its wait.
-	callTimeout = 2 * time.Second
+	callTimeout = calltime.MaxTimeout
 	// tick is the resolution of the simulation.
 	tick = 10 * time.Millisecond
 )
--- a/services/catalog/catalog_test.go
+++ b/services/catalog/catalog_test.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"fuchsiafront.example/fuchsiafront/decision/calltime"
 	"fuchsiafront.example/fuchsiafront/decision/catalog"
 	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -18,7 +19,7 @@
 
 const (
 	// giveUpAfter is how long a call without an answer takes to fail, beyond its wait.
-	giveUpAfter  = 2 * time.Second
+	giveUpAfter  = calltime.MaxTimeout
 	responseTime = 10 * time.Millisecond
 	// contactTime is the time after an outage within which the platform expects each
 	// process to know all changes (contact-ms).
