Keep no texts of jobs that wait to be trimmed

Cause: the queue of ended jobs kept their texts, up to 4,000 bytes each for 10,000 jobs, until their records were trimmed; a host may have 184 MB. Change: the queue has copies without the text. The comment of Pending says that it has old jobs saved. Result: tests of pools and poolplan and TestTextsOfEndedJobsAreNotKept pass.

--- a/decision/poolplan/save.go
+++ b/decision/poolplan/save.go
@@ -234,7 +234,7 @@
 
 // Pending returns, for each queue that accepted jobs, those of which no task has
 // started, and the jobs that have begun but whose saved progress does not show
-// it yet.
+// it yet. If these are many, the oldest of them will be saved.
 func (p *Plan) Pending() (pending map[string]PendingQueue, begun []string) {
 	pending = make(map[string]PendingQueue)
 	var unrecorded []*job
--- a/services/pools/trim.go
+++ b/services/pools/trim.go
@@ -33,21 +33,31 @@
 	nextAt   time.Time
 }
 
+// endedJob is a job without its text.
 type endedJob struct {
-	spec    *workload.Spec
+	spec    workload.Spec
 	version int64
 }
 
 // add adds a job that has ended. version is that of its record; zero if unknown.
 func (q *trimQueue) add(spec *workload.Spec, version int64) {
-	if version == 0 || len(spec.Text) < minTrimmedText || q.count >= maxTrimQueue {
+	if version == 0 || len(spec.Text) < minTrimmedText {
+		return
+	}
+	j := endedJob{*spec, version}
+	j.spec.Text = ""
+	q.put(j)
+}
+
+func (q *trimQueue) put(j endedJob) {
+	if q.count >= maxTrimQueue {
 		return
 	}
 	if q.byPart == nil {
 		q.byPart = make(map[string][]endedJob)
 	}
-	part := jobrecord.JobKey("", spec.ID).Part
-	q.byPart[part] = append(q.byPart[part], endedJob{spec, version})
+	part := jobrecord.JobKey("", j.spec.ID).Part
+	q.byPart[part] = append(q.byPart[part], j)
 	q.count++
 }
 
@@ -95,8 +105,9 @@
 
 func (c trimCall) run(ctx context.Context, s *Service) event {
 	var tx services.RecordTx
-	for _, j := range c.jobs {
-		value, err := jobrecord.EncodeEndedSpec(j.spec)
+	for i := range c.jobs {
+		j := &c.jobs[i]
+		value, err := jobrecord.EncodeEndedSpec(&j.spec)
 		if err != nil {
 			return trimDone{c, services.RecordCommit{}, err}
 		}
@@ -121,7 +132,7 @@
 	case e.err != nil:
 		p.s.log.Debug().Err(e.err).Str("pool", e.pool).Int("jobs", len(e.jobs)).Msg("records of ended jobs not trimmed; retrying")
 		for _, j := range e.jobs {
-			m.trim.add(j.spec, j.version)
+			m.trim.put(j)
 		}
 	case !e.commit.Committed:
 		// A trim without a response took effect, or records were deleted.
