--- a/review/_stand/cases.go
+++ b/review/_stand/cases.go
@@ -7,9 +7,15 @@
 	"time"
 )
 
-// casePending: one executor refuses all starts while the others are full.
+// casePending: one executor of nine refuses all starts for 6.5 s while the others are
+// full and more jobs come.
 func casePending(w *world) {
-	const service = "s1"
+	const (
+		service    = "s1"
+		refuseTime = 6500 * time.Millisecond
+		// visibleTime is visible_ms and the 2 s that the rule adds.
+		visibleTime = 5 * time.Second
+	)
 	w.configure([]string{service}, map[string]int{"t1": 0})
 	var list []*executor
 	for n := range 9 {
@@ -20,49 +26,74 @@
 	}
 	w.waitReady()
 	time.Sleep(2 * time.Second)
-	if w.trouble {
-		x := list[8]
-		x.mu.Lock()
-		x.refuses = true
-		x.mu.Unlock()
-		w.logf("executor %s answers all starts with 503", x.id)
-	}
 	for range 8 {
 		w.submit(w.hosts, service, "t1", "ms=60000", step{Count: 8, CPU: 4000, MemMB: 1000, EstimateMs: 60000})
 		time.Sleep(150 * time.Millisecond)
 	}
 	time.Sleep(time.Second)
+	idle := list[0]
+	for _, x := range list {
+		x.mu.Lock()
+		if len(x.runs) < len(idle.runs) {
+			idle = x
+		}
+		x.mu.Unlock()
+	}
+	refuse := func(on bool) {
+		idle.mu.Lock()
+		idle.refuses = on
+		idle.mu.Unlock()
+	}
+	if w.trouble {
+		refuse(true)
+		w.logf("executor %s answers all starts with 503 from now on", idle.id)
+	}
+	refusesUntil := time.Now().Add(refuseTime)
 	var waiting []*jobInfo
 	for range 10 {
 		waiting = append(waiting, w.submit(w.hosts, service, "t1", "ms=60000", step{Count: 1, CPU: 4000, MemMB: 1000, EstimateMs: 60000}))
 	}
-	for range 24 {
-		time.Sleep(500 * time.Millisecond)
+	for time.Now().Before(refusesUntil.Add(-150 * time.Millisecond)) {
+		time.Sleep(100 * time.Millisecond)
+		w.checkPending(service, waiting, visibleTime)
+	}
+	refuse(false)
+	w.logf("executor %s works again", idle.id)
+	time.Sleep(3 * time.Second)
+	w.checkPending(service, waiting, visibleTime)
+}
+
+// checkPending asks all hosts for the number of pending jobs.
+func (w *world) checkPending(service string, waiting []*jobInfo, visible time.Duration) {
+	count := func() int {
 		w.mu.Lock()
-		due := 0
+		defer w.mu.Unlock()
+		n := 0
 		for _, j := range waiting {
-			if !j.accepted.IsZero() && time.Since(j.accepted) > 5*time.Second && !j.begun {
-				due++
+			if !j.accepted.IsZero() && time.Since(j.accepted) > visible && !j.begun {
+				n++
 			}
 		}
-		w.mu.Unlock()
-		if due == 0 {
+		return n
+	}
+	if count() == 0 {
+		return
+	}
+	for _, h := range w.hosts {
+		status, body := h.call("GET", "/"+service+"/", "t1", nil)
+		var answer struct {
+			Pending int `json:"pending"`
+		}
+		// Counted after the answer: what has begun meanwhile doesn't count.
+		due := count()
+		if status != 200 || json.Unmarshal(body, &answer) != nil {
 			continue
 		}
-		for _, h := range w.hosts {
-			status, body := h.call("GET", "/"+service+"/", "t1", nil)
-			var pending struct {
-				Pending int `json:"pending"`
-			}
-			if status != 200 || json.Unmarshal(body, &pending) != nil {
-				continue
-			}
-			w.logf("call  GET of the queue at %s: %s; %d jobs were accepted over 5 s before and haven't begun", h.name, body, due)
-			if pending.Pending*2 < due {
-				w.mu.Lock()
-				w.breakRule("MIXED: %s gives %d as pending; %d jobs were accepted over visible_ms + 2 s before and haven't begun", h.name, pending.Pending, due)
-				w.mu.Unlock()
-			}
+		w.logf("call  GET of the queue at %s: %s; %d jobs were accepted over 5 s before and haven't begun", h.name, body, due)
+		if answer.Pending*2 < due {
+			w.mu.Lock()
+			w.breakRule("MIXED: %s gives %d as pending; %d jobs were accepted over visible_ms + 2 s before and haven't begun", h.name, answer.Pending, due)
+			w.mu.Unlock()
 		}
 	}
 }
@@ -74,7 +105,7 @@
 	w.configure([]string{service}, map[string]int{"t1": 16000})
 	zones := []string{"z0", "z1", "z2"}
 	for n := range 9 {
-		w.addExecutor(service, fmt.Sprintf("m-%d", n), zones[n/3], fmt.Sprintf("r%d-1", n/3), 8000)
+		w.addExecutor(service, fmt.Sprintf("m-%d", n), zones[n%3], fmt.Sprintf("r%d-1", n%3), 4000)
 	}
 	for n := range 3 {
 		w.addHost(fmt.Sprintf("h%d", n), zones[n])
@@ -223,7 +254,8 @@
 	claim     *txBody
 	claimedBy string
 	claimedAt time.Time
-	performed bool
+	// performed is set once it is decided when the claim is performed, taken once it was.
+	performed, taken bool
 }
 
 const lossWindow = 4500 * time.Millisecond
@@ -232,7 +264,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.host, l.pool, l.loseSave, l.lost, l.writes = host, pool, false, 0, 0
-	l.claim, l.performed = nil, false
+	l.claim, l.performed, l.taken = nil, false, false
 	l.until = time.Now().Add(lossWindow)
 	l.w.logf("store answers are lost from now on: %s owns %s", host, pool)
 }
@@ -240,6 +272,7 @@
 func (l *lossy) performClaim() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.taken = true
 	_, version, ok := l.w.store.commit(l.claim)
 	l.w.logf("store performs %s's claim of %s, sent %.2f s before: %v", l.claimedBy, l.pool, time.Since(l.claimedAt).Seconds(), ok)
 	if ok {
@@ -272,7 +305,7 @@
 			time.AfterFunc(180*time.Millisecond, l.performClaim)
 		}
 		return vLate
-	case ofPool && host != l.host && !l.performed:
+	case ofPool && host != l.host && !l.taken:
 		l.lost++
 		if l.claim == nil {
 			l.claim, l.claimedBy, l.claimedAt = t, host, now
--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -490,6 +491,13 @@
 	w := newWorld(os.Args[2])
 	w.store.after = w.watchOwners
 	w.serveMachines()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		w.finish()
+		os.Exit(2)
+	}()
 	c(w)
 	os.Exit(w.finish())
 }
