--- a/review/_stand/world.go
+++ b/review/_stand/world.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -111,11 +112,16 @@
 	return l.Addr().String(), func() { _ = s.Close() }
 }
 
+// freeAddress returns an address below the ports that the system gives to clients, so
+// that no connection takes it before the daemon listens.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.Intn(18000)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
 }
 
 // addExecutor starts an executor and its reports to the store.
@@ -228,8 +234,6 @@
 	settings    string
 	command     *exec.Cmd
 	exited      chan struct{}
-	// killed is set before the test ends the process for good.
-	killed bool
 }
 
 const settingsText = `node-name = "%s"
@@ -317,7 +321,7 @@
 		log.Close()
 		close(exited)
 		h.w.mu.Lock()
-		ended := h.w.closing || h.killed
+		ended := h.w.closing
 		h.w.mu.Unlock()
 		if ended {
 			return
