Review: the stand-in ends all daemons when a case cannot run

Two starts that failed had left their daemons behind. Entries of executors that are cut off go after three intervals; unused functions are removed.

--- a/review/standin2/store_test.go
+++ b/review/standin2/store_test.go
@@ -85,8 +85,6 @@
 	changed chan struct{}
 	start   time.Time
 
-	// slow multiplies the response times.
-	slow float64
 	// judge decides on the transactions of the hosts; nil means normal.
 	judge func(host string, t *txBody) verdict
 	// silent reports whether a host has no path to the store.
@@ -99,13 +97,9 @@
 }
 
 func newStore() *Store {
-	return &Store{rows: map[string]Row{}, changed: make(chan struct{}), start: time.Now(), slow: 1, parts: map[string]*sync.Mutex{}}
+	return &Store{rows: map[string]Row{}, changed: make(chan struct{}), start: time.Now(), parts: map[string]*sync.Mutex{}}
 }
 
-func (s *Store) factor() float64 { s.mu.Lock(); defer s.mu.Unlock(); return s.slow }
-
-func (s *Store) setSlow(x float64) { s.mu.Lock(); s.slow = x; s.mu.Unlock() }
-
 func (s *Store) put(table, part, key string, v any) {
 	b, err := json.Marshal(v)
 	if err != nil {
@@ -224,7 +218,7 @@
 		}
 		m := s.part(part)
 		m.Lock()
-		time.Sleep(time.Duration(float64(txnTime) * s.factor()))
+		time.Sleep(txnTime)
 		rows, version, ok := s.commit(&t)
 		m.Unlock()
 		if ok && s.after != nil {
@@ -243,7 +237,7 @@
 		if cut(w, r) {
 			return
 		}
-		time.Sleep(time.Duration(float64(readTime) * s.factor()))
+		time.Sleep(readTime)
 		q := r.URL.Query()
 		limit, _ := strconv.Atoi(q.Get("limit"))
 		if limit <= 0 || limit > 500 {
@@ -303,7 +297,7 @@
 				}
 			}
 			if len(rows) > 0 || expired {
-				time.Sleep(time.Duration(float64(readTime) * s.factor()))
+				time.Sleep(readTime)
 				if cut(w, r) {
 					return
 				}
--- a/review/standin2/world_test.go
+++ b/review/standin2/world_test.go
@@ -81,10 +81,32 @@
 	}
 }
 
+// current is the world of the case, once there is one.
+var current *world
+
+// check ends the case, and all processes that it started, if err is set.
 func check(err error) {
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "the case could not run:", err)
-		os.Exit(2)
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "the case could not run:", err)
+	if current != nil {
+		current.killHosts()
+	}
+	os.Exit(2)
+}
+
+// killHosts ends all processes of the daemon.
+func (w *world) killHosts() {
+	w.mu.Lock()
+	w.closing = true
+	w.mu.Unlock()
+	// A process that ended by itself may just be starting again.
+	time.Sleep(400 * time.Millisecond)
+	for _, h := range w.hosts {
+		if h.command != nil && h.command.Process != nil {
+			_ = h.command.Process.Signal(syscall.SIGKILL)
+		}
 	}
 }
 
@@ -151,9 +173,12 @@
 	w.mu.Unlock()
 	go x.leaseLoop(w.stop)
 	go func() {
-		for {
+		for silent := 0; ; {
 			if x.mute == nil || !x.mute() {
+				silent = 0
 				w.store.put("servers", "", x.id, x.entry())
+			} else if silent++; silent == 3 {
+				w.store.remove("servers", "", x.id)
 			}
 			select {
 			case <-w.stop:
@@ -342,16 +367,16 @@
 		}
 		h.w.logf("host  %s ended by itself: %v; it starts again after a short delay", h.name, err)
 		time.Sleep(300 * time.Millisecond)
-		h.run()
+		h.w.mu.Lock()
+		closing := h.w.closing
+		h.w.mu.Unlock()
+		if !closing {
+			h.run()
+		}
 	}()
 	h.w.logf("host  %s starts in %s", h.name, h.zone)
 }
 
-func (h *host) signal(s syscall.Signal) {
-	_ = h.command.Process.Signal(s)
-	h.w.logf("host  %s gets %v", h.name, s)
-}
-
 var client = &http.Client{Timeout: 4 * time.Second}
 
 func (h *host) isReady() bool {
@@ -467,17 +492,9 @@
 
 // finish ends all processes and returns the exit status of the case.
 func (w *world) finish() int {
-	w.mu.Lock()
-	w.closing = true
-	w.mu.Unlock()
-	time.Sleep(400 * time.Millisecond)
+	w.killHosts()
 	for _, h := range w.hosts {
-		select {
-		case <-h.exited:
-		default:
-			_ = h.command.Process.Signal(syscall.SIGKILL)
-			<-h.exited
-		}
+		<-h.exited
 	}
 	close(w.stop)
 	w.mu.Lock()
@@ -510,6 +527,7 @@
 		os.Exit(2)
 	}
 	w := newWorld(os.Args[2])
+	current = w
 	w.store.after = w.watchOwners
 	w.serveMachines()
 	interrupted := make(chan os.Signal, 1)
