Give an ownership of a pool one plan, and contain panics

Cause: the planner dropped the plan of a lost pool, and managed the same ownership again as long as the service ownership still named it. The outcome of an old save then met a missing plan; the panic gave up all pools of the process in the same way, and their new plans under the old terms knew of no run. Ruled out: a second owner (one fencing token in all starts), late writes of the store (with the planner's panic taken out of the sequence no task starts again).

Promise: an ownership, which its fencing token identifies, has one plan. Once that is dropped, nothing acts under the ownership again.

Change: the planner remembers, also across its panics, the fencing token of the last ownership of each pool that has ended, and manages later ones only. Outcomes name their ownership by that token. Calls for the registry and the allotments, which all pools share, name the state for which they were made. Reports of lost pools wait for room in the ring instead of dropping the oldest of 16. A panic costs one pool, or the shared lists; a duty that goes on to panic starts ever later, and the process does not end after the fifth. upkeep does not act again in a term that was found to have ended.

Tests: TestEndedOwnershipIsNotManagedAgain fails when the memory of ended ownerships is taken out (4 of 4 cases), TestOutcomesOfEarlierRunAreDropped when the number of the shared state is not compared, TestAllPoolsGivenUpAreReported when refused reports are not kept. TestPlannerGivesPoolsUpAfterPanic is replaced by TestPanicCostsOnePool, which asks the same of the pool of the panic and besides that the others stay. In TestPausedOwnerSendsNoOrder the ownership has a fencing token now, as orders are compared by it.

--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -58,8 +59,9 @@
 	provisionOrder  []*entry
 	provisioning    []string
 	provisionErrors []error
-	// failures holds the first duty that panicked too often.
-	failures chan error
+	// failingUntil is the time, in Unix nanoseconds, until which the process counts
+	// as failing.
+	failingUntil atomic.Int64
 }
 
 type entry struct {
@@ -98,7 +100,7 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	return &Kernel{log: log, scope: scope, services: make(map[string]*entry), failures: make(chan error, 1)}
+	return &Kernel{log: log, scope: scope, services: make(map[string]*entry)}
 }
 
 // Register adds a service under a name. Provision reports a name that is
@@ -292,23 +294,18 @@
 	}
 }
 
-// Run starts the services, waits until ctx is done or a restartable duty has
-// panicked too often, then drains the services within drainTimeout and stops them.
+// Run starts the services, waits until ctx is done, then drains the services within
+// drainTimeout and stops them.
 func (k *Kernel) Run(ctx context.Context, drainTimeout time.Duration) error {
 	if err := k.Start(ctx); err != nil {
 		return err
 	}
-	var failure error
-	select {
-	case <-ctx.Done():
-	case failure = <-k.failures:
-		k.log.Error().Err(failure).Msg("stopping: a duty keeps failing")
-	}
+	<-ctx.Done()
 	k.log.Info().Dur("timeout", drainTimeout).Msg("draining")
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
 	defer cancel()
 	drainErr := k.Drain(drainCtx)
 	stopErr := k.Stop(drainCtx)
 	k.log.Info().Msg("stopped")
-	return errors.Join(failure, drainErr, stopErr)
+	return errors.Join(drainErr, stopErr)
 }
--- a/services/ownership/ownership.go
+++ b/services/ownership/ownership.go
@@ -123,7 +123,7 @@
 }
 
 // ReportLost implements services.Ownership.
-func (s *Service) ReportLost(o services.PoolOwnership) { s.lostOwnerships.OfferLatest(o) }
+func (s *Service) ReportLost(o services.PoolOwnership) bool { return s.lostOwnerships.Offer(o) }
 
 // Drain makes the service release all pools, so that other hosts claim them at
 // once.
--- a/services/pools/expire.go
+++ b/services/pools/expire.go
@@ -100,7 +100,7 @@
 func (c expireCall) notMade() event { return expireDone{c, 0, errBacklogFull} }
 
 func (e expireDone) handle(p *planner) {
-	if m := p.managedPool(e.pool, e.term); m != nil {
+	if m := p.managedPool(e.ownershipRef); m != nil {
 		m.inFlight.expireJobs = false
 	}
 	if e.err != nil {
--- a/services/pools/follow.go
+++ b/services/pools/follow.go
@@ -38,7 +38,7 @@
 func (c followCall) notMade() event { return followDone{c, services.RecordChanges{}, errBacklogFull} }
 
 func (e followDone) handle(p *planner) {
-	m := p.managedPool(e.pool, e.term)
+	m := p.managedPool(e.ownershipRef)
 	if m == nil {
 		return
 	}
--- a/services/pools/follow_registry.go
+++ b/services/pools/follow_registry.go
@@ -32,7 +32,7 @@
 		return
 	}
 	p.registry.inFlight, p.registry.readAt = true, p.now
-	p.send(p.s.recordCalls, registryCall{p.registry.version})
+	p.sendShared(registryCall{p.registry.version})
 }
 
 // registryCall reads the changes after a version, or all entries if it is zero.
@@ -74,7 +74,7 @@
 		p.listIncarnations()
 		for _, m := range p.pools {
 			if m.loaded {
-				p.applyRegistry(m)
+				p.guardPool(m.ref(), func() { p.applyRegistry(m) })
 			}
 		}
 	}
--- a/services/pools/limits.go
+++ b/services/pools/limits.go
@@ -66,12 +66,12 @@
 	l.nextStepAt = p.now.Add(limitsInterval)
 	if !l.loaded {
 		l.callInFlight = true
-		p.send(p.s.recordCalls, limitsLoadCall{})
+		p.sendShared(limitsLoadCall{})
 		return
 	}
 	if changes := l.neededChanges(p); len(changes) > 0 {
 		l.callInFlight = true
-		p.send(p.s.recordCalls, limitsCommitCall{changes})
+		p.sendShared(limitsCommitCall{changes})
 	}
 	l.setPlanLimits(p)
 }
@@ -88,7 +88,7 @@
 				limits[name] = allotment.Effective(t.Maximum, stored.row.Pools, m.name)
 			}
 		}
-		m.plan.SetLimits(limits)
+		p.guardPool(m.ref(), func() { m.plan.SetLimits(limits) })
 	}
 }
 
@@ -127,8 +127,10 @@
 		if m.plan == nil {
 			continue
 		}
-		used, want := m.plan.TenantUse()
-		demands[name] = poolDemand{m.plan.InheritedRunsKnown(), used, want, m.plan.LimitNeeds(p.now)}
+		p.guardPool(m.ref(), func() {
+			used, want := m.plan.TenantUse()
+			demands[name] = poolDemand{m.plan.InheritedRunsKnown(), used, want, m.plan.LimitNeeds(p.now)}
+		})
 	}
 	return demands
 }
@@ -177,7 +179,7 @@
 		return
 	}
 	l.following = true
-	p.send(p.s.recordCalls, limitsFollowCall{l.changesVersion})
+	p.sendShared(limitsFollowCall{l.changesVersion})
 }
 
 type limitsFollowCall struct{ after int64 }
--- a/services/pools/load.go
+++ b/services/pools/load.go
@@ -140,7 +140,7 @@
 func (c scanCall) notMade() event { return scanDone{scanCall: c, unread: c.parts, err: errBacklogFull} }
 
 func (e scanDone) handle(p *planner) {
-	m := p.managedPool(e.pool, e.term)
+	m := p.managedPool(e.ownershipRef)
 	if m == nil || m.loading == nil {
 		return
 	}
@@ -284,7 +284,7 @@
 func (c loadCall) notMade() event { return loadDone{ownershipRef: c.ownershipRef, err: errBacklogFull} }
 
 func (e loadDone) handle(p *planner) {
-	m := p.managedPool(e.pool, e.term)
+	m := p.managedPool(e.ownershipRef)
 	if m == nil || m.loading == nil {
 		return
 	}
--- a/services/pools/moved.go
+++ b/services/pools/moved.go
@@ -141,7 +141,7 @@
 func (c movedCall) notMade() event { return movedDone{c, services.RecordCommit{}, errBacklogFull} }
 
 func (e movedDone) handle(p *planner) {
-	m := p.managedPool(e.pool, e.term)
+	m := p.managedPool(e.ownershipRef)
 	if m == nil {
 		return
 	}
--- a/services/pools/orders.go
+++ b/services/pools/orders.go
@@ -8,25 +8,24 @@
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
 )
 
-// ownershipRef identifies the ownership for which a call is made.
+// ownershipRef identifies the ownership for which a call is made by its fencing token.
 type ownershipRef struct {
 	pool         string
-	term         int
 	fencingToken int64
 }
 
 // ref returns the reference for calls of the pool's present ownership.
 func (m *managedPool) ref() ownershipRef {
-	return ownershipRef{m.name, m.ownership.Term, m.ownership.FencingToken}
+	return ownershipRef{m.name, m.ownership.FencingToken}
 }
 
 // mayOrder reports whether this process may still give orders for the pool: it owns
-// it with the same term, and its last confirmed renewal is at most maxAge old. It is
+// it by the same ownership, and its last confirmed renewal is at most maxAge old. It is
 // checked just before an order is sent, because the process may have been paused
 // since the order was planned.
 func (s *Service) mayOrder(r ownershipRef, maxAge time.Duration) bool {
 	o, ok := s.ownership.OwnedPools()[r.pool]
-	if !ok || o.Term != r.term || s.clock().Sub(o.RenewedAt) > maxAge {
+	if !ok || o.FencingToken != r.fencingToken || s.clock().Sub(o.RenewedAt) > maxAge {
 		s.meters.ordersWithheld.Inc(1)
 		return false
 	}
@@ -35,7 +34,7 @@
 
 // withPlan calls f with the pool's plan unless the ownership has ended.
 func (r ownershipRef) withPlan(p *planner, f func(plan *poolplan.Plan, now time.Time)) {
-	if m := p.managedPool(r.pool, r.term); m != nil && m.plan != nil {
+	if m := p.managedPool(r); m != nil && m.plan != nil {
 		p.now = p.s.clock()
 		f(m.plan, p.now)
 	}
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -131,7 +131,7 @@
 		p.s.log.Error().Int("calls", len(outcomes)).Int("limit", maxBacklog).Msg("calls not made: the backlog of calls that wait for a ring is full")
 	}
 	for _, e := range outcomes {
-		e.handle(p)
+		p.handleEvent(e)
 	}
 }
 
@@ -147,7 +147,7 @@
 	for range maxEventsPerStep {
 		select {
 		case e := <-p.s.events.C():
-			e.handle(p)
+			p.handleEvent(e)
 		default:
 			return
 		}
@@ -158,64 +158,83 @@
 	p.catalog = p.s.catalogs.Catalog()
 	for _, m := range p.pools {
 		if m.plan != nil && p.catalog != nil {
-			m.plan.SetCatalog(p.catalog)
+			p.guardPool(m.ref(), func() { m.plan.SetCatalog(p.catalog) })
 		}
 	}
 }
 
-// refreshOwnedPools starts managing new pools and drops those no longer owned.
+// refreshOwnedPools starts managing new pools and drops those no longer owned. An
+// ownership whose state was dropped is not managed again: a plan without that state
+// would take tasks that run already for new ones.
 func (p *planner) refreshOwnedPools() {
 	owned := p.s.ownership.OwnedPools()
 	for name, m := range p.pools {
 		o, ok := owned[name]
-		if !ok || o.Term != m.ownership.Term {
+		if !ok || o.FencingToken != m.ownership.FencingToken {
 			p.s.log.Info().Str("pool", name).Int("term", m.ownership.Term).Msg("pool no longer owned; its plan is dropped")
-			delete(p.pools, name)
+			p.drop(m)
 			continue
 		}
 		m.ownership = o
 	}
 	for name, o := range owned {
-		if name != services.MachineManagementPool && p.pools[name] == nil {
+		if name != services.MachineManagementPool && p.pools[name] == nil && !p.s.ended.has(o) {
 			p.pools[name] = &managedPool{name: name, ownership: o, follower: follow.New(follow.Single)}
 		}
 	}
 }
 
-// managedPool returns the state of a pool, or nil if the ownership of it with
-// the given term has ended.
-func (p *planner) managedPool(pool string, term int) *managedPool {
-	m := p.pools[pool]
-	if m == nil || m.ownership.Term != term {
+// managedPool returns the state of a pool, or nil if that ownership of it has ended.
+func (p *planner) managedPool(r ownershipRef) *managedPool {
+	m := p.pools[r.pool]
+	if m == nil || m.ownership.FencingToken != r.fencingToken {
 		return nil
 	}
 	return m
 }
 
+// drop drops the state of a pool whose ownership has ended.
+func (p *planner) drop(m *managedPool) {
+	p.s.ended.add(m.ownership)
+	delete(p.pools, m.name)
+}
+
 // dropLostPool reports a pool that has a later owner as lost and drops its state.
 func (p *planner) dropLostPool(m *managedPool) {
-	p.s.ownership.ReportLost(m.ownership)
-	delete(p.pools, m.name)
+	p.drop(m)
+	p.s.ended.report(p.s.ownership, m.ownership)
+}
+
+// giveUp gives up a pool whose plan may be half changed, or one of whose calls may
+// have lost its outcome. A new term reads everything again and uses new attempt
+// numbers.
+func (p *planner) giveUp(r ownershipRef, reason string) {
+	m := p.managedPool(r)
+	if m == nil {
+		return
+	}
+	p.s.log.Error().Str("pool", m.name).Int("term", m.ownership.Term).Str("reason", reason).Msg("giving the pool up")
+	p.dropLostPool(m)
 }
 
-// giveUpAll gives up all pools of this process and starts with an empty state.
-// After a panic, the plans may be half changed and calls may have lost their
-// outcomes; a new term reads everything again and uses new attempt numbers.
+// giveUpAll gives up all pools of this process after a run of the planner that
+// panicked, of which nothing is left.
 func (p *planner) giveUpAll(reason string) {
 	for name, o := range p.s.ownership.OwnedPools() {
-		if name == services.MachineManagementPool {
+		if name == services.MachineManagementPool || p.s.ended.has(o) {
 			continue
 		}
 		p.s.log.Error().Str("pool", name).Int("term", o.Term).Str("reason", reason).Msg("giving the pool up")
-		p.s.ownership.ReportLost(o)
+		p.s.ended.add(o)
+		p.s.ended.report(p.s.ownership, o)
 	}
-	*p = *newPlanner(p.s)
 }
 
 // step makes the decisions of all pools and returns the time until the next step.
 func (p *planner) step() time.Duration {
 	p.now = p.s.clock()
 	p.steppedAt = p.now
+	p.s.ended.reportAgain(p.s.ownership)
 	p.sendBacklog()
 	p.handleNotMade()
 	if p.catalog == nil {
@@ -225,11 +244,11 @@
 	if p.catalog == nil {
 		return wait
 	}
-	p.readRegistry()
-	p.limits.step(p)
+	p.guardShared(p.readRegistry)
+	p.guardShared(func() { p.limits.step(p) })
 	running, pending := 0, 0
 	for _, m := range p.pools {
-		wait = min(wait, p.stepPool(m))
+		p.guardPool(m.ref(), func() { wait = min(wait, p.stepPool(m)) })
 		if m.plan != nil {
 			running += m.plan.RunCount()
 			pending += m.plan.JobCount()
--- a/services/pools/pools.go
+++ b/services/pools/pools.go
@@ -71,8 +71,11 @@
 	ownedPoolsChanged services.ChangedRing
 	catalogChanged    services.ChangedRing
 	meters            meters
-	// planRuns counts the starts of pools.plan, which owns it.
-	planRuns int
+	// The fields below are owned by pools.plan and outlive its runs. planRuns counts
+	// the runs, sharedStates the states that all pools have shared.
+	planRuns     int
+	sharedStates int
+	ended        endedOwnerships
 }
 
 // event is a message to pools.plan.
@@ -93,6 +96,7 @@
 type meters struct {
 	starts, stops             tally.Counter
 	callsNotMade              tally.Counter
+	panics                    tally.Counter
 	ordersWithheld            tally.Counter
 	orderTime                 tally.Histogram
 	taskWait                  tally.Histogram
@@ -163,6 +167,7 @@
 		starts:         scope.Counter("task_starts_total"),
 		stops:          scope.Counter("task_stops_total"),
 		callsNotMade:   scope.Counter("calls_not_made_total"),
+		panics:         scope.Counter("pool_panics_total"),
 		ordersWithheld: scope.Counter("orders_withheld_total"),
 		orderTime:      scope.Histogram("executor_order_seconds", buckets),
 		taskWait:       scope.Histogram("task_wait_seconds", buckets),
@@ -186,31 +191,35 @@
 	}
 }
 
-// runCall runs a call and returns its outcome. If the call panics, the planner
-// learns that an outcome is missing.
-func (s *Service) runCall(ctx context.Context, c call) event {
-	returned := false
+// runCall runs a call and returns its outcome. If the call panics, the outcome tells
+// the planner so.
+func (s *Service) runCall(ctx context.Context, c call) (outcome event) {
 	defer func() {
-		if returned {
-			return
-		}
-		if err := s.events.Put(ctx, callPanicked{}); err != nil {
-			s.log.Error().Err(err).Msg("planner not told of a call that panicked")
+		if value := recover(); value != nil {
+			s.logPanic(value, "")
+			outcome = callPanicked{c}
 		}
 	}()
-	outcome := c.run(ctx, s)
-	returned = true
-	return outcome
+	return c.run(ctx, s)
 }
 
 // callPanicked tells the planner that a call has no outcome.
-type callPanicked struct{}
-
-func (callPanicked) handle(p *planner) { p.giveUpAll("a call panicked") }
+type callPanicked struct{ call call }
+
+// handle gives up the pool for which the call was made, because an order may have
+// been sent. A call for the shared state counts as failed.
+func (e callPanicked) handle(p *planner) {
+	if m, ok := e.call.(poolMessage); ok {
+		p.giveUp(m.poolRef(), "a call panicked")
+		return
+	}
+	e.call.notMade().handle(p)
+}
 
 // plan is the duty that owns the plans.
 func (s *Service) plan(ctx context.Context) {
 	p := newPlanner(s)
+	p.resetShared()
 	if s.planRuns++; s.planRuns > 1 {
 		p.giveUpAll("the planner panicked")
 	}
@@ -221,7 +230,7 @@
 		case <-ctx.Done():
 			return
 		case e := <-s.events.C():
-			e.handle(p)
+			p.handleEvent(e)
 			p.handleWaitingEvents()
 		case <-s.ownedPoolsChanged.C():
 			p.refreshOwnedPools()
--- a/services/pools/registry.go
+++ b/services/pools/registry.go
@@ -88,7 +88,7 @@
 }
 
 func (e recordExecutorsDone) handle(p *planner) {
-	m := p.managedPool(e.pool, e.term)
+	m := p.managedPool(e.ownershipRef)
 	if m == nil {
 		return
 	}
--- a/services/pools/save.go
+++ b/services/pools/save.go
@@ -58,7 +58,7 @@
 func (c saveCall) notMade() event { return saveDone{c, services.RecordCommit{}, errBacklogFull} }
 
 func (e saveDone) handle(p *planner) {
-	m := p.managedPool(e.pool, e.term)
+	m := p.managedPool(e.ownershipRef)
 	if m == nil {
 		return
 	}
--- a/services/pools/status.go
+++ b/services/pools/status.go
@@ -89,7 +89,7 @@
 func (c statusCall) notMade() event { return statusDone{c, services.RecordCommit{}, errBacklogFull} }
 
 func (e statusDone) handle(p *planner) {
-	m := p.managedPool(e.pool, e.term)
+	m := p.managedPool(e.ownershipRef)
 	if m == nil {
 		return
 	}
--- a/services/pools/trim.go
+++ b/services/pools/trim.go
@@ -123,7 +123,7 @@
 func (c trimCall) notMade() event { return trimDone{c, services.RecordCommit{}, errBacklogFull} }
 
 func (e trimDone) handle(p *planner) {
-	m := p.managedPool(e.pool, e.term)
+	m := p.managedPool(e.ownershipRef)
 	if m == nil {
 		return
 	}
--- a/services/records.go
+++ b/services/records.go
@@ -284,8 +284,11 @@
 type Ownership interface {
 	// OwnedPools returns the pools that this process owns.
 	OwnedPools() map[string]PoolOwnership
-	// ReportLost reports that another process was found to own the pool.
-	ReportLost(o PoolOwnership)
+	// ReportLost reports that another process was found to own the pool, or that this
+	// one gives it up. The ownership ends in the service's next round; until then
+	// OwnedPools names it. ReportLost returns false if the report found no room and
+	// has to be repeated.
+	ReportLost(o PoolOwnership) bool
 	// SilentOwner returns the version of the pool's owner record if the owner
 	// has not renewed it for a while, and zero otherwise. It may be called
 	// from any goroutine.
--- a/services/upkeep/upkeep.go
+++ b/services/upkeep/upkeep.go
@@ -80,7 +80,10 @@
 	workers        *ring.Workers
 
 	// The fields below are owned by the duty upkeep.plan.
-	poolOwnership        services.PoolOwnership
+	poolOwnership services.PoolOwnership
+	// lostTerm is the term in which another process was found to own the management
+	// of machines. Nothing is done in it any more.
+	lostTerm             int
 	waves                map[int]*waveState
 	cordons              map[string]poolCordons
 	maintenanceOrderedAt map[string]time.Time
@@ -173,6 +176,11 @@
 	if !ok || catalog == nil {
 		return false
 	}
+	if o.Term == s.lostTerm {
+		// Repeated until the service ownership has taken note of it.
+		s.ownership.ReportLost(o)
+		return false
+	}
 	if o.Term != s.poolOwnership.Term {
 		s.reset()
 	}
--- a/services/upkeep/waves.go
+++ b/services/upkeep/waves.go
@@ -108,7 +108,7 @@
 func (s *Service) handleRefusedOrder(err error) {
 	s.refusedCounter.Inc(1)
 	if fault.ReasonOf(err) == fault.ReasonSuperseded {
-		s.ownership.ReportLost(s.poolOwnership)
+		s.lostTerm = s.poolOwnership.Term
 	}
 }
 
