Leave room in a tenant's share for runs that a new owner does not know

Cause: after a takeover the plan held back jobs that its predecessor may have begun, but started new ones at once up to the tenant's whole share, counting only runs that reports had shown. The predecessor went on to use the same share for 4.5 s after its last renewal, and its runs for longer. Ruled out: the division of the maximum over the pools (no part was lowered while runs were not known), and a shorter RenewalTimeout, which would not end the runs behind the cut.

Promise: from the old owner's last renewal until the new owner knows or has outlived every run, what both have running in a pool fits into the pool's share.

Change: until all executors of earlier owners have answered or their leases are over, a start has to fit into the share beside all runs that are not known: at most the room of the executors that have not answered, and at most the open tasks of inherited jobs of that tenant; runs of jobs that have just ended count, and an executor that starts again counts as not having answered. Tenants without a maximum, and work that fits beside that, do not wait. An owner no longer uses what a change takes from its part once the change has been sent, and writes a row again until a change without an answer cannot be carried out any more; a successor does so for each row that is not later than its claim.

--- a/decision/allotment/allotment.go
+++ b/decision/allotment/allotment.go
@@ -173,6 +173,15 @@
 	return current
 }
 
+// Lower returns the lower of two allotments in each dimension.
+func Lower(a, b fleet.Resources) fleet.Resources {
+	return fleet.Resources{
+		MilliCPU:     min(a.MilliCPU, b.MilliCPU),
+		MemoryBytes:  min(a.MemoryBytes, b.MemoryBytes),
+		Accelerators: min(a.Accelerators, b.Accelerators),
+	}
+}
+
 // Effective returns what a pool may use: its allotment, scaled down in
 // proportion while the sum exceeds a limit that was lowered.
 func Effective(maximum fleet.Resources, allotments Allotments, pool string) fleet.Resources {
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -364,6 +364,8 @@
 	}
 	p.endIncarnation(now, e, "executor started again")
 	next := p.addExecutor(now, info, false)
+	// A previous owner that does not know of the restart may use the later life, too.
+	next.inherited = e.inherited && !e.fencingTokenSeen
 	next.assumeInheritedLease(p.params.MaxLease)
 	for _, r := range undecided {
 		r.executor, r.stopInFlight = next, false
--- a/decision/poolplan/gang.go
+++ b/decision/poolplan/gang.go
@@ -20,6 +20,9 @@
 		p.recordBlocked(now, g, int64(len(g.tasks)))
 		return waitLimit
 	}
+	if !p.fitsBesideUnaccounted(g, int64(len(g.tasks))) {
+		return waitInheritedUse
+	}
 	places := p.chooseGangExecutors(g, candidates)
 	if places == nil {
 		return waitRoom
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -162,6 +162,9 @@
 // owner took over. A job that is already known or ended here recently is
 // ignored, because its progress may have been read before it ended.
 func (p *Plan) AddJob(now time.Time, spec *workload.Spec, progress workload.Progress, inherited bool) {
+	if progress.State.Ended() && inherited {
+		p.noteEnded(now, spec, &progress)
+	}
 	if _, ended := p.recentlyEnded[spec.ID]; ended || spec.Ended || p.jobs[spec.ID] != nil || progress.State.Ended() {
 		return
 	}
@@ -279,6 +282,9 @@
 
 // removeJob removes a job that has ended and is saved.
 func (p *Plan) removeJob(now time.Time, id string) {
+	if j := p.jobs[id]; j != nil && j.inherited && !p.inheritedRunsKnown {
+		p.unaccounted.addEnded(j.spec.Tenant, j.unknownDemand())
+	}
 	delete(p.jobs, id)
 	p.recentlyEnded[id] = now
 	if now.Sub(p.endedPrunedAt) < endedRetention {
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -65,6 +65,7 @@
 		return
 	}
 	p.unplaceable = p.unplaceable[:0]
+	p.refreshUnaccounted(now)
 	p.round++
 	for _, g := range p.readyGroups {
 		// A busy pool does not refresh the list at every step.
@@ -141,6 +142,9 @@
 			p.recordBlocked(now, g, 1)
 			return waitLimit
 		}
+		if !p.fitsBesideUnaccounted(g, 1) {
+			return waitInheritedUse
+		}
 		if p.knownUnplaceable(g.step) {
 			return waitRoom
 		}
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -117,6 +117,7 @@
 	// inheritedRunsKnown is set once no unknown run of a previous owner can
 	// still be running.
 	inheritedRunsKnown bool
+	unaccounted        unaccounted
 	// openAdviceCalls counts the advice calls that have not been answered.
 	openAdviceCalls int
 	events          []Event
--- a/decision/poolplan/relocate.go
+++ b/decision/poolplan/relocate.go
@@ -27,7 +27,7 @@
 // that is not leaving has room for it. The room is reserved, because short tasks
 // would take it before the run has ended.
 func (p *Plan) relocateRun(now time.Time, r *run) {
-	if !p.mayInterrupt(now, r) {
+	if !p.mayInterrupt(now, r) || !p.fitsBesideUnaccounted(r.task.group, 0) {
 		return
 	}
 	e := p.chooseExecutor(r.task.group, r.task, p.candidates(now), nil)
--- a/decision/poolplan/wait.go
+++ b/decision/poolplan/wait.go
@@ -24,11 +24,14 @@
 	waitGang
 	// waitLimit means that the tenant has reached its limit here.
 	waitLimit
+	// waitInheritedUse means that runs of a previous owner that are not known yet may
+	// use what the tenant's limit leaves here.
+	waitInheritedUse
 	// waitRoom means that no executor that may run them has room.
 	waitRoom
 )
 
-var waitReasonNames = [...]string{"", "inherited", "renewal", "possible-successor", "restart-delay", "advice", "gang-members", "tenant-limit", "room"}
+var waitReasonNames = [...]string{"", "inherited", "renewal", "possible-successor", "restart-delay", "advice", "gang-members", "tenant-limit", "inherited-use", "room"}
 
 const (
 	// waitLogDelay is how long a group must have waited before its reason is
--- a/services/pools/contain.go
+++ b/services/pools/contain.go
@@ -53,8 +53,7 @@
 func (p *planner) resetShared() {
 	p.s.sharedStates++
 	p.registry = registryView{}
-	p.limits = limiter{}
-	p.limits.init()
+	p.limits.reset()
 }
 
 // logPanic logs and counts a panic that was contained.
--- a/services/pools/limits.go
+++ b/services/pools/limits.go
@@ -9,6 +9,7 @@
 
 	"fuchsiafront.example/fuchsiafront/decision/allotment"
 	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/fleet"
 	"fuchsiafront.example/fuchsiafront/services"
 	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
@@ -42,6 +43,10 @@
 	following      bool
 	nextFollowAt   time.Time
 	changesVersion int64
+	// unconfirmed has the changes that were sent and may not have been carried out yet.
+	// The store may carry one out seconds after its call was given up, for as long as
+	// the row has the version that it names.
+	unconfirmed map[string]sentChange
 }
 
 // storedRow is the last known record of one tenant's allotments.
@@ -51,7 +56,20 @@
 	changedAt time.Time
 }
 
-func (l *limiter) init() { l.rows = make(map[string]*storedRow) }
+func (l *limiter) init() {
+	l.rows = make(map[string]*storedRow)
+	l.unconfirmed = make(map[string]sentChange)
+}
+
+// reset drops what is known of the allotments, but not what has been sent.
+func (l *limiter) reset() {
+	sent := l.unconfirmed
+	*l = limiter{}
+	l.init()
+	if sent != nil {
+		l.unconfirmed = sent
+	}
+}
 
 // step commits the changes of allotments that the pools need, and sets the limits
 // of the plans.
@@ -71,6 +89,7 @@
 	}
 	if changes := l.neededChanges(p); len(changes) > 0 {
 		l.callInFlight = true
+		l.markSent(changes)
 		p.sendShared(limitsCommitCall{changes})
 	}
 	l.setPlanLimits(p)
@@ -82,14 +101,19 @@
 		if m.plan == nil {
 			continue
 		}
-		limits := make(map[string]fleet.Resources, len(p.catalog.Tenants))
-		for name, t := range p.catalog.Tenants {
-			if stored := l.rows[name]; stored != nil {
-				limits[name] = allotment.Effective(t.Maximum, stored.row.Pools, m.name)
-			}
+		p.guardPool(m.ref(), func() { m.plan.SetLimits(l.poolLimits(p.catalog, m)) })
+	}
+}
+
+// poolLimits returns how much each tenant may use in a pool.
+func (l *limiter) poolLimits(c *catalog.Catalog, m *managedPool) map[string]fleet.Resources {
+	limits := make(map[string]fleet.Resources, len(c.Tenants))
+	for name, t := range c.Tenants {
+		if stored := l.rows[name]; stored != nil {
+			limits[name] = allotment.Effective(t.Maximum, l.certain(name, stored, m), m.name)
 		}
-		p.guardPool(m.ref(), func() { m.plan.SetLimits(limits) })
 	}
+	return limits
 }
 
 type limitChange struct {
@@ -109,7 +133,8 @@
 		if t.Maximum == (fleet.Resources{}) {
 			continue
 		}
-		if c, ok := l.neededChange(p.now, t, demands, pools); ok && len(changes) < maxLimitsPerCommit {
+		c, needed := l.neededChange(p.now, t, demands, pools)
+		if (needed || l.mustWrite(p, name)) && len(changes) < maxLimitsPerCommit {
 			changes = append(changes, c)
 		}
 	}
@@ -135,8 +160,8 @@
 	return demands
 }
 
-// neededChange returns the change of one tenant's row, and whether one is needed
-// now.
+// neededChange returns one tenant's row as it should be, and whether it has to be
+// changed now.
 func (l *limiter) neededChange(now time.Time, t catalog.Tenant, demands map[string]poolDemand, pools map[string]bool) (limitChange, bool) {
 	stored := l.rows[t.Name]
 	if stored == nil {
@@ -158,10 +183,8 @@
 		row = next
 	}
 	urgent := grows || len(row.Reservations) > 0 || len(stored.row.Reservations) > 0
-	if row.Equal(stored.row) || (!urgent && now.Sub(stored.changedAt) < minShrinkInterval) {
-		return limitChange{}, false
-	}
-	return limitChange{tenant: t.Name, version: stored.version, row: row}, true
+	change := limitChange{tenant: t.Name, version: stored.version, row: row}
+	return change, !row.Equal(stored.row) && (urgent || now.Sub(stored.changedAt) >= minShrinkInterval)
 }
 
 // workPools returns the services to which queues send work.
@@ -255,6 +278,9 @@
 		if old := p.limits.rows[r.Key]; old == nil || old.version <= r.Version {
 			p.limits.rows[r.Key] = stored
 		}
+		if sent, ok := p.limits.unconfirmed[r.Key]; ok && sent.version < r.Version {
+			delete(p.limits.unconfirmed, r.Key)
+		}
 	}
 }
 
@@ -288,6 +314,7 @@
 func (e limitsCommitDone) handle(p *planner) {
 	p.limits.callInFlight = false
 	p.now = p.s.clock()
+	p.limits.markAnswered(e.changes, e.err != nil && !fault.IsNotRun(e.err))
 	switch {
 	case e.err != nil:
 		p.s.log.Warn().Err(e.err).Int("tenants", len(e.changes)).Msg("allotments not committed; reading all again")
@@ -295,6 +322,7 @@
 		p.limits.loaded = false
 	case e.commit.Committed:
 		for _, c := range e.changes {
+			delete(p.limits.unconfirmed, c.tenant)
 			p.limits.rows[c.tenant] = &storedRow{row: c.row, version: e.commit.Version, changedAt: p.now}
 			p.s.log.Info().Str("tenant", c.tenant).Int64("version", e.commit.Version).Interface("pools", c.row.Pools).Interface("reservations", c.row.Reservations).Msg("limit divided")
 		}
