Count a job as begun when a run of it has begun

Cause: a job counted as begun when its first start was planned. A refusal took the run out of the plan and left the mark.

Promise: a job has begun when one of its runs has. pending, the state that a GET shows and the record that a successor reads follow from that one fact.

Change: the mark is set where the plan learns of a run (accepted start, also of a run that has been given up; a run or an end of any kind that a report lists; recorded progress), and is not taken back. The order of work, which asked the mark whether a job is under way, asks for begun jobs and for runs on their way, so that it is as before for accepted starts. A successor keeps the list of begun jobs that its predecessor published. Ruled out: taking the mark back on each refusal, which would have to know whether another start of the job was answered.

Tests: TestJobHasBegunWhenARunHas (20 sequences of answers, tasks and gangs) fails when the mark is set at the start, is not set by ends, or not by accepted starts of dropped runs (mutations); TestRefusedLaterStepLeavesJobBegun, TestBegunJobStaysBegunAfterTakeover, TestJobWithOpenStartsIsUnderWay.

--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -45,6 +45,10 @@
 // StartDone records the answer to a start.
 func (p *Plan) StartDone(now time.Time, s Start, o Outcome) {
 	p.openStarts--
+	if t := p.findTask(s.Task); t != nil && o.Answer == Accepted {
+		// Also if the run has been given up meanwhile: it has begun.
+		t.group.job.begun = true
+	}
 	e := p.findRunTarget(s.Target, runKey{s.Task, s.Attempt})
 	if e == nil {
 		return
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -22,7 +22,11 @@
 	beyondShare bool
 	occurrences []*occurrence
 	progress    workload.Progress
-	begun       bool
+	// begun is set once a run of the job is known to have begun. A start that was
+	// planned, refused or not answered does not show that.
+	begun bool
+	// openRuns counts the runs that have been ordered and are not over.
+	openRuns int
 	// begunRecorded is set once a record shows that the job has begun.
 	begunRecorded bool
 	// highestAttempt is the highest number of an attempt of any task.
@@ -138,6 +142,9 @@
 	}
 }
 
+// underWay reports whether the job has begun or is about to.
+func (j *job) underWay() bool { return j.begun || j.openRuns > 0 }
+
 // closed reports whether no more tasks of the job may start.
 func (j *job) closed() bool { return j.cancelled || j.progress.State.Ended() }
 
@@ -330,6 +337,7 @@
 // tenant.
 func (p *Plan) charge(r *run, sign int64) {
 	s := r.task.group.step
+	r.task.group.job.openRuns += int(sign)
 	r.executor.used = r.executor.used.Add(scale(s.Demand(), sign))
 	tenant := r.task.group.job.spec.Tenant
 	p.tenantUsed[tenant] = p.tenantUsed[tenant].Add(scale(s.Size, sign))
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -321,7 +321,6 @@
 	t.runLost = false
 	e.runs[r.key] = r
 	t.runs = append(t.runs, r)
-	g.job.begun = true
 	p.charge(r, 1)
 	untilMs := e.leaseEnd(now, p.leaseDuration(now))
 	e.recordLease(now, untilMs)
--- a/decision/poolplan/priority.go
+++ b/decision/poolplan/priority.go
@@ -99,7 +99,7 @@
 // Classes of groups by the value that finishing their job still has.
 const (
 	onTime = iota
-	// tight jobs have not begun and will be on time only if their tasks take
+	// tight jobs are not under way and will be on time only if their tasks take
 	// hardly longer than expected.
 	tight
 	late
@@ -107,7 +107,7 @@
 )
 
 // tightPercent is the percentage of the expected time below which the time left
-// until a job's objective is tight, if the job has not begun. Tasks take up to
+// until a job's objective is tight, if the job is not under way. Tasks take up to
 // half an order of magnitude longer than expected.
 const tightPercent = 130
 
@@ -125,14 +125,14 @@
 		return worthless
 	case remaining > left || j.beyondShare:
 		return late
-	case !j.begun && remaining*tightPercent/100 > left:
+	case !j.underWay() && remaining*tightPercent/100 > left:
 		return tight
 	}
 	return onTime
 }
 
-// compareAge orders groups of one class and priority: on-time jobs that have
-// begun come first, because their work is lost when they are late, then the
+// compareAge orders groups of one class and priority: on-time jobs that are
+// under way come first, because their work is lost when they are late, then the
 // oldest. Of the tight ones the newest comes first: when a queue asks for more
 // than there is room for, starting the oldest first would start every job at
 // the last moment, and all would end slightly late.
@@ -141,9 +141,9 @@
 	switch {
 	case g.lateness == tight:
 		return -byAcceptance
-	case g.lateness != onTime || g.job.begun == o.job.begun:
+	case g.lateness != onTime || g.job.underWay() == o.job.underWay():
 		return byAcceptance
-	case g.job.begun:
+	case g.job.underWay():
 		return -1
 	}
 	return 1
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -118,6 +118,7 @@
 		r.state = runRunning
 	}
 	r.listed = true
+	r.task.group.job.begun = true
 	if r.confirmedAt.IsZero() {
 		r.confirmedAt = now
 	}
@@ -146,7 +147,6 @@
 	others := len(t.runs)
 	e.runs[r.key] = r
 	t.runs = append(t.runs, r)
-	t.group.job.begun = true
 	p.charge(r, 1)
 	p.addEvent(Event{Kind: "run adopted", Job: report.Task.Job, Task: report.Task.String(), Peer: e.ID})
 	if t.done || (others > 0 && !t.group.step.Speculative) {
--- a/decision/poolplan/runend.go
+++ b/decision/poolplan/runend.go
@@ -28,6 +28,7 @@
 		return
 	}
 	j := t.group.job
+	j.begun = true
 	t.recordAttempt(end.Attempt)
 	if end.Checkpoint != "" {
 		*t.checkpointRef() = end.Checkpoint
@@ -70,7 +71,6 @@
 		m.markDone()
 		p.markTaskUnsaved(m)
 		p.groupsChanged = p.groupsChanged || m.group.doneCount == len(m.group.tasks)
-		m.group.job.begun = true
 		for _, r := range append([]*run(nil), m.runs...) {
 			if m != t {
 				p.removeRun(r)
--- a/decision/poolplan/save.go
+++ b/decision/poolplan/save.go
@@ -261,6 +261,16 @@
 	return pending, begun
 }
 
+// MarkBegun records that jobs have begun under an earlier owner, which published that
+// and did not record it.
+func (p *Plan) MarkBegun(ids []string) {
+	for _, id := range ids {
+		if j := p.jobs[id]; j != nil {
+			j.begun = true
+		}
+	}
+}
+
 // compareAcceptance orders jobs by the time at which they were accepted.
 func compareAcceptance(a, b *workload.Spec) int {
 	return cmp.Or(a.AcceptedAt.Compare(b.AcceptedAt), cmp.Compare(a.ID, b.ID))
--- a/services/pools/status.go
+++ b/services/pools/status.go
@@ -116,6 +116,7 @@
 		}
 		m.statusVersion = current[i].Version
 		m.moved.inherit(status.MovedTo)
+		m.plan.MarkBegun(status.StartedUnrecorded)
 		if status.Term > m.ownership.Term {
 			p.s.log.Warn().Str("pool", m.name).Int("term", m.ownership.Term).Int("later", status.Term).Msg("giving the pool up: a later owner has published its status")
 			p.dropLostPool(m)
