Send orders only to the life of an executor that they name

Cause: the numbers of ends begin at 1 in each life, and the header that names an executor has its identifier, which all lives share. Until the owner heard of a restart, it sent the new life acknowledgements and starts of the former one. The new life forgot its own ends as they happened, and the owner took those runs for lost. A predecessor's starts reached a life that its successor took for unused.

Promise: an order reaches only the life that it names, or nobody.

If a later life answers, the order has not been sent, and the plan replaces the executor at once and asks it for its clock. Weighed: checking the life for acknowledgements alone, which would leave the starts of a predecessor; leaving acknowledgements out for a while after each silence, which is a bet on time.

--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -96,7 +96,14 @@
 	case RefusedOld:
 		p.handleOldAttempt(now, r)
 	case WrongIncarnation:
-		p.endIncarnation(now, e, "another life answers")
+		if r.startTries == 1 {
+			p.discardUnstartedRun(now, r, "another life answers")
+		} else {
+			p.loseRun(now, r, "another life answers")
+		}
+		if p.findTarget(s.Target) != nil {
+			p.handleWrongIncarnation(now, e, o)
+		}
 	case RefusedTicket:
 		if a := r.task.group.advice; a != nil {
 			delete(a.tickets, e.ID)
@@ -174,7 +181,7 @@
 		return
 	}
 	if o.Answer == WrongIncarnation {
-		p.endIncarnation(now, e, "another life answers")
+		p.handleWrongIncarnation(now, e, o)
 		return
 	}
 	if o.Answer == Accepted {
@@ -197,6 +204,16 @@
 	}
 }
 
+// handleWrongIncarnation handles an order that was not carried out because another
+// incarnation answers for the executor. The one that was meant has ended.
+func (p *Plan) handleWrongIncarnation(now time.Time, e *executor, o Outcome) {
+	if e.StartedMs != 0 && o.OtherStartedMs > e.StartedMs {
+		p.followRestart(now, e, o.OtherStartedMs)
+		return
+	}
+	p.endIncarnation(now, e, "another life answers")
+}
+
 // recordNoAnswer counts an order that the executor did not answer.
 func (p *Plan) recordNoAnswer(now time.Time, e *executor) {
 	e.missedAnswers++
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -378,6 +378,16 @@
 	return next
 }
 
+// followRestart replaces an executor by a later incarnation that has answered in its
+// place, before the registry shows it.
+func (p *Plan) followRestart(now time.Time, e *executor, startedMs int64) *executor {
+	info, listed := e.Executor, e.listed
+	info.StartedMs, info.ClockMs = startedMs, 0
+	next := p.restartExecutor(now, e, info)
+	next.listed = listed
+	return next
+}
+
 // dropExecutor removes an executor that has certainly ended.
 func (p *Plan) dropExecutor(e *executor) {
 	delete(p.executors, e.ID)
--- a/decision/poolplan/lease.go
+++ b/decision/poolplan/lease.go
@@ -61,6 +61,10 @@
 	if e.inherited && !e.fencingTokenSeen || e.addressDoubtful {
 		return true
 	}
+	if e.listed && e.clockAt.IsZero() {
+		// Without its clock no lease can be granted.
+		return true
+	}
 	if e.listed && !e.reachable() && len(e.runs) == 0 {
 		return now.Sub(e.lastLeaseRenewalAt) >= idleLeaseRenewalInterval
 	}
--- a/decision/poolplan/orders.go
+++ b/decision/poolplan/orders.go
@@ -128,6 +128,9 @@
 	SentAt  time.Time
 	// ReceivedAt is when the answer arrived; zero means when it is processed.
 	ReceivedAt time.Time
+	// OtherStartedMs is the start of the incarnation that answered WrongIncarnation;
+	// zero if it is not known.
+	OtherStartedMs int64
 }
 
 // RunReport is one run that an executor lists.
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -16,7 +16,7 @@
 		p.superseded = true
 		return
 	case WrongIncarnation:
-		p.endIncarnation(now, e, "another life answers")
+		p.handleWrongIncarnation(now, e, r.Outcome)
 		return
 	case Accepted:
 	case Withheld:
@@ -28,10 +28,7 @@
 		return
 	}
 	if e.StartedMs != 0 && r.StartedMs > e.StartedMs {
-		info, listed := e.Executor, e.listed
-		info.StartedMs, info.ClockMs = r.StartedMs, 0
-		e = p.restartExecutor(now, e, info)
-		e.listed = listed
+		e = p.followRestart(now, e, r.StartedMs)
 	}
 	if e.StartedMs == 0 {
 		e.StartedMs = r.StartedMs
--- a/decision/poolplan/restarted_test.go
+++ b/decision/poolplan/restarted_test.go
@@ -72,3 +72,39 @@
 		})
 	}
 }
+
+// Guards against the later life of an executor that is taken for over, or never used,
+// because it refuses an order that was sent to the former one.
+func TestRefusalOfFormerLifesOrderEndsNothing(t *testing.T) {
+	const newLife = 2000
+	for _, knownBefore := range []bool{false, true} {
+		sim := newSimulation(t, 1)
+		sim.register("1")
+		sim.addJob("a", false, step(1))
+		sim.step()
+		start := sim.takeStart()
+		if knownBefore {
+			restarted := executorInfo("1")
+			restarted.StartedMs = newLife
+			sim.plan.SetExecutors(sim.now, []Executor{restarted})
+		}
+		refusal := sim.outcome(WrongIncarnation)
+		refusal.OtherStartedMs = newLife
+		sim.plan.StartDone(sim.now, start, refusal)
+		e := sim.plan.executors["1"]
+		assert.Assert(t, e != nil && e.listed && e.StartedMs == newLife)
+		assert.Equal(t, sim.plan.RunCount(), 0)
+		assert.Equal(t, e.openStarts, 0)
+		sim.plan.MarkRecorded(sim.plan.ExecutorsToRecord())
+		sim.leaseRenewals = nil
+		sim.advance(time.Second)
+		if !knownBefore {
+			assert.Equal(t, len(sim.starts), 0, "the clock of the later life is not known")
+			renewal := sim.takeLeaseRenewal()
+			assert.Equal(t, renewal.StartedMs, int64(newLife))
+			sim.plan.RenewLeaseDone(sim.now, renewal, Report{Outcome: sim.outcome(Accepted), StartedMs: newLife})
+			sim.advance(time.Millisecond)
+		}
+		assert.Equal(t, sim.takeStart().StartedMs, int64(newLife))
+	}
+}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -38,7 +38,9 @@
 	random *rand.Rand
 	// moves decides on changes of the queue, whose name and service are queue and
 	// service.
-	moves                *rand.Rand
+	moves *rand.Rand
+	// restarts decides on restarts of executors and on those that refuse starts.
+	restarts             *rand.Rand
 	queue, service       string
 	hosts                []*process
 	executors            []string
@@ -67,12 +69,13 @@
 
 func newSoakRun(t *testing.T, binary string, seed uint64, hosts int) *soakRun {
 	s := &soakRun{
-		t: t, fleet: fleetplatform.Start(executorCount, taskDuration), random: rand.New(rand.NewPCG(seed, 0)), moves: rand.New(rand.NewPCG(seed, 1)),
+		t: t, fleet: fleetplatform.Start(executorCount, taskDuration), random: rand.New(rand.NewPCG(seed, 0)), moves: rand.New(rand.NewPCG(seed, 1)), restarts: rand.New(rand.NewPCG(seed, 2)),
 		client: &http.Client{Timeout: callTimeout}, configurationVersion: 1,
 		accepted: make(map[string]bool), refused: make(map[string]bool),
 	}
 	t.Cleanup(s.fleet.Close)
 	s.queue, s.service = "queue", s.fleet.Service
+	s.fleet.MaximumCPU = tenantMaximum
 	for n := range executorCount {
 		id := fmt.Sprintf("i-%d", n)
 		s.executors = append(s.executors, id)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -40,6 +40,11 @@
 	// again, repeatAge jobs later.
 	repeatEvery = 4
 	repeatAge   = 30
+	// tenantMaximum is the tenant's upper limit, which waiting work reaches, and taskCPU
+	// and failingTaskCPU are what its tasks take, in thousandths of a processor.
+	tenantMaximum  = 8000
+	taskCPU        = 500
+	failingTaskCPU = 100
 )
 
 // TestSoak guards against lost, repeated and overlapping work under series of
@@ -95,6 +100,23 @@
 	}...)
 }
 
+// disturbExecutor now and then starts an executor again under its identifier, at its
+// address, or changes whether it refuses starts. Restarted executors report to the
+// registry a second later.
+func (s *soakRun) disturbExecutor() {
+	id := s.executors[s.restarts.IntN(len(s.executors))]
+	switch s.restarts.IntN(6) {
+	case 0:
+		s.t.Logf("executor %s starts again", id)
+		assert.NilError(s.t, s.fleet.RestartExecutor(id, 300*time.Millisecond, time.Second))
+	case 1:
+		s.t.Logf("executor %s refuses starts", id)
+		s.fleet.Executor(id).SetRefuseStarts(true)
+	case 2, 3:
+		s.fleet.Executor(id).SetRefuseStarts(false)
+	}
+}
+
 // moveQueue renames the queue, or sends it to the other service, or both.
 func (s *soakRun) moveQueue() {
 	services := []string{s.fleet.Service, s.fleet.OtherService}
@@ -158,6 +180,7 @@
 		if s.moves.IntN(2) == 0 {
 			s.moveQueue()
 		}
+		s.disturbExecutor()
 		time.Sleep(time.Duration(s.random.Int64N(int64(1500 * time.Millisecond))))
 		kept := open[:0]
 		for _, a := range open {
@@ -172,6 +195,9 @@
 	for _, a := range open {
 		a.end()
 	}
+	for _, id := range s.executors {
+		s.fleet.Executor(id).SetRefuseStarts(false)
+	}
 }
 
 // restartHosts restarts or resumes all processes and waits until they are ready.
@@ -182,8 +208,9 @@
 	s.waitReady()
 }
 
-// checkGuarantees checks that accepted jobs complete and refused ones never run, and
-// that no task overlaps with itself or is acknowledged as done twice.
+// checkGuarantees checks that accepted jobs complete and refused ones never run, that
+// no task overlaps with itself or is acknowledged as done twice, and that the tenant
+// stays within its maximum.
 func (s *soakRun) checkGuarantees() {
 	s.t.Helper()
 	deadline := time.Now().Add(settleTimeout)
@@ -199,6 +226,7 @@
 	}
 	runs := s.fleet.Recorder.Runs()
 	assert.Equal(s.t, len(fleetplatform.Overlaps(runs)), 0, "seed %d: tasks with overlapping runs: %v", *seed, fleetplatform.Overlaps(runs))
+	s.checkMaximum(runs)
 	completions := make(map[string]int)
 	acknowledged := make(map[string]int)
 	ran := make(map[string]bool)
@@ -227,6 +255,27 @@
 		*seed, len(s.accepted), len(s.refused), s.unknownOutcomes, len(runs), s.fleet.Store.CommitCount())
 }
 
+// checkMaximum checks that no start brought what the tenant had running above its
+// maximum, a tenth of that, and one task.
+func (s *soakRun) checkMaximum(runs []fleetplatform.Run) {
+	s.t.Helper()
+	size := func(r *fleetplatform.Run) int {
+		if fleetplatform.JobOf(r.Task) == failingJobID {
+			return failingTaskCPU
+		}
+		return taskCPU
+	}
+	for i := range runs {
+		used := 0
+		for k := range runs {
+			if !runs[k].Start.After(runs[i].Start) && (runs[k].End.IsZero() || runs[k].End.After(runs[i].Start)) {
+				used += size(&runs[k])
+			}
+		}
+		assert.Assert(s.t, used <= tenantMaximum*11/10+taskCPU, "seed %d: the start of %s brings what runs to %d; the maximum is %d", *seed, runs[i].Task, used, tenantMaximum)
+	}
+}
+
 // submitJobs submits jobs until stop is closed. Each is submitted until it is accepted
 // or not, so that a refusal is final; some that were accepted are submitted again seconds
 // later, as if by another attempt of the client. One job has service tasks that fail
--- a/standin/fleetplatform/executor.go
+++ b/standin/fleetplatform/executor.go
@@ -43,8 +43,12 @@
 	runs          map[string]*Run
 	unackedEnds   []endReport
 	lastEndNumber int64
+	// ackedThrough is the highest number that was acknowledged. It may be higher than
+	// that of any end so far: ends up to it are forgotten as they happen.
+	ackedThrough  int64
 	endedAttempts map[string]int
 	loseReplies   bool
+	refusesStarts bool
 	recorder      *RunRecorder
 	runEnded      chan struct{}
 }
@@ -89,6 +93,13 @@
 	e.loseReplies = lose
 }
 
+// SetRefuseStarts sets whether the executor answers starts as an unhealthy one does.
+func (e *Executor) SetRefuseStarts(refuse bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refusesStarts = refuse
+}
+
 // clockMs returns the executor's clock in milliseconds.
 func (e *Executor) clockMs() int64 { return time.Since(e.startedAt).Milliseconds() + 1000 }
 
@@ -144,6 +155,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.expireLease()
+	if e.refusesStarts {
+		return http.StatusServiceUnavailable, map[string]any{}
+	}
 	if o.LeaseUntilMs <= e.clockMs() {
 		return http.StatusConflict, map[string]any{"reason": "late"}
 	}
@@ -187,6 +201,7 @@
 	e.recorder.mu.Unlock()
 	e.lastEndNumber++
 	e.unackedEnds = append(e.unackedEnds, endReport{number: e.lastEndNumber, run: run})
+	e.forgetAckedEnds()
 	close(e.runEnded)
 	e.runEnded = make(chan struct{})
 }
@@ -235,11 +250,17 @@
 	return http.StatusOK, e.report()
 }
 
-// acknowledge drops the reported ends up to number. The caller holds e.mu.
+// acknowledge drops the ends up to number. The caller holds e.mu.
 func (e *Executor) acknowledge(number int64) {
+	e.ackedThrough = max(e.ackedThrough, number)
+	e.forgetAckedEnds()
+}
+
+// forgetAckedEnds drops the ends that have been acknowledged. The caller holds e.mu.
+func (e *Executor) forgetAckedEnds() {
 	e.recorder.mu.Lock()
 	defer e.recorder.mu.Unlock()
-	for len(e.unackedEnds) > 0 && e.unackedEnds[0].number <= number {
+	for len(e.unackedEnds) > 0 && e.unackedEnds[0].number <= e.ackedThrough {
 		e.unackedEnds[0].run.EndAckedInLease = !e.unackedEnds[0].leaseExpired
 		e.unackedEnds = e.unackedEnds[1:]
 	}
--- a/standin/fleetplatform/fleet.go
+++ b/standin/fleetplatform/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +13,9 @@
 // reportInterval is the time between liveness reports of an executor.
 const reportInterval = 500 * time.Millisecond
 
+// defaultMaximumCPU is more than all executors of a fleet have.
+const defaultMaximumCPU = 100_000
+
 // Fleet is a store and the executors of two services on loopback addresses.
 type Fleet struct {
 	Store    *Store
@@ -20,6 +24,8 @@
 	Service string
 	// OtherService has those that AddOtherExecutor adds.
 	OtherService string
+	// MaximumCPU is the tenant's upper limit in thousandths of a processor.
+	MaximumCPU int
 
 	platformServer *httptest.Server
 	mu             sync.Mutex
@@ -35,11 +41,13 @@
 	server   *httptest.Server
 	// registryAddress is the address that the registry shows.
 	registryAddress string
+	// reportsFrom is when the executor first reports to the registry.
+	reportsFrom time.Time
 }
 
 // Start starts a fleet with n executors whose tasks each take taskDuration.
 func Start(n int, taskDuration time.Duration) *Fleet {
-	f := &Fleet{Store: NewStore(), Recorder: new(RunRecorder), Service: "svc", OtherService: "svc-2", executors: make(map[string]*servedExecutor), stop: make(chan struct{})}
+	f := &Fleet{Store: NewStore(), Recorder: new(RunRecorder), Service: "svc", OtherService: "svc-2", MaximumCPU: defaultMaximumCPU, executors: make(map[string]*servedExecutor), stop: make(chan struct{})}
 	mux := http.NewServeMux()
 	f.Store.Register(mux)
 	mux.HandleFunc("GET /fuchsiafront/machines", f.serveMachines)
@@ -86,10 +94,35 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	server := httptest.NewServer(mux)
-	f.executors[id] = &servedExecutor{e, service, server, address(server)}
+	f.executors[id] = &servedExecutor{executor: e, service: service, server: server, registryAddress: address(server)}
 	return e
 }
 
+// RestartExecutor kills an executor and starts it again down later under its identifier,
+// at its address. Its first report to the registry comes reportDelay after that.
+func (f *Fleet) RestartExecutor(id string, down, reportDelay time.Duration) error {
+	f.mu.Lock()
+	old := f.executors[id]
+	f.mu.Unlock()
+	f.KillExecutor(id)
+	time.Sleep(down)
+	listener, err := net.Listen("tcp", address(old.server))
+	if err != nil {
+		return fmt.Errorf("restart executor %s: %w", id, err)
+	}
+	e := NewExecutor(id, old.executor.TaskDuration, f.Recorder)
+	mux := http.NewServeMux()
+	e.Register(mux)
+	server := httptest.NewUnstartedServer(mux)
+	server.Listener.Close()
+	server.Listener = listener
+	server.Start()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.executors[id] = &servedExecutor{e, old.service, server, old.registryAddress, time.Now().Add(reportDelay)}
+	return nil
+}
+
 // ExecutorAddress returns the address on which an executor listens.
 func (f *Fleet) ExecutorAddress(id string) string {
 	f.mu.Lock()
@@ -135,6 +168,9 @@
 	for sequence := 1; ; sequence++ {
 		f.mu.Lock()
 		for id, s := range f.executors {
+			if time.Now().Before(s.reportsFrom) {
+				continue
+			}
 			f.Store.Put("servers", "", id, s.executor.RegistryEntry(s.service, s.registryAddress, sequence))
 		}
 		f.mu.Unlock()
@@ -164,7 +200,7 @@
 			{"name": f.Service, "health-path": "/healthz", "max-conns": 64},
 			{"name": f.OtherService, "health-path": "/healthz", "max-conns": 64},
 		},
-		"tenants": []map[string]any{{"name": "tenant", "api-keys": keys, "weight": 1, "maximum": map[string]any{"cpu": 100000, "mem-mb": 100000}}},
+		"tenants": []map[string]any{{"name": "tenant", "api-keys": keys, "weight": 1, "maximum": map[string]any{"cpu": f.MaximumCPU, "mem-mb": 100000}}},
 	})
 }
 
