Acknowledge the ends of a gang after its progress is saved

If the owner and the executor of the first member were lost before the save, the gang ran again after an end that had been taken note of.

Change: an end of a task that is done, or of a job that has ended, is acknowledged after the save of what that rests on. It costs a second save of the job if the first one is under way.

--- a/decision/poolplan/runend.go
+++ b/decision/poolplan/runend.go
@@ -34,6 +34,11 @@
 		*t.checkpointRef() = end.Checkpoint
 	}
 	if t.done || j.progress.State.Ended() {
+		if j.unsaved || j.saving {
+			// The end of another run of the task, or of another member of its gang, is
+			// not durable yet. Until it is, this one shows what has been done.
+			p.saveWithEnd(e, j, end.Number)
+		}
 		return
 	}
 	switch end.Ending {
