Record the interval of scheduled jobs with its fraction of a millisecond

Change: the record has the rest in a field of its own, which processes of earlier versions leave out, so that both can read all records.

Test: TestRecordedJobKeepsItsInterval fails on the code before (33 ms for 33.7 ms; the last of 500 occurrences 350 ms early).

--- a/wire/jobrecord/jobrecord_test.go
+++ b/wire/jobrecord/jobrecord_test.go
@@ -77,3 +77,16 @@
 	assert.Assert(t, got.Add(77))
 	assert.Equal(t, got.Count, 11)
 }
+
+// Guards against occurrences that begin ever earlier than they are due: the interval of a
+// job was recorded without its fraction of a millisecond.
+func TestRecordedJobKeepsItsInterval(t *testing.T) {
+	const interval = 33*time.Millisecond + 700*time.Microsecond
+	spec := &workload.Spec{ID: "a", Steps: []workload.Step{{Count: 1}}, Times: 500, StartAt: time.UnixMilli(1000), Interval: interval}
+	value, err := EncodeSpec(spec)
+	assert.NilError(t, err)
+	read, err := DecodeSpec("a", value)
+	assert.NilError(t, err)
+	assert.Equal(t, read.Interval, interval)
+	assert.Assert(t, read.Due(499).Equal(spec.Due(499)))
+}
--- a/wire/jobrecord/spec.go
+++ b/wire/jobrecord/spec.go
@@ -18,6 +18,9 @@
 	Times      int          `json:"n,omitempty"`
 	StartAtMs  int64        `json:"a,omitempty"`
 	IntervalMs int64        `json:"i,omitempty"`
+	// IntervalExtraNs is the rest of the interval in nanoseconds, which programs that
+	// know only whole milliseconds leave out.
+	IntervalExtraNs int64 `json:"j,omitempty"`
 	// SilentOwner is the version of an owner record.
 	SilentOwner int64 `json:"o,omitempty"`
 	AcceptedMs  int64 `json:"r"`
@@ -111,7 +114,7 @@
 func newSpecRecord(spec *workload.Spec) specRecord {
 	record := specRecord{
 		Queue: spec.Queue.Name, Origin: encodeOrigin(&spec.Queue), Tenant: spec.Tenant, Text: spec.Text, Times: spec.Times, SilentOwner: spec.SilentOwner,
-		IntervalMs: spec.Interval.Milliseconds(), AcceptedMs: spec.AcceptedAt.UnixMilli(),
+		IntervalMs: spec.Interval.Milliseconds(), IntervalExtraNs: int64(spec.Interval % time.Millisecond), AcceptedMs: spec.AcceptedAt.UnixMilli(),
 	}
 	if spec.Times > 0 {
 		record.StartAtMs = spec.StartAt.UnixMilli()
@@ -136,7 +139,7 @@
 	}
 	spec := &workload.Spec{
 		ID: id, Ended: record.Ended, Queue: record.Origin.origin(record.Queue), Tenant: record.Tenant, Text: record.Text, Times: record.Times, SilentOwner: record.SilentOwner,
-		Interval: time.Duration(record.IntervalMs) * time.Millisecond, AcceptedAt: time.UnixMilli(record.AcceptedMs),
+		Interval: time.Duration(record.IntervalMs)*time.Millisecond + time.Duration(record.IntervalExtraNs), AcceptedAt: time.UnixMilli(record.AcceptedMs),
 	}
 	if record.Times > 0 {
 		spec.StartAt = time.UnixMilli(record.StartAtMs)
