Keep attempt numbers rising over takeovers

PROTOCOL.md says that the numbering of a task rises.

Change: an owner records a job when its numbers go more than 32 beyond what a later owner knows of, and a later owner begins 64 above the recorded one. Ruled out: giving the number of a refused start back, which leaves stopped runs. Progress may now be recorded of a job that has not begun; a GET then asks the status of the pool, as it does without any progress.

Tests: TestAttemptsRiseAfterTakeover (refused starts, stopped runs) fails without the record and without the distance to it, TestBegunJobWithEarlierProgressIsRunning when recorded progress is the last word (mutations).

--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -31,6 +31,9 @@
 	begunRecorded bool
 	// highestAttempt is the highest number of an attempt of any task.
 	highestAttempt int
+	// attemptBase is the number above which attempts begin here, and knownAttempt one
+	// that a later owner exceeds by attemptsPerTerm.
+	attemptBase, knownAttempt int
 	saveState
 	// failedOn lists the executors on which tasks of the job have failed.
 	failedOn []string
@@ -176,6 +179,11 @@
 		return
 	}
 	j := &job{spec: spec, inherited: inherited, progress: progress, beyondShare: p.chargeShare(spec), highestAttempt: progress.HighestAttempt}
+	j.attemptBase = progress.HighestAttempt
+	if inherited {
+		j.attemptBase = p.inheritedAttempt(&progress)
+	}
+	j.knownAttempt = j.attemptBase
 	j.begunRecorded = progress.State != workload.Queued
 	j.begun = j.begunRecorded
 	firstTask := 0
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -297,17 +297,26 @@
 
 func (p *Plan) nextAttempt(t *task) int {
 	// The recorded progress does not say how many attempts each task has had.
-	base := max(t.lastAttempt, t.group.job.progress.HighestAttempt)
-	if t.group.job.inherited {
-		base = max(base, (p.term-1)*attemptsPerTerm)
+	return max(t.lastAttempt, t.group.job.attemptBase) + 1
+}
+
+// inheritedAttempt returns a number that no attempt of a job under an earlier owner
+// exceeds.
+func (p *Plan) inheritedAttempt(progress *workload.Progress) int {
+	base := (p.term - 1) * attemptsPerTerm
+	if progress.HighestAttempt > 0 {
+		base = max(base, progress.HighestAttempt+attemptsPerTerm)
 	}
-	return base + 1
+	return base
 }
 
 func (p *Plan) startTask(now time.Time, t *task, e *executor, attempt int) {
 	g := t.group
 	p.release(t)
 	t.recordAttempt(attempt)
+	if attempt > g.job.knownAttempt+maxUnrecordedAttempts {
+		p.markUnsaved(g.job)
+	}
 	r := &run{
 		key:              runKey{t.id(), attempt},
 		task:             t,
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -60,6 +60,10 @@
 	// attemptsPerTerm is the distance between the attempt numbers of successive
 	// owners, because an owner does not know all attempts of its predecessor.
 	attemptsPerTerm = 64
+	// maxUnrecordedAttempts is by how many an attempt number may exceed what a later
+	// owner knows of before it is recorded. The rest of attemptsPerTerm is for those
+	// that are used while the record is written.
+	maxUnrecordedAttempts = attemptsPerTerm / 2
 )
 
 // Plan is the state of one pool. It is owned by one duty.
--- a/decision/poolplan/save.go
+++ b/decision/poolplan/save.go
@@ -185,6 +185,7 @@
 		return
 	}
 	j.begunRecorded = j.begunRecorded || s.Parts[0].Progress.State != workload.Queued
+	j.knownAttempt = max(j.knownAttempt, s.Parts[0].Progress.HighestAttempt)
 	for _, m := range s.ends {
 		p.endSaved(m)
 	}
--- a/services/jobintake/jobintake.go
+++ b/services/jobintake/jobintake.go
@@ -185,7 +185,7 @@
 			j.cancelled = true
 		}
 	}
-	if hasProgress || j.cancelled {
+	if j.state != workload.Queued || j.cancelled {
 		return j, nil
 	}
 	status, err := s.poolStatus(ctx, pool)
