Count jobs recorded since the last status of an owner that is gone

Change: while the owner that published the status is silent, or a later one has not published yet, a host adds the jobs that the table of the pool has since the version of the status. One more read for a count in that time only.

Test: TestPendingWithoutOwnerCountsNewJobs; the code before gives 3 in each case.

--- a/services/jobintake/jobintake.go
+++ b/services/jobintake/jobintake.go
@@ -275,6 +275,41 @@
 	return true, nil
 }
 
+// recordedSince returns the number of the queue's jobs that were recorded since a status
+// of its pool, if the owner that published it has fallen silent or been replaced. None of
+// them can be in a status before the next owner has read the pool, and owners may end one
+// after the other.
+func (s *Service) recordedSince(ctx context.Context, q *catalog.Queue, status *services.Record) int {
+	var published jobrecord.StatusRecord
+	if err := json.Unmarshal(status.Value, &published); err != nil {
+		// The caller refuses such a status.
+		return 0
+	}
+	if s.ownership.SilentOwner(q.Service) == 0 && s.ownership.OwnerTerm(q.Service) <= published.Term {
+		return 0
+	}
+	changes, err := s.records.Changes(ctx, jobrecord.TableJobs(q.Service), status.Version, 0)
+	if err != nil || changes.VersionExpired {
+		s.log.Debug().Err(err).Str("queue", q.Name).Str("pool", q.Service).Int64("version", status.Version).Msg("jobs recorded since the pool's status are not known; pending is without them")
+		return 0
+	}
+	c, jobs := s.catalogs.Catalog(), 0
+	for i := range changes.Records {
+		id, kind := jobrecord.ParseKey(changes.Records[i].Key)
+		if kind != jobrecord.KindJob || changes.Records[i].Removed {
+			continue
+		}
+		spec, err := jobrecord.DecodeSpec(id, changes.Records[i].Value)
+		if err != nil || spec.Ended {
+			continue
+		}
+		if now, ok := c.QueueOf(&spec.Queue); ok && now.Name == q.Name {
+			jobs++
+		}
+	}
+	return jobs
+}
+
 // Pending implements services.JobIntake. Jobs count that were accepted when the queue
 // had another name, or was served by another pool.
 func (s *Service) Pending(ctx context.Context, q *catalog.Queue) (int, error) {
@@ -284,6 +319,9 @@
 	}
 	c, jobs := s.catalogs.Catalog(), 0
 	for i := range records {
+		if records[i].RecordKey == jobrecord.StatusKey(q.Service) {
+			jobs += s.recordedSince(ctx, q, &records[i])
+		}
 		// A MovedRecord has the fields of a StatusRecord that matter here.
 		var record jobrecord.PendingRecord
 		if err := json.Unmarshal(records[i].Value, &record); err != nil {
--- a/services/ownership/ownership.go
+++ b/services/ownership/ownership.go
@@ -248,6 +248,7 @@
 // observation is the state of an owner record at a read.
 type observation struct {
 	version      int64
+	term         int
 	unchangedFor time.Duration
 	readAt       time.Time
 }
@@ -256,7 +257,7 @@
 func (s *Service) publishObservations(now time.Time) {
 	observations := make(map[string]observation, len(s.pools))
 	for name, p := range s.pools {
-		observations[name] = observation{p.version, p.unchangedFor, now}
+		observations[name] = observation{p.version, p.record.Term, p.unchangedFor, now}
 	}
 	s.observations.Store(&observations)
 }
@@ -270,6 +271,9 @@
 	return o.version
 }
 
+// OwnerTerm implements services.Ownership.
+func (s *Service) OwnerTerm(pool string) int { return (*s.observations.Load())[pool].term }
+
 func (s *Service) readRecords(ctx context.Context) ([]services.Record, error) {
 	if s.changesVersion > 0 {
 		ctx, cancel := s.contextWhileServing(ctx)
--- a/services/records.go
+++ b/services/records.go
@@ -293,6 +293,9 @@
 	// has not renewed it for a while, and zero otherwise. It may be called
 	// from any goroutine.
 	SilentOwner(pool string) int64
+	// OwnerTerm returns the term of the pool's last known owner. It may be called from
+	// any goroutine.
+	OwnerTerm(pool string) int
 	// WatchOwnedPools returns a ring that receives a value when a pool is taken
 	// over, renewed or lost. It must be called during Provision.
 	WatchOwnedPools(name string) ChangedRing
