--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -204,16 +204,6 @@
 	}
 }
 
-// handleWrongIncarnation handles an order that was not carried out because another
-// incarnation answers for the executor. The one that was meant has ended.
-func (p *Plan) handleWrongIncarnation(now time.Time, e *executor, o Outcome) {
-	if e.StartedMs != 0 && o.OtherStartedMs > e.StartedMs {
-		p.followRestart(now, e, o.OtherStartedMs)
-		return
-	}
-	p.endIncarnation(now, e, "another life answers")
-}
-
 // recordNoAnswer counts an order that the executor did not answer.
 func (p *Plan) recordNoAnswer(now time.Time, e *executor) {
 	e.missedAnswers++
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -301,32 +301,6 @@
 
 func compareIDs(a, b Executor) int { return cmp.Compare(a.ID, b.ID) }
 
-// EndReplaced drops executors that are no longer listed and whose machine or
-// address is used by a later incarnation. all lists the executors of all pools.
-func (p *Plan) EndReplaced(now time.Time, all []Executor) {
-	var unlisted []*executor
-	for _, e := range p.executors {
-		if !e.listed {
-			unlisted = append(unlisted, e)
-		}
-	}
-	if len(unlisted) == 0 {
-		return
-	}
-	latestStart := make(map[string]int64, 2*len(all))
-	for i := range all {
-		latestStart[all[i].Address] = max(latestStart[all[i].Address], all[i].StartedMs)
-		if all[i].Machine != "" {
-			latestStart[all[i].Machine] = max(latestStart[all[i].Machine], all[i].StartedMs)
-		}
-	}
-	for _, e := range unlisted {
-		if e.StartedMs > 0 && (latestStart[e.Address] > e.StartedMs || latestStart[e.Machine] > e.StartedMs) {
-			p.endIncarnation(now, e, "its machine or address runs another life")
-		}
-	}
-}
-
 // ExecutorRecordOutdated reports whether the record of executors names some
 // that have certainly ended, for which a later owner would wait.
 func (p *Plan) ExecutorRecordOutdated() bool { return p.recordOutdated }
@@ -341,53 +315,6 @@
 	}
 }
 
-// endIncarnation drops an executor whose process has certainly ended.
-func (p *Plan) endIncarnation(now time.Time, e *executor, reason string) {
-	p.addEvent(Event{Kind: "executor ended", Peer: e.ID, Reason: reason, Age: now.Sub(e.lastAnswerAt)})
-	for _, r := range sortedRuns(e) {
-		p.loseRun(now, r, reason)
-	}
-	p.dropExecutor(e)
-}
-
-// restartExecutor replaces an executor by a later incarnation under its identifier.
-// Orders name the identifier only, so the later incarnation may have begun the runs that
-// no report of the earlier one has listed. They are kept until a report shows.
-func (p *Plan) restartExecutor(now time.Time, e *executor, info Executor) *executor {
-	var undecided []*run
-	for _, r := range sortedRuns(e) {
-		if !r.listed {
-			undecided = append(undecided, r)
-			p.charge(r, -1)
-			delete(e.runs, r.key)
-		}
-	}
-	p.endIncarnation(now, e, "executor started again")
-	next := p.addExecutor(now, info, false)
-	// A previous owner that does not know of the restart may use the later life, too.
-	next.inherited = e.inherited && !e.fencingTokenSeen
-	next.assumeInheritedLease(p.params.MaxLease)
-	for _, r := range undecided {
-		r.executor, r.stopInFlight = next, false
-		next.runs[r.key] = r
-		p.charge(r, 1)
-		if r.state == runStarting || r.startUnanswered {
-			next.openStarts++
-		}
-	}
-	return next
-}
-
-// followRestart replaces an executor by a later incarnation that has answered in its
-// place, before the registry shows it.
-func (p *Plan) followRestart(now time.Time, e *executor, startedMs int64) *executor {
-	info, listed := e.Executor, e.listed
-	info.StartedMs, info.ClockMs = startedMs, 0
-	next := p.restartExecutor(now, e, info)
-	next.listed = listed
-	return next
-}
-
 // dropExecutor removes an executor that has certainly ended.
 func (p *Plan) dropExecutor(e *executor) {
 	delete(p.executors, e.ID)
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -59,9 +59,9 @@
 	provisionOrder  []*entry
 	provisioning    []string
 	provisionErrors []error
-	// failingUntil is the time, in Unix nanoseconds, until which the process counts
-	// as failing.
-	failingUntil atomic.Int64
+	// failingUntil is the time until which the process counts as failing; nil if no
+	// duty has failed often.
+	failingUntil atomic.Pointer[time.Time]
 }
 
 type entry struct {
--- a/kernel/supervise.go
+++ b/kernel/supervise.go
@@ -13,6 +13,8 @@
 	// with each further panic of a series, up to maxRestartDelay.
 	restartDelay    = time.Second
 	maxRestartDelay = 30 * time.Second
+	// maxRestartDoublings keeps the doubled delay within the range of its type.
+	maxRestartDoublings = 8
 	// seriesGap is the time without a panic that ends a series. It is longer than
 	// maxRestartDelay, so that a duty that fails at each start stays in one.
 	seriesGap = time.Minute
@@ -33,7 +35,10 @@
 
 // Failing reports whether a duty of the process has panicked again and again until
 // less than a minute ago. It may be called from any goroutine.
-func (c *Context) Failing() bool { return time.Now().UnixNano() < c.kernel.failingUntil.Load() }
+func (c *Context) Failing() bool {
+	until := c.kernel.failingUntil.Load()
+	return until != nil && time.Now().Before(*until)
+}
 
 // supervise runs a restartable duty until it returns.
 func (k *Kernel) supervise(ctx context.Context, d duty) {
@@ -54,7 +59,8 @@
 		lastPanic = now
 		delay := min(restartDelay<<min(series-1, maxRestartDoublings), maxRestartDelay)
 		if series >= failingAfter {
-			k.failingUntil.Store(now.Add(seriesGap).UnixNano())
+			until := now.Add(seriesGap)
+			k.failingUntil.Store(&until)
 			k.log.Error().Str("duty", d.name).Int("panics", series).Dur("delay", delay).Msg("a duty keeps failing; this host takes no new clients")
 		}
 		timer := time.NewTimer(delay)
@@ -67,9 +73,6 @@
 	}
 }
 
-// maxRestartDoublings keeps the doubled delay within the range of its type.
-const maxRestartDoublings = 8
-
 // recovered is a panic with the stack at which it arose.
 type recovered struct {
 	value any
