--- a/decision/poolplan/restarted_test.go
+++ b/decision/poolplan/restarted_test.go
@@ -73,9 +73,9 @@
 	}
 }
 
-// Guards against the later life of an executor that is taken for over, or never used,
+// Guards against the later incarnation of an executor that is taken for over, or never used,
 // because it refuses an order that was sent to the former one.
-func TestRefusalOfFormerLifesOrderEndsNothing(t *testing.T) {
+func TestRefusalOfFormerIncarnationsOrderEndsNothing(t *testing.T) {
 	const newLife = 2000
 	for _, knownBefore := range []bool{false, true} {
 		sim := newSimulation(t, 1)
@@ -99,7 +99,7 @@
 		sim.leaseRenewals = nil
 		sim.advance(time.Second)
 		if !knownBefore {
-			assert.Equal(t, len(sim.starts), 0, "the clock of the later life is not known")
+			assert.Equal(t, len(sim.starts), 0, "the clock of the later incarnation is not known")
 			renewal := sim.takeLeaseRenewal()
 			assert.Equal(t, renewal.StartedMs, int64(newLife))
 			sim.plan.RenewLeaseDone(sim.now, renewal, Report{Outcome: sim.outcome(Accepted), StartedMs: newLife})
--- a/fleethost/restart_test.go
+++ b/fleethost/restart_test.go
@@ -10,10 +10,10 @@
 
 // Guards against a task that runs again after its end was acknowledged, because its
 // executor had started again under its identifier, at its address. The owner learns of
-// that a second later. Until then it must send the later life nothing that was meant for
-// the former one: an acknowledgement of the former life's ends made the later one forget
+// that a second later. Until then it must send the later incarnation nothing that was
+// meant for the former one: an acknowledgement of the former ends made the later one forget
 // its own as they happened, and the owner took these runs for lost.
-func TestRestartedExecutorGetsNothingMeantForItsFormerLife(t *testing.T) {
+func TestRestartedExecutorGetsNothingMeantForItsFormerIncarnation(t *testing.T) {
 	c := startCluster(t, 1, 2, 60*time.Millisecond)
 	next := 0
 	submit := func(n int) {
