--- a/kernel/supervise_test.go
+++ b/kernel/supervise_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,13 +14,13 @@
 
 // faultyService has a restartable duty that panics in its first runs.
 type faultyService struct {
-	panics, runs int
+	panics int64
+	runs   atomic.Int64
 }
 
 func (s *faultyService) Provision(c *kernel.Context) error {
 	c.AddRestartableDuty("faulty", func(ctx context.Context) {
-		s.runs++
-		if s.runs <= s.panics {
+		if s.runs.Add(1) <= s.panics {
 			panic("unexpected message")
 		}
 		<-ctx.Done()
@@ -36,7 +37,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		assert.NilError(t, k.Run(ctx, time.Second))
-		assert.Equal(t, service.runs, 3)
+		assert.Equal(t, service.runs.Load(), int64(3))
 	})
 }
 
@@ -66,6 +67,7 @@
 		k.Register("sound", sound)
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Minute)
 		defer cancel()
+		assert.NilError(t, k.Provision())
 		ended := make(chan error, 1)
 		go func() { ended <- k.Run(ctx, time.Second) }()
 		time.Sleep(6 * time.Second)
@@ -74,14 +76,14 @@
 		assert.Assert(t, sound.kernelContext.Failing())
 		time.Sleep(5 * time.Minute)
 		assert.Assert(t, sound.kernelContext.Failing(), "the duty still panics at each start")
-		assert.Assert(t, faulty.runs < 20, "%d starts: restarts do not become rarer", faulty.runs)
+		assert.Assert(t, faulty.runs.Load() < 20, "%d starts: restarts do not become rarer", faulty.runs.Load())
 		select {
 		case err := <-ended:
 			t.Fatalf("the process ended: %v", err)
 		default:
 		}
 		time.Sleep(10 * time.Minute)
-		assert.Equal(t, faulty.runs, 21)
+		assert.Equal(t, faulty.runs.Load(), int64(21))
 		assert.Assert(t, !sound.kernelContext.Failing(), "the duty runs again")
 		assert.NilError(t, <-ended)
 		assert.Assert(t, !sound.interrupted)
