--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -331,6 +331,7 @@
 	}
 	j.progress.State, j.progress.EndedAt = s, now
 	p.markUnsaved(j)
+	p.countOutcome(now, j)
 	p.groupsChanged = true
 	p.addEvent(Event{Kind: "job ended", Job: j.spec.ID, Reason: s.String(), Age: now.Sub(j.spec.AcceptedAt)})
 }
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -145,6 +145,10 @@
 	serials int64
 	// taskDurations holds the estimators of task durations by queue.
 	taskDurations map[string]*durationEstimator
+	// summarized is the capacity at the last summary.
+	summarized summarizedCapacity
+	// outcomes counts the ends of jobs that were accepted with an estimate.
+	outcomes map[JobOutcome]int
 }
 
 // Event is a decision or a state change that is logged and counted.
--- a/decision/workload/workload.go
+++ b/decision/workload/workload.go
@@ -35,6 +35,9 @@
 	// AcceptedAt is when the job was recorded, by the wall clock of the entry
 	// host that recorded it.
 	AcceptedAt time.Time
+	// ExpectedEnd is the time from its acceptance to its end that was expected then;
+	// zero if it was not estimated.
+	ExpectedEnd time.Duration
 }
 
 // Step is a set of identical tasks.
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -30,6 +30,8 @@
 	PoolParts bool `json:"poolParts,omitempty"`
 	// Released is true when the owner has given up the pool.
 	Released bool `json:"released,omitempty"`
+	// Summary is the pool's load, if the owner publishes it.
+	Summary *SummaryRecord `json:"load,omitempty"`
 }
 
 // StatusRecord is the status that the owner of a pool publishes.
--- a/wire/jobrecord/spec.go
+++ b/wire/jobrecord/spec.go
@@ -26,6 +26,8 @@
 	AcceptedMs  int64 `json:"r"`
 	// Ended is set if the job has ended, and the text is left out.
 	Ended bool `json:"z,omitempty"`
+	// ExpectedEndMs is when the job was expected to end, after AcceptedMs.
+	ExpectedEndMs int64 `json:"e,omitempty"`
 }
 
 // originRecord has the place and the terms of the queue that accepted a job.
@@ -115,6 +117,7 @@
 	record := specRecord{
 		Queue: spec.Queue.Name, Origin: encodeOrigin(&spec.Queue), Tenant: spec.Tenant, Text: spec.Text, Times: spec.Times, SilentOwner: spec.SilentOwner,
 		IntervalMs: spec.Interval.Milliseconds(), IntervalExtraNs: int64(spec.Interval % time.Millisecond), AcceptedMs: spec.AcceptedAt.UnixMilli(),
+		ExpectedEndMs: spec.ExpectedEnd.Milliseconds(),
 	}
 	if spec.Times > 0 {
 		record.StartAtMs = spec.StartAt.UnixMilli()
@@ -140,6 +143,7 @@
 	spec := &workload.Spec{
 		ID: id, Ended: record.Ended, Queue: record.Origin.origin(record.Queue), Tenant: record.Tenant, Text: record.Text, Times: record.Times, SilentOwner: record.SilentOwner,
 		Interval: time.Duration(record.IntervalMs)*time.Millisecond + time.Duration(record.IntervalExtraNs), AcceptedAt: time.UnixMilli(record.AcceptedMs),
+		ExpectedEnd: time.Duration(record.ExpectedEndMs) * time.Millisecond,
 	}
 	if record.Times > 0 {
 		spec.StartAt = time.UnixMilli(record.StartAtMs)
