Carry the summaries of pools and of the standby capacity in the owner records

The planner makes one summary for each renewal and hands it over a ring to ownership.watch, whose next renewal carries it, so that no call is added. A record that is read first after a gap says nothing about its age, and counts as no summary. The fixture of TestOwnersAreKnownSoonAfterSilence gets the new ring; its assertions are unchanged.

The tests of services/ownership, services/pools and services/upkeep pass.

--- a/services/ownership/claim.go
+++ b/services/ownership/claim.go
@@ -103,6 +103,7 @@
 // startOwnership starts the ownership of a claim that took effect at version.
 func (s *Service) startOwnership(p *pool, record jobrecord.OwnerRecord, version int64) {
 	p.record, p.version = record, version
+	p.summary, p.observed = nil, nil
 	p.nextRenewalAt = p.claimedAt.Add(ownership.RenewalInterval)
 	p.ownership = &services.PoolOwnership{
 		Pool: p.name, Term: record.Term, FencingToken: version, RenewedAt: p.claimedAt, ClaimedAt: p.claimedAt, AcquiredVersion: version,
@@ -148,6 +149,7 @@
 		}
 		next := p.record
 		next.Renewals++
+		next.Summary = p.summaryRecord(now)
 		writes = append(writes, &ownerWrite{pool: p, next: next})
 	}
 	if !s.writeAll(ctx, writes) {
@@ -159,6 +161,7 @@
 			s.log.Debug().Err(w.err).Str("pool", w.pool.name).Dur("age", now.Sub(w.pool.ownership.RenewedAt)).Msg("renewal failed; retrying")
 		case w.commit.Committed:
 			w.pool.record, w.pool.version = w.next, w.commit.Version
+			w.pool.observeAsOf(now)
 			s.handleRenewal(w.pool, now)
 		default:
 			// An earlier renewal without a response may have taken effect.
@@ -184,7 +187,7 @@
 			continue
 		}
 		next := p.record
-		next.Released = true
+		next.Released, next.Summary = true, nil
 		writes = append(writes, &ownerWrite{pool: p, next: next})
 	}
 	if len(writes) == 0 || !s.writeAll(ctx, writes) {
--- a/services/ownership/ownership.go
+++ b/services/ownership/ownership.go
@@ -11,7 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
-	"fuchsiafront.example/fuchsiafront/decision/ownership"
+	"fuchsiafront.example/fuchsiafront/decision/waitestimate"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/ring"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -54,6 +54,7 @@
 	storeHealth     services.StoreHealth
 	ownedPools      atomic.Pointer[map[string]services.PoolOwnership]
 	observations    atomic.Pointer[map[string]observation]
+	summaries       *ring.Ring[services.PublishedSummary]
 	// serving ends when the pools are to be released.
 	serving    context.Context
 	endServing context.CancelFunc
@@ -78,6 +79,8 @@
 	nextRenewalAt time.Time
 	// claimedAt is when the last claim was sent.
 	claimedAt time.Time
+	// summary is the latest summary of an owned pool, and observed that of the record.
+	summary, observed *waitestimate.Summary
 }
 
 // New returns the service.
@@ -94,6 +97,7 @@
 	s.log, s.scope = c.Log, c.Scope
 	s.ownedGauge = c.Scope.Gauge("pools_owned")
 	s.lostOwnerships = ring.New[services.PoolOwnership]("ownership.lost", lostRingCapacity, c.Scope)
+	s.summaries = ring.New[services.PublishedSummary]("ownership.summaries", summariesRingCapacity, c.Scope)
 	var err error
 	if s.records, err = kernel.Lookup[services.Records](c, services.NamePlatform); err != nil {
 		return err
@@ -137,6 +141,7 @@
 	s.changesVersion = 0
 	for ctx.Err() == nil {
 		s.dropLostOwnerships()
+		s.takeSummaries()
 		s.round(ctx)
 		s.sleep(ctx, readInterval)
 	}
@@ -245,35 +250,6 @@
 	return nil
 }
 
-// observation is the state of an owner record at a read.
-type observation struct {
-	version      int64
-	term         int
-	unchangedFor time.Duration
-	readAt       time.Time
-}
-
-// publishObservations publishes the observations for SilentOwner.
-func (s *Service) publishObservations(now time.Time) {
-	observations := make(map[string]observation, len(s.pools))
-	for name, p := range s.pools {
-		observations[name] = observation{p.version, p.record.Term, p.unchangedFor, now}
-	}
-	s.observations.Store(&observations)
-}
-
-// SilentOwner implements services.Ownership.
-func (s *Service) SilentOwner(pool string) int64 {
-	o := (*s.observations.Load())[pool]
-	if o.unchangedFor+s.clock().Sub(o.readAt) < ownership.SilentAfter(s.storeHealth.ResponseTime()) {
-		return 0
-	}
-	return o.version
-}
-
-// OwnerTerm implements services.Ownership.
-func (s *Service) OwnerTerm(pool string) int { return (*s.observations.Load())[pool].term }
-
 func (s *Service) readRecords(ctx context.Context) ([]services.Record, error) {
 	if s.changesVersion > 0 {
 		ctx, cancel := s.contextWhileServing(ctx)
@@ -318,6 +294,7 @@
 		s.log.Info().Str("pool", p.name).Str("holder", record.Holder).Int("term", record.Term).Msg("pool has an owner")
 	}
 	p.record, p.version = record, r.Version
+	s.observe(p)
 	if p.ownership == nil && s.ownedBySelf(record) && record.Renewals == 0 {
 		// An earlier claim without a response took effect.
 		s.startOwnership(p, record, r.Version)
--- a/services/ownership/silence_test.go
+++ b/services/ownership/silence_test.go
@@ -116,6 +116,7 @@
 				s.catalogs = &fixedCatalogs{catalog: catalog.New(1, nil, []catalog.Service{{Name: testPool}}, nil)}
 				s.ownedGauge = s.scope.Gauge("owned")
 				s.lostOwnerships = ring.New[services.PoolOwnership]("lost", lostRingCapacity, s.scope)
+				s.summaries = ring.New[services.PublishedSummary]("summaries", summariesRingCapacity, s.scope)
 				s.workers = ring.NewWorkers("calls", callsRingCapacity, s.scope)
 				ctx, cancel := context.WithCancel(t.Context())
 				go s.watch(ctx)
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -94,6 +94,8 @@
 	leaving        map[string]bool
 	cordonsVersion int64
 	nextExpiryAt   time.Time
+	// summarizedRenewal is the renewal for which the pool's load was summarized.
+	summarizedRenewal int64
 }
 
 // callsInFlight has the calls of a pool that are in flight, at most one of each
@@ -288,8 +290,10 @@
 		p.dropLostPool(m)
 		return maxStepWait
 	}
+	p.countOutcomes(m)
 	p.saveProgress(m)
 	p.publishStatus(m)
+	p.publishSummary(m)
 	p.expireJobs(m)
 	p.trimJobs(m)
 	return m.plan.NextStep(p.now).Sub(p.now)
--- a/services/pools/pools.go
+++ b/services/pools/pools.go
@@ -49,6 +49,8 @@
 	Params poolplan.Params
 	// JobRetention is how long the records of a job are kept after its end.
 	JobRetention time.Duration
+	// PublishSummaries is set if hosts are told the load of the pools.
+	PublishSummaries bool
 }
 
 // Service is registered under services.NamePools.
@@ -63,6 +65,7 @@
 	advisor     services.Advisor
 	catalogs    services.Catalogs
 	ownership   services.Ownership
+	summaries   services.PoolSummaries
 
 	events            *ring.Ring[event]
 	orderCalls        *ring.Ring[call]
@@ -101,6 +104,7 @@
 	orderTime                 tally.Histogram
 	taskWait                  tally.Histogram
 	saveTime                  tally.Histogram
+	summaryTime               tally.Histogram
 	runningTasks, waitingJobs tally.Gauge
 	eventScope                tally.Scope
 }
@@ -157,7 +161,10 @@
 	if s.catalogs, err = kernel.Lookup[services.Catalogs](c, services.NameCatalog); err != nil {
 		return err
 	}
-	s.ownership, err = kernel.Lookup[services.Ownership](c, services.NameOwnership)
+	if s.ownership, err = kernel.Lookup[services.Ownership](c, services.NameOwnership); err != nil {
+		return err
+	}
+	s.summaries, err = kernel.Lookup[services.PoolSummaries](c, services.NameOwnership)
 	return err
 }
 
@@ -172,6 +179,7 @@
 		orderTime:      scope.Histogram("executor_order_seconds", buckets),
 		taskWait:       scope.Histogram("task_wait_seconds", buckets),
 		saveTime:       scope.Histogram("progress_save_seconds", buckets),
+		summaryTime:    scope.Histogram("pool_summary_seconds", tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 12)),
 		runningTasks:   scope.Gauge("tasks_running"),
 		waitingJobs:    scope.Gauge("jobs_waiting"),
 		eventScope:     scope,
--- a/services/upkeep/upkeep.go
+++ b/services/upkeep/upkeep.go
@@ -62,6 +62,8 @@
 	// which the previous owner may have given one, so that two processes do not
 	// alternate in giving orders for it.
 	OrderLease time.Duration
+	// PublishStandby is set if hosts are told what the standby pools have.
+	PublishStandby bool
 }
 
 // Service is registered under services.NameUpkeep.
@@ -74,6 +76,7 @@
 	machines       services.Machines
 	catalogs       services.Catalogs
 	ownership      services.Ownership
+	summaries      services.PoolSummaries
 	ordersCounter  tally.Counter
 	refusedCounter tally.Counter
 	movesCounter   tally.Counter
@@ -101,6 +104,8 @@
 	poolsLoggedAt    time.Time
 	machineList      []services.Machine
 	machinesListedAt time.Time
+	// standbyRenewal is the renewal for which the standby capacity was published.
+	standbyRenewal int64
 }
 
 // New returns the service.
@@ -147,6 +152,9 @@
 	if s.ownership, err = kernel.Lookup[services.Ownership](c, services.NameOwnership); err != nil {
 		return err
 	}
+	if s.summaries, err = kernel.Lookup[services.PoolSummaries](c, services.NameOwnership); err != nil {
+		return err
+	}
 	s.workers = ring.NewWorkers("upkeep.calls", callsRingCapacity, c.Scope)
 	c.AddRestartableDuty("upkeep.plan", s.plan)
 	for range callDutyCount {
@@ -196,6 +204,7 @@
 		s.log.Debug().Err(err).Msg("machines not listed; round skipped")
 		return false
 	}
+	s.publishStandby(now, machines)
 	if !s.loadPoolSizes(ctx, machines) || !s.loadIntents(ctx) {
 		return false
 	}
