Refuse jobs that could end only without value

A refusal is a write that requires that neither the job nor a newer refusal is recorded, and each one changes its version, so that no submission that was sent before takes effect after the 503. Submissions require the known state of that record also where early refusal is off: hosts with and without it run side by side while the setting changes. Taking the record of another call for the confirmation of this one was ruled out, since a submission may be under way that has read it.

TestAllFaultsAreReportedAtOnce leaves the new switch out, as the other ones: a switch has no value that Validate could refuse.

--- a/cmd/fuchsiafrontd/main.go
+++ b/cmd/fuchsiafrontd/main.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	host, err := fleethost.New(settings.Boot, level, os.Stdout, time.Now)
+	host, err := fleethost.New(settings.Boot, level, os.Stdout, time.Now, fleethost.WithEarlyRefusal(settings.EarlyRefusal))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitSettings)
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -41,7 +41,8 @@
 	HostRetirement  time.Duration `arg:"--host-retirement,env:FUCHSIAFRONT_HOST_RETIREMENT" default:"30m" help:"time after which a host that is missing from the host list loses its pool, unless many hosts of its zone are missing" placeholder:"DURATION" range:"1m to 24h"`
 	Profile         string        `arg:"--preset,env:FUCHSIAFRONT_PRESET" help:"deployment whose weights of buffer cost, roll-out time, moves and share apply to waves and moves" placeholder:"NAME" unit:"name" range:"tan-seng-huat, mare-viva, or empty for equal weights"`
 	LogLevel        string        `arg:"--log-level,env:FUCHSIAFRONT_LOG_LEVEL" default:"info" help:"trace, debug, info, warn or error" placeholder:"LEVEL" unit:"name" range:"trace, debug, info, warn or error; empty means info"`
-	Boot            string        `arg:"--boot,env:FUCHSIAFRONT_BOOT" help:"settings file of the users' platform; if set, the host runs on that platform, and of the other settings only --log-level and --check apply" placeholder:"FILE" unit:"file name" range:"a readable file, or empty"`
+	Boot            string        `arg:"--boot,env:FUCHSIAFRONT_BOOT" help:"settings file of the users' platform; if set, the host runs on that platform, and of the other settings only --log-level, --early-refusal and --check apply" placeholder:"FILE" unit:"file name" range:"a readable file, or empty"`
+	EarlyRefusal    bool          `arg:"--early-refusal,env:FUCHSIAFRONT_EARLY_REFUSAL" help:"with --boot: refuse jobs at once that could end only when they have no value any more, and tell callers when to return; turn it on only when every host runs a version that has this setting"`
 	Check           bool          `arg:"--check" help:"check the settings and exit"`
 }
 
--- a/fault/job.go
+++ b/fault/job.go
@@ -17,4 +17,8 @@
 	// ReasonNoJobRight means that the team's row does not count a right for the
 	// job.
 	ReasonNoJobRight Reason = "no-job-right"
+	// ReasonWithoutValue means that the job could end only when it has no value any
+	// more, and ReasonBeyondShare that this is because its tenant is beyond its share.
+	ReasonWithoutValue Reason = "without-value"
+	ReasonBeyondShare  Reason = "beyond-share"
 )
--- a/fleethost/fleethost.go
+++ b/fleethost/fleethost.go
@@ -46,10 +46,24 @@
 	adapter      *platform.Adapter
 	kernel       *kernel.Kernel
 	log          zerolog.Logger
+	earlyRefusal bool
 }
 
+// Option changes how a process is assembled.
+type Option func(*options)
+
+// options are the settings that the platform's file does not have.
+type options struct{ earlyRefusal bool }
+
+// WithEarlyRefusal sets whether jobs are refused that could not end while they have value.
+func WithEarlyRefusal(on bool) Option { return func(o *options) { o.earlyRefusal = on } }
+
 // New assembles the process from the platform's settings file. Logs go to out.
-func New(settingsPath string, level zerolog.Level, out io.Writer, clock services.Clock) (*Host, error) {
+func New(settingsPath string, level zerolog.Level, out io.Writer, clock services.Clock, opts ...Option) (*Host, error) {
+	var o options
+	for _, apply := range opts {
+		apply(&o)
+	}
 	settings, err := platform.Load(settingsPath)
 	if err != nil {
 		return nil, err
@@ -57,7 +71,7 @@
 	metricsService, scope := metrics.New(zerolog.New(out))
 	sink := logsink.New(out, scope)
 	log := zerolog.New(sink).Level(level).With().Timestamp().Str("host", settings.NodeName).Logger()
-	h := &Host{settingsPath: settingsPath, adapter: platform.New(settings), log: log, kernel: kernel.New(log, scope)}
+	h := &Host{settingsPath: settingsPath, adapter: platform.New(settings), log: log, kernel: kernel.New(log, scope), earlyRefusal: o.earlyRefusal}
 	k := h.kernel
 	k.Register(services.NameLog, sink)
 	k.Register(services.NameMetrics, metricsService)
@@ -66,12 +80,13 @@
 	k.Register(services.NameOwnership, ownership.New(ownership.Settings{
 		Host: settings.NodeName, Incarnation: clock().UnixNano(), CPUShare: settings.Limits.CPUShare,
 	}, clock))
-	k.Register(services.NamePools, pools.New(pools.Settings{Params: planParams(settings), JobRetention: endedRetention(settings)}, clock))
+	k.Register(services.NamePools, pools.New(pools.Settings{Params: planParams(settings), JobRetention: endedRetention(settings), PublishSummaries: o.earlyRefusal}, clock))
 	k.Register(services.NameUpkeep, upkeep.New(upkeep.Settings{
 		Host: settings.NodeName, MaintenanceTime: platform.Seconds(settings.Bounds.MaintenanceS), MoveTime: platform.Seconds(settings.Bounds.MoveS),
 		OrdersPerSecond: settings.Machines.OrdersPerSecond, OrderLease: platform.Milliseconds(settings.Bounds.OrderLeaseMs),
+		PublishStandby: o.earlyRefusal,
 	}, clock))
-	k.Register(services.NameJobIntake, jobintake.New(clock))
+	k.Register(services.NameJobIntake, jobintake.New(jobintake.Settings{EarlyRefusal: o.earlyRefusal}, clock))
 	k.Register(services.NameJobFront, platform.NewJobFront(h.adapter, clock))
 	return h, nil
 }
@@ -104,7 +119,7 @@
 func (h *Host) Serve(ctx context.Context) error {
 	settings := h.adapter.Settings()
 	h.log.Info().Str("zone", settings.Zone).Str("jobs", settings.Listen.Jobs).Str("store", settings.Store.Address).
-		Float64("cpu_share", settings.Limits.CPUShare).Int64("memory_mb", settings.Limits.MemoryMB).Msg("starting")
+		Float64("cpu_share", settings.Limits.CPUShare).Int64("memory_mb", settings.Limits.MemoryMB).Bool("early_refusal", h.earlyRefusal).Msg("starting")
 	return h.kernel.Run(ctx, platform.Seconds(settings.Bounds.StopGraceS)-exitMargin)
 }
 
--- a/services/jobintake/jobintake.go
+++ b/services/jobintake/jobintake.go
@@ -1,7 +1,7 @@
 // Package jobintake is the service that records callers' jobs and cancellations
-// and reports the state of jobs. It holds no state: every answer comes from the
-// platform's store, so that all hosts give the same one. Its calls run on the
-// callers' goroutines.
+// and reports the state of jobs. Every answer comes from the platform's store, so that
+// all hosts give the same one. Its calls run on the callers' goroutines. Two duties, which
+// run only with early refusal, own what it remembers of refusals.
 package jobintake
 
 import (
@@ -36,8 +36,15 @@
 	answerMargin = 150 * time.Millisecond
 )
 
+// Settings configures the service.
+type Settings struct {
+	// EarlyRefusal is set if jobs are refused that could not end while they have value.
+	EarlyRefusal bool
+}
+
 // Service implements services.JobIntake.
 type Service struct {
+	settings      Settings
 	clock         services.Clock
 	log           zerolog.Logger
 	records       services.Records
@@ -47,10 +54,13 @@
 	metrics       services.Metrics
 	submitLatency tally.Histogram
 	stateLatency  tally.Histogram
+	early         earlyRefusal
 }
 
 // New returns the service.
-func New(clock services.Clock) *Service { return &Service{clock: clock} }
+func New(s Settings, clock services.Clock) *Service {
+	return &Service{settings: s, clock: clock}
+}
 
 // Provision implements kernel.Service.
 func (s *Service) Provision(c *kernel.Context) error {
@@ -71,76 +81,16 @@
 	if s.ownership, err = kernel.Lookup[services.Ownership](c, services.NameOwnership); err != nil {
 		return err
 	}
-	s.metrics, err = kernel.Lookup[services.Metrics](c, services.NameMetrics)
-	return err
+	if s.metrics, err = kernel.Lookup[services.Metrics](c, services.NameMetrics); err != nil || !s.settings.EarlyRefusal {
+		return err
+	}
+	return s.provisionEarlyRefusal(c)
 }
 
 // Ready implements services.JobIntake. A host that cannot reach the store can
 // neither record a job nor look up its state; another host may be able to.
 func (s *Service) Ready() bool { return s.storeHealth.UnreachableFor() < maxStoreSilence }
 
-// Submit implements services.JobIntake. A repeat under the same identifier finds
-// the record of the first submission and succeeds, whatever pool that is in.
-func (s *Service) Submit(ctx context.Context, q *catalog.Queue, spec *workload.Spec) error {
-	start := s.clock()
-	defer func() { s.submitLatency.RecordDuration(s.clock().Sub(start)) }()
-	spec.SilentOwner = s.ownership.SilentOwner(q.Service)
-	value, err := jobrecord.EncodeSpec(spec)
-	if err != nil {
-		return fault.New(&fault.Invalid, fault.ReasonMalformed, "encode job", "", "job %q: %w", spec.ID, err)
-	}
-	if len(value) > jobrecord.MaxRecordBytes {
-		return fault.New(&fault.Invalid, fault.ReasonBodyTooLarge, "encode job", "", "job %q: its record has %d bytes; want at most %d", spec.ID, len(value), jobrecord.MaxRecordBytes)
-	}
-	// The identifier is taken in the transaction that records the job, because another
-	// version of the configuration may send its queue to another pool.
-	idKey := jobrecord.IDKey(spec.ID)
-	tx := services.RecordTx{
-		Conditions: []services.RecordCondition{{RecordKey: idKey}},
-		Writes: []services.RecordWrite{
-			{RecordKey: idKey, Value: []byte(q.Service)},
-			{RecordKey: jobrecord.JobKey(q.Service, spec.ID), Value: value},
-		},
-	}
-	commit, err := s.commit(ctx, tx, "submit")
-	log := s.log.Info().Str("job", spec.ID).Str("queue", q.Name).Str("tenant", spec.Tenant).Int64("silent_owner", spec.SilentOwner).Dur("took", s.clock().Sub(start))
-	if err != nil {
-		log.Str("pool", q.Service).Err(err).Msg("job refused")
-		return err
-	}
-	pool := q.Service
-	for i := range commit.Current {
-		pool = string(commit.Current[i].Value)
-	}
-	log.Str("pool", pool).Int64("version", commit.Version).Bool("repeat", !commit.Committed).Msg("job accepted")
-	return nil
-}
-
-// commit retries until the store answers, within the caller's deadline. The
-// error says whether any attempt may have taken effect.
-func (s *Service) commit(ctx context.Context, tx services.RecordTx, step string) (services.RecordCommit, error) {
-	start := s.clock()
-	outcomeUnknown := false
-	for {
-		commit, err := s.records.Commit(ctx, tx)
-		if err == nil {
-			return commit, nil
-		}
-		outcomeUnknown = outcomeUnknown || !fault.IsNotRun(err)
-		reason := fault.ReasonOf(err)
-		if !outcomeUnknown && s.clock().Sub(start) > retryWindow {
-			return commit, err
-		}
-		if !s.hasTimeLeft(ctx) || !services.Sleep(ctx, retryDelay) {
-			if outcomeUnknown {
-				return commit, fault.New(&fault.Unknown, reason, step, "", "%w", err)
-			}
-			return commit, err
-		}
-		s.metrics.CountRetry(step, reason)
-	}
-}
-
 // hasTimeLeft reports whether the caller's deadline allows another attempt.
 func (s *Service) hasTimeLeft(ctx context.Context) bool {
 	deadline, ok := ctx.Deadline()
--- a/services/jobintake/jobintake_test.go
+++ b/services/jobintake/jobintake_test.go
@@ -81,7 +81,7 @@
 		{observedOwner{term: 2, silent: 7}, 5},
 		{observedOwner{term: 3}, 5},
 	} {
-		s := New(time.Now)
+		s := New(Settings{}, time.Now)
 		s.records, s.ownership, s.catalogs = storedRecords{list: list}, test.owner, fixedCatalogs{}
 		jobs, err := s.Pending(t.Context(), &catalog.Queue{Name: "queue", Service: "pool"})
 		assert.NilError(t, err)
@@ -102,7 +102,7 @@
 	spec, err := jobrecord.EncodeSpec(&workload.Spec{ID: id, Steps: []workload.Step{{Count: 1}}})
 	job := record(jobrecord.JobKey(pool, id), spec, err)
 	status, err := json.Marshal(jobrecord.StatusRecord{Term: 1, StartedUnrecorded: []string{id}})
-	s := New(time.Now)
+	s := New(Settings{}, time.Now)
 	s.records = storedRecords{list: []services.Record{recorded, job, record(jobrecord.StatusKey(pool), status, err)}}
 	found, err := s.findJob(t.Context(), &catalog.Queue{Name: "queue", Service: pool}, id)
 	assert.NilError(t, err)
--- a/wire/jobrecord/jobrecord.go
+++ b/wire/jobrecord/jobrecord.go
@@ -33,6 +33,8 @@
 	TableLimits     = "limits"
 	// TableIDs has the pool of each job, by its identifier.
 	TableIDs = "ids"
+	// TableRefused has the refusals of jobs, by their identifiers.
+	TableRefused = "refused"
 	// PartLimits is the only part of TableLimits; its keys are tenants.
 	PartLimits = "limits"
 )
@@ -129,6 +131,12 @@
 	return services.RecordKey{Table: TableIDs, Part: jobPart(id), Key: id}
 }
 
+// RefusedKey returns the key of a job's RefusalRecord. It is in the part of the job's
+// identifier, so that one transaction can check and change both.
+func RefusedKey(id string) services.RecordKey {
+	return services.RecordKey{Table: TableRefused, Part: jobPart(id), Key: id}
+}
+
 // CancelKey returns the key of a job's cancellation.
 func CancelKey(pool, id string) services.RecordKey {
 	return services.RecordKey{Table: TableJobs(pool), Part: jobPart(id), Key: id + suffixCancel}
--- a/wire/jobrecord/summary.go
+++ b/wire/jobrecord/summary.go
@@ -110,3 +110,12 @@
 	}
 	return w
 }
+
+// RefusalRecord says that a job was refused. It keeps writes of earlier submissions from
+// taking effect after the refusal.
+type RefusalRecord struct {
+	// FirstMs is when the job was first refused, in Unix milliseconds.
+	FirstMs int64 `json:"first"`
+	// Count is how often it was refused.
+	Count int `json:"n"`
+}
