--- a/services/pools/summary.go
+++ b/services/pools/summary.go
@@ -1,8 +1,6 @@
 package pools
 
 import (
-	"time"
-
 	"fuchsiafront.example/fuchsiafront/decision/ownership"
 	"fuchsiafront.example/fuchsiafront/services"
 )
@@ -18,11 +16,12 @@
 	if !p.s.settings.PublishSummaries || m.summarizedRenewal == o.RenewalVersion || p.now.Sub(o.RenewedAt) < summaryDelay {
 		return
 	}
+	start := p.s.clock()
 	summary := m.plan.Summary(p.now)
+	p.s.meters.summaryTime.RecordDuration(p.s.clock().Sub(start))
 	if p.s.summaries.PublishSummary(services.PublishedSummary{Ownership: o, Summary: summary}) {
 		m.summarizedRenewal = o.RenewalVersion
 	}
-	p.s.meters.summaryTime.RecordDuration(max(p.s.clock().Sub(p.now), time.Microsecond))
 }
 
 // countOutcomes counts the ends of jobs that were accepted with an estimate.
