Replace the presets of two deployments by settings of waves and moves

The presets tied weights, spare hosts and the reference roll-out time to the names of two deployments, so that a third could not choose its own values.

The presets also set two values that are not settings now: an assumed first time out of service of 2 minutes (1 minute without a preset) and no bound on the moves under way (2 without a preset).

The two sets of parameters under which fuchsiameasure replays demand move from decision/profile to package measure under neutral names; the test of the unknown name and that of equal weights move with them unchanged.

--- a/cmd/fuchsiameasure/main.go
+++ b/cmd/fuchsiameasure/main.go
@@ -10,7 +10,6 @@
 
 	"github.com/alexflint/go-arg"
 
-	"fuchsiafront.example/fuchsiafront/decision/profile"
 	"fuchsiafront.example/fuchsiafront/measure"
 )
 
@@ -29,7 +28,7 @@
 	Capacity   *capacityCommand `arg:"subcommand:capacity" help:"measure how memory, messages, processor time and table calls grow with the fleet"`
 	Sweep      *sweepCommand    `arg:"subcommand:sweep" help:"replay with several values of each parameter"`
 	Seed       uint64           `arg:"--seed" default:"1" help:"seed of the demand and the failures"`
-	Deployment string           `arg:"--deployment" help:"tan-seng-huat or mare-viva; both when not given"`
+	Deployment string           `arg:"--deployment" help:"share-weighted or buffer-weighted; both when not given"`
 	Minutes    int              `arg:"--minutes" default:"30" help:"length of the replay in virtual minutes"`
 	JSON       bool             `arg:"--json" help:"print JSON"`
 }
@@ -50,14 +49,14 @@
 	if o.Ceiling != nil {
 		return runCeiling(o)
 	}
-	names := profile.Names()
+	names := measure.DeploymentNames()
 	if o.Deployment != "" {
 		names = []string{o.Deployment}
 	}
 	var all []measure.Result
 	for _, name := range names {
 		settings := measure.Settings{Seed: o.Seed, Deployment: name, Minutes: o.Minutes}
-		p, _ := profile.ByName(name)
+		p, _ := measure.ParametersByName(name)
 		if o.Sweep != nil {
 			if err := measure.Sweep(os.Stdout, settings, p, o.Sweep.Parameter); err != nil {
 				return err
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -8,7 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"fuchsiafront.example/fuchsiafront/decision/document"
-	"fuchsiafront.example/fuchsiafront/decision/profile"
+	"fuchsiafront.example/fuchsiafront/decision/wave"
 	"fuchsiafront.example/fuchsiafront/fleet"
 	"fuchsiafront.example/fuchsiafront/kernel"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -81,9 +81,9 @@
 
 func (s *Settings) maintenanceSettings() maintenance.Settings {
 	m := maintenance.DefaultSettings()
-	if p, ok := profile.ByName(s.Profile); ok {
-		m.Parallelism, m.Moves.MoveParams, m.DemandHalfLife = p.Parallelism, p.Moves, p.DemandHalfLife
-	}
+	weights := wave.Weights{Share: s.ShareWeight, Moves: s.MoveWeight, RollOut: s.RollOutWeight, Buffer: s.BufferWeight}
+	m.Parallelism.Weights, m.Moves.Weights = weights, weights
+	m.Parallelism.Spare, m.Parallelism.ReferenceRollOut = s.SpareHosts, s.ReferenceRollOut
 	m.RetireAfter = s.HostRetirement
 	return m
 }
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -13,36 +13,41 @@
 	"github.com/alexflint/go-arg"
 
 	"fuchsiafront.example/fuchsiafront/decision/document"
-	"fuchsiafront.example/fuchsiafront/decision/profile"
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/settings"
 )
 
 // Settings are the flags and environment variables of fuchsiafrontd.
 type Settings struct {
-	Name            string        `arg:"--name,env:FUCHSIAFRONT_NAME" help:"name of this entry host, unique in the deployment" placeholder:"NAME" unit:"name" range:"at least 1 character, without spaces and slashes"`
-	Zone            string        `arg:"--zone,env:FUCHSIAFRONT_ZONE" help:"availability zone of this entry host" placeholder:"ZONE" unit:"name" range:"the name of an availability zone, at least 1 character"`
-	CallerAddress   string        `arg:"--caller-address,env:FUCHSIAFRONT_CALLER_ADDRESS" default:"127.0.0.1:8080" help:"IP:port for callers" placeholder:"IP:PORT" unit:"IP:port" range:"an IP address and a port"`
-	AdminAddress    string        `arg:"--admin-address,env:FUCHSIAFRONT_ADMIN_ADDRESS" default:"127.0.0.1:8081" help:"IP:port for operators, health and metrics" placeholder:"IP:PORT" unit:"IP:port" range:"an IP address and a port"`
-	PeerAddress     string        `arg:"--peer-address,env:FUCHSIAFRONT_PEER_ADDRESS" default:"127.0.0.1:8082" help:"IP:port for other entry hosts" placeholder:"IP:PORT" unit:"IP:port" range:"an IP address and a port"`
-	PeerAdvertise   string        `arg:"--peer-advertise,env:FUCHSIAFRONT_PEER_ADVERTISE" help:"IP:port at which other entry hosts reach --peer-address, when it differs" placeholder:"IP:PORT" unit:"IP:port" range:"an IP address and a port, or empty for --peer-address"`
-	Peers           []string      `arg:"--peers,env:FUCHSIAFRONT_PEERS" help:"IP:port of other entry hosts to contact at start, also while the platform is down" placeholder:"IP:PORT" unit:"IP:port list" range:"IP addresses with ports, or empty for none"`
-	SourceIP        string        `arg:"--source-ip,env:FUCHSIAFRONT_SOURCE_IP" help:"source IP of outgoing connections" placeholder:"IP" unit:"IP address" range:"an IP address, or empty to let the system choose"`
-	Platform        string        `arg:"--platform,env:FUCHSIAFRONT_PLATFORM" help:"URL of the platform, http://IP:port" placeholder:"URL" unit:"URL" range:"http://IP:port"`
-	BootstrapKey    string        `arg:"--bootstrap-key,env:FUCHSIAFRONT_BOOTSTRAP_KEY" help:"stored form ID:SALT:HASH of the operator key that is accepted while the document declares no operators" placeholder:"KEY" unit:"stored key" range:"ID:SALT:HASH as printed by fuchsiactl operator create-key, or empty for none"`
-	MaxEntryHosts   int           `arg:"--max-entry-hosts,env:FUCHSIAFRONT_MAX_ENTRY_HOSTS" default:"8" help:"largest number of entry hosts, by which the connections of a backend server are divided" placeholder:"N" unit:"entry hosts" range:"1 to 64"`
-	MaxBodyBytes    int64         `arg:"--max-body-bytes,env:FUCHSIAFRONT_MAX_BODY_BYTES" default:"4194304" help:"largest request body" placeholder:"BYTES" unit:"bytes" range:"1 to 1073741824"`
-	DefaultTimeout  time.Duration `arg:"--default-timeout,env:FUCHSIAFRONT_DEFAULT_TIMEOUT" default:"30s" help:"timeout of requests that do not set one" placeholder:"DURATION" range:"1ms to the value of --max-timeout"`
-	MaxTimeout      time.Duration `arg:"--max-timeout,env:FUCHSIAFRONT_MAX_TIMEOUT" default:"2m" help:"longest timeout that a request may set" placeholder:"DURATION" range:"1ms to 1h"`
-	MaxKeyStaleness time.Duration `arg:"--key-currency,env:FUCHSIAFRONT_KEY_CURRENCY" default:"3s" help:"maximum staleness of the replica of the keys at which keys are accepted" placeholder:"DURATION" range:"1s to 1m"`
-	HoldTerm        time.Duration `arg:"--hold-term,env:FUCHSIAFRONT_HOLD_TERM" default:"75m" help:"how long rights may be used after the last confirmed renewal of the member row" placeholder:"DURATION" range:"1m to 24h"`
-	ReadinessDelay  time.Duration `arg:"--readiness-delay,env:FUCHSIAFRONT_READINESS_DELAY" default:"3s" help:"time between reporting not-ready and refusing new connections at shutdown" placeholder:"DURATION" range:"0s to 1m"`
-	DrainTimeout    time.Duration `arg:"--drain-timeout,env:FUCHSIAFRONT_DRAIN_TIMEOUT" default:"2m30s" help:"longest time that a shutdown waits for running work" placeholder:"DURATION" range:"1s to 24h"`
-	HostRetirement  time.Duration `arg:"--host-retirement,env:FUCHSIAFRONT_HOST_RETIREMENT" default:"30m" help:"time after which a host that is missing from the host list loses its pool, unless many hosts of its zone are missing" placeholder:"DURATION" range:"1m to 24h"`
-	Profile         string        `arg:"--preset,env:FUCHSIAFRONT_PRESET" help:"deployment whose weights of buffer cost, roll-out time, moves and share apply to waves and moves" placeholder:"NAME" unit:"name" range:"tan-seng-huat, mare-viva, or empty for equal weights"`
-	LogLevel        string        `arg:"--log-level,env:FUCHSIAFRONT_LOG_LEVEL" default:"info" help:"trace, debug, info, warn or error" placeholder:"LEVEL" unit:"name" range:"trace, debug, info, warn or error; empty means info"`
-	Boot            string        `arg:"--boot,env:FUCHSIAFRONT_BOOT" help:"settings file of the users' platform; if set, the host runs on that platform, and of the other settings only --log-level and --check apply" placeholder:"FILE" unit:"file name" range:"a readable file, or empty"`
-	Check           bool          `arg:"--check" help:"check the settings and exit"`
+	Name             string        `arg:"--name,env:FUCHSIAFRONT_NAME" help:"name of this entry host, unique in the deployment" placeholder:"NAME" unit:"name" range:"at least 1 character, without spaces and slashes"`
+	Zone             string        `arg:"--zone,env:FUCHSIAFRONT_ZONE" help:"availability zone of this entry host" placeholder:"ZONE" unit:"name" range:"the name of an availability zone, at least 1 character"`
+	CallerAddress    string        `arg:"--caller-address,env:FUCHSIAFRONT_CALLER_ADDRESS" default:"127.0.0.1:8080" help:"IP:port for callers" placeholder:"IP:PORT" unit:"IP:port" range:"an IP address and a port"`
+	AdminAddress     string        `arg:"--admin-address,env:FUCHSIAFRONT_ADMIN_ADDRESS" default:"127.0.0.1:8081" help:"IP:port for operators, health and metrics" placeholder:"IP:PORT" unit:"IP:port" range:"an IP address and a port"`
+	PeerAddress      string        `arg:"--peer-address,env:FUCHSIAFRONT_PEER_ADDRESS" default:"127.0.0.1:8082" help:"IP:port for other entry hosts" placeholder:"IP:PORT" unit:"IP:port" range:"an IP address and a port"`
+	PeerAdvertise    string        `arg:"--peer-advertise,env:FUCHSIAFRONT_PEER_ADVERTISE" help:"IP:port at which other entry hosts reach --peer-address, when it differs" placeholder:"IP:PORT" unit:"IP:port" range:"an IP address and a port, or empty for --peer-address"`
+	Peers            []string      `arg:"--peers,env:FUCHSIAFRONT_PEERS" help:"IP:port of other entry hosts to contact at start, also while the platform is down" placeholder:"IP:PORT" unit:"IP:port list" range:"IP addresses with ports, or empty for none"`
+	SourceIP         string        `arg:"--source-ip,env:FUCHSIAFRONT_SOURCE_IP" help:"source IP of outgoing connections" placeholder:"IP" unit:"IP address" range:"an IP address, or empty to let the system choose"`
+	Platform         string        `arg:"--platform,env:FUCHSIAFRONT_PLATFORM" help:"URL of the platform, http://IP:port" placeholder:"URL" unit:"URL" range:"http://IP:port"`
+	BootstrapKey     string        `arg:"--bootstrap-key,env:FUCHSIAFRONT_BOOTSTRAP_KEY" help:"stored form ID:SALT:HASH of the operator key that is accepted while the document declares no operators" placeholder:"KEY" unit:"stored key" range:"ID:SALT:HASH as printed by fuchsiactl operator create-key, or empty for none"`
+	MaxEntryHosts    int           `arg:"--max-entry-hosts,env:FUCHSIAFRONT_MAX_ENTRY_HOSTS" default:"8" help:"largest number of entry hosts, by which the connections of a backend server are divided" placeholder:"N" unit:"entry hosts" range:"1 to 64"`
+	MaxBodyBytes     int64         `arg:"--max-body-bytes,env:FUCHSIAFRONT_MAX_BODY_BYTES" default:"4194304" help:"largest request body" placeholder:"BYTES" unit:"bytes" range:"1 to 1073741824"`
+	DefaultTimeout   time.Duration `arg:"--default-timeout,env:FUCHSIAFRONT_DEFAULT_TIMEOUT" default:"30s" help:"timeout of requests that do not set one" placeholder:"DURATION" range:"1ms to the value of --max-timeout"`
+	MaxTimeout       time.Duration `arg:"--max-timeout,env:FUCHSIAFRONT_MAX_TIMEOUT" default:"2m" help:"longest timeout that a request may set" placeholder:"DURATION" range:"1ms to 1h"`
+	MaxKeyStaleness  time.Duration `arg:"--key-currency,env:FUCHSIAFRONT_KEY_CURRENCY" default:"3s" help:"maximum staleness of the replica of the keys at which keys are accepted" placeholder:"DURATION" range:"1s to 1m"`
+	HoldTerm         time.Duration `arg:"--hold-term,env:FUCHSIAFRONT_HOLD_TERM" default:"75m" help:"how long rights may be used after the last confirmed renewal of the member row" placeholder:"DURATION" range:"1m to 24h"`
+	ReadinessDelay   time.Duration `arg:"--readiness-delay,env:FUCHSIAFRONT_READINESS_DELAY" default:"3s" help:"time between reporting not-ready and refusing new connections at shutdown" placeholder:"DURATION" range:"0s to 1m"`
+	DrainTimeout     time.Duration `arg:"--drain-timeout,env:FUCHSIAFRONT_DRAIN_TIMEOUT" default:"2m30s" help:"longest time that a shutdown waits for running work" placeholder:"DURATION" range:"1s to 24h"`
+	HostRetirement   time.Duration `arg:"--host-retirement,env:FUCHSIAFRONT_HOST_RETIREMENT" default:"30m" help:"time after which a host that is missing from the host list loses its pool, unless many hosts of its zone are missing" placeholder:"DURATION" range:"1m to 24h"`
+	ShareWeight      float64       `arg:"--share-weight,env:FUCHSIAFRONT_SHARE_WEIGHT" default:"1" help:"weight of work that waits because hosts are short, in the choice of moves between pools" placeholder:"WEIGHT" unit:"weight" range:"0.01 to 100"`
+	MoveWeight       float64       `arg:"--move-weight,env:FUCHSIAFRONT_MOVE_WEIGHT" default:"1" help:"weight of one move of a host between pools" placeholder:"WEIGHT" unit:"weight" range:"0.01 to 100"`
+	RollOutWeight    float64       `arg:"--roll-out-weight,env:FUCHSIAFRONT_ROLL_OUT_WEIGHT" default:"1" help:"weight of the time that a wave takes" placeholder:"WEIGHT" unit:"weight" range:"0.01 to 100"`
+	BufferWeight     float64       `arg:"--buffer-weight,env:FUCHSIAFRONT_BUFFER_WEIGHT" default:"1" help:"weight of one host held spare for a wave" placeholder:"WEIGHT" unit:"weight" range:"0.01 to 100"`
+	SpareHosts       int           `arg:"--spare-hosts,env:FUCHSIAFRONT_SPARE_HOSTS" default:"1" help:"hosts that a wave leaves in service beyond the demand of the pool" placeholder:"N" unit:"hosts" range:"0 to 1000"`
+	ReferenceRollOut time.Duration `arg:"--reference-roll-out,env:FUCHSIAFRONT_REFERENCE_ROLL_OUT" default:"10s" help:"roll-out time of a wave that costs as much as one host held spare if both weights are equal" placeholder:"DURATION" range:"1s to 24h"`
+	Preset           string        `arg:"--preset,env:FUCHSIAFRONT_PRESET" help:"removed; a value is refused" placeholder:"NAME" unit:"name" range:"no value, and in its place --share-weight, --move-weight, --roll-out-weight, --buffer-weight, --spare-hosts and --reference-roll-out"`
+	LogLevel         string        `arg:"--log-level,env:FUCHSIAFRONT_LOG_LEVEL" default:"info" help:"trace, debug, info, warn or error" placeholder:"LEVEL" unit:"name" range:"trace, debug, info, warn or error; empty means info"`
+	Boot             string        `arg:"--boot,env:FUCHSIAFRONT_BOOT" help:"settings file of the users' platform; if set, the host runs on that platform, and of the other settings only --log-level and --check apply" placeholder:"FILE" unit:"file name" range:"a readable file, or empty"`
+	Check            bool          `arg:"--check" help:"check the settings and exit"`
 }
 
 // Defaults returns the settings that apply where no flag or environment
@@ -84,9 +89,7 @@
 	if s.BootstrapKey != "" && !s.bootstrapKeyIsValid() {
 		c.Reject("--bootstrap-key", "(hidden)")
 	}
-	if s.Profile != "" && !slices.Contains(profile.Names(), s.Profile) {
-		c.Reject("--preset", s.Profile)
-	}
+	s.validateWaves(c)
 	s.validateCommon(c)
 	return c.Err()
 }
@@ -101,6 +104,9 @@
 
 // validateCommon checks the settings that hold on both platforms.
 func (s *Settings) validateCommon(c *settings.Checker) {
+	if s.Preset != "" {
+		c.Reject("--preset", s.Preset)
+	}
 	if s.LogLevel != "" && !slices.Contains(logLevels, s.LogLevel) {
 		c.Reject("--log-level", s.LogLevel)
 	}
@@ -167,6 +173,7 @@
 		{"--readiness-delay", s.ReadinessDelay, 0, time.Minute},
 		{"--drain-timeout", s.DrainTimeout, time.Second, 24 * time.Hour},
 		{"--host-retirement", s.HostRetirement, time.Minute, 24 * time.Hour},
+		{"--reference-roll-out", s.ReferenceRollOut, time.Second, 24 * time.Hour},
 	}
 	for _, d := range durations {
 		if d.value < d.min || d.value > d.max {
@@ -175,6 +182,38 @@
 	}
 }
 
+// Bounds of the weights. Only their ratios have an effect; a weight of zero would
+// remove the bound that it stands for.
+const (
+	minWeight = 0.01
+	maxWeight = 100
+)
+
+// maxSpareHosts is the largest value of --spare-hosts.
+const maxSpareHosts = 1000
+
+// validateWaves checks the settings of waves and moves.
+func (s *Settings) validateWaves(c *settings.Checker) {
+	weights := []struct {
+		flag  string
+		value float64
+	}{
+		{"--share-weight", s.ShareWeight},
+		{"--move-weight", s.MoveWeight},
+		{"--roll-out-weight", s.RollOutWeight},
+		{"--buffer-weight", s.BufferWeight},
+	}
+	for _, w := range weights {
+		isWithin := w.value >= minWeight && w.value <= maxWeight
+		if !isWithin {
+			c.Reject(w.flag, strconv.FormatFloat(w.value, 'g', -1, 64))
+		}
+	}
+	if s.SpareHosts < 0 || s.SpareHosts > maxSpareHosts {
+		c.Reject("--spare-hosts", strconv.Itoa(s.SpareHosts))
+	}
+}
+
 // bootstrapOperatorName is the operator to which --bootstrap-key belongs.
 const bootstrapOperatorName = "bootstrap"
 
--- a/entryhost/settings_test.go
+++ b/entryhost/settings_test.go
@@ -31,7 +31,7 @@
 	assert.NilError(t, parseSettings(t).Validate())
 	s := parseSettings(t, "--name", "a/b", "--zone", "", "--caller-address", "here", "--admin-address", "localhost:1", "--peer-address", "", "--peer-advertise", "there", "--peers", "nowhere", "--hold-term", "1s", "--preset", "klang",
 		"--source-ip", "x", "--platform", "http://name:1", "--bootstrap-key", "k:zz:5ec7e7", "--max-entry-hosts", "0",
-		"--max-body-bytes", "0", "--default-timeout", "3m", "--key-currency", "0s", "--host-retirement", "0s", "--log-level", "loud", "--boot", "no-such-file")
+		"--max-body-bytes", "0", "--default-timeout", "3m", "--key-currency", "0s", "--host-retirement", "0s", "--share-weight", "0", "--move-weight", "NaN", "--roll-out-weight", "-1", "--buffer-weight", "101", "--spare-hosts", "-1", "--reference-roll-out", "0s", "--log-level", "loud", "--boot", "no-such-file")
 	err := s.Validate()
 	for _, r := range settings.List(s) {
 		switch r.Flag {
--- a/measure/capacity.go
+++ b/measure/capacity.go
@@ -6,8 +6,6 @@
 	"strings"
 	"text/tabwriter"
 	"time"
-
-	"fuchsiafront.example/fuchsiafront/decision/profile"
 )
 
 // Slope describes how a quantity grows with a size.
@@ -180,7 +178,7 @@
 // replayTableCalls replays the demand of one deployment divided among the given
 // number of teams. The fleet, and therefore the total work, stays the same.
 func replayTableCalls(entryHosts, teams int) Result {
-	d, err := deploymentByName(profile.TanSengHuat)
+	d, err := deploymentByName(ShareWeighted)
 	if err != nil {
 		panic(err)
 	}
@@ -194,8 +192,8 @@
 		t.limit = max(1, t.limit*len(all)/teams)
 		d.teams = append(d.teams, t)
 	}
-	p, _ := profile.ByName(profile.TanSengHuat)
-	return replay(d, p, Settings{Seed: 1, Deployment: profile.TanSengHuat, Minutes: 1}, false)
+	p, _ := ParametersByName(ShareWeighted)
+	return replay(d, p, Settings{Seed: 1, Deployment: ShareWeighted, Minutes: 1}, false)
 }
 
 // SlopeTable formats slopes as a table with one line each.
--- a/measure/deployment.go
+++ b/measure/deployment.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/document"
-	"fuchsiafront.example/fuchsiafront/decision/profile"
 	"fuchsiafront.example/fuchsiafront/fleet"
 )
 
@@ -47,7 +46,7 @@
 
 func deploymentByName(name string) (deployment, error) {
 	switch name {
-	case profile.TanSengHuat:
+	case ShareWeighted:
 		return deployment{
 			zones: []fleet.AvailabilityZone{"klang", "shah-alam", "penang"}, sparePool: "office",
 			entryHosts: 8, workers: 52, spareHosts: 4, servers: []int{8, 10, 12, 9, 11},
@@ -60,7 +59,7 @@
 				{"f", fleet.ClassBatch, 0.10, 1, 24},
 			},
 		}, nil
-	case profile.MareViva:
+	case BufferWeighted:
 		return deployment{
 			zones: []fleet.AvailabilityZone{"porto-alegre", "florianopolis", "curitiba"}, sparePool: "apoio",
 			entryHosts: 6, workers: 48, spareHosts: 4, servers: []int{12, 8, 9, 10, 8},
@@ -74,7 +73,7 @@
 			},
 		}, nil
 	}
-	return deployment{}, fmt.Errorf("unknown deployment %q; known deployments: %v", name, profile.Names())
+	return deployment{}, fmt.Errorf("unknown deployment %q; known deployments: %v", name, DeploymentNames())
 }
 
 // serviceNames holds the name of each service, which is also that of its pool.
--- a/decision/profile/profile_test.go
+++ b/measure/parameters_test.go
@@ -1,4 +1,4 @@
-package profile
+package measure
 
 import (
 	"testing"
@@ -6,20 +6,20 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestWavesAndMovesHaveEqualWeights guards against a profile with different
+// TestWavesAndMovesHaveEqualWeights guards against parameters with different
 // weights for waves and moves, which would value spare hosts inconsistently.
 func TestWavesAndMovesHaveEqualWeights(t *testing.T) {
-	for _, name := range Names() {
-		p, ok := ByName(name)
+	for _, name := range DeploymentNames() {
+		p, ok := ParametersByName(name)
 		assert.Assert(t, ok)
 		assert.Equal(t, p.Name, name)
 		assert.Equal(t, p.Parallelism.Weights, p.Moves.Weights)
 	}
 }
 
-// TestByNameRefusesUnknownNames guards against selecting a deployment's
+// TestParametersByNameRefusesUnknownNames guards against selecting a deployment's
 // parameters by a misspelled name.
-func TestByNameRefusesUnknownNames(t *testing.T) {
-	_, ok := ByName("tan-seng")
+func TestParametersByNameRefusesUnknownNames(t *testing.T) {
+	_, ok := ParametersByName("share-weight")
 	assert.Assert(t, !ok)
 }
--- a/measure/planner.go
+++ b/measure/planner.go
@@ -8,7 +8,6 @@
 
 	"fuchsiafront.example/fuchsiafront/decision/budget"
 	"fuchsiafront.example/fuchsiafront/decision/document"
-	"fuchsiafront.example/fuchsiafront/decision/profile"
 	"fuchsiafront.example/fuchsiafront/decision/route"
 	"fuchsiafront.example/fuchsiafront/decision/wave"
 	"fuchsiafront.example/fuchsiafront/fleet"
@@ -34,7 +33,7 @@
 type planner struct {
 	sim            *simulation
 	doc            *document.Document
-	profile        profile.Profile
+	parameters     Parameters
 	assignments    budget.Assignments
 	ledger         *budget.Ledger
 	meanDemand     map[string]wave.MovingMean
@@ -52,9 +51,9 @@
 	seenAt    time.Time
 }
 
-func newPlanner(sim *simulation, p profile.Profile) *planner {
+func newPlanner(sim *simulation, p Parameters) *planner {
 	return &planner{
-		sim: sim, doc: sim.deployment.document(), profile: p,
+		sim: sim, doc: sim.deployment.document(), parameters: p,
 		assignments: sim.platform.assignments(sim.deployment), ledger: &budget.Ledger{},
 		meanDemand: make(map[string]wave.MovingMean), stepStarts: make(map[string]stepStart),
 		calledSteps: make(map[string]budget.Step), rollOutTimes: make(map[string]time.Duration),
@@ -73,10 +72,10 @@
 		p.startWaves(d)
 	}
 	for _, id := range d.WaveIDs() {
-		wave.Next(d, id, p.neededHosts(d, id), p.profile.Parallelism)
+		wave.Next(d, id, p.neededHosts(d, id), p.parameters.Parallelism)
 	}
 	if !p.sim.baseline && !now.Before(p.nextMovesAt) {
-		p.nextMovesAt = now.Add(p.profile.MovePeriod)
+		p.nextMovesAt = now.Add(p.parameters.MovePeriod)
 		p.grantMoves(d)
 	}
 	p.commit(d.Outcome())
@@ -117,7 +116,7 @@
 			work += p.sim.running[s][t] + p.sim.waiting[s][t]
 		}
 		pool := serviceName(s)
-		p.meanDemand[pool] = p.meanDemand[pool].Observe(float64(work)/slotsPerServer, p.sim.clock.now, p.profile.DemandHalfLife)
+		p.meanDemand[pool] = p.meanDemand[pool].Observe(float64(work)/slotsPerServer, p.sim.clock.now, p.parameters.DemandHalfLife)
 	}
 }
 
@@ -154,7 +153,7 @@
 		}
 		loads = append(loads, wave.PoolLoad{Pool: pool.Name, Kind: pool.Kind, Spare: pool.Spare, Hosts: p.countHosts(d, pool.Name), Demand: p.meanDemand[pool.Name].Mean})
 	}
-	for _, m := range wave.PlanMoves(loads, p.profile.Moves) {
+	for _, m := range wave.PlanMoves(loads, p.parameters.Moves) {
 		for _, name := range p.hostsInService(d, m.From) {
 			if _, refusal := d.Grant(budget.Request{Host: name, Cause: budget.CauseMove, MoveTo: m.To}); refusal == nil {
 				p.sim.counts.moves++
--- a/measure/replay.go
+++ b/measure/replay.go
@@ -9,7 +9,6 @@
 	"text/tabwriter"
 	"time"
 
-	"fuchsiafront.example/fuchsiafront/decision/profile"
 	"fuchsiafront.example/fuchsiafront/fault"
 )
 
@@ -80,7 +79,7 @@
 
 // Replay runs the decision packages and a first-come-first-served baseline on the
 // same demand.
-func Replay(s Settings, p profile.Profile) ([]Result, error) {
+func Replay(s Settings, p Parameters) ([]Result, error) {
 	d, err := deploymentByName(s.Deployment)
 	if err != nil {
 		return nil, err
@@ -91,7 +90,7 @@
 	return []Result{replay(d, p, s, false), replay(d, p, s, true)}, nil
 }
 
-func replay(d deployment, p profile.Profile, s Settings, baseline bool) Result {
+func replay(d deployment, p Parameters, s Settings, baseline bool) Result {
 	sim := newSimulation(d, p, s, baseline)
 	sim.run()
 	r := Result{
--- a/measure/replay_test.go
+++ b/measure/replay_test.go
@@ -4,15 +4,13 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
-
-	"fuchsiafront.example/fuchsiafront/decision/profile"
 )
 
 // Guards against a replay that depends on map order or on the time of day, so that
 // two runs with the same seed differ and published figures can't be reproduced.
 func TestReplayRepeats(t *testing.T) {
-	for _, name := range profile.Names() {
-		p, ok := profile.ByName(name)
+	for _, name := range DeploymentNames() {
+		p, ok := ParametersByName(name)
 		assert.Assert(t, ok)
 		s := Settings{Seed: 7, Deployment: name, Minutes: 1}
 		first, err := Replay(s, p)
@@ -26,8 +24,8 @@
 // Guards against a policy that exceeds a team's limit (G4), and against requests
 // that are lost between the stages of the replay.
 func TestReplayKeepsLimitsAndRequests(t *testing.T) {
-	for _, name := range profile.Names() {
-		p, _ := profile.ByName(name)
+	for _, name := range DeploymentNames() {
+		p, _ := ParametersByName(name)
 		results, err := Replay(Settings{Seed: 3, Deployment: name, Minutes: 1}, p)
 		assert.NilError(t, err)
 		for _, r := range results {
--- a/measure/simulation.go
+++ b/measure/simulation.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"fuchsiafront.example/fuchsiafront/decision/profile"
 	"fuchsiafront.example/fuchsiafront/decision/rights"
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/fleet"
@@ -42,7 +41,7 @@
 	refused, retried                   map[fault.Reason]int
 }
 
-func newSimulation(d deployment, p profile.Profile, s Settings, baseline bool) *simulation {
+func newSimulation(d deployment, p Parameters, s Settings, baseline bool) *simulation {
 	start := time.Unix(0, 0).UTC()
 	sim := &simulation{clock: &virtualClock{now: start}, deployment: d, seed: s.Seed, baseline: baseline, start: start, length: s.length()}
 	sim.counts.refused, sim.counts.retried = make(map[fault.Reason]int), make(map[fault.Reason]int)
