Let the choice of an executor name what is against each one

fleet where has to say why an executor would not get a task, and must not say something else than placement does. The checks of chooseExecutor, acceptsWork and constraintsAllow now return the obstacle, in decision/poolplan/assess.go; the boolean functions ask whether there is none. The order of the checks of one task is the same; those of acceptsWork name what the operator has set first.

--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -186,11 +186,8 @@
 // reachable reports whether the executor answered the latest orders.
 func (e *executor) reachable() bool { return e.missedAnswers == 0 && e.startUnansweredSince.IsZero() }
 
-// acceptsWork reports whether new work may start here. Runs left by a previous
-// owner must be known first.
-func (e *executor) acceptsWork() bool {
-	return e.listed && e.recorded && e.runsKnown() && e.unknownRuns == 0 && !e.doubtful && !e.Draining && !e.Cordoned && e.reachable()
-}
+// acceptsWork reports whether new work may start here.
+func (e *executor) acceptsWork() bool { return e.workObstacle() == "" }
 
 // runsKnown reports whether no run is there that the plan does not know, and whether
 // none can begin by an order of a previous owner or to an earlier incarnation.
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -215,23 +215,9 @@
 func (p *Plan) chooseExecutor(g *group, t *task, candidates []*executor, planned map[*executor]int) *executor {
 	var best *executor
 	var bestCost int64
-	demand := g.step.Demand()
 	for _, e := range candidates {
-		if planned == nil && !e.mayStartMore() || e.mayNotStart() || e.StaleAck && !g.step.Service {
-			continue
-		}
-		n := int64(planned[e])
-		if len(t.failedOn) < len(candidates) && slices.Contains(t.failedOn, e.ID) {
-			continue
-		}
-		if !scale(demand, n+1).Fits(e.freeFor(t)) || !g.mayRunOn(e, int(n)) || g.reservedByOther(t, e) {
-			continue
-		}
-		cost := p.placementCost(g, t, e)
-		if t.reservedOn == e {
-			cost -= costLeaving
-		}
-		if best == nil || cost < bestCost {
+		cost, obstacle := p.assess(g, t, e, len(candidates), planned)
+		if obstacle == "" && (best == nil || cost < bestCost) {
 			best, bestCost = e, cost
 		}
 	}
@@ -267,14 +253,7 @@
 
 // mayRunOn reports whether the advice and the step's constraints permit one
 // more task on e.
-func (g *group) mayRunOn(e *executor, planned int) bool {
-	if g.advice != nil {
-		if _, ok := g.advice.tickets[e.ID]; !ok {
-			return false
-		}
-	}
-	return g.constraintsAllow(e, planned)
-}
+func (g *group) mayRunOn(e *executor, planned int) bool { return g.taskObstacle(e, planned) == "" }
 
 // reservedByOther reports whether another task of the group is being relocated to e
 // and the step bounds its tasks on one executor.
@@ -284,21 +263,7 @@
 
 // constraintsAllow reports whether the step's constraints permit one more task on e.
 func (g *group) constraintsAllow(e *executor, planned int) bool {
-	if g.step.Label != "" && (!e.described || !slices.Contains(e.Labels, g.step.Label)) {
-		return false
-	}
-	if g.step.MaxPerExecutor <= 0 {
-		return true
-	}
-	n := planned
-	for _, t := range g.tasks {
-		for _, r := range t.runs {
-			if r.executor == e {
-				n++
-			}
-		}
-	}
-	return n < g.step.MaxPerExecutor
+	return g.constraintObstacle(e, planned) == ""
 }
 
 // withinLimit reports whether the group's tenant may start n more of its tasks.
