--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -115,10 +115,7 @@
 func (p *Plan) candidates(now time.Time) []*executor {
 	var list, avoided []*executor
 	p.trialsNeeded = false
-	if p.sortedExecutors == nil {
-		p.sortedExecutors = slices.SortedFunc(maps.Values(p.executors), func(a, b *executor) int { return cmp.Compare(a.ID, b.ID) })
-	}
-	for _, e := range p.sortedExecutors {
+	for _, e := range p.allExecutors() {
 		switch {
 		case !e.acceptsWork() || e.leaseEnd(now, p.leaseDuration(now)) == 0:
 		case now.Before(e.avoidUntil):
@@ -135,6 +132,14 @@
 	return list
 }
 
+// allExecutors returns the executors sorted by identifier.
+func (p *Plan) allExecutors() []*executor {
+	if p.sortedExecutors == nil {
+		p.sortedExecutors = slices.SortedFunc(maps.Values(p.executors), func(a, b *executor) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return p.sortedExecutors
+}
+
 func (p *Plan) placeTasks(now time.Time, g *group, candidates []*executor) waitReason {
 	reason := notWaiting
 	for _, t := range g.tasks {
