Publish what explains placement in the status of a pool

An owner's status had the processor use of machines only, so that no other process could say which executor has memory left or why one gets no work. The status now has, for each machine, memory and accelerators in use, tasks of the kinds that the costs consider, reserved capacity and the obstacle to work there, and the use of each tenant. Zero values are left out. Details yield first when a status is too large for a record.

--- a/services/pools/status.go
+++ b/services/pools/status.go
@@ -42,13 +42,22 @@
 }
 
 // encodeStatus encodes the pool's status. If it is too large for a record, it is
-// published without the use of the machines, which only moves depend on.
+// published without the details that only explanations need, or without the use of the
+// machines, which only moves depend on.
 func (p *planner) encodeStatus(m *managedPool) ([]byte, error) {
 	record := p.statusRecord(m)
 	value, err := json.Marshal(record)
 	if err != nil || len(value) <= jobrecord.MaxRecordBytes {
 		return value, err
 	}
+	record.Tenants = nil
+	for machine, u := range record.Machines {
+		u.MachineDetail = jobrecord.MachineDetail{}
+		record.Machines[machine] = u
+	}
+	if value, err = json.Marshal(record); err != nil || len(value) <= jobrecord.MaxRecordBytes {
+		return value, err
+	}
 	p.s.log.Warn().Str("pool", m.name).Int("bytes", len(value)).Int("machines", len(record.Machines)).Msg("status too large for a record; published without the machines")
 	record.Machines = nil
 	return json.Marshal(record)
@@ -71,9 +80,23 @@
 		}
 	}
 	slices.Sort(record.EmptyMachines)
+	p.addDetails(m, &record)
 	return record
 }
 
+// addDetails adds what explains where work is placed.
+func (p *planner) addDetails(m *managedPool, record *jobrecord.StatusRecord) {
+	for _, u := range m.plan.ExecutorUses(p.now) {
+		use := record.Machines[u.Machine]
+		use.Add(&u)
+		record.Machines[u.Machine] = use
+	}
+	record.Tenants = make(map[string]jobrecord.Amounts)
+	for tenant, used := range m.plan.TenantUsed() {
+		record.Tenants[tenant] = jobrecord.NewAmounts(used)
+	}
+}
+
 func (c statusCall) run(ctx context.Context, s *Service) event {
 	key := jobrecord.StatusKey(c.pool)
 	commit, err := s.records.Commit(ctx, services.RecordTx{
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -52,8 +52,29 @@
 	CapacityMilliCPU int64 `json:"capacity"`
 	// Machines is the use of each machine, by name.
 	Machines map[string]MachineUse `json:"machines,omitempty"`
+	// Tenants is what the tasks of each tenant use, by name.
+	Tenants map[string]Amounts `json:"tenants,omitempty"`
 }
 
+// Amounts are resources in a record.
+type Amounts struct {
+	MilliCPU     int64 `json:"cpu,omitempty"`
+	MemoryMB     int64 `json:"mem,omitempty"`
+	Accelerators int64 `json:"gpu,omitempty"`
+}
+
+// NewAmounts returns resources as they are recorded. Memory is rounded up.
+func NewAmounts(r fleet.Resources) Amounts {
+	return Amounts{r.MilliCPU, (r.MemoryBytes + bytesPerMB - 1) / bytesPerMB, r.Accelerators}
+}
+
+// Resources returns the recorded resources.
+func (a Amounts) Resources() fleet.Resources {
+	return fleet.Resources{MilliCPU: a.MilliCPU, MemoryBytes: a.MemoryMB * bytesPerMB, Accelerators: a.Accelerators}
+}
+
+const bytesPerMB = 1 << 20
+
 // PendingRecord has the jobs without a started task.
 type PendingRecord struct {
 	// Pending is their number, by the name of the queue that accepted them.
@@ -98,6 +119,53 @@
 	MilliCPU int64 `json:"cpu"`
 	Tasks    int   `json:"tasks"`
 	Services int   `json:"services,omitempty"`
+	MachineDetail
+}
+
+// MachineDetail is what explains why a machine is or is not chosen for a task. Owners
+// that run an earlier version of this program do not publish it.
+type MachineDetail struct {
+	MemoryMB     int64 `json:"mem,omitempty"`
+	Accelerators int64 `json:"gpu,omitempty"`
+	// BestEffort and LatencyBound count the tasks of these kinds.
+	BestEffort   int `json:"fills,omitempty"`
+	LatencyBound int `json:"bound,omitempty"`
+	// Reserved is kept for service tasks that are being relocated to the machine.
+	Reserved *Amounts `json:"reserved,omitempty"`
+	// Obstacle is why the owner starts no work there.
+	Obstacle string `json:"obstacle,omitempty"`
+}
+
+// Add adds the use of an executor of the machine. For some seconds the registry may list
+// two of them.
+func (d *MachineDetail) Add(u *poolplan.ExecutorUse) {
+	used := NewAmounts(u.Used)
+	d.MemoryMB += used.MemoryMB
+	d.Accelerators += used.Accelerators
+	d.BestEffort += u.BestEffortTasks
+	d.LatencyBound += u.LatencyBoundTasks
+	d.Obstacle = max(d.Obstacle, string(u.Obstacle))
+	if u.Reserved == (fleet.Resources{}) {
+		return
+	}
+	if d.Reserved != nil {
+		u.Reserved = u.Reserved.Add(d.Reserved.Resources())
+	}
+	reserved := NewAmounts(u.Reserved)
+	d.Reserved = &reserved
+}
+
+// ExecutorUse returns an executor of the machine with the use that is recorded.
+func (m *MachineUse) ExecutorUse(e poolplan.Executor) poolplan.ExecutorUse {
+	used := Amounts{m.MilliCPU, m.MemoryMB, m.Accelerators}
+	u := poolplan.ExecutorUse{
+		Executor: e, Used: used.Resources(), Obstacle: poolplan.Obstacle(m.Obstacle),
+		ServiceTasks: m.Services, LatencyBoundTasks: m.LatencyBound, BestEffortTasks: m.BestEffort,
+	}
+	if m.Reserved != nil {
+		u.Reserved = m.Reserved.Resources()
+	}
+	return u
 }
 
 // CordonRecord lists the machines that the owner of a pool must empty.
