--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -31,6 +31,7 @@
 	Waves         *fleetWavesCommand         `arg:"subcommand:waves" help:"maintenance waves and their progress"`
 	Limits        *fleetLimitsCommand        `arg:"subcommand:limits" help:"the division of the tenants' limits among the pools"`
 	Jobs          *fleetJobsCommand          `arg:"subcommand:jobs" help:"jobs of a queue"`
+	Where         *fleetWhereCommand         `arg:"subcommand:where" help:"where a job would be placed now, and why"`
 	Job           *fleetJobCommand           `arg:"subcommand:job" help:"one job as recorded in the store"`
 }
 
--- a/decision/poolplan/explain.go
+++ b/decision/poolplan/explain.go
@@ -58,6 +58,21 @@
 	Executors    []ExecutorUse
 }
 
+// InEmptyPool returns the query for the same executors and tenants while nothing runs.
+// The tenants may use all of their maximum.
+func (q Query) InEmptyPool() Query {
+	q.Used, q.Limits = nil, make(map[string]fleet.Resources, len(q.Catalog.Tenants))
+	for name, t := range q.Catalog.Tenants {
+		q.Limits[name] = t.Maximum
+	}
+	executors := make([]ExecutorUse, len(q.Executors))
+	for i := range q.Executors {
+		executors[i].Executor = q.Executors[i].Executor
+	}
+	q.Executors = executors
+	return q
+}
+
 // Explanation tells where the first step of a job would be placed, if no other work of
 // the pool goes before it.
 type Explanation struct {
