--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -148,11 +148,12 @@
 	if u.Reserved == (fleet.Resources{}) {
 		return
 	}
+	reserved := u.Reserved
 	if d.Reserved != nil {
-		u.Reserved = u.Reserved.Add(d.Reserved.Resources())
+		reserved = reserved.Add(d.Reserved.Resources())
 	}
-	reserved := NewAmounts(u.Reserved)
-	d.Reserved = &reserved
+	amounts := NewAmounts(reserved)
+	d.Reserved = &amounts
 }
 
 // ExecutorUse returns an executor of the machine with the use that is recorded.
