--- a/decision/poolplan/accounting_test.go
+++ b/decision/poolplan/accounting_test.go
@@ -125,7 +125,7 @@
 	sim.now = sim.now.Add(time.Minute)
 	sim.addJob("new", false, step(8))
 	sim.step()
-	demand, capacity := sim.plan.Load()
+	demand, _, capacity := sim.plan.Load()
 	assert.Equal(t, capacity, int64(8000))
 	assert.Equal(t, demand, int64(8*2000), "the tasks of the old job wait without value")
 }
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -288,7 +288,11 @@
 		p.addEvent(Event{Kind: "executor is draining", Peer: info.ID})
 	}
 	if info.Cordoned != e.Cordoned {
-		p.addEvent(Event{Kind: "executor cordon changed", Peer: info.ID})
+		reason := "cordon of " + info.Machine + " lifted"
+		if info.Cordoned {
+			reason = info.Machine + " is cordoned"
+		}
+		p.addEvent(Event{Kind: "executor cordon changed", Peer: info.ID, Reason: reason})
 	}
 	if info.StartedMs == 0 {
 		info.StartedMs = e.StartedMs
--- a/decision/poolplan/use.go
+++ b/decision/poolplan/use.go
@@ -76,13 +76,18 @@
 // and the capacity of the executors in service, in thousandths of a processor.
 // Waiting tasks of jobs that can only complete without value are not counted:
 // machines for them would be missing where work can still be in time.
-func (p *Plan) Load() (demand, capacity int64) {
+// lateDemand is the part of the demand of jobs that can only complete late.
+func (p *Plan) Load() (demand, lateDemand, capacity int64) {
 	for _, r := range p.tenantUsed {
 		demand += r.MilliCPU
 	}
 	for _, g := range p.readyGroups {
 		if g.ready && !g.job.closed() && g.lateness != worthless {
-			demand += g.step.Size.MilliCPU * int64(g.waitingTasks())
+			waiting := g.step.Size.MilliCPU * int64(g.waitingTasks())
+			demand += waiting
+			if g.lateness == late {
+				lateDemand += waiting
+			}
 		}
 	}
 	for _, e := range p.executors {
@@ -90,5 +95,5 @@
 			capacity += e.Capacity.MilliCPU
 		}
 	}
-	return demand, capacity
+	return demand, lateDemand, capacity
 }
--- a/decision/sizing/sizing.go
+++ b/decision/sizing/sizing.go
@@ -22,8 +22,10 @@
 	// demand; the difference to targetPercent prevents machines from moving back
 	// and forth.
 	donorPercent = 140
-	// minUsualPercent is the percentage of its usual machines that a pool keeps.
-	minUsualPercent = 50
+	// minUsualPercent is the percentage of its usual machines that a pool keeps
+	// without demand. Machines with service tasks stay beside it, and the standby
+	// pool replaces the others within a move.
+	minUsualPercent = 10
 	// surplusTime is how long a pool must have a surplus before it returns
 	// machines to the standby pool. A move and the move back cost as much as two
 	// seconds of a machine, but a longer time delays the queue that peaks next,
@@ -58,6 +60,9 @@
 	// could use once a machine that moves now is in service, and MachineMilliCPU
 	// what one machine has, in thousandths of a processor.
 	DemandMilliCPU, ForecastMilliCPU, MachineMilliCPU int64
+	// LateMilliCPU is the part of DemandMilliCPU of work that can only complete
+	// late.
+	LateMilliCPU int64
 	// SurplusFor is how long the pool has had more than it needs.
 	SurplusFor time.Duration
 }
@@ -80,6 +85,11 @@
 	Pool
 	name     string
 	machines int
+	// fixed is the number of machines that may not leave.
+	fixed int
+	// allotted is the number of machines that the pool may have while there are too
+	// few for all pools; negative if there are enough.
+	allotted int
 	// removable lists the machines that may leave, the best first.
 	removable []Machine
 }
@@ -95,6 +105,7 @@
 			standby = s.name
 		}
 	}
+	divide(states)
 	for _, receiver := range receivers(states) {
 		wanted := min(receiver.target()-receiver.machines, maxIncoming-receiver.Incoming)
 		for _, donor := range donors(states, receiver) {
@@ -125,6 +136,14 @@
 // target returns the number of machines that the pool should have when machines
 // that move now enter service.
 func (s *poolState) target() int {
+	if s.allotted >= 0 {
+		return min(s.wanted(), s.allotted)
+	}
+	return s.wanted()
+}
+
+// wanted returns the number of machines that the pool's demand asks for.
+func (s *poolState) wanted() int {
 	return max(s.machinesForPercent(targetPercent), s.machinesFor(s.ForecastMilliCPU))
 }
 
@@ -140,6 +159,9 @@
 	if s.Standby {
 		return len(s.removable)
 	}
+	if s.allotted >= 0 {
+		return min(s.machines-s.allotted-s.machines*divisionHysteresisPercent/100, len(s.removable))
+	}
 	required := max(s.machinesForPercent(donorPercent), s.machinesFor(s.ForecastMilliCPU), s.UsualMachines*minUsualPercent/100, 1)
 	return min(s.machines-required, len(s.removable))
 }
@@ -164,7 +186,7 @@
 func newPoolStates(pools map[string]Pool, machines []Machine) []*poolState {
 	byName := make(map[string]*poolState, len(pools))
 	for name, p := range pools {
-		byName[name] = &poolState{Pool: p, name: name, machines: p.Incoming}
+		byName[name] = &poolState{Pool: p, name: name, machines: p.Incoming, fixed: p.Incoming, allotted: -1}
 	}
 	for _, m := range machines {
 		s := byName[m.Pool]
@@ -174,8 +196,11 @@
 		if m.Movable {
 			s.machines++
 		}
-		if m.Movable && m.Services == 0 {
+		switch {
+		case m.Movable && m.Services == 0:
 			s.removable = append(s.removable, m)
+		case m.Movable:
+			s.fixed++
 		}
 	}
 	states := make([]*poolState, 0, len(byName))
--- a/services/pools/status.go
+++ b/services/pools/status.go
@@ -63,7 +63,7 @@
 	}
 	m.moved.set(p.catalog, m.name, pending)
 	record.MovedTo = m.moved.services()
-	record.DemandMilliCPU, record.CapacityMilliCPU = m.plan.Load()
+	record.DemandMilliCPU, record.LateMilliCPU, record.CapacityMilliCPU = m.plan.Load()
 	for machine, u := range m.plan.MachineUses() {
 		record.Machines[machine] = jobrecord.MachineUse{MilliCPU: u.MilliCPU, Tasks: u.Tasks, Services: u.ServiceTasks}
 		if u.Empty {
--- a/services/upkeep/cordons.go
+++ b/services/upkeep/cordons.go
@@ -59,12 +59,15 @@
 }
 
 // cordonWrites returns the writes needed to tell the owners of the pools which
-// machines to empty.
-func (s *Service) cordonWrites(machines []services.Machine, cordon, evictServices map[string]bool) []*cordonWrite {
+// machines to empty. departed has the machines that have left each pool.
+func (s *Service) cordonWrites(machines []services.Machine, cordon map[string]bool, departed map[string][]string, evictServices map[string]bool) []*cordonWrite {
 	next := make(map[string]jobrecord.CordonRecord)
+	for pool, names := range departed {
+		next[pool] = jobrecord.CordonRecord{Machines: names}
+	}
 	for _, m := range machines {
 		r := next[m.Pool]
-		if cordon[m.Name] {
+		if cordon[m.Name] && !slices.Contains(r.Machines, m.Name) {
 			r.Machines = append(r.Machines, m.Name)
 		}
 		if evictServices[m.Name] {
--- a/services/upkeep/moves.go
+++ b/services/upkeep/moves.go
@@ -37,6 +37,39 @@
 	orderedAt time.Time
 }
 
+// departureTime is how long a machine stays cordoned in the pool that it has left.
+// The registry lists its executor for up to three heartbeats of 1.5 s after the move,
+// and the owner of that pool would give it work again.
+const departureTime = 6 * time.Second
+
+// departure is a machine that was ordered to leave a pool.
+type departure struct{ machine, pool string }
+
+// departedMachines returns the machines to keep cordoned in the pools that they have
+// left, by pool. One that has come back and is in service is a machine of that pool
+// like the others.
+func (s *Service) departedMachines(now time.Time, list []services.Machine) map[string][]string {
+	listed := make(map[string]services.Machine, len(list))
+	for _, m := range list {
+		listed[m.Name] = m
+	}
+	departed := make(map[string][]string)
+	for d, orderedAt := range s.departures {
+		if now.Sub(orderedAt) > departureTime {
+			delete(s.departures, d)
+			continue
+		}
+		m := listed[d.machine]
+		move, moving := s.movesInProgress[d.machine]
+		// The list may be older than the order.
+		leaving := moving && move.pool != d.pool
+		if leaving || m.Pool != d.pool || m.State != services.MachineUp {
+			departed[d.pool] = append(departed[d.pool], d.machine)
+		}
+	}
+	return departed
+}
+
 // storedPoolSizes is the record of the usual numbers of machines of the pools.
 type storedPoolSizes struct {
 	record  jobrecord.PoolSizesRecord
@@ -91,7 +124,7 @@
 	expectedPeaks := s.expectedPeaks(now, catalog, sizesMilliCPU)
 	for name, service := range catalog.Services {
 		status := s.statuses[name]
-		pool := sizing.Pool{Standby: service.Standby, UsualMachines: s.poolSizes.record.Pools[name], DemandMilliCPU: status.DemandMilliCPU, MachineMilliCPU: mean(sizesMilliCPU[name])}
+		pool := sizing.Pool{Standby: service.Standby, UsualMachines: s.poolSizes.record.Pools[name], DemandMilliCPU: status.DemandMilliCPU, LateMilliCPU: status.LateMilliCPU, MachineMilliCPU: mean(sizesMilliCPU[name])}
 		for _, t := range s.movesInProgress {
 			if t.pool == name {
 				pool.Incoming++
@@ -151,7 +184,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(pools)) {
 		p, c := pools[name], counts[name]
-		s.log.Info().Str("pool", name).Int64("demand", p.DemandMilliCPU).Int64("forecast", p.ForecastMilliCPU).Int64("capacity", s.statuses[name].CapacityMilliCPU).
+		s.log.Info().Str("pool", name).Int64("demand", p.DemandMilliCPU).Int64("late", p.LateMilliCPU).Int64("forecast", p.ForecastMilliCPU).Int64("capacity", s.statuses[name].CapacityMilliCPU).
 			Int("machines", c.machines).Int("movable", c.movable).Int("with_services", c.withServices).Int("incoming", p.Incoming).Msg("pool sized")
 	}
 }
@@ -221,6 +254,9 @@
 		switch {
 		case errs[i] == nil || !fault.IsNotRun(errs[i]):
 			s.movesInProgress[m.Machine] = moveInProgress{m.To, now}
+			if !s.catalogs.Catalog().Services[m.From].Standby {
+				s.departures[departure{m.Machine, m.From}] = now
+			}
 		default:
 			s.handleRefusedOrder(errs[i])
 		}
--- a/services/upkeep/upkeep.go
+++ b/services/upkeep/upkeep.go
@@ -90,11 +90,13 @@
 	statuses             map[string]jobrecord.StatusRecord
 	// changesVersion is the version from which the next round reads changes of the
 	// pools' records; zero if it must read all.
-	changesVersion   int64
-	poolSizes        storedPoolSizes
-	rotation         storedRotation
-	intents          orderIntents
-	movesInProgress  map[string]moveInProgress
+	changesVersion  int64
+	poolSizes       storedPoolSizes
+	rotation        storedRotation
+	intents         orderIntents
+	movesInProgress map[string]moveInProgress
+	// departures has when each machine was ordered to leave a pool.
+	departures       map[departure]time.Time
 	cordonedForMoves map[string]bool
 	surplusSince     map[string]time.Time
 	trends           map[string]*sizing.Trend
@@ -120,6 +122,7 @@
 	s.rotation = storedRotation{}
 	s.intents = orderIntents{}
 	s.movesInProgress = make(map[string]moveInProgress)
+	s.departures = make(map[departure]time.Time)
 	s.cordonedForMoves = make(map[string]bool)
 	s.surplusSince = make(map[string]time.Time)
 	s.trends = make(map[string]*sizing.Trend)
@@ -219,7 +222,7 @@
 		cordon[m.Machine] = true
 	}
 	permittedOrders, permittedMoves := s.permittedNow(now, plan.Orders, moves.Moves)
-	if s.writeRecords(ctx, now, s.cordonWrites(machines, cordon, plan.EvictServices), permittedOrders, permittedMoves) {
+	if s.writeRecords(ctx, now, s.cordonWrites(machines, cordon, s.departedMachines(now, machines), plan.EvictServices), permittedOrders, permittedMoves) {
 		s.orderMaintenance(ctx, now, permittedOrders)
 		s.orderMoves(ctx, now, permittedMoves)
 	}
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -50,6 +50,8 @@
 	// thousandths of a core.
 	DemandMilliCPU   int64 `json:"demand"`
 	CapacityMilliCPU int64 `json:"capacity"`
+	// LateMilliCPU is the part of DemandMilliCPU of jobs that can only complete late.
+	LateMilliCPU int64 `json:"lateDemand,omitempty"`
 	// Machines is the use of each machine, by name.
 	Machines map[string]MachineUse `json:"machines,omitempty"`
 }
