--- a/decision/sizing/sizing.go
+++ b/decision/sizing/sizing.go
@@ -25,7 +25,7 @@
 	// minUsualPercent is the percentage of its usual machines that a pool keeps
 	// without demand. Machines with service tasks stay beside it, and the standby
 	// pool replaces the others within a move.
-	minUsualPercent = 10
+	minUsualPercent = 50
 	// surplusTime is how long a pool must have a surplus before it returns
 	// machines to the standby pool. A move and the move back cost as much as two
 	// seconds of a machine, but a longer time delays the queue that peaks next,
--- a/services/upkeep/cordons.go
+++ b/services/upkeep/cordons.go
@@ -39,11 +39,16 @@
 	return ok && status.CordonsVersion >= since && slices.Contains(status.EmptyMachines, m.Name)
 }
 
+// cordonedMachines returns the machines that are cordoned in the pool that they are in.
+// Those that stay cordoned in a pool that they have left are not among them: a wave
+// would take them for machines that it is emptying.
 func (s *Service) cordonedMachines() map[string]bool {
 	set := make(map[string]bool)
-	for _, c := range s.cordons {
+	for pool, c := range s.cordons {
 		for _, m := range c.record.Machines {
-			set[m] = true
+			if _, departed := s.departures[departure{m, pool}]; !departed {
+				set[m] = true
+			}
 		}
 	}
 	return set
