--- a/decision/poolplan/use.go
+++ b/decision/poolplan/use.go
@@ -77,23 +77,38 @@
 // Waiting tasks of jobs that can only complete without value are not counted:
 // machines for them would be missing where work can still be in time.
 // lateDemand is the part of the demand of jobs that can only complete late.
+//
+// The demand of a task includes what stays unused beside it on an executor that is
+// filled with tasks of its size.
 func (p *Plan) Load() (demand, lateDemand, capacity int64) {
-	for _, r := range p.tenantUsed {
-		demand += r.MilliCPU
-	}
-	for _, g := range p.readyGroups {
-		if g.ready && !g.job.closed() && g.lateness != worthless {
-			waiting := g.step.Size.MilliCPU * int64(g.waitingTasks())
-			demand += waiting
-			if g.lateness == late {
-				lateDemand += waiting
-			}
-		}
-	}
+	usual := int64(0)
 	for _, e := range p.executors {
 		if e.acceptsWork() {
 			capacity += e.Capacity.MilliCPU
+			usual = max(usual, e.Capacity.MilliCPU)
+		}
+		for _, r := range e.runs {
+			demand += occupiedMilliCPU(r.task.group.step.Size.MilliCPU, e.Capacity.MilliCPU)
+		}
+	}
+	for _, g := range p.readyGroups {
+		if !g.ready || g.job.closed() || g.lateness == worthless {
+			continue
+		}
+		waiting := occupiedMilliCPU(g.step.Size.MilliCPU, usual) * int64(g.waitingTasks())
+		demand += waiting
+		if g.lateness == late {
+			lateDemand += waiting
 		}
 	}
 	return demand, lateDemand, capacity
 }
+
+// occupiedMilliCPU returns the part of an executor's capacity that one task takes when
+// as many tasks of its size run there as fit.
+func occupiedMilliCPU(task, capacity int64) int64 {
+	if task <= 0 || task >= capacity {
+		return task
+	}
+	return capacity / (capacity / task)
+}
