--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -197,7 +197,10 @@
 		return
 	}
 	now := f.s.clock()
-	f.schedule.Done(now, done.Number, done.err == nil)
+	// A store without any record answers at once, and is asked again like one that has
+	// failed.
+	empty := done.err == nil && done.after == 0 && done.state.Version == 0
+	f.schedule.Done(now, done.Number, done.err == nil && !empty)
 	switch {
 	case done.err != nil:
 		f.s.ageGauge.Update(now.Sub(f.s.view.Load().readAt).Seconds())
