--- a/decision/poolplan/accounting_test.go
+++ b/decision/poolplan/accounting_test.go
@@ -129,3 +129,12 @@
 	assert.Equal(t, capacity, int64(8000))
 	assert.Equal(t, demand, int64(8*2000), "the tasks of the old job wait without value")
 }
+
+// Guards against pools that are too small for large tasks: of a task of 13 cores, four
+// fit on an executor of 64, so that each takes 16.
+func TestDemandCountsWhatLargeTasksLeaveUnused(t *testing.T) {
+	assert.Equal(t, occupiedMilliCPU(13000, 64000), int64(16000))
+	assert.Equal(t, occupiedMilliCPU(500, 64000), int64(500))
+	assert.Equal(t, occupiedMilliCPU(80000, 64000), int64(80000))
+	assert.Equal(t, occupiedMilliCPU(0, 64000), int64(0))
+}
--- a/decision/poolplan/relocate.go
+++ b/decision/poolplan/relocate.go
@@ -1,6 +1,8 @@
 package poolplan
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -8,7 +10,7 @@
 // cordoned or leaving, and repeats stops that have had no effect yet.
 func (p *Plan) relocateServices(now time.Time) {
 	p.relocating = false
-	for _, e := range p.executors {
+	for _, e := range p.executorsToEmpty() {
 		for _, r := range e.runs {
 			switch {
 			case r.state == runStopping:
@@ -23,6 +25,32 @@
 	}
 }
 
+// executorsToEmpty returns the executors, those first that are nearest to being empty:
+// few tasks of a step may move at a time, and an executor that loses its last one can be
+// maintained while others wait.
+func (p *Plan) executorsToEmpty() []*executor {
+	list := make([]*executor, 0, len(p.executors))
+	for _, e := range p.executors {
+		if len(e.runs) > 0 {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b *executor) int {
+		return cmp.Or(compareTrueFirst(a.Cordoned, b.Cordoned), cmp.Compare(a.serviceRuns, b.serviceRuns), cmp.Compare(a.ID, b.ID))
+	})
+	return list
+}
+
+func compareTrueFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
 // relocateRun stops a service run if its task may be interrupted and an executor
 // that is not leaving has room for it. The room is reserved, because short tasks
 // would take it before the run has ended.
--- a/decision/sizing/division.go
+++ b/decision/sizing/division.go
@@ -41,9 +41,9 @@
 	return min(s.machinesFor(onTime), s.wanted())
 }
 
-// allot divides machines among the pools in proportion to demand, no pool getting
-// more than it demands or, in its first allotment, less than it has fixed. It
-// returns what is left.
+// allot divides machines among the pools in proportion to demand. No pool gets more
+// than it demands or, in its first allotment, less than it has fixed and keeps whatever
+// its demand. It returns what is left.
 func allot(pools []*poolState, machines int, demand func(*poolState) int) int {
 	type claim struct {
 		s            *poolState
@@ -54,7 +54,7 @@
 		least := 0
 		if s.allotted < 0 {
 			s.allotted = 0
-			least = max(s.fixed, 1)
+			least = max(s.fixed, min(s.machines, s.UsualMachines*minUsualPercent/100), 1)
 		}
 		open = append(open, claim{s, least, max(demand(s), least)})
 	}
