--- a/services/upkeep/cordons.go
+++ b/services/upkeep/cordons.go
@@ -39,11 +39,16 @@
 	return ok && status.CordonsVersion >= since && slices.Contains(status.EmptyMachines, m.Name)
 }
 
+// cordonedMachines returns the machines that are cordoned in the pool that they are in.
+// Those that stay cordoned in a pool that they have left are not among them: a wave
+// would take them for machines that it is emptying.
 func (s *Service) cordonedMachines() map[string]bool {
 	set := make(map[string]bool)
-	for _, c := range s.cordons {
+	for pool, c := range s.cordons {
 		for _, m := range c.record.Machines {
-			set[m] = true
+			if _, departed := s.departures[departure{m, pool}]; !departed {
+				set[m] = true
+			}
 		}
 	}
 	return set
@@ -59,12 +64,15 @@
 }
 
 // cordonWrites returns the writes needed to tell the owners of the pools which
-// machines to empty.
-func (s *Service) cordonWrites(machines []services.Machine, cordon, evictServices map[string]bool) []*cordonWrite {
+// machines to empty. departed has the machines that have left each pool.
+func (s *Service) cordonWrites(machines []services.Machine, cordon map[string]bool, departed map[string][]string, evictServices map[string]bool) []*cordonWrite {
 	next := make(map[string]jobrecord.CordonRecord)
+	for pool, names := range departed {
+		next[pool] = jobrecord.CordonRecord{Machines: names}
+	}
 	for _, m := range machines {
 		r := next[m.Pool]
-		if cordon[m.Name] {
+		if cordon[m.Name] && !slices.Contains(r.Machines, m.Name) {
 			r.Machines = append(r.Machines, m.Name)
 		}
 		if evictServices[m.Name] {
