Start nothing in an availability zone that the operator evacuates

Nothing read the rows op/evacuate/ZONE, so that tasks went on starting in such a zone.

Ruled out: waiting for a read that was sent after the claim, which would delay each takeover by up to 2 s; a flag per executor set by the registry, because orders also arise between two reads of it.

Tested: decision/evacuation, decision/poolplan, services/pools, services/catalog, platform.

--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -72,8 +72,10 @@
 	case Withheld:
 		if r.startTries > 1 {
 			p.stopRun(now, r, "start unanswered")
+			p.stopIncompleteGang(now, r)
 			return
 		}
+		p.stopIncompleteGang(now, r)
 		p.discardUnstartedRun(now, r, "start withheld")
 	case RefusedOld:
 		p.handleOldAttempt(now, r)
--- a/decision/poolplan/orders.go
+++ b/decision/poolplan/orders.go
@@ -39,6 +39,9 @@
 	// Exclusive is set if a successor may know that the task has ended: the start
 	// must not be sent unless this owner certainly has no successor.
 	Exclusive bool
+	// Zone is the availability zone of the executor. The start must not be sent while
+	// the zone is evacuated.
+	Zone string
 	// Waited is the time since the task became ready.
 	Waited time.Duration
 }
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -120,7 +120,7 @@
 	}
 	for _, e := range p.sortedExecutors {
 		switch {
-		case !e.acceptsWork() || e.leaseEnd(now, p.leaseDuration(now)) == 0:
+		case !p.mayStartOn(e) || e.leaseEnd(now, p.leaseDuration(now)) == 0:
 		case now.Before(e.avoidUntil):
 			avoided = append(avoided, e)
 		default:
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -96,6 +96,8 @@
 	unplaceable []fleet.Resources
 	// reservations keep room for the service tasks that are relocated.
 	reservations []reservation
+	// evacuatedZones has the availability zones in which nothing may start.
+	evacuatedZones map[string]bool
 	// relocating is set while service tasks have to leave executors.
 	relocating bool
 	// sortedExecutors are the executors by identifier; nil after the set has
--- a/decision/poolplan/relocate.go
+++ b/decision/poolplan/relocate.go
@@ -4,8 +4,8 @@
 	"time"
 )
 
-// relocateServices moves service tasks off executors that are draining,
-// cordoned or leaving, and repeats stops that have had no effect yet.
+// relocateServices moves service tasks off executors that are draining, cordoned,
+// leaving or in an evacuated zone, and repeats stops that have had no effect yet.
 func (p *Plan) relocateServices(now time.Time) {
 	p.relocating = false
 	for _, e := range p.executors {
@@ -15,7 +15,7 @@
 				p.stopRun(now, r, r.stopReason)
 			case r.state == runRunning && r.task.group.step.Service && e.Draining:
 				p.stopRun(now, r, "executor is draining")
-			case r.state == runRunning && r.task.group.step.Service && (e.Cordoned || e.Leaving):
+			case r.state == runRunning && r.task.group.step.Service && (e.Cordoned || e.Leaving || p.evacuated(e)):
 				p.relocating = true
 				p.relocateRun(now, r)
 			}
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -122,12 +122,18 @@
 	for _, planned := range sortedRuns(e) {
 		switch {
 		case listed[planned.key] || ended[planned.key]:
+		case planned.undecided && p.mayHaveEndedUnseen(planned) && p.evacuated(e):
+			p.stopStartIn(now, planned)
 		case planned.undecided && p.mayHaveEndedUnseen(planned):
 			p.verifyRun(now, planned)
 		case planned.undecided:
 			p.loseRun(now, planned, "not begun by the later incarnation of its executor")
 		case planned.startUnanswered && planned.state == runStarting:
-			if !r.SentAt.Before(planned.unansweredAt) {
+			switch {
+			case r.SentAt.Before(planned.unansweredAt):
+			case p.evacuated(e):
+				p.stopStartIn(now, planned)
+			default:
 				p.repeatStart(now, planned)
 			}
 		case planned.overIfUnlisted(r.SentAt, p.params.StopTime):
--- a/decision/poolplan/reserve.go
+++ b/decision/poolplan/reserve.go
@@ -37,7 +37,7 @@
 // releaseUnused ends the reservations that are too old or of no use any more.
 func (p *Plan) releaseUnused(now time.Time) {
 	for _, r := range slices.Clone(p.reservations) {
-		if now.After(r.until) || r.task.group.job.closed() || p.executors[r.executor.ID] != r.executor || !r.executor.acceptsWork() {
+		if now.After(r.until) || r.task.group.job.closed() || p.executors[r.executor.ID] != r.executor || !p.mayStartOn(r.executor) {
 			p.release(r.task)
 		}
 	}
--- a/decision/poolplan/start.go
+++ b/decision/poolplan/start.go
@@ -66,6 +66,7 @@
 		LeaseUntilMs: untilMs,
 		Reason:       startReason(r),
 		Exclusive:    r.exclusive,
+		Zone:         e.Zone,
 		Waited:       now.Sub(g.readyAt),
 	}
 	if g.step.Checkpoints && !r.trial {
--- a/decision/poolplan/use.go
+++ b/decision/poolplan/use.go
@@ -86,7 +86,7 @@
 		}
 	}
 	for _, e := range p.executors {
-		if e.acceptsWork() {
+		if p.mayStartOn(e) {
 			capacity += e.Capacity.MilliCPU
 		}
 	}
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -1,5 +1,5 @@
-// Package catalog is the service that follows the operator's configuration and
-// waves. The duty catalog.follow owns the state; the duties catalog.calls read it
+// Package catalog is the service that follows the operator's configuration, waves and
+// evacuations. The duty catalog.follow owns the state; the duties catalog.calls read it
 // from the store for it, several at once when answers are overdue. Readers get the
 // latest version, which never decreases.
 package catalog
@@ -15,6 +15,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/decision/evacuation"
 	"fuchsiafront.example/fuchsiafront/decision/follow"
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/kernel"
@@ -41,7 +42,9 @@
 	view        atomic.Pointer[view]
 	changeRings []*ring.Ring[struct{}]
 	ageGauge    tally.Gauge
-	scope       tally.Scope
+	// evacuationChanges counts the evacuations that began or were taken back.
+	evacuationChanges tally.Counter
+	scope             tally.Scope
 	// followRuns counts the starts of catalog.follow, which owns it.
 	followRuns int64
 }
@@ -50,7 +53,11 @@
 type view struct {
 	catalog *catalog.Catalog
 	waves   map[int]services.MaintenanceWave
-	readAt  time.Time
+	// evacuations has the zones to evacuate.
+	evacuations evacuation.Set
+	readAt      time.Time
+	// currentAsOf is when the newest of the calls that were answered was sent.
+	currentAsOf time.Time
 }
 
 // New returns the service.
@@ -64,6 +71,7 @@
 func (s *Service) Provision(c *kernel.Context) error {
 	s.log, s.scope = c.Log, c.Scope
 	s.ageGauge = c.Scope.Gauge("catalog_age_seconds")
+	s.evacuationChanges = c.Scope.Counter("evacuation_changes_total")
 	var err error
 	if s.operator, err = kernel.Lookup[services.OperatorStore](c, services.NamePlatform); err != nil {
 		return err
@@ -93,6 +101,12 @@
 	return waves
 }
 
+// Evacuations implements services.Catalogs.
+func (s *Service) Evacuations() evacuation.Set { return s.view.Load().evacuations }
+
+// CurrentAsOf implements services.Catalogs.
+func (s *Service) CurrentAsOf() time.Time { return s.view.Load().currentAsOf }
+
 // WatchChanges implements services.Catalogs.
 func (s *Service) WatchChanges(name string) services.ChangedRing {
 	r := ring.New[struct{}](name, 1, s.scope)
@@ -103,8 +117,9 @@
 // readCall reads the changes after a version, or the whole state if it is zero.
 type readCall struct {
 	follow.Call
-	run   int64
-	after int64
+	run    int64
+	after  int64
+	sentAt time.Time
 }
 
 type readDone struct {
@@ -186,7 +201,7 @@
 		// whole state has one.
 		after = 0
 	}
-	if !f.s.calls.Offer(readCall{call, f.run, after}) {
+	if !f.s.calls.Offer(readCall{call, f.run, after, now}) {
 		f.schedule.Done(now, call.Number, false)
 	}
 	return again.Sub(now)
@@ -203,16 +218,20 @@
 		f.s.ageGauge.Update(now.Sub(f.s.view.Load().readAt).Seconds())
 	case !done.state.VersionExpired:
 		f.version = max(f.version, done.state.Version)
-		f.s.apply(done.state)
+		f.s.apply(done.state, done.sentAt)
 	case done.after == f.version:
 		f.s.log.Info().Int64("version", f.version).Msg("store no longer has the changes since this version; reading all")
 		f.version = 0
 	}
 }
 
-func (s *Service) apply(state services.OperatorState) {
+// apply publishes the view after the answer to a call that was sent at sentAt.
+func (s *Service) apply(state services.OperatorState, sentAt time.Time) {
 	old := s.view.Load()
-	next := &view{catalog: old.catalog, waves: old.waves, readAt: s.clock()}
+	next := &view{catalog: old.catalog, waves: old.waves, readAt: s.clock(), currentAsOf: old.currentAsOf}
+	if sentAt.After(next.currentAsOf) {
+		next.currentAsOf = sentAt
+	}
 	changed := false
 	if c := state.Catalog; c != nil && (old.catalog == nil || c.Version > old.catalog.Version) {
 		next.catalog, changed = c, true
@@ -228,6 +247,12 @@
 			s.log.Info().Int("wave", w.Number).Int("machines", len(w.Machines)).Int("max_down", w.MaxDown).Dur("duration", w.Duration).Msg("wave requested by the operator")
 		}
 	}
+	next.evacuations = mergeEvacuations(old.evacuations, state)
+	for _, r := range old.evacuations.ChangesTo(next.evacuations) {
+		changed = true
+		s.evacuationChanges.Inc(1)
+		s.log.Info().Str("zone", r.Zone).Int64("version", r.Version).Bool("taken_back", r.TakenBack).Msg("evacuation of a zone changed by the operator")
+	}
 	s.view.Store(next)
 	s.ageGauge.Update(0)
 	if !changed {
@@ -237,3 +262,11 @@
 		r.OfferLatest(struct{}{})
 	}
 }
+
+// mergeEvacuations returns the evacuations after an answer of the store.
+func mergeEvacuations(known evacuation.Set, state services.OperatorState) evacuation.Set {
+	if state.Complete {
+		return known.WithComplete(state.Version, state.Evacuations)
+	}
+	return known.WithChanges(state.Evacuations)
+}
--- a/services/catalog/catalog_test.go
+++ b/services/catalog/catalog_test.go
@@ -71,7 +71,7 @@
 func startService(t *testing.T, operator services.OperatorStore, health services.StoreHealth) *Service {
 	s := New(time.Now)
 	s.log, s.scope, s.operator, s.storeHealth = zerolog.Nop(), tally.NoopScope, operator, health
-	s.ageGauge = s.scope.Gauge("age")
+	s.ageGauge, s.evacuationChanges = s.scope.Gauge("age"), s.scope.Counter("evacuations")
 	s.calls = ring.New[readCall]("calls", callsRingCapacity, s.scope)
 	s.outcomes = ring.New[readDone]("outcomes", outcomesRingCapacity, s.scope)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/services/pools/contain_test.go
+++ b/services/pools/contain_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/decision/evacuation"
 	"fuchsiafront.example/fuchsiafront/decision/follow"
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -180,4 +181,6 @@
 // noCatalogs has no configuration yet.
 type noCatalogs struct{ services.Catalogs }
 
-func (*noCatalogs) Catalog() *catalog.Catalog { return nil }
+func (*noCatalogs) Catalog() *catalog.Catalog   { return nil }
+func (*noCatalogs) Evacuations() evacuation.Set { return evacuation.Set{} }
+func (*noCatalogs) CurrentAsOf() time.Time      { return time.Time{} }
--- /dev/null
+++ b/services/pools/evacuate.go
@@ -0,0 +1,62 @@
+package pools
+
+import (
+	"time"
+
+	"fuchsiafront.example/fuchsiafront/decision/evacuation"
+	"fuchsiafront.example/fuchsiafront/decision/poolplan"
+)
+
+// maxOperatorStateAge is how old the operator's state may be when a new owner plans for the
+// first time. In operation it is at most 2.8 s old (follow.Hedged). Two seconds are left
+// until nothing may start in an evacuated zone (evacuate-ms, 5 s).
+const maxOperatorStateAge = 3 * time.Second
+
+// operatorStateRecent reports whether the evacuations are known well enough to plan for the
+// pool. Once they are, this process follows them.
+func (p *planner) operatorStateRecent(m *managedPool) bool {
+	if m.operatorStateKnown {
+		return true
+	}
+	asOf := p.s.catalogs.CurrentAsOf()
+	if p.now.Sub(asOf) > maxOperatorStateAge {
+		if !m.operatorStateAwaited {
+			m.operatorStateAwaited = true
+			p.s.log.Info().Str("pool", m.name).Int("term", m.ownership.Term).Time("as_of", asOf).Msg("nothing is planned until the operator's state has been read")
+		}
+		return false
+	}
+	m.operatorStateKnown = true
+	m.plan.SetEvacuated(zonesOf(p.s.catalogs.Evacuations()))
+	return true
+}
+
+// refreshEvacuations passes the evacuated zones to the plans.
+func (p *planner) refreshEvacuations() {
+	p.evacuations = p.s.catalogs.Evacuations()
+	for _, m := range p.pools {
+		if m.plan != nil {
+			p.guardPool(m.ref(), func() { m.plan.SetEvacuated(zonesOf(p.evacuations)) })
+		}
+	}
+}
+
+func zonesOf(s evacuation.Set) map[string]bool {
+	zones := make(map[string]bool)
+	for _, r := range s.Active() {
+		zones[r.Zone] = true
+	}
+	return zones
+}
+
+// mayStartIn reports whether the zone of a start is not evacuated. It is checked just
+// before the start is sent, because the start may have waited in a ring, or this process
+// may have been paused, since it was planned.
+func (s *Service) mayStartIn(o poolplan.Start) bool {
+	if !s.catalogs.Evacuations().Has(o.Zone) {
+		return true
+	}
+	s.meters.evacuationWithheld.Inc(1)
+	s.log.Info().Str("job", o.Task.Job).Str("task", o.Task.TaskName.String()).Int("attempt", o.Attempt).Str("peer", o.Executor).Str("zone", o.Zone).Msg("start withheld: the zone is evacuated")
+	return false
+}
--- a/services/pools/load.go
+++ b/services/pools/load.go
@@ -304,6 +304,7 @@
 		return
 	}
 	plan := poolplan.New(m.ownership.Term, m.ownership.ClaimedAt, m.ownership.ReplacedSilentFor, p.s.settings.Params)
+	plan.SetEvacuated(zonesOf(p.evacuations))
 	plan.SetCatalog(p.catalog)
 	for _, x := range e.state.executors {
 		plan.Inherit(p.now, x)
--- a/services/pools/orders.go
+++ b/services/pools/orders.go
@@ -55,7 +55,7 @@
 	if c.order.Exclusive {
 		maxAge = ownership.ExclusiveFor
 	}
-	if !s.mayOrder(c.ownershipRef, maxAge) {
+	if !s.mayOrder(c.ownershipRef, maxAge) || !s.mayStartIn(c.order) {
 		return c.notMade()
 	}
 	defer s.recordOrderTime(s.clock())
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/decision/evacuation"
 	"fuchsiafront.example/fuchsiafront/decision/follow"
 	"fuchsiafront.example/fuchsiafront/decision/ownership"
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
@@ -55,6 +56,7 @@
 	// incarnations has the registered executors of all pools.
 	incarnations []poolplan.Executor
 	limits       limiter
+	evacuations  evacuation.Set
 }
 
 // pendingCall is a call that found its ring full.
@@ -94,6 +96,9 @@
 	leaving        map[string]bool
 	cordonsVersion int64
 	nextExpiryAt   time.Time
+	// operatorStateKnown is set once the operator's state was recent enough to plan,
+	// operatorStateAwaited once a log line has said that it is not.
+	operatorStateKnown, operatorStateAwaited bool
 }
 
 // callsInFlight has the calls of a pool that are in flight, at most one of each
@@ -156,6 +161,7 @@
 
 func (p *planner) refreshCatalog() {
 	p.catalog = p.s.catalogs.Catalog()
+	p.refreshEvacuations()
 	for _, m := range p.pools {
 		if m.plan != nil && p.catalog != nil {
 			p.guardPool(m.ref(), func() { m.plan.SetCatalog(p.catalog) })
@@ -277,6 +283,9 @@
 		p.logEvents(m)
 		return maxStepWait
 	}
+	if !p.operatorStateRecent(m) {
+		return maxStepWait
+	}
 	m.plan.SetCurrent(p.now.Sub(m.ownership.RenewedAt) < ownership.ExclusiveFor)
 	m.plan.SetOwnershipRenewed(m.ownership.RenewedAt, m.ownership.RenewalVersion)
 	for _, order := range m.plan.Step(p.now) {
--- a/services/pools/pools.go
+++ b/services/pools/pools.go
@@ -98,6 +98,7 @@
 	callsNotMade              tally.Counter
 	panics                    tally.Counter
 	ordersWithheld            tally.Counter
+	evacuationWithheld        tally.Counter
 	orderTime                 tally.Histogram
 	taskWait                  tally.Histogram
 	saveTime                  tally.Histogram
@@ -169,12 +170,14 @@
 		callsNotMade:   scope.Counter("calls_not_made_total"),
 		panics:         scope.Counter("pool_panics_total"),
 		ordersWithheld: scope.Counter("orders_withheld_total"),
-		orderTime:      scope.Histogram("executor_order_seconds", buckets),
-		taskWait:       scope.Histogram("task_wait_seconds", buckets),
-		saveTime:       scope.Histogram("progress_save_seconds", buckets),
-		runningTasks:   scope.Gauge("tasks_running"),
-		waitingJobs:    scope.Gauge("jobs_waiting"),
-		eventScope:     scope,
+		// Starts planned before their zone was evacuated.
+		evacuationWithheld: scope.Counter("evacuation_starts_withheld_total"),
+		orderTime:          scope.Histogram("executor_order_seconds", buckets),
+		taskWait:           scope.Histogram("task_wait_seconds", buckets),
+		saveTime:           scope.Histogram("progress_save_seconds", buckets),
+		runningTasks:       scope.Gauge("tasks_running"),
+		waitingJobs:        scope.Gauge("jobs_waiting"),
+		eventScope:         scope,
 	}
 }
 
--- a/services/records.go
+++ b/services/records.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/decision/evacuation"
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
 	"fuchsiafront.example/fuchsiafront/decision/workload"
 	"fuchsiafront.example/fuchsiafront/fleet"
@@ -104,8 +105,8 @@
 	UnreachableFor() time.Duration
 }
 
-// OperatorState is the configuration and the maintenance waves set by the
-// operator.
+// OperatorState is the configuration, the maintenance waves and the evacuations set by
+// the operator.
 type OperatorState struct {
 	// Version is where the next call resumes.
 	Version        int64
@@ -114,6 +115,11 @@
 	Catalog *catalog.Catalog
 	// Waves are the maintenance waves that changed.
 	Waves []MaintenanceWave
+	// Evacuations are the requests to evacuate a zone that were made or taken back.
+	Evacuations []evacuation.Request
+	// Complete is set if this is the whole state, so that what it does not name does
+	// not exist.
+	Complete bool
 }
 
 // MaintenanceWave is the operator's request to maintain a set of machines.
@@ -243,8 +249,13 @@
 	Catalog() *catalog.Catalog
 	// Waves returns the waves that the operator has requested.
 	Waves() []MaintenanceWave
-	// WatchChanges returns a ring that receives a value when the catalog or the
-	// waves change. It must be called during Provision.
+	// Evacuations returns the zones that the operator has asked to evacuate.
+	Evacuations() evacuation.Set
+	// CurrentAsOf returns a time as of which all of this is known to have been
+	// current; zero before the first read.
+	CurrentAsOf() time.Time
+	// WatchChanges returns a ring that receives a value when the catalog, the waves
+	// or the evacuations change. It must be called during Provision.
 	WatchChanges(name string) ChangedRing
 }
 
