Publish what is left in an evacuated zone, and keep its machines out of moves

The status record of a pool has, for each evacuated zone, the version that its owner applies and what still runs there. Machines of the zone are neither moved nor counted for a pool, and waves prefer them and do not count them against the limit of a pool, which does without them anyway.

Tested: decision/poolplan (starts in two zones, the same zone again, a start without an answer, a gang, a new owner, service tasks with max-unavailable), services/pools (a start that waited, a new owner with an old state).

--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -29,6 +29,7 @@
 	Executors     *fleetExecutorsCommand     `arg:"subcommand:executors" help:"the registry of executors"`
 	ListMachines  *fleetMachinesCommand      `arg:"subcommand:machines" help:"the list of machines"`
 	Waves         *fleetWavesCommand         `arg:"subcommand:waves" help:"maintenance waves and their progress"`
+	Evacuations   *fleetEvacuationsCommand   `arg:"subcommand:evacuations" help:"evacuated availability zones, what still runs there and what delays completion"`
 	Limits        *fleetLimitsCommand        `arg:"subcommand:limits" help:"the division of the tenants' limits among the pools"`
 	Jobs          *fleetJobsCommand          `arg:"subcommand:jobs" help:"jobs of a queue"`
 	Job           *fleetJobCommand           `arg:"subcommand:job" help:"one job as recorded in the store"`
--- a/decision/poolplan/evacuate.go
+++ b/decision/poolplan/evacuate.go
@@ -61,3 +61,53 @@
 		}
 	}
 }
+
+// ZoneUse describes what is left in an evacuated zone.
+type ZoneUse struct {
+	Zone string
+	// Tasks counts the runs that may not be over, ServiceTasks those of service tasks.
+	Tasks, ServiceTasks int
+	// WithoutRoom counts the service tasks for which no executor elsewhere has room.
+	WithoutRoom int
+	// Silent counts the executors with runs that do not answer: their runs are over when
+	// the lease is.
+	Silent int
+	// Unsettled counts the executors of which it is not known yet what an earlier owner,
+	// or a start without an answer, has left there.
+	Unsettled int
+}
+
+// EvacuatedUses returns what is left in each evacuated zone, by zone.
+func (p *Plan) EvacuatedUses() []ZoneUse {
+	var uses []ZoneUse
+	for _, zone := range slices.Sorted(maps.Keys(p.evacuatedZones)) {
+		use := ZoneUse{Zone: zone}
+		for _, e := range p.executors {
+			if e.Zone == zone || e.entry.Zone == zone {
+				use.add(e)
+			}
+		}
+		uses = append(uses, use)
+	}
+	return uses
+}
+
+func (u *ZoneUse) add(e *executor) {
+	runs := len(e.runs) + e.unknownRuns
+	u.Tasks += runs
+	for _, r := range e.runs {
+		if !r.task.group.step.Service {
+			continue
+		}
+		u.ServiceTasks++
+		if r.withoutRoom {
+			u.WithoutRoom++
+		}
+	}
+	if runs > 0 && !e.reachable() {
+		u.Silent++
+	}
+	if !e.runsKnown() || e.reportRequestedAt.Before(e.reportDueAt) {
+		u.Unsettled++
+	}
+}
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -153,6 +153,9 @@
 	trial, verified bool
 	// verifications counts the starts of that kind.
 	verifications int
+	// withoutRoom is set while a service task has to leave its executor and no other has
+	// room for it.
+	withoutRoom bool
 	// exclusive is set if the run before was lost without a report of its end.
 	exclusive bool
 	// listed is set once a report has listed the run.
--- a/decision/poolplan/relocate.go
+++ b/decision/poolplan/relocate.go
@@ -31,7 +31,8 @@
 		return
 	}
 	e := p.chooseExecutor(r.task.group, r.task, p.candidates(now), nil)
-	if e == nil || e.Leaving {
+	r.withoutRoom = e == nil || e.Leaving
+	if r.withoutRoom {
 		return
 	}
 	p.reserve(now, r.task, e)
--- a/decision/upkeep/upkeep.go
+++ b/decision/upkeep/upkeep.go
@@ -23,6 +23,9 @@
 	Empty bool
 	// Standby machines are off and run nothing.
 	Standby bool
+	// Evacuated machines are in an evacuated zone, so that their pool does without them
+	// anyway.
+	Evacuated bool
 	// Tasks and Services count what runs on it.
 	Tasks, Services int
 }
@@ -138,7 +141,7 @@
 		if m.InService && (m.Standby || (m.Empty && cordoned[m.Name])) && canBegin > 0 {
 			plan.Orders = append(plan.Orders, Order{m.Name, w.Number})
 			plan.Cordon[m.Name] = true
-			outByPool[m.Pool]++
+			m.countOut(outByPool)
 			canBegin--
 			canCordon--
 			continue
@@ -146,17 +149,24 @@
 		if !m.InService || canCordon <= 0 && !cordoned[m.Name] {
 			continue
 		}
-		if !cordoned[m.Name] && outByPool[m.Pool] >= maxOutOfPool(poolSize[m.Pool], loads[m.Pool]) && !needsMaxDown(now, w, len(pending), p) {
+		if !cordoned[m.Name] && !m.Evacuated && outByPool[m.Pool] >= maxOutOfPool(poolSize[m.Pool], loads[m.Pool]) && !needsMaxDown(now, w, len(pending), p) {
 			continue
 		}
 		plan.Cordon[m.Name] = true
-		outByPool[m.Pool]++
+		m.countOut(outByPool)
 		canCordon--
 	}
 }
 
-// compareMachines puts standby and cordoned machines first, then those with the
-// fewest service tasks, those of idle pools, and those with the fewest tasks.
+// countOut counts a machine that its pool loses to a wave.
+func (m *Machine) countOut(outByPool map[string]int) {
+	if !m.Evacuated {
+		outByPool[m.Pool]++
+	}
+}
+
+// compareMachines puts standby and cordoned machines first, then those in evacuated
+// zones, those with the fewest service tasks, those of idle pools, and those with the fewest tasks.
 func compareMachines(a, b *Machine, loads map[string]PoolLoad, cordoned map[string]bool) int {
 	return cmp.Or(
 		cmp.Compare(cordonRank(a, cordoned), cordonRank(b, cordoned)),
@@ -175,8 +185,10 @@
 		return 1
 	case cordoned[m.Name]:
 		return 2
+	case m.Evacuated:
+		return 3
 	}
-	return 3
+	return 4
 }
 
 // requiredParallel returns how many machines must be out at once to complete the
--- a/services/pools/evacuate.go
+++ b/services/pools/evacuate.go
@@ -5,6 +5,7 @@
 
 	"fuchsiafront.example/fuchsiafront/decision/evacuation"
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
+	"fuchsiafront.example/fuchsiafront/wire/jobrecord"
 )
 
 // maxOperatorStateAge is how old the operator's state may be when a new owner plans for the
@@ -27,7 +28,7 @@
 		return false
 	}
 	m.operatorStateKnown = true
-	m.plan.SetEvacuated(zonesOf(p.s.catalogs.Evacuations()))
+	p.refreshEvacuations()
 	return true
 }
 
@@ -49,6 +50,21 @@
 	return zones
 }
 
+// evacuationStatus returns what is left of a pool in each zone that its plan evacuates.
+func (p *planner) evacuationStatus(m *managedPool) []jobrecord.EvacuationStatus {
+	versions := make(map[string]int64)
+	for _, r := range p.evacuations.Active() {
+		versions[r.Zone] = r.Version
+	}
+	var list []jobrecord.EvacuationStatus
+	for _, u := range m.plan.EvacuatedUses() {
+		list = append(list, jobrecord.EvacuationStatus{
+			Zone: u.Zone, Version: versions[u.Zone], Tasks: u.Tasks, ServiceTasks: u.ServiceTasks, WithoutRoom: u.WithoutRoom, Silent: u.Silent, Unsettled: u.Unsettled,
+		})
+	}
+	return list
+}
+
 // mayStartIn reports whether the zone of a start is not evacuated. It is checked just
 // before the start is sent, because the start may have waited in a ring, or this process
 // may have been paused, since it was planned.
--- a/services/pools/status.go
+++ b/services/pools/status.go
@@ -71,6 +71,7 @@
 		}
 	}
 	slices.Sort(record.EmptyMachines)
+	record.Evacuations = p.evacuationStatus(m)
 	return record
 }
 
--- a/services/upkeep/moves.go
+++ b/services/upkeep/moves.go
@@ -75,6 +75,7 @@
 	catalog := s.catalogs.Catalog()
 	pools := make(map[string]sizing.Pool, len(catalog.Services))
 	var machines []sizing.Machine
+	evacuated := s.evacuatedMachines(list)
 	sizesMilliCPU := make(map[string][]int64)
 	for _, m := range list {
 		sizesMilliCPU[m.Pool] = append(sizesMilliCPU[m.Pool], m.Capacity.MilliCPU)
@@ -84,7 +85,7 @@
 		_, maintenanceOrdered := s.maintenanceOrderedAt[m.Name]
 		machines = append(machines, sizing.Machine{
 			Name: m.Name, Pool: m.Pool, Empty: s.isEmpty(m),
-			Movable:  m.State == services.MachineUp && !moving && !maintenanceOrdered && !maintenance.Cordon[m.Name],
+			Movable:  m.State == services.MachineUp && !moving && !maintenanceOrdered && !maintenance.Cordon[m.Name] && !evacuated[m.Name],
 			Cordoned: s.cordonedForMoves[m.Name], Kind: m.Kind, Tasks: use.Tasks, Services: use.Services,
 		})
 	}
@@ -92,8 +93,8 @@
 	for name, service := range catalog.Services {
 		status := s.statuses[name]
 		pool := sizing.Pool{Standby: service.Standby, UsualMachines: s.poolSizes.record.Pools[name], DemandMilliCPU: status.DemandMilliCPU, MachineMilliCPU: mean(sizesMilliCPU[name])}
-		for _, t := range s.movesInProgress {
-			if t.pool == name {
+		for machine, t := range s.movesInProgress {
+			if t.pool == name && !evacuated[machine] {
 				pool.Incoming++
 			}
 		}
--- a/services/upkeep/records.go
+++ b/services/upkeep/records.go
@@ -112,6 +112,7 @@
 func (s *Service) machineStates(now time.Time, list []services.Machine) []upkeep.Machine {
 	catalog := s.catalogs.Catalog()
 	machines := make([]upkeep.Machine, 0, len(list))
+	evacuated := s.evacuatedMachines(list)
 	for _, m := range list {
 		status := s.statuses[m.Pool]
 		use := status.Machines[m.Name]
@@ -119,7 +120,7 @@
 		machines = append(machines, upkeep.Machine{
 			Name: m.Name, Pool: m.Pool, InService: m.State == services.MachineUp && !maintenanceOrdered,
 			UnderMaintenance: m.State == services.MachineInMaintenance || maintenanceOrdered, Empty: s.isEmpty(m),
-			Standby: catalog.Services[m.Pool].Standby, Tasks: use.Tasks, Services: use.Services,
+			Standby: catalog.Services[m.Pool].Standby, Evacuated: evacuated[m.Name], Tasks: use.Tasks, Services: use.Services,
 		})
 	}
 	return machines
--- a/standin/fleetplatform/executor.go
+++ b/standin/fleetplatform/executor.go
@@ -340,7 +340,7 @@
 // RegistryEntry returns the executor's entry for the registry.
 func (e *Executor) RegistryEntry(service, address string, sequence int) map[string]any {
 	return map[string]any{
-		"service": service, "address": address, "zone": "z1", "version": "v1", "slots": 8, "state": "ready",
+		"service": service, "address": address, "zone": ZoneOf(e.ID), "version": "v1", "slots": 8, "state": "ready",
 		"warmup-left-ms": 0, "sequence": sequence, "born": e.StartedMs, "clock-ms": e.clockMs(), "machine": "m-" + e.ID,
 		"capacity": map[string]any{"cpu": 4000, "mem-mb": 8192, "gpu": 0}, "labels": []string{"a", "r1-1"},
 	}
--- a/standin/fleetplatform/fleet.go
+++ b/standin/fleetplatform/fleet.go
@@ -283,7 +283,7 @@
 	machines := []map[string]any{}
 	for id, s := range f.executors {
 		machines = append(machines, map[string]any{
-			"machine": "m-" + id, "pool": s.service, "state": "up", "zone": "z1", "id": id,
+			"machine": "m-" + id, "pool": s.service, "state": "up", "zone": ZoneOf(id), "id": id,
 			"capacity": map[string]any{"cpu": 4000, "mem-mb": 8192, "gpu": 0},
 		})
 	}
--- a/wire/jobrecord/pool.go
+++ b/wire/jobrecord/pool.go
@@ -52,6 +52,21 @@
 	CapacityMilliCPU int64 `json:"capacity"`
 	// Machines is the use of each machine, by name.
 	Machines map[string]MachineUse `json:"machines,omitempty"`
+	// Evacuations has the requests to evacuate a zone that the owner applies.
+	Evacuations []EvacuationStatus `json:"evacuations,omitempty"`
+}
+
+// EvacuationStatus is what is left of a pool in an evacuated zone. Counts are those of
+// poolplan.ZoneUse.
+type EvacuationStatus struct {
+	Zone string `json:"zone"`
+	// Version is that of the operator's request.
+	Version      int64 `json:"ver"`
+	Tasks        int   `json:"tasks"`
+	ServiceTasks int   `json:"services,omitempty"`
+	WithoutRoom  int   `json:"withoutRoom,omitempty"`
+	Silent       int   `json:"silent,omitempty"`
+	Unsettled    int   `json:"unsettled,omitempty"`
 }
 
 // PendingRecord has the jobs without a started task.
