Evacuate zones in the soak test

Zones are evacuated between the faults, drawn apart from them, and one more after the faults: nothing may start there from 5 s after the request until it is taken back. Starts of jobs go on meanwhile.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -65,10 +65,12 @@
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	clients.Go(func() { s.submitJobs(stop) })
+	s.evacuateZones(*seed)
 	s.injectFaults(*faultDuration)
+	s.restartHosts()
+	s.checkEvacuation()
 	close(stop)
 	clients.Wait()
-	s.restartHosts()
 	s.fleet.EndLateOrders()
 	s.checkGuarantees()
 }
