Guard the evacuation of a zone with further tests

Tested: decision/poolplan (verification and trials), decision/upkeep (waves prefer the zone), services/upkeep (moves), services/catalog (history lost).

--- a/decision/poolplan/evacuate_test.go
+++ b/decision/poolplan/evacuate_test.go
@@ -202,3 +202,26 @@
 	assert.Equal(t, unavailable, 1)
 	assert.Equal(t, sim.plan.EvacuatedUses()[0].Tasks, 0)
 }
+
+// Guards against a start that asks a later incarnation whether a run has ended there, or a
+// trial, in an evacuated zone.
+func TestNothingIsVerifiedOrTriedInEvacuatedZone(t *testing.T) {
+	for _, evacuated := range []bool{false, true} {
+		sim := newSimulation(t, 1)
+		sim.registerInZones(map[string]string{"1": "a"})
+		sim.addJob("a", false, step(1))
+		sim.step()
+		start := sim.takeStart()
+		e := sim.plan.executors["1"]
+		e.runs[runKey{start.Task, start.Attempt}].undecided = true
+		e.StaleAck, e.trials.endsUnseen = true, true
+		if evacuated {
+			sim.plan.SetEvacuated(evacuate("a"))
+		}
+		sim.addJob("b", false, step(1))
+		sim.plan.RenewLeaseDone(sim.now, RenewLease{Target: start.Target}, Report{Outcome: sim.outcome(Accepted), StartedMs: 1000})
+		sim.step()
+		assert.Equal(t, len(sim.starts) > 0, !evacuated)
+		assert.Equal(t, len(sim.stops) > 0, evacuated, "a late start could begin the run")
+	}
+}
