Check in the soak that a zone taken back is used when the other one is evacuated

With seed 2 (20 s, 4 hosts) the zone was used again only after 3.2 s: what is submitted fits in the other zone, and the choice prefers executors in use. The other zone is evacuated meanwhile, so that all has to start in this one.

Tested: soak with seeds 2 and 1 (12 s, 3 hosts): used again after 0.5 s and 0.05 s, no start in an evacuated zone.

--- a/soak/evacuate_test.go
+++ b/soak/evacuate_test.go
@@ -43,7 +43,8 @@
 }
 
 // checkEvacuation evacuates a zone while jobs are submitted, and checks that nothing starts
-// there from the bound until the zone is taken back, and something does afterwards.
+// there from the bound until the zone is taken back, and something does afterwards, when
+// the other zone is evacuated.
 func (s *soakRun) checkEvacuation() {
 	s.t.Helper()
 	zone := fleetplatform.SecondZone
@@ -51,6 +52,9 @@
 	time.Sleep(fleetplatform.EvacuateLimit + observedEvacuation)
 	takenBack := time.Now()
 	s.fleet.TakeBack(zone)
+	// Without the other zone, all that is submitted has to start in this one.
+	s.fleet.Evacuate(fleetplatform.FirstZone)
+	defer s.fleet.TakeBack(fleetplatform.FirstZone)
 	starts := fleetplatform.StartsIn(s.fleet.Recorder.Runs(), zone, confirmed.Add(fleetplatform.EvacuateLimit), takenBack)
 	assert.Equal(s.t, len(starts), 0, "seed %d: starts in the evacuated zone: %v", *seed, starts)
 	elsewhere := fleetplatform.StartsIn(s.fleet.Recorder.Runs(), fleetplatform.FirstZone, confirmed.Add(fleetplatform.EvacuateLimit), takenBack)
