--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -117,7 +117,7 @@
 	p.trialsNeeded = false
 	for _, e := range p.allExecutors() {
 		switch {
-		case !e.acceptsWork() || e.leaseEnd(now, p.leaseDuration(now)) == 0:
+		case !p.mayStartOn(e) || e.leaseEnd(now, p.leaseDuration(now)) == 0:
 		case now.Before(e.avoidUntil):
 			avoided = append(avoided, e)
 		default:
--- a/decision/poolplan/use.go
+++ b/decision/poolplan/use.go
@@ -83,7 +83,7 @@
 func (p *Plan) Load() (demand, lateDemand, capacity int64) {
 	usual := int64(0)
 	for _, e := range p.executors {
-		if e.acceptsWork() {
+		if p.mayStartOn(e) {
 			capacity += e.Capacity.MilliCPU
 			usual = max(usual, e.Capacity.MilliCPU)
 		}
--- a/decision/sizing/division.go
+++ b/decision/sizing/division.go
@@ -5,6 +5,10 @@
 // that are both short.
 const divisionHysteresisPercent = 10
 
+// minDivisionHysteresis is the smallest number of machines that it keeps above. A tenth
+// of a small pool is no machine.
+const minDivisionHysteresis = 2
+
 // divide allots the machines to the pools if their demand exceeds the fleet. The
 // first pool to have a peak would otherwise keep all machines until its backlog is
 // gone, although most of it is late by then.
--- a/decision/sizing/sizing.go
+++ b/decision/sizing/sizing.go
@@ -160,7 +160,7 @@
 		return len(s.removable)
 	}
 	if s.allotted >= 0 {
-		return min(s.machines-s.allotted-s.machines*divisionHysteresisPercent/100, len(s.removable))
+		return min(s.machines-s.allotted-max(s.machines*divisionHysteresisPercent/100, minDivisionHysteresis), len(s.removable))
 	}
 	required := max(s.machinesForPercent(donorPercent), s.machinesFor(s.ForecastMilliCPU), s.UsualMachines*minUsualPercent/100, 1)
 	return min(s.machines-required, len(s.removable))
--- a/services/pools/pools.go
+++ b/services/pools/pools.go
@@ -101,6 +101,7 @@
 	callsNotMade              tally.Counter
 	panics                    tally.Counter
 	ordersWithheld            tally.Counter
+	evacuationWithheld        tally.Counter
 	orderTime                 tally.Histogram
 	taskWait                  tally.Histogram
 	saveTime                  tally.Histogram
@@ -176,13 +177,15 @@
 		callsNotMade:   scope.Counter("calls_not_made_total"),
 		panics:         scope.Counter("pool_panics_total"),
 		ordersWithheld: scope.Counter("orders_withheld_total"),
-		orderTime:      scope.Histogram("executor_order_seconds", buckets),
-		taskWait:       scope.Histogram("task_wait_seconds", buckets),
-		saveTime:       scope.Histogram("progress_save_seconds", buckets),
-		summaryTime:    scope.Histogram("pool_summary_seconds", tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 12)),
-		runningTasks:   scope.Gauge("tasks_running"),
-		waitingJobs:    scope.Gauge("jobs_waiting"),
-		eventScope:     scope,
+		// Starts planned before their zone was evacuated.
+		evacuationWithheld: scope.Counter("evacuation_starts_withheld_total"),
+		orderTime:          scope.Histogram("executor_order_seconds", buckets),
+		taskWait:           scope.Histogram("task_wait_seconds", buckets),
+		saveTime:           scope.Histogram("progress_save_seconds", buckets),
+		summaryTime:        scope.Histogram("pool_summary_seconds", tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 12)),
+		runningTasks:       scope.Gauge("tasks_running"),
+		waitingJobs:        scope.Gauge("jobs_waiting"),
+		eventScope:         scope,
 	}
 }
 
--- a/services/pools/status.go
+++ b/services/pools/status.go
@@ -81,6 +81,7 @@
 	}
 	slices.Sort(record.EmptyMachines)
 	p.addDetails(m, &record)
+	record.Evacuations = p.evacuationStatus(m)
 	return record
 }
 
