--- a/ctl/fleetwhere_test.go
+++ b/ctl/fleetwhere_test.go
@@ -116,7 +116,7 @@
 			assert.Equal(t, r.Owner.State, "renewing")
 			assert.Equal(t, r.ExpectedWait.Ms, 0.0)
 			assert.Equal(t, len(r.Facts), 6)
-		}, table: "i-1 m-i-1 z1 r1-1 4 8192 0 1 0 chosen"},
+		}, table: "i-1 m-i-1 z2 r1-1 4 8192 0 1 0 chosen"},
 		"label that no executor has": {job: strings.Replace(smallJob, `"count"`, `"constraints": "big", "count"`, 1), want: func(t *testing.T, r *whereResult) {
 			assert.Equal(t, r.Placement.Placed, 0)
 			assert.Equal(t, r.Placement.Never, "label")
