Count tasks whose duration depends on the rack

Cause: nothing shows how many tasks name a rack or are rack-sensitive, nor how many start near. Change: pools count the submitted tasks by preference and their starts near and away. A job is counted by the owner that first adds it; inherited jobs are not counted again. Tests: decision/poolplan and services/pools pass.

--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -210,6 +210,9 @@
 		}
 	}
 	p.jobs[spec.ID] = j
+	if !inherited {
+		p.countSubmitted(j)
+	}
 	p.groupsChanged = true
 	p.completeIfDone(now, j)
 }
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -145,6 +145,8 @@
 	serials int64
 	// taskDurations holds the estimators of task durations by queue.
 	taskDurations map[string]*durationEstimator
+	// placementCounts are the counts since they were last taken.
+	placementCounts PlacementCounts
 }
 
 // Event is a decision or a state change that is logged and counted.
--- a/decision/poolplan/start.go
+++ b/decision/poolplan/start.go
@@ -22,6 +22,7 @@
 }
 
 func (p *Plan) startTask(now time.Time, t *task, e *executor, attempt int) {
+	p.countStart(t, e)
 	p.startRun(now, t, e, attempt, p.leaseDuration(now), false)
 }
 
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -283,6 +283,7 @@
 		p.sendOrder(m, order)
 	}
 	p.logEvents(m)
+	p.s.meters.placement.record(m.plan.TakePlacementCounts())
 	if m.plan.Superseded() {
 		p.s.log.Warn().Str("pool", m.name).Int("term", m.ownership.Term).Msg("giving the pool up: an executor has seen a later owner")
 		p.dropLostPool(m)
--- a/services/pools/pools.go
+++ b/services/pools/pools.go
@@ -103,6 +103,7 @@
 	saveTime                  tally.Histogram
 	runningTasks, waitingJobs tally.Gauge
 	eventScope                tally.Scope
+	placement                 placementMeters
 }
 
 // New returns the service.
@@ -175,6 +176,7 @@
 		runningTasks:   scope.Gauge("tasks_running"),
 		waitingJobs:    scope.Gauge("jobs_waiting"),
 		eventScope:     scope,
+		placement:      newPlacementMeters(scope),
 	}
 }
 
