Wait for a preferred placement where that ends work sooner

Cause: another rack had a constant cost and nothing waited, although tasks take remote-factor times as long away from their data or their group. Change: decision/placewait weighs the expected ends in the wanted rack against the time that it saves, the job's objective and what is kept idle for a gang. Plans use it for single tasks that name a rack, rack-sensitive steps and gangs. The constant cost is gone. Durations are also learned by image and tenant, with their error, for this decision alone. The factor comes from the settings.

--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -153,6 +153,8 @@
 	trial, verified bool
 	// verifications counts the starts of that kind.
 	verifications int
+	// away is set if the run is not in its task's preferred placement.
+	away bool
 	// exclusive is set if the run before was lost without a report of its end.
 	exclusive bool
 	// listed is set once a report has listed the run.
--- a/decision/poolplan/gang.go
+++ b/decision/poolplan/gang.go
@@ -25,7 +25,10 @@
 	if !p.fitsBesideUnaccounted(g, int64(len(g.tasks))) {
 		return waitInheritedUse
 	}
-	places := p.chooseGangExecutors(g, candidates)
+	places, waits := p.findGangPlaces(now, g, candidates)
+	if waits {
+		return waitPlace
+	}
 	if places == nil {
 		// A member alone does no work, so that its trial cannot be done.
 		p.startTrial(now, g, g.tasks[0], candidates)
@@ -38,6 +41,7 @@
 	for i, t := range g.tasks {
 		p.startTask(now, t, places[i], attempt)
 	}
+	p.noteGangStart(g)
 	return notWaiting
 }
 
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -69,6 +69,8 @@
 	// priority is the priority of the group's queue at that time.
 	priority int
 	advice   *advice
+	// wait is the wait of the whole group for a preferred placement, or nil.
+	wait *placementWait
 }
 
 // task is one task of a group.
@@ -91,6 +93,8 @@
 	lateStart lateStart
 	// reservedOn is the executor that keeps room for the task, or nil.
 	reservedOn *executor
+	// wait is the task's wait for a preferred placement, or nil.
+	wait *placementWait
 }
 
 func (t *task) id() workload.TaskID {
--- a/decision/poolplan/learn.go
+++ b/decision/poolplan/learn.go
@@ -67,7 +67,9 @@
 	if p.taskDurations[queue] == nil {
 		p.taskDurations[queue] = new(durationEstimator)
 	}
-	p.taskDurations[queue].add(now.Sub(r.orderedAt))
+	duration := p.durationWhenNear(r, now.Sub(r.orderedAt))
+	p.recordKindDuration(r.task.group, duration)
+	p.taskDurations[queue].add(duration)
 }
 
 // remainingTime returns the expected time that a job needs from step first on.
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -12,8 +12,10 @@
 
 // Costs in the choice of an executor, in thousandths of its capacity.
 const (
-	// costOtherRack is added outside the rack that holds the data.
-	costOtherRack = 4000
+	// costPerRemoteFactor is added for a service task outside the rack that holds its
+	// data, for each time that it takes longer there. Other tasks take room in that rack
+	// before all costs, or wait for it.
+	costPerRemoteFactor = 1000
 	// costMixed is added where best-effort tasks and service tasks would share
 	// an executor.
 	costMixed = 2000
@@ -76,6 +78,7 @@
 	p.unplaceable = p.unplaceable[:0]
 	p.refreshUnaccounted(now)
 	p.round++
+	p.beginPlacementRound()
 	for _, g := range p.readyGroups {
 		// A busy pool does not refresh the list at every step.
 		if g.job.closed() || g.waitingTasks() == 0 {
@@ -84,7 +87,9 @@
 		if p.openStarts >= maxOpenStarts {
 			return
 		}
-		p.logWait(now, g, p.placeGroup(now, g, candidates))
+		reason := p.placeGroup(now, g, candidates)
+		p.placement.noteReason(reason)
+		p.logWait(now, g, reason)
 	}
 	p.pruneBlocked()
 }
@@ -160,7 +165,11 @@
 		if !p.fitsBesideUnaccounted(g, 1) {
 			return waitInheritedUse
 		}
-		e := p.findRoom(g, t, candidates)
+		e, waits := p.findPlace(now, g, t, candidates)
+		if waits {
+			reason = waitPlace
+			continue
+		}
 		if e == nil && !p.startTrial(now, g, t, candidates) {
 			return waitRoom
 		}
@@ -256,8 +265,8 @@
 	default:
 		cost -= usedPart
 	}
-	if g.step.DataRack != "" && g.step.DataRack != e.Rack {
-		cost += costOtherRack
+	if g.step.Service && g.step.DataRack != "" && g.step.DataRack != e.Rack && p.placementMatters() {
+		cost += int64((p.params.RemoteFactor - 1) * costPerRemoteFactor)
 	}
 	if g.step.BestEffort && e.latencyBoundRuns > 0 || g.step.Service && g.step.LatencyTarget > 0 && e.bestEffortRuns > 0 {
 		cost += costMixed
@@ -323,6 +332,9 @@
 // NextStep returns when Step should be called again if nothing else happens.
 func (p *Plan) NextStep(now time.Time) time.Time {
 	next := now.Add(maxStepInterval)
+	if until := p.placement.nextEnd; until.After(now) {
+		next = earlier(next, until)
+	}
 	for _, e := range p.executors {
 		if e.trials.open > 0 || !e.silentSince.IsZero() && now.Sub(e.silentSince) < promptCheckTime {
 			next = earlier(next, now.Add(checkInterval))
--- a/decision/poolplan/placecount.go
+++ b/decision/poolplan/placecount.go
@@ -1,5 +1,7 @@
 package poolplan
 
+import "time"
+
 // PlacementCounts counts what concerns tasks whose duration depends on the rack.
 type PlacementCounts struct {
 	// DataRackTasks and RackSensitiveTasks are the submitted tasks whose step names the
@@ -8,6 +10,11 @@
 	// NearStarts and AwayStarts are the starts of such tasks in their preferred placement
 	// and elsewhere.
 	NearStarts, AwayStarts int64
+	// WaitsBegun, WaitsEndedNear and WaitsGivenUp count the waits for a preferred
+	// placement. Those of jobs that end meanwhile count as begun only.
+	WaitsBegun, WaitsEndedNear, WaitsGivenUp int64
+	// WaitTimes are the times that the ended waits took.
+	WaitTimes []time.Duration
 }
 
 // TakePlacementCounts returns the counts since the last call.
@@ -31,15 +38,46 @@
 	}
 }
 
-// countStart counts the start of a task on an executor.
-func (p *Plan) countStart(t *task, e *executor) {
-	g := t.group
-	switch {
-	case !g.prefersRack():
-	case g.isNear(e):
+// notePlacement counts the start of a run and records whether it is away from the
+// preferred placement of its task. If it is, so are the runs of the step that would be fast
+// only together with it.
+func (p *Plan) notePlacement(r *run) {
+	g := r.task.group
+	r.task.wait = nil
+	if g.isNear(r.executor) {
 		p.placementCounts.NearStarts++
-	default:
-		p.placementCounts.AwayStarts++
+		return
+	}
+	p.placementCounts.AwayStarts++
+	r.away = true
+	if g.step.OneRack {
+		g.markAway()
+	}
+}
+
+// noteGangStart does the same for the members of a gang, which are all fast or all slow.
+func (p *Plan) noteGangStart(g *group) {
+	if !g.prefersRack() {
+		return
+	}
+	g.wait = nil
+	members := int64(len(g.tasks))
+	for _, t := range g.tasks {
+		if !g.isNear(t.runs[0].executor) {
+			g.markAway()
+			p.placementCounts.AwayStarts += members
+			return
+		}
+	}
+	p.placementCounts.NearStarts += members
+}
+
+// markAway marks all runs of a group as away from their preferred placement.
+func (g *group) markAway() {
+	for _, t := range g.tasks {
+		for _, r := range t.runs {
+			r.away = true
+		}
 	}
 }
 
@@ -59,7 +97,7 @@
 func (g *group) runsOnlyIn(rack string) bool {
 	for _, t := range g.tasks {
 		for _, r := range t.runs {
-			if r.executor.Rack != rack {
+			if !r.trial && r.executor.Rack != rack {
 				return false
 			}
 		}
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -24,6 +24,9 @@
 	// StopTime is the longest time that a run takes to end after its executor has
 	// accepted a stop.
 	StopTime time.Duration
+	// RemoteFactor is by how much tasks take longer away from their preferred placement;
+	// the placement does not matter if it is at most 1.
+	RemoteFactor float64
 }
 
 // Timing of the plan.
@@ -145,6 +148,9 @@
 	serials int64
 	// taskDurations holds the estimators of task durations by queue.
 	taskDurations map[string]*durationEstimator
+	// kindDurations holds the estimators of task durations by queue, image and tenant.
+	kindDurations map[taskKind]*kindEstimator
+	placement     placementState
 	// placementCounts are the counts since they were last taken.
 	placementCounts PlacementCounts
 }
@@ -160,6 +166,8 @@
 	StartedMs int64
 	Reason    string
 	Age       time.Duration
+	// EndsIn is when a wait ends at the latest; zero if that is not known.
+	EndsIn time.Duration
 }
 
 // New returns the plan of an owner that took over at now. term numbers the
@@ -181,6 +189,7 @@
 		unsavedJobs:        make(map[string]*job),
 		shareBuckets:       make(map[string]*shareBucket),
 		taskDurations:      make(map[string]*durationEstimator),
+		kindDurations:      make(map[taskKind]*kindEstimator),
 		takenOverAt:        now,
 		inheritedRunsKnown: term <= 1,
 	}
@@ -229,6 +238,7 @@
 	}
 	p.expireLeases(now)
 	p.releaseUnused(now)
+	p.releaseKept()
 	p.checkInheritedRuns(now)
 	p.stopEndedJobs(now)
 	if !p.mayDefer(now, p.runsCheckedAt, runCheckInterval) {
--- a/decision/poolplan/start.go
+++ b/decision/poolplan/start.go
@@ -22,8 +22,10 @@
 }
 
 func (p *Plan) startTask(now time.Time, t *task, e *executor, attempt int) {
-	p.countStart(t, e)
-	p.startRun(now, t, e, attempt, p.leaseDuration(now), false)
+	r := p.startRun(now, t, e, attempt, p.leaseDuration(now), false)
+	if t.group.prefersRack() && !t.group.step.Gang {
+		p.notePlacement(r)
+	}
 }
 
 // startRun orders a run of a task, or a trial, with a lease of a duration.
--- a/decision/poolplan/wait.go
+++ b/decision/poolplan/wait.go
@@ -29,11 +29,13 @@
 	// waitInheritedUse means that runs of a previous owner that are not known yet may
 	// use what the tenant's limit leaves here.
 	waitInheritedUse
+	// waitPlace means that they wait for room in their preferred placement.
+	waitPlace
 	// waitRoom means that no executor that may run them has room.
 	waitRoom
 )
 
-var waitReasonNames = [...]string{"", "inherited", "renewal", "possible-successor", "late-start", "restart-delay", "advice", "gang-members", "tenant-limit", "inherited-use", "room"}
+var waitReasonNames = [...]string{"", "inherited", "renewal", "possible-successor", "late-start", "restart-delay", "advice", "gang-members", "tenant-limit", "inherited-use", "place", "room"}
 
 const (
 	// waitLogDelay is how long a group must have waited before its reason is
@@ -51,5 +53,24 @@
 		return
 	}
 	g.loggedWait, g.waitLoggedAt = reason, now
-	p.addEvent(Event{Kind: "tasks wait", Job: g.job.spec.ID, Task: g.tasks[0].id().String(), Reason: waitReasonNames[reason], Age: now.Sub(g.readyAt)})
+	e := Event{Kind: "tasks wait", Job: g.job.spec.ID, Task: g.tasks[0].id().String(), Reason: waitReasonNames[reason], Age: now.Sub(g.readyAt)}
+	if reason == waitPlace {
+		e.EndsIn = g.lastWaitEnd().Sub(now)
+	}
+	p.addEvent(e)
+}
+
+// lastWaitEnd returns when the last wait of the group's tasks for a preferred placement ends
+// at the latest.
+func (g *group) lastWaitEnd() (last time.Time) {
+	waits := []*placementWait{g.wait}
+	for _, t := range g.tasks {
+		waits = append(waits, t.wait)
+	}
+	for _, w := range waits {
+		if w != nil && !w.over && w.until.After(last) {
+			last = w.until
+		}
+	}
+	return last
 }
--- a/fleethost/fleethost.go
+++ b/fleethost/fleethost.go
@@ -80,6 +80,8 @@
 	return poolplan.Params{
 		MaxLease: platform.Milliseconds(s.Bounds.LeaseMaxMs),
 		StopTime: platform.Milliseconds(s.Bounds.StopTimeMs),
+		// One if the setting is absent.
+		RemoteFactor: max(s.Bounds.RemoteFactor, 1),
 	}
 }
 
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -323,6 +323,10 @@
 func (p *planner) logEvents(m *managedPool) {
 	for _, e := range m.plan.Events() {
 		p.s.meters.eventScope.Tagged(map[string]string{"event": e.Kind}).Counter("pool_events_total").Inc(1)
-		p.s.log.Info().Str("pool", m.name).Str("job", e.Job).Str("task", e.Task).Str("peer", e.Peer).Int64("life", e.StartedMs).Str("reason", e.Reason).Dur("age", e.Age).Msg(e.Kind)
+		line := p.s.log.Info().Str("pool", m.name).Str("job", e.Job).Str("task", e.Task).Str("peer", e.Peer).Int64("life", e.StartedMs).Str("reason", e.Reason).Dur("age", e.Age)
+		if e.EndsIn > 0 {
+			line = line.Dur("ends_in", e.EndsIn)
+		}
+		line.Msg(e.Kind)
 	}
 }
