Fill the pool before the benchmark of a step

Cause: BenchmarkStep stopped with 'the pool is empty', also on the code before this change: an executor gets one start before its first answer and none while an acknowledgement is open, and the benchmark stepped once and answered none. Change: it steps until the pool is full and answers the requests for reports.

--- a/decision/poolplan/bench_test.go
+++ b/decision/poolplan/bench_test.go
@@ -34,12 +34,26 @@
 		steps[1].After = []int{0}
 		p.AddJob(now, &workload.Spec{ID: fmt.Sprintf("%016x", i), Queue: catalog.Origin{Name: "queue"}, Tenant: "tenant", Steps: steps, AcceptedAt: now}, workload.Progress{}, false)
 	}
+	for answerOrders(p, now) > 0 {
+		// Executors get one start before their first answer and a few at a time then.
+	}
+	return p, now
+}
+
+// answerOrders steps the plan, accepts the starts, answers the requests for reports, and
+// returns the number of starts. An executor gets no start while an acknowledgement has no
+// answer.
+func answerOrders(p *Plan, now time.Time) (starts int) {
 	for _, o := range p.Step(now) {
-		if s, ok := o.(Start); ok {
-			p.StartDone(now, s, Outcome{ClockMs: 50_000, SentAt: now})
+		switch o := o.(type) {
+		case Start:
+			p.StartDone(now, o, Outcome{ClockMs: 50_000, SentAt: now})
+			starts++
+		case RenewLease:
+			p.RenewLeaseDone(now, o, Report{Outcome: Outcome{ClockMs: 50_000, SentAt: now}, StartedMs: 1000, Truncated: true})
 		}
 	}
-	return p, now
+	return starts
 }
 
 // BenchmarkStep measures a step of a full pool after one task has ended, the
@@ -55,10 +69,6 @@
 		r := sortedRuns(e)[0]
 		e.lastEnd++
 		p.applyEnd(now, e, EndReport{Number: e.lastEnd, Task: r.key.task, Attempt: r.key.attempt, Ending: EndedStopped})
-		for _, o := range p.Step(now) {
-			if s, ok := o.(Start); ok {
-				p.StartDone(now, s, Outcome{ClockMs: 50_000, SentAt: now})
-			}
-		}
+		answerOrders(p, now)
 	}
 }
