--- a/decision/poolplan/advise.go
+++ b/decision/poolplan/advise.go
@@ -76,6 +76,10 @@
 	if len(g.advice.tickets) > 0 {
 		reason = p.placeByCapacity(now, g, candidates)
 	}
+	if reason == waitPlace {
+		// Tickets for the wanted rack may expire meanwhile.
+		p.requestAdvice(now, g, candidates)
+	}
 	if reason != waitAdvice && reason != waitRoom {
 		return reason
 	}
@@ -96,6 +100,9 @@
 	// Each job begins at a different executor, so that jobs don't all ask for
 	// the same ones.
 	first := int(xxhash.Sum64String(o.Job) % uint64(len(candidates)))
+	if p.waitsForPlacement(g) && g.step.DataRack != "" {
+		candidates, first = nearFirst(g.step.DataRack, candidates, first), 0
+	}
 	for i := range candidates {
 		e := candidates[(first+i)%len(candidates)]
 		_, allowed := a.tickets[e.ID]
--- a/decision/poolplan/placegang.go
+++ b/decision/poolplan/placegang.go
@@ -72,8 +72,7 @@
 	if best.Action != placewait.Prepare {
 		return false
 	}
-	g.wait = &placementWait{rack: bestRack, begunAt: now, until: now.Add(best.Until), executors: waitableCount(byRack[bestRack])}
-	p.placementCounts.WaitsBegun++
+	g.wait = p.newWait(now, g.tasks[0], bestRack, byRack[bestRack], best)
 	p.noteWaiting(g.wait, len(g.tasks))
 	return true
 }
--- a/decision/poolplan/placesupply.go
+++ b/decision/poolplan/placesupply.go
@@ -138,4 +138,20 @@
 	return time.Duration(float64(took) / p.params.RemoteFactor)
 }
 
+// nearFirst returns the candidates in a rack, and then the others from number first on.
+func nearFirst(rack string, candidates []*executor, first int) []*executor {
+	list := make([]*executor, 0, len(candidates))
+	for _, e := range candidates {
+		if e.Rack == rack {
+			list = append(list, e)
+		}
+	}
+	for i := range candidates {
+		if e := candidates[(first+i)%len(candidates)]; e.Rack != rack {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 func sortedKeys(byRack map[string][]*executor) []string { return slices.Sorted(maps.Keys(byRack)) }
--- a/decision/poolplan/placewait.go
+++ b/decision/poolplan/placewait.go
@@ -11,6 +11,8 @@
 // placementWait is the wait of a task, or of a group, for room in a rack. There is at most
 // one for each start.
 type placementWait struct {
+	// task is the one that began the wait, or the first member of a gang.
+	task    *task
 	rack    string
 	begunAt time.Time
 	// until is the end of the wait at the latest.
@@ -202,12 +204,19 @@
 	if d.Action == placewait.StartHere {
 		return false
 	}
-	*w = &placementWait{rack: rack, begunAt: now, until: now.Add(d.Until), executors: waitableCount(near)}
-	p.placementCounts.WaitsBegun++
+	*w = p.newWait(now, t, rack, near, d)
 	p.noteWaiting(*w, 1)
 	return true
 }
 
+// newWait returns a wait that has been decided.
+func (p *Plan) newWait(now time.Time, t *task, rack string, near []*executor, d placewait.Decision) *placementWait {
+	p.placementCounts.WaitsBegun++
+	reason := "rack " + rack + ", expected gain " + d.Gain.Round(time.Millisecond).String()
+	p.addEvent(Event{Kind: "placement wait begun", Job: t.group.job.spec.ID, Task: t.id().String(), Reason: reason, EndsIn: d.Until})
+	return &placementWait{task: t, rack: rack, begunAt: now, until: now.Add(d.Until), executors: waitableCount(near)}
+}
+
 // noteWaiting records in this round that tasks wait.
 func (p *Plan) noteWaiting(w *placementWait, tasks int) {
 	s := &p.placement
@@ -225,7 +234,7 @@
 func (p *Plan) endWaitNear(now time.Time, g *group, w **placementWait) {
 	if *w != nil && !(*w).over && !(g.step.OneRack && !g.step.Gang && g.waitingTasks() > 1) {
 		p.placementCounts.WaitsEndedNear++
-		p.endWait(now, *w)
+		p.endWait(now, *w, "in the preferred placement")
 	}
 }
 
@@ -233,13 +242,15 @@
 func (p *Plan) giveUpWait(now time.Time, w *placementWait) {
 	if w != nil && !w.over {
 		p.placementCounts.WaitsGivenUp++
-		p.endWait(now, w)
+		p.endWait(now, w, "given up")
 	}
 }
 
-func (p *Plan) endWait(now time.Time, w *placementWait) {
+func (p *Plan) endWait(now time.Time, w *placementWait, reason string) {
 	w.over = true
-	p.placementCounts.WaitTimes = append(p.placementCounts.WaitTimes, now.Sub(w.begunAt))
+	waited := now.Sub(w.begunAt)
+	p.placementCounts.WaitTimes = append(p.placementCounts.WaitTimes, waited)
+	p.addEvent(Event{Kind: "placement wait ended", Job: w.task.group.job.spec.ID, Task: w.task.id().String(), Reason: reason, Age: waited})
 }
 
 // decideWait decides whether a task, or a group whose tasks wait together, waits for room
--- a/fleethost/fleethost.go
+++ b/fleethost/fleethost.go
@@ -80,11 +80,22 @@
 	return poolplan.Params{
 		MaxLease: platform.Milliseconds(s.Bounds.LeaseMaxMs),
 		StopTime: platform.Milliseconds(s.Bounds.StopTimeMs),
-		// One if the setting is absent.
-		RemoteFactor: max(s.Bounds.RemoteFactor, 1),
+		RemoteFactor: remoteFactor(s.Bounds.RemoteFactor),
 	}
 }
 
+// maxRemoteFactor keeps durations times the factor within the range of a duration.
+const maxRemoteFactor = 1000
+
+// remoteFactor returns the factor in force: 1 if the setting is absent, lower or not a
+// number.
+func remoteFactor(setting float64) float64 {
+	if !(setting > 1) {
+		return 1
+	}
+	return min(setting, maxRemoteFactor)
+}
+
 func endedRetention(s *platform.Settings) time.Duration {
 	return endedRetentionFactor * platform.Seconds(s.Bounds.StatusRetentionS)
 }
--- a/fleethost/fleethost_test.go
+++ b/fleethost/fleethost_test.go
@@ -3,12 +3,15 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"fuchsiafront.example/fuchsiafront/platform"
 	"fuchsiafront.example/fuchsiafront/standin/fleetplatform"
 )
 
@@ -278,3 +281,19 @@
 		t.Fatalf("the host did not stop within %v", stopTimeout)
 	}
 }
+
+// Guards against a factor that is read from another field, does not take a whole number, or
+// makes tasks wait where it is absent or senseless.
+func TestRemoteFactorOfSettings(t *testing.T) {
+	text := fleetplatform.SettingsFile("a", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+	for setting, want := range map[string]float64{
+		"": 1, "remote-factor = 0.5": 1, "remote-factor = -2": 1, "remote-factor = nan": 1,
+		"remote-factor = 1.5": 1.5, "remote-factor = 3": 3, "remote-factor = inf": maxRemoteFactor,
+	} {
+		path := filepath.Join(t.TempDir(), "settings.toml")
+		assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(text, "[bounds]", "[bounds]\n"+setting, 1)), 0o600))
+		s, err := platform.Load(path)
+		assert.NilError(t, err)
+		assert.Equal(t, planParams(s).RemoteFactor, want, setting)
+	}
+}
