Describe the wait for a placement, and compute its supply as far as needed

Change: the number of ends is computed as far as the wait may last, and what its times have in common once. Nobody waits behind more tasks than run in the rack. Tasks of which a search in this step found no room begin no wait.

--- a/decision/placewait/placewait.go
+++ b/decision/placewait/placewait.go
@@ -63,7 +63,8 @@
 // never makes work miss a deadline that it is expected to meet elsewhere.
 func Decide(r *Request, s *Supply) Decision {
 	limit := r.longestWait()
-	if limit < grid[0] {
+	if limit < grid[0] || len(s.ends) < r.Ahead+r.Openings {
+		// Whoever comes after all ends would wait for runs that have not begun yet.
 		return Decision{}
 	}
 	var best Decision
--- a/decision/placewait/placewait_test.go
+++ b/decision/placewait/placewait_test.go
@@ -97,3 +97,15 @@
 	r.IdleShare = 1
 	assert.Equal(t, Decide(&r, NewSupply(ends)).Action, StartHere)
 }
+
+// BenchmarkDecide measures a decision about a rack of 8 machines with 20 runs each.
+func BenchmarkDecide(b *testing.B) {
+	var ends []End
+	for i := range 160 {
+		ends = append(ends, End{Median: time.Second, LogDeviation: 0.5, Age: time.Duration(i) * 10 * time.Millisecond})
+	}
+	r := Request{Remaining: time.Second, LogDeviation: 0.5, Factor: 3, Openings: 1, Deadlines: []time.Duration{2 * time.Second, 5 * time.Second}}
+	for b.Loop() {
+		Decide(&r, NewSupply(ends))
+	}
+}
--- a/decision/placewait/supply.go
+++ b/decision/placewait/supply.go
@@ -24,19 +24,30 @@
 // minLogDeviation keeps a run that is older than expected from having no end at all.
 const minLogDeviation = 0.05
 
+// preparedEnd is an end with what its probability at each time has in common.
+type preparedEnd struct {
+	End
+	// survived is the probability that the run lasts for its age.
+	survived float64
+}
+
+func prepare(e End) preparedEnd {
+	e.LogDeviation = max(e.LogDeviation, minLogDeviation)
+	return preparedEnd{e, 1 - logNormalCDF(e.Age, e.Median, e.LogDeviation)}
+}
+
 // within returns the probability that the run ends within d, given that it has run for
 // its age.
-func (e End) within(d time.Duration) float64 {
+func (e *preparedEnd) within(d time.Duration) float64 {
 	if e.Median <= 0 {
 		return 1
 	}
-	deviation := max(e.LogDeviation, minLogDeviation)
-	survived := 1 - logNormalCDF(e.Age, e.Median, deviation)
-	if survived < minSurvival {
-		// The run has outlasted its distribution; the hazard rate of the tail is used.
+	if e.survived < minSurvival {
+		// The run has outlasted its distribution; such a run lasts for its age again, at
+		// a constant rate of ends.
 		return 1 - math.Exp(-float64(d)/float64(max(e.Age, 1)))
 	}
-	return 1 - (1-logNormalCDF(e.Age+d, e.Median, deviation))/survived
+	return 1 - (1-logNormalCDF(e.Age+d, e.Median, e.LogDeviation))/e.survived
 }
 
 // minSurvival is the probability below which a quotient of two of them has no accuracy.
@@ -78,28 +89,40 @@
 	return times
 }
 
-// Supply is how much room the ends of runs are expected to make as time passes.
+// Supply is how much room the ends of runs are expected to make as time passes. It is
+// computed as far as it is asked for, and must not be used by several goroutines at once.
 type Supply struct {
-	// mean and variance are those of the number of ends until each time of the grid.
+	ends []preparedEnd
+	// mean and variance are those of the number of ends until each of the first known
+	// times of the grid.
 	mean, variance [gridPoints]float64
+	known          int
 }
 
 // NewSupply returns the supply that the ends of runs make.
 func NewSupply(ends []End) *Supply {
-	s := new(Supply)
-	for _, e := range ends {
-		for i, t := range grid {
-			p := e.within(t)
-			s.mean[i] += p
-			s.variance[i] += p * (1 - p)
-		}
+	s := &Supply{ends: make([]preparedEnd, len(ends))}
+	for i, e := range ends {
+		s.ends[i] = prepare(e)
 	}
 	return s
 }
 
+// computeUntil computes the supply until the i-th time of the grid.
+func (s *Supply) computeUntil(i int) {
+	for ; s.known <= i; s.known++ {
+		for k := range s.ends {
+			p := s.ends[k].within(grid[s.known])
+			s.mean[s.known] += p
+			s.variance[s.known] += p * (1 - p)
+		}
+	}
+}
+
 // atLeast returns the probability of at least n ends until the i-th time of the grid. It
 // uses a normal distribution with a correction for whole numbers.
 func (s *Supply) atLeast(i, n int) float64 {
+	s.computeUntil(i)
 	lacking := float64(n) - 0.5 - s.mean[i]
 	if s.variance[i] <= 0 {
 		if lacking <= 0 {
--- a/decision/poolplan/placewait.go
+++ b/decision/poolplan/placewait.go
@@ -78,13 +78,16 @@
 		return p.findRoom(g, t, candidates), false
 	}
 	w := g.waitOf(t)
+	if p.knownUnplaceable(g.step) && (*w == nil || (*w).over) {
+		return nil, false
+	}
 	rack, preferred := p.preferredRack(g, candidates)
 	if !preferred {
 		p.giveUpWait(now, *w)
 		return p.findRoom(g, t, candidates), false
 	}
 	near := p.inRack(rack, candidates)
-	if e := p.findNear(g, t, near); e != nil {
+	if e := p.chooseExecutor(g, t, near, nil); e != nil {
 		p.endWaitNear(now, g, w)
 		return e, false
 	}
@@ -107,14 +110,6 @@
 	return &t.wait
 }
 
-// findNear returns the best executor for a task in a rack, or nil.
-func (p *Plan) findNear(g *group, t *task, near []*executor) *executor {
-	if p.knownUnplaceable(g.step) {
-		return nil
-	}
-	return p.chooseExecutor(g, t, near, nil)
-}
-
 // inRack returns the candidates in a rack.
 func (p *Plan) inRack(rack string, candidates []*executor) []*executor {
 	return p.candidatesByRack(candidates)[rack]
