Keep the wire's names out of the placement metrics

Cause: TestWireNamesStayInTheAdapter refused the tag value that the wire uses. Change: the tag values are data and group. Tests: platform and services/pools pass. fleethost: 3:21 min run of the dependents on a machine with a load of 19 had TestTextsOfEndedJobsAreNotKept fail once (a submission without an answer, status 0); alone it passes 4 of 4, as on the code before this work.

--- a/services/pools/placement.go
+++ b/services/pools/placement.go
@@ -22,8 +22,8 @@
 	}
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
 	return placementMeters{
-		dataRackTasks:      tagged("placement_tasks_submitted_total", "preference", "data-rack"),
-		rackSensitiveTasks: tagged("placement_tasks_submitted_total", "preference", "rack-sensitive"),
+		dataRackTasks:      tagged("placement_tasks_submitted_total", "preference", "data"),
+		rackSensitiveTasks: tagged("placement_tasks_submitted_total", "preference", "group"),
 		nearStarts:         tagged("placement_starts_total", "place", "near"),
 		awayStarts:         tagged("placement_starts_total", "place", "away"),
 		waitsBegun:         tagged("placement_waits_total", "step", "begun"),
