Treat the waits of tasks and gangs alike, and adopted runs as near or away

Cause: the two checks whether a wait goes on were copies, and a step whose runs had ended was decided again for the rack that it would choose now, not for the one that it waits for. Durations of adopted runs away from their data were learned as those near it. Best-effort tasks had lost their preference for the rack of their data.

--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -12,9 +12,9 @@
 
 // Costs in the choice of an executor, in thousandths of its capacity.
 const (
-	// costPerRemoteFactor is added for a service task outside the rack that holds its
-	// data, for each time that it takes longer there. Other tasks take room in that rack
-	// before all costs, or wait for it.
+	// costPerRemoteFactor, times the remote factor less one, is added for a service task
+	// or a best-effort task outside the rack that holds its data. Other tasks take room in
+	// that rack whatever it costs, or wait for it.
 	costPerRemoteFactor = 1000
 	// costMixed is added where best-effort tasks and service tasks would share
 	// an executor.
@@ -265,7 +265,7 @@
 	default:
 		cost -= usedPart
 	}
-	if g.step.Service && g.step.DataRack != "" && g.step.DataRack != e.Rack && p.placementMatters() {
+	if (g.step.Service || g.step.BestEffort) && g.step.DataRack != "" && g.step.DataRack != e.Rack && p.placementMatters() {
 		cost += int64((p.params.RemoteFactor - 1) * costPerRemoteFactor)
 	}
 	if g.step.BestEffort && e.latencyBoundRuns > 0 || g.step.Service && g.step.LatencyTarget > 0 && e.bestEffortRuns > 0 {
--- a/decision/poolplan/placecount.go
+++ b/decision/poolplan/placecount.go
@@ -44,17 +44,23 @@
 func (p *Plan) notePlacement(r *run) {
 	g := r.task.group
 	r.task.wait = nil
-	if g.isNear(r.executor) {
+	if !r.noteAway() {
 		p.placementCounts.NearStarts++
 		return
 	}
 	p.placementCounts.AwayStarts++
-	r.away = true
 	if g.step.OneRack {
 		g.markAway()
 	}
 }
 
+// noteAway records and reports whether the run is away from its preferred placement.
+func (r *run) noteAway() bool {
+	g := r.task.group
+	r.away = g.prefersRack() && !g.isNear(r.executor)
+	return r.away
+}
+
 // noteGangStart does the same for the members of a gang, which are all fast or all slow.
 func (p *Plan) noteGangStart(g *group) {
 	if !g.prefersRack() {
--- a/decision/poolplan/placegang.go
+++ b/decision/poolplan/placegang.go
@@ -37,8 +37,9 @@
 		}
 	}
 	if g.wait != nil {
-		if near := byRack[g.wait.rack]; p.goesOnWaitingAsGang(now, g, near) {
-			p.keepRoom(g, near)
+		decide := func(rack string, near []*executor) placewait.Decision { return p.decideGangWait(now, g, rack, near) }
+		if p.goesOnWaiting(now, g.wait, len(g.tasks), candidates, decide) {
+			p.keepRoom(g, byRack[g.wait.rack])
 			return nil, true
 		}
 		return p.fitGang(g, candidates), false
@@ -77,26 +78,6 @@
 	return true
 }
 
-// goesOnWaitingAsGang reports whether the wait of a gang goes on. It is decided again when
-// the rack has lost executors, and never becomes longer.
-func (p *Plan) goesOnWaitingAsGang(now time.Time, g *group, near []*executor) bool {
-	w := g.wait
-	if w.over {
-		return false
-	}
-	if now.Before(w.until) && waitableCount(near) < w.executors {
-		d := p.decideGangWait(now, g, w.rack, near)
-		w.executors = waitableCount(near)
-		w.until = earlier(w.until, now.Add(d.Until))
-	}
-	if !now.Before(w.until) {
-		p.giveUpWait(now, w)
-		return false
-	}
-	p.noteWaiting(w, len(g.tasks))
-	return true
-}
-
 // decideGangWait decides whether a gang waits for room in a rack, while the room that is
 // there and comes free is kept for it.
 func (p *Plan) decideGangWait(now time.Time, g *group, rack string, near []*executor) placewait.Decision {
--- a/decision/poolplan/placewait.go
+++ b/decision/poolplan/placewait.go
@@ -91,11 +91,12 @@
 		p.endWaitNear(now, g, w)
 		return e, false
 	}
-	if p.goesOnWaiting(now, g, t, *w, near) {
+	decide := func(rack string, near []*executor) placewait.Decision { return p.decideWait(now, g, t, rack, near) }
+	if p.goesOnWaiting(now, *w, 1, candidates, decide) {
 		return nil, true
 	}
 	away := p.findRoom(g, t, candidates)
-	if away == nil || !p.beginWait(now, g, t, w, rack, near) {
+	if away == nil || !p.beginWait(now, t, w, rack, near, decide) {
 		return away, false
 	}
 	return nil, true
@@ -171,31 +172,31 @@
 	return rack, found
 }
 
-// goesOnWaiting reports whether a wait goes on. It is decided again when the rack has lost
-// executors, and never becomes longer.
-func (p *Plan) goesOnWaiting(now time.Time, g *group, t *task, w *placementWait, near []*executor) bool {
+// goesOnWaiting reports whether a wait of some tasks goes on. It is decided again when the
+// rack has lost executors, and never becomes longer.
+func (p *Plan) goesOnWaiting(now time.Time, w *placementWait, tasks int, candidates []*executor, decide func(rack string, near []*executor) placewait.Decision) bool {
 	if w == nil || w.over {
 		return false
 	}
-	if now.Before(w.until) && waitableCount(near) < w.executors {
-		d := p.decideWait(now, g, t, w.rack, near)
-		w.executors = waitableCount(near)
-		w.until = earlier(w.until, now.Add(d.Until))
+	near := p.inRack(w.rack, candidates)
+	if n := waitableCount(near); now.Before(w.until) && n < w.executors {
+		w.executors = n
+		w.until = earlier(w.until, now.Add(decide(w.rack, near).Until))
 	}
 	if !now.Before(w.until) {
 		p.giveUpWait(now, w)
 		return false
 	}
-	p.noteWaiting(w, 1)
+	p.noteWaiting(w, tasks)
 	return true
 }
 
 // beginWait begins the wait of a task that could start away, if it is worthwhile.
-func (p *Plan) beginWait(now time.Time, g *group, t *task, w **placementWait, rack string, near []*executor) bool {
+func (p *Plan) beginWait(now time.Time, t *task, w **placementWait, rack string, near []*executor, decide func(rack string, near []*executor) placewait.Decision) bool {
 	if *w != nil {
 		return false
 	}
-	d := p.decideWait(now, g, t, rack, near)
+	d := decide(rack, near)
 	if d.Action == placewait.StartHere {
 		return false
 	}
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -187,6 +187,7 @@
 	e.runs[r.key] = r
 	t.runs = append(t.runs, r)
 	p.charge(r, 1)
+	r.noteAway()
 	p.addEvent(Event{Kind: "run adopted", Job: report.Task.Job, Task: report.Task.String(), Peer: e.ID, StartedMs: e.StartedMs})
 	switch {
 	case t.done || (others > 0 && !t.group.step.Speculative):
