--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -156,6 +156,8 @@
 	// withoutRoom is set while a service task has to leave its executor and no other has
 	// room for it.
 	withoutRoom bool
+	// away is set if the run is not in its task's preferred placement.
+	away bool
 	// exclusive is set if the run before was lost without a report of its end.
 	exclusive bool
 	// listed is set once a report has listed the run.
--- a/services/pools/pools.go
+++ b/services/pools/pools.go
@@ -108,6 +108,7 @@
 	summaryTime               tally.Histogram
 	runningTasks, waitingJobs tally.Gauge
 	eventScope                tally.Scope
+	placement                 placementMeters
 }
 
 // New returns the service.
@@ -186,6 +187,7 @@
 		runningTasks:       scope.Gauge("tasks_running"),
 		waitingJobs:        scope.Gauge("jobs_waiting"),
 		eventScope:         scope,
+		placement:          newPlacementMeters(scope),
 	}
 }
 
