Keep trials beside service runs short, and take those done unseen for done

Cause: a lease holds for all runs of an executor. A trial beside a service run was started with the full lease, renewals for the service run extended it, and a trial whose stop did not arrive was done unseen and its task started again.

Change: a trial always has its short lease. The lease that a service run already has can still carry a trial to its end during a cut, so a trial that is over and not listed, and that lasted from its confirmed start to its confirmed stop or the end of the lease for as long as its task is expected to take, is taken for done, as a verified run is.

Ruled out: no trials beside service runs (executors with service tasks would never be used for other work again after a restart); letting the lease of the service run lapse first (ends service tasks).

--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -55,6 +55,9 @@
 			r.state, r.confirmedAt = runRunning, now
 			r.percentChangedAt = now
 		}
+		if r.confirmedAt.IsZero() {
+			r.confirmedAt = now
+		}
 		if r.trial {
 			p.stopRun(now, r, "trial of the executor")
 		}
@@ -165,7 +168,7 @@
 	r.startUnanswered = false
 	r.startTries++
 	r.lastTryAt = now
-	p.sendStart(now, r, p.leaseDuration(now))
+	p.sendStart(now, r, p.leaseOn(now, r.executor))
 }
 
 // StopDone records the answer to a stop.
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -73,6 +73,8 @@
 	// clock.
 	leaseUntilMs int64
 	leaseSentAt  time.Time
+	// grantedUntilMs is the same without the leases that others may have sent.
+	grantedUntilMs int64
 	// leaseOverNoted is set once an event has said that the lease is over.
 	leaseOverNoted bool
 
--- a/decision/poolplan/lease.go
+++ b/decision/poolplan/lease.go
@@ -162,7 +162,7 @@
 	if len(e.runs) > e.trials.open && answers {
 		// A lease that may not arrive would only delay the time at which the
 		// runs of an unresponsive executor are certainly over.
-		o.LeaseUntilMs = e.leaseEnd(now, p.leaseDuration(now))
+		o.LeaseUntilMs = e.leaseEnd(now, p.leaseOn(now, e))
 	}
 	if o.LeaseUntilMs > 0 {
 		e.recordLease(now, o.LeaseUntilMs)
@@ -202,9 +202,18 @@
 	return e.clockMs + now.Sub(e.clockAt).Milliseconds() + d.Milliseconds()
 }
 
+// leaseEndsAt returns when the latest lease that this owner has sent ends, or now if the
+// executor's clock is not known.
+func (e *executor) leaseEndsAt(now time.Time) time.Time {
+	if e.clockAt.IsZero() {
+		return now
+	}
+	return e.clockAt.Add(time.Duration(e.grantedUntilMs-e.clockMs) * time.Millisecond)
+}
+
 // recordLease records that a lease was sent.
 func (e *executor) recordLease(now time.Time, untilMs int64) {
-	e.leaseUntilMs = max(e.leaseUntilMs, untilMs)
+	e.leaseUntilMs, e.grantedUntilMs = max(e.leaseUntilMs, untilMs), max(e.grantedUntilMs, untilMs)
 	e.leaseSentAt = now
 }
 
@@ -244,7 +253,7 @@
 		}
 		for _, r := range sortedRuns(e) {
 			if !p.mayBeginLate(now, r) {
-				p.loseRun(now, r, "lease over")
+				p.endUnseen(now, r, "lease over")
 			}
 		}
 		if !e.listed && !e.leaseRenewalOpen && len(e.runs) == 0 {
--- a/decision/poolplan/start.go
+++ b/decision/poolplan/start.go
@@ -22,7 +22,7 @@
 }
 
 func (p *Plan) startTask(now time.Time, t *task, e *executor, attempt int) {
-	p.startRun(now, t, e, attempt, p.leaseDuration(now), false)
+	p.startRun(now, t, e, attempt, p.leaseOn(now, e), false)
 }
 
 // startRun orders a run of a task, or a trial, with a lease of a duration.
