--- a/decision/poolplan/trial.go
+++ b/decision/poolplan/trial.go
@@ -26,9 +26,6 @@
 	maxOpenTrials     = 8
 	manyTrials        = 64
 	lateTrialInterval = time.Second
-	// maxVerifications bounds the starts that are sent to find out whether a run has
-	// ended, if the executor refuses them for other reasons.
-	maxVerifications = 8
 	// trialStopDelay is how long a trial may last without an answer before it is stopped,
 	// and the time between its stops, one of which may be lost.
 	trialStopDelay = 100 * time.Millisecond
@@ -162,69 +159,6 @@
 	p.loseRun(now, r, reason)
 }
 
-// mayHaveEndedUnseen reports whether a run that a later incarnation does not list may have
-// begun and ended there, by an order to an earlier one.
-func (p *Plan) mayHaveEndedUnseen(r *run) bool {
-	s := r.task.group.step
-	return r.executor.trials.endsUnseen && r.state != runStopping && !s.Service && !s.Gang && !r.task.group.job.closed()
-}
-
-// verifyRun sends the start of a run to a later incarnation again, with the same attempt.
-// An executor refuses an attempt that has ended there. One that has not becomes a trial.
-func (p *Plan) verifyRun(now time.Time, r *run) {
-	if r.verifications++; r.verifications > maxVerifications {
-		p.loseRun(now, r, "not known whether it has ended")
-		return
-	}
-	r.undecided, r.trial, r.verified = false, true, true
-	r.executor.trials.open++
-	r.state, r.startTries, r.lastTryAt = runStarting, 1, now
-	p.sendStart(now, r, p.trialLeaseOn(now, r.executor, r.task))
-}
-
-// handleVerification handles the answer to the start of a run that is verified, and reports
-// whether that was all.
-func (p *Plan) handleVerification(now time.Time, r *run, o Outcome) bool {
-	switch o.Answer {
-	case Accepted:
-		r.verified = false
-		return false
-	case RefusedOld:
-		if p.expectedDuration(r.task) > r.executor.unseenFor {
-			// It cannot have been done meanwhile: its lease has ended, or it has failed.
-			p.loseRun(now, r, "ended unseen before it could be done")
-			break
-		}
-		p.takeForDone(now, r)
-	case RefusedFencingToken, WrongIncarnation:
-		return false
-	case NoAnswer:
-		// Refused again, it could have ended by this start.
-		r.verified, r.startAtLarge = false, true
-		p.stopRun(now, r, "start unanswered")
-	default:
-		if o.Answer == RefusedLate {
-			r.executor.trials.late++
-		}
-		// The next report leads to another try.
-		r.undecided, r.trial, r.verified = true, false, false
-		r.executor.trials.open--
-	}
-	return true
-}
-
-// takeForDone handles a run that has ended without its end being listed: one that was begun
-// by an order to an earlier incarnation of its executor, or a trial. Whether it was done or has failed is not known. The
-// platform counts its end as acknowledged, and work is paid for once, so it does not run
-// again.
-func (p *Plan) takeForDone(now time.Time, r *run) {
-	t, j := r.task, r.task.group.job
-	p.addEvent(Event{Kind: "run ended unseen, taken for done", Job: j.spec.ID, Task: r.key.task.String(), Peer: r.executor.ID, StartedMs: r.executor.StartedMs, Age: now.Sub(r.orderedAt)})
-	p.removeRun(r)
-	p.completeTask(now, t)
-	p.completeIfDone(now, j)
-}
-
 // noteListedEnds ends the need for trials once the executor has listed an end.
 func (p *Plan) noteListedEnds(e *executor, r Report) {
 	if !e.StaleAck {
