Let verified short tasks run on, and repeat verifications without an answer

Cause: a run that is verified was stopped once its start was accepted. A task that is shorter than a stop was done before, unseen, and ran again. A verification without an answer was stopped, which hides whether the run had ended before, and its task ran again as well.

Change: a verified task that is expected to take no longer than a stop goes on with renewed leases; once it is neither running nor listed it has ended by itself and is taken for done. A verification without an answer is sent again with the same attempt after a report that does not list the run; if it is refused as old, the time since the first one counts as time in which the run can have been done. If nothing more is to be found out, a verification without an answer is stopped before the task starts elsewhere.

Ruled out: to take every stopped run for done whose stop time covers its duration (trials of tasks of up to a second would be lost on each executor that is tried).

--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -149,10 +149,7 @@
 func (p *Plan) handleUnansweredStart(now time.Time, r *run) {
 	e := r.executor
 	r.startAtLarge = true
-	if e.startUnansweredSince.IsZero() {
-		e.startUnansweredSince = now
-	}
-	e.nextLeaseRenewalAt = now
+	p.requestReport(now, e)
 	switch {
 	case r.state == runStopping:
 	case r.startTries >= maxStartTries || r.trial:
@@ -162,6 +159,15 @@
 	}
 }
 
+// requestReport keeps new starts away from an executor that has not answered one until a
+// report or another answer shows that it is still the same.
+func (p *Plan) requestReport(now time.Time, e *executor) {
+	if e.startUnansweredSince.IsZero() {
+		e.startUnansweredSince = now
+	}
+	e.nextLeaseRenewalAt = now
+}
+
 // repeatStart sends a start again whose run a later report of the executor does not list.
 // The executor treats a repeat of the same attempt as the same run, so no work is lost.
 func (p *Plan) repeatStart(now time.Time, r *run) {
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -153,8 +153,13 @@
 	// trial is set if the run is there to see whether the executor lists its end, and
 	// verified if its start also asks whether it has ended there before.
 	trial, verified bool
-	// verifications counts the starts of that kind.
+	// verifications counts the starts of that kind. verifiedSince is when the first one
+	// without an answer was sent.
 	verifications int
+	verifiedSince time.Time
+	// keepRunning is set if the run is not stopped once its start is accepted, although
+	// its end may not be listed.
+	keepRunning bool
 	// exclusive is set if the run before was lost without a report of its end.
 	exclusive bool
 	// listed is set once a report has listed the run.
--- a/decision/poolplan/incarnation.go
+++ b/decision/poolplan/incarnation.go
@@ -197,7 +197,8 @@
 		}
 		r.startAtLarge = r.startAtLarge || r.state == runStarting
 		undecided = append(undecided, r)
-		r.trial, r.verified = false, false
+		r.trial, r.verified, r.keepRunning = false, false, false
+		r.confirmedAt, r.verifiedSince = time.Time{}, time.Time{}
 		p.charge(r, -1)
 		delete(e.runs, r.key)
 	}
--- a/decision/poolplan/open_faults_test.go
+++ b/decision/poolplan/open_faults_test.go
@@ -26,32 +26,6 @@
 	return sim, start
 }
 
-// Verification of a short task, accepted; it is done before the stop arrives, unseen.
-func TestReviewVerificationOfShortTask(t *testing.T) {
-	st := step(1)
-	st.Estimate = 100 * time.Millisecond
-	sim, start := reviewUndecided(t, st)
-	sim.restart("1", laterStart, nil)
-	again := sim.takeStart()
-	assert.Equal(t, again.Attempt, start.Attempt)
-	sim.plan.StartDone(sim.now, again, sim.outcome(Accepted))
-	// It is done here, after 50 ms, below the acknowledgement.
-	sim.advance(50 * time.Millisecond)
-	for _, stop := range sim.stops {
-		sim.plan.StopDone(sim.now, stop, sim.outcome(Accepted))
-	}
-	sim.register("2")
-	for range 100 {
-		sim.advance(100 * time.Millisecond)
-		for range len(sim.leaseRenewals) {
-			sim.answerFrom(laterStart, sim.takeLeaseRenewal(), nil)
-		}
-	}
-	for _, s := range sim.starts {
-		assert.Assert(t, s.Task != start.Task, "started again as attempt %d on %s", s.Attempt, s.Executor)
-	}
-}
-
 // A later incarnation that the registry has not described gets work by the former's capacity.
 func TestReviewUndescribedCapacity(t *testing.T) {
 	sim := newSimulation(t, 1)
@@ -112,25 +86,3 @@
 	}
 	assert.Assert(t, sim.now.Sub(sent) >= 18*time.Second, "started again after %v, the run may last until 8 s + 10 s", sim.now.Sub(sent))
 }
-
-// The verification has no answer; the run had ended there before.
-func TestReviewVerificationUnanswered(t *testing.T) {
-	sim, start := reviewUndecided(t, step(1))
-	sim.restart("1", laterStart, nil)
-	again := sim.takeStart()
-	sim.plan.StartDone(sim.now, again, sim.outcome(NoAnswer))
-	sim.register("2")
-	for range 400 {
-		sim.advance(50 * time.Millisecond)
-		for _, s := range sim.stops {
-			sim.plan.StopDone(sim.now, s, sim.outcome(Accepted))
-		}
-		sim.stops = nil
-		for range len(sim.leaseRenewals) {
-			sim.answerFrom(laterStart, sim.takeLeaseRenewal(), nil)
-		}
-	}
-	for _, s := range sim.starts {
-		assert.Assert(t, s.Task != start.Task || s.Attempt == start.Attempt, "started again as attempt %d on %s", s.Attempt, s.Executor)
-	}
-}
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -125,7 +125,7 @@
 		case planned.undecided && p.mayHaveEndedUnseen(planned):
 			p.verifyRun(now, planned)
 		case planned.undecided:
-			p.loseRun(now, planned, "not begun by the later incarnation of its executor")
+			p.giveUpVerification(now, planned, "not begun by the later incarnation of its executor")
 		case planned.startUnanswered && planned.state == runStarting:
 			if !r.SentAt.Before(planned.unansweredAt) {
 				p.repeatStart(now, planned)
@@ -203,7 +203,7 @@
 func (p *Plan) decideRun(now time.Time, r *run) {
 	r.undecided = false
 	p.addEvent(Event{Kind: "run begun by a later incarnation", Job: r.key.task.Job, Task: r.key.task.String(), Peer: r.executor.ID, StartedMs: r.executor.StartedMs, Age: now.Sub(r.orderedAt)})
-	if !r.task.group.step.Service {
+	if !r.task.group.step.Service && !r.keepRunning {
 		p.stopRun(now, r, "begun by a later incarnation")
 	}
 }
--- a/decision/poolplan/trial.go
+++ b/decision/poolplan/trial.go
@@ -135,12 +135,18 @@
 	return false
 }
 
-// mayHaveBeenDone reports whether a trial that is over and was not listed has lasted for
-// as long as its task is expected to take: the lease of a run beside it keeps a trial
-// running whose stop does not arrive.
+// mayHaveBeenDone reports whether a run that is over, and whose end the executor may not
+// list, has lasted for as long as its task is expected to take: the lease of a run beside it
+// keeps a trial running whose stop does not arrive.
 func (p *Plan) mayHaveBeenDone(now time.Time, r *run) bool {
 	s := r.task.group.step
-	if !r.trial || r.confirmedAt.IsZero() || s.Service || s.Gang || r.task.group.job.closed() {
+	if r.confirmedAt.IsZero() || s.Service || s.Gang || r.task.group.job.closed() {
+		return false
+	}
+	if r.keepRunning && r.state != runStopping {
+		return true
+	}
+	if !r.trial && !r.executor.StaleAck {
 		return false
 	}
 	end := earlier(now, r.executor.leaseEndsAt(now))
--- a/decision/poolplan/verify_test.go
+++ b/decision/poolplan/verify_test.go
@@ -51,3 +51,66 @@
 	assert.Equal(t, again.Attempt, start.Attempt)
 	assert.Equal(t, again.Ticket, "later")
 }
+
+// Guards against a short task that runs again after its verification: it is done before the
+// stop arrives, and its end is not listed.
+func TestVerifiedShortTaskRunsOnce(t *testing.T) {
+	st := step(1)
+	st.Estimate = 100 * time.Millisecond
+	sim, start := undecidedRun(t, st)
+	sim.restart("1", laterStart, nil)
+	again := sim.takeStart()
+	assert.Equal(t, again.Attempt, start.Attempt)
+	sim.plan.StartDone(sim.now, again, sim.outcome(Accepted))
+	// It is done here, after 50 ms, below the acknowledgement.
+	sim.advance(50 * time.Millisecond)
+	for _, stop := range sim.stops {
+		sim.plan.StopDone(sim.now, stop, sim.outcome(Accepted))
+	}
+	sim.register("2")
+	for range 100 {
+		sim.advance(100 * time.Millisecond)
+		for range len(sim.leaseRenewals) {
+			sim.answerFrom(laterStart, sim.takeLeaseRenewal(), nil)
+		}
+	}
+	for _, s := range sim.starts {
+		assert.Assert(t, s.Task != start.Task, "started again as attempt %d on %s", s.Attempt, s.Executor)
+	}
+}
+
+// Guards against a task that runs again because its verification has no answer, although its
+// run had ended there before.
+func TestUnansweredVerificationIsRepeated(t *testing.T) {
+	sim, start := undecidedRun(t, step(1))
+	sim.restart("1", laterStart, nil)
+	again := sim.takeStart()
+	sim.plan.StartDone(sim.now, again, sim.outcome(NoAnswer))
+	sim.register("2")
+	for range 400 {
+		sim.advance(50 * time.Millisecond)
+		for _, s := range sim.stops {
+			sim.plan.StopDone(sim.now, s, sim.outcome(Accepted))
+		}
+		sim.stops = nil
+		for range len(sim.leaseRenewals) {
+			sim.answerFrom(laterStart, sim.takeLeaseRenewal(), nil)
+		}
+	}
+	for _, s := range sim.starts {
+		assert.Assert(t, s.Task != start.Task || s.Attempt == start.Attempt, "started again as attempt %d on %s", s.Attempt, s.Executor)
+	}
+}
+
+// Guards against a second run by a verification without an answer that is carried out late:
+// once nothing more is to be found out, it is stopped before the task starts again.
+func TestUnansweredVerificationIsStopped(t *testing.T) {
+	sim, _ := undecidedRun(t, step(1))
+	sim.restart("1", laterStart, nil)
+	sim.plan.StartDone(sim.now, sim.takeStart(), sim.outcome(NoAnswer))
+	sim.advance(time.Millisecond)
+	other := EndReport{Number: 1, Task: taskID("other"), Attempt: 1, Ending: EndedDone}
+	sim.answerFrom(laterStart, sim.takeRenewalOf("1"), nil, other)
+	assert.Equal(t, len(sim.starts), 0)
+	assert.Equal(t, len(sim.stops), 1)
+}
