Give a later incarnation no work before the registry describes it

Cause: after a restart that a report showed first, the plan went on with the capacity that the registry had named for the former incarnation, and started work by it.

Change: an executor accepts work once an entry of the registry with the start of the present incarnation has been read. This delays starts on a restarted executor by the time until its first entry, and no others. Verifications do not depend on the capacity and are sent before.

Test: the sequence moves to incarnation_test.go with its assertion unchanged (it failed before) and also shows that work starts after the entry.

--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -194,9 +194,10 @@
 func (e *executor) reachable() bool { return e.missedAnswers == 0 && e.startUnansweredSince.IsZero() }
 
 // acceptsWork reports whether new work may start here. Runs left by a previous
-// owner must be known first.
+// owner must be known first, and the registry must have described the incarnation, whose
+// capacity may be another one than that of the one before.
 func (e *executor) acceptsWork() bool {
-	return e.listed && e.recorded && e.runsKnown() && e.unknownRuns == 0 && !e.doubtful && !e.Draining && !e.Cordoned && e.reachable()
+	return e.listed && e.described && e.recorded && e.runsKnown() && e.unknownRuns == 0 && !e.doubtful && !e.Draining && !e.Cordoned && e.reachable()
 }
 
 // runsKnown reports whether no run is there that the plan does not know, and whether
--- a/decision/poolplan/incarnation.go
+++ b/decision/poolplan/incarnation.go
@@ -48,7 +48,7 @@
 	// addedAt is when the plan learned of the incarnation.
 	addedAt time.Time
 	// entry is the latest entry of the registry. described is set once one has named the
-	// start that the process has; until then its kind may be another one.
+	// start that the process has; until then its capacity and kind may be other ones.
 	entry     Executor
 	described bool
 	// doubtful is set while an entry of the registry contradicts what is known of the
--- a/decision/poolplan/incarnation_test.go
+++ b/decision/poolplan/incarnation_test.go
@@ -21,9 +21,27 @@
 	sim.step()
 }
 
-// restart has an incarnation that began at startedMs answer for an executor: first an order
-// to the former one, then one of its own, with a report of what it has.
+// restart has an incarnation that began at startedMs answer for an executor, and then the
+// registry describe it.
 func (sim *simulation) restart(id string, startedMs int64, running []RunReport, ended ...EndReport) {
+	sim.t.Helper()
+	sim.restartUndescribed(id, startedMs, running, ended...)
+	if sim.plan.executors[id].listed {
+		sim.describe(id, startedMs)
+		sim.step()
+	}
+}
+
+// describe has the registry list an executor with the incarnation that began at startedMs.
+func (sim *simulation) describe(id string, startedMs int64) {
+	info := executorInfo(id)
+	info.StartedMs = startedMs
+	sim.plan.setExecutor(sim.now, info)
+}
+
+// restartUndescribed has an incarnation that began at startedMs answer: first an order to the
+// former one, then one of its own, with a report of what it has.
+func (sim *simulation) restartUndescribed(id string, startedMs int64, running []RunReport, ended ...EndReport) {
 	sim.t.Helper()
 	e := sim.plan.executors[id]
 	open := RenewLease{Target: sim.plan.reportTarget(e), AckedEnd: e.openAck}
@@ -342,3 +360,18 @@
 	sim.plan.AdviseDone(sim.now, Advise{Job: run.Task.Job, Executors: []string{"1"}}, map[string]string{"1": "t"}, time.Hour, true)
 	assert.Equal(t, len(g.advice.tickets), 0, "asked before the restart")
 }
+
+// Guards against work by the capacity of the former incarnation: the registry has not described
+// the later one, which may have another.
+func TestUndescribedIncarnationGetsNoWork(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.register("1")
+	sim.runOne("a")
+	sim.restartUndescribed("1", laterStart, nil)
+	e := sim.plan.executors["1"]
+	t.Logf("described %v starts %d", e.described, len(sim.starts))
+	assert.Assert(t, e.described || len(sim.starts) == 0)
+	sim.describe("1", laterStart)
+	sim.advance(time.Millisecond)
+	assert.Equal(t, len(sim.starts), 1)
+}
--- a/decision/poolplan/open_faults_test.go
+++ b/decision/poolplan/open_faults_test.go
@@ -26,17 +26,6 @@
 	return sim, start
 }
 
-// A later incarnation that the registry has not described gets work by the former's capacity.
-func TestReviewUndescribedCapacity(t *testing.T) {
-	sim := newSimulation(t, 1)
-	sim.register("1")
-	sim.runOne("a")
-	sim.restart("1", laterStart, nil)
-	e := sim.plan.executors["1"]
-	t.Logf("described %v starts %d", e.described, len(sim.starts))
-	assert.Assert(t, e.described || len(sim.starts) == 0)
-}
-
 // A successor starts a task at once whose predecessor may have sent a start without an answer.
 func TestReviewInheritedLateStart(t *testing.T) {
 	sim := newSimulation(t, 2)
--- a/decision/poolplan/restarted_test.go
+++ b/decision/poolplan/restarted_test.go
@@ -113,6 +113,7 @@
 		sim.plan.StartDone(sim.now, start, sim.outcome(RefusedFencingToken))
 		assert.Assert(t, !sim.plan.Superseded())
 		sim.plan.RenewLeaseDone(sim.now, renewal, Report{Outcome: sim.outcome(Accepted), StartedMs: newLife})
+		sim.plan.SetExecutors(sim.now, []Executor{restarted})
 		sim.advance(time.Millisecond)
 		again := sim.takeStart()
 		assert.Equal(t, again.StartedMs, int64(newLife))
