Give no orders to an incarnation that the registry lists for another pool

Cause: if a later incarnation answers for an executor that has left the pool, it was taken for the pool's and asked with a newer fencing token. The owner of the pool that it belongs to would then be refused as superseded.

Change: where the registry lists the identifier for another pool, the former incarnation is dropped and the later one gets no order. Its starts without an answer keep their tasks waiting as others do.

Left: in the sequence TestReviewOrdersToExecutorOfOtherPool the registry says nothing of another pool, and the platform gives a new identifier at each move (docs/incidents/late-orders-after-restart.md), so that it cannot occur. Ruled out: no orders to a later incarnation before it is listed.

Also left: TestReviewInheritedLateStart. A wait would hold up all inherited tasks after each takeover, also where no order was lost.

--- a/decision/poolplan/incarnation.go
+++ b/decision/poolplan/incarnation.go
@@ -58,6 +58,8 @@
 	// doubtful is set while an entry of the registry contradicts what is known of the
 	// process at the address, and no report has arrived since.
 	doubtful bool
+	// otherPool is set while the registry lists the identifier for another pool.
+	otherPool bool
 	// recordedUnsure is set if the record for later owners says so, or is about to.
 	recordedUnsure bool
 	// silentSince is since when the executor has not answered, or is in doubt. openChecks
@@ -310,6 +312,7 @@
 func (p *Plan) EndReplaced(now time.Time, all []Executor) {
 	var unlisted []*executor
 	for _, e := range p.executors {
+		e.otherPool = false
 		if !e.listed {
 			unlisted = append(unlisted, e)
 		}
@@ -319,6 +322,9 @@
 	}
 	latestStart := make(map[string]int64, 2*len(all))
 	for i := range all {
+		if e := p.executors[all[i].ID]; e != nil && !e.listed {
+			e.otherPool = true
+		}
 		latestStart[all[i].Address] = max(latestStart[all[i].Address], all[i].StartedMs)
 		if all[i].Machine != "" {
 			latestStart[all[i].Machine] = max(latestStart[all[i].Machine], all[i].StartedMs)
@@ -342,6 +348,16 @@
 	p.endIncarnation(now, e, reason)
 }
 
+// endInOtherPool drops an executor in whose place a later incarnation has answered that
+// belongs to another pool. An order with a newer token would have it refuse the owner of that
+// one. A start without an answer may still begin its run there.
+func (p *Plan) endInOtherPool(now time.Time, e *executor) {
+	for _, r := range e.runs {
+		r.startAtLarge = r.startAtLarge || r.state == runStarting
+	}
+	p.endIncarnation(now, e, "its identifier is that of another pool's executor")
+}
+
 // endIncarnation drops an executor whose process has certainly ended.
 func (p *Plan) endIncarnation(now time.Time, e *executor, reason string) {
 	p.addEvent(Event{Kind: "executor ended", Peer: e.ID, StartedMs: e.StartedMs, Reason: reason, Age: now.Sub(e.lastAnswerAt)})
--- a/decision/poolplan/open_faults_test.go
+++ b/decision/poolplan/open_faults_test.go
@@ -27,6 +27,9 @@
 }
 
 // A successor starts a task at once whose predecessor may have sent a start without an answer.
+// The start can begin a run only if the executor starts again after it has answered the
+// successor, within 12 s. Nothing shows the successor which tasks have such a start, so that
+// all inherited ones would have to wait after each takeover, also where no order was lost.
 func TestReviewInheritedLateStart(t *testing.T) {
 	sim := newSimulation(t, 2)
 	sim.plan.Inherit(sim.now, executorInfo("1"))
@@ -44,6 +47,10 @@
 }
 
 // A later incarnation that belongs to another pool is still given orders with a newer token.
+// Here the registry does not say so, and the platform gives an executor that moves a new
+// identifier. To the plan this is an executor of its own pool whose next entry is not there
+// yet: if that gets no orders before it is listed, it can run late starts and end again before
+// it has been asked (TestTasksRunOnceOverRestarts "relay and cuts" fails with the seed of CI).
 func TestReviewOrdersToExecutorOfOtherPool(t *testing.T) {
 	sim := newSimulation(t, 1)
 	sim.register("1")
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -28,6 +28,10 @@
 		return
 	}
 	if e.isOther(r.StartedMs) {
+		if e.otherPool && !e.listed {
+			p.endInOtherPool(now, e)
+			return
+		}
 		var reported bool
 		if e, reported = p.replaceIncarnation(now, e, r.StartedMs, o); !reported {
 			return
--- a/decision/poolplan/restarted_test.go
+++ b/decision/poolplan/restarted_test.go
@@ -246,3 +246,22 @@
 	}
 	assert.Assert(t, sim.now.Sub(sent) >= 18*time.Second, "started again after %v, the run may last until 8 s + 10 s", sim.now.Sub(sent))
 }
+
+// Guards against orders with a newer token to a later incarnation that belongs to another pool,
+// which would then refuse the owner of that pool.
+func TestNoOrdersToIncarnationOfOtherPool(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.register("1")
+	run := sim.runOne("a")
+	moved := executorInfo("1")
+	moved.StartedMs = laterStart
+	sim.plan.SetExecutors(sim.now, nil)
+	sim.plan.EndReplaced(sim.now, []Executor{moved})
+	sim.advance(time.Millisecond)
+	sim.answerFrom(laterStart, sim.takeRenewalOf("1"), nil)
+	assert.Equal(t, sim.plan.RunCount(), 0, "the earlier process has ended")
+	sim.advance(time.Second)
+	for _, r := range sim.leaseRenewals {
+		assert.Assert(t, r.FencingToken <= run.FencingToken)
+	}
+}
