--- a/decision/poolplan/trial.go
+++ b/decision/poolplan/trial.go
@@ -146,7 +146,7 @@
 	if r.keepRunning && r.state != runStopping {
 		return true
 	}
-	if !r.trial && !r.executor.StaleAck {
+	if !r.trial && !(r.executor.StaleAck && r.executor.reachable()) {
 		return false
 	}
 	end := earlier(now, r.executor.leaseEndsAt(now))
