--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -55,6 +55,9 @@
 			r.state, r.confirmedAt = runRunning, now
 			r.percentChangedAt = now
 		}
+		if r.confirmedAt.IsZero() {
+			r.confirmedAt = now
+		}
 		if r.trial {
 			p.stopRun(now, r, "trial of the executor")
 		}
@@ -148,10 +151,7 @@
 func (p *Plan) handleUnansweredStart(now time.Time, r *run) {
 	e := r.executor
 	r.startAtLarge = true
-	if e.startUnansweredSince.IsZero() {
-		e.startUnansweredSince = now
-	}
-	e.nextLeaseRenewalAt = now
+	p.requestReport(now, e)
 	switch {
 	case r.state == runStopping:
 	case r.startTries >= maxStartTries || r.trial:
@@ -161,13 +161,22 @@
 	}
 }
 
+// requestReport keeps new starts away from an executor that has not answered one until a
+// report or another answer shows that it is still the same.
+func (p *Plan) requestReport(now time.Time, e *executor) {
+	if e.startUnansweredSince.IsZero() {
+		e.startUnansweredSince = now
+	}
+	e.nextLeaseRenewalAt = now
+}
+
 // repeatStart sends a start again whose run a later report of the executor does not list.
 // The executor treats a repeat of the same attempt as the same run, so no work is lost.
 func (p *Plan) repeatStart(now time.Time, r *run) {
 	r.startUnanswered = false
 	r.startTries++
 	r.lastTryAt = now
-	p.sendStart(now, r, p.leaseDuration(now))
+	p.sendStart(now, r, p.leaseOn(now, r.executor))
 }
 
 // StopDone records the answer to a stop.
--- a/decision/poolplan/assess.go
+++ b/decision/poolplan/assess.go
@@ -23,6 +23,9 @@
 	// known.
 	obstacleUnknownRuns Obstacle = "unknown-runs"
 	obstacleDoubtful    Obstacle = "doubtful-incarnation"
+	// The registry has not described the incarnation, whose capacity may be another one
+	// than that of the one before.
+	obstacleUndescribed Obstacle = "undescribed-incarnation"
 	obstacleUnreachable Obstacle = "unreachable"
 	// obstacleLease means that no lease can be granted.
 	obstacleLease Obstacle = "no-lease"
@@ -66,6 +69,8 @@
 		return obstacleUnknownRuns
 	case e.doubtful:
 		return obstacleDoubtful
+	case !e.described:
+		return obstacleUndescribed
 	case !e.reachable():
 		return obstacleUnreachable
 	}
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -73,6 +73,8 @@
 	// clock.
 	leaseUntilMs int64
 	leaseSentAt  time.Time
+	// grantedUntilMs is the same without the leases that others may have sent.
+	grantedUntilMs int64
 	// leaseOverNoted is set once an event has said that the lease is over.
 	leaseOverNoted bool
 
@@ -151,13 +153,18 @@
 	// trial is set if the run is there to see whether the executor lists its end, and
 	// verified if its start also asks whether it has ended there before.
 	trial, verified bool
-	// verifications counts the starts of that kind.
+	// verifications counts the starts of that kind. verifiedSince is when the first one
+	// without an answer was sent.
 	verifications int
 	// withoutRoom is set while a service task has to leave its executor and no other has
 	// room for it.
 	withoutRoom bool
 	// away is set if the run is not in its task's preferred placement.
-	away bool
+	away          bool
+	verifiedSince time.Time
+	// keepRunning is set if the run is not stopped once its start is accepted, although
+	// its end may not be listed.
+	keepRunning bool
 	// exclusive is set if the run before was lost without a report of its end.
 	exclusive bool
 	// listed is set once a report has listed the run.
--- a/decision/poolplan/incarnation.go
+++ b/decision/poolplan/incarnation.go
@@ -27,6 +27,10 @@
 // of an executor that is lost must start again.
 const lateStartTime = 4600 * time.Millisecond
 
+// maxStartLateness is the same where no report shows which incarnation is there. The platform
+// carries out orders without an answer 2 s to 12 s later.
+const maxStartLateness = 12 * time.Second
+
 // incarnationState is what the plan knows of which process an executor is, and of the
 // orders that may have reached another one.
 type incarnationState struct {
@@ -48,12 +52,14 @@
 	// addedAt is when the plan learned of the incarnation.
 	addedAt time.Time
 	// entry is the latest entry of the registry. described is set once one has named the
-	// start that the process has; until then its kind may be another one.
+	// start that the process has; until then its capacity and kind may be other ones.
 	entry     Executor
 	described bool
 	// doubtful is set while an entry of the registry contradicts what is known of the
 	// process at the address, and no report has arrived since.
 	doubtful bool
+	// otherPool is set while the registry lists the identifier for another pool.
+	otherPool bool
 	// recordedUnsure is set if the record for later owners says so, or is about to.
 	recordedUnsure bool
 	// silentSince is since when the executor has not answered, or is in doubt. openChecks
@@ -197,7 +203,8 @@
 		}
 		r.startAtLarge = r.startAtLarge || r.state == runStarting
 		undecided = append(undecided, r)
-		r.trial, r.verified = false, false
+		r.trial, r.verified, r.keepRunning = false, false, false
+		r.confirmedAt, r.verifiedSince = time.Time{}, time.Time{}
 		p.charge(r, -1)
 		delete(e.runs, r.key)
 	}
@@ -243,7 +250,7 @@
 	if e := p.executors[late.executor]; e != nil && e.fencingTokenSeen && !e.reportRequestedAt.Before(late.until) {
 		return false
 	}
-	return now.Before(late.until.Add(p.longestLease()))
+	return now.Before(late.until.Add(maxStartLateness - lateStartTime + p.longestLease()))
 }
 
 // mayHaveAckAtLarge reports whether an acknowledgement for e may be carried out by a later
@@ -305,6 +312,7 @@
 func (p *Plan) EndReplaced(now time.Time, all []Executor) {
 	var unlisted []*executor
 	for _, e := range p.executors {
+		e.otherPool = false
 		if !e.listed {
 			unlisted = append(unlisted, e)
 		}
@@ -314,6 +322,9 @@
 	}
 	latestStart := make(map[string]int64, 2*len(all))
 	for i := range all {
+		if e := p.executors[all[i].ID]; e != nil && !e.listed {
+			e.otherPool = true
+		}
 		latestStart[all[i].Address] = max(latestStart[all[i].Address], all[i].StartedMs)
 		if all[i].Machine != "" {
 			latestStart[all[i].Machine] = max(latestStart[all[i].Machine], all[i].StartedMs)
@@ -337,6 +348,16 @@
 	p.endIncarnation(now, e, reason)
 }
 
+// endInOtherPool drops an executor in whose place a later incarnation has answered that
+// belongs to another pool. An order with a newer token would have it refuse the owner of that
+// one. A start without an answer may still begin its run there.
+func (p *Plan) endInOtherPool(now time.Time, e *executor) {
+	for _, r := range e.runs {
+		r.startAtLarge = r.startAtLarge || r.state == runStarting
+	}
+	p.endIncarnation(now, e, "its identifier is that of another pool's executor")
+}
+
 // endIncarnation drops an executor whose process has certainly ended.
 func (p *Plan) endIncarnation(now time.Time, e *executor, reason string) {
 	p.addEvent(Event{Kind: "executor ended", Peer: e.ID, StartedMs: e.StartedMs, Reason: reason, Age: now.Sub(e.lastAnswerAt)})
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -28,6 +28,10 @@
 		return
 	}
 	if e.isOther(r.StartedMs) {
+		if e.otherPool && !e.listed {
+			p.endInOtherPool(now, e)
+			return
+		}
 		var reported bool
 		if e, reported = p.replaceIncarnation(now, e, r.StartedMs, o); !reported {
 			return
@@ -122,12 +126,10 @@
 	for _, planned := range sortedRuns(e) {
 		switch {
 		case listed[planned.key] || ended[planned.key]:
-		case planned.undecided && p.mayHaveEndedUnseen(planned) && p.evacuated(e):
-			p.stopStartIn(now, planned)
 		case planned.undecided && p.mayHaveEndedUnseen(planned):
 			p.verifyRun(now, planned)
 		case planned.undecided:
-			p.loseRun(now, planned, "not begun by the later incarnation of its executor")
+			p.giveUpVerification(now, planned, "not begun by the later incarnation of its executor")
 		case planned.startUnanswered && planned.state == runStarting:
 			switch {
 			case r.SentAt.Before(planned.unansweredAt):
@@ -210,7 +212,7 @@
 func (p *Plan) decideRun(now time.Time, r *run) {
 	r.undecided = false
 	p.addEvent(Event{Kind: "run begun by a later incarnation", Job: r.key.task.Job, Task: r.key.task.String(), Peer: r.executor.ID, StartedMs: r.executor.StartedMs, Age: now.Sub(r.orderedAt)})
-	if !r.task.group.step.Service {
+	if !r.task.group.step.Service && !r.keepRunning {
 		p.stopRun(now, r, "begun by a later incarnation")
 	}
 }
--- a/decision/poolplan/restarted_test.go
+++ b/decision/poolplan/restarted_test.go
@@ -113,6 +113,7 @@
 		sim.plan.StartDone(sim.now, start, sim.outcome(RefusedFencingToken))
 		assert.Assert(t, !sim.plan.Superseded())
 		sim.plan.RenewLeaseDone(sim.now, renewal, Report{Outcome: sim.outcome(Accepted), StartedMs: newLife})
+		sim.plan.SetExecutors(sim.now, []Executor{restarted})
 		sim.advance(time.Millisecond)
 		again := sim.takeStart()
 		assert.Equal(t, again.StartedMs, int64(newLife))
@@ -225,3 +226,42 @@
 		assert.Assert(t, waited[sign] >= lateStartTime+10*time.Second, "%s: waited %v", sign, waited[sign])
 	}
 }
+
+// Guards against a second run beside one that a start has begun 8 s after it was sent, in a
+// later incarnation that the owner cannot reach.
+func TestUnreachableExecutorMayBeginSecondsLate(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.plan.params.MaxLease = 10 * time.Second
+	sim.register("1")
+	sim.addJob("a", false, step(1))
+	sim.step()
+	sent := sim.now
+	sim.plan.StartDone(sim.now, sim.takeStart(), sim.outcome(NoAnswer))
+	sim.register("1", "2")
+	for len(sim.starts) == 0 && sim.now.Sub(sent) < time.Minute {
+		sim.advance(50 * time.Millisecond)
+		for range len(sim.leaseRenewals) {
+			sim.plan.RenewLeaseDone(sim.now, sim.takeLeaseRenewal(), Report{Outcome: sim.outcome(NoAnswer)})
+		}
+	}
+	assert.Assert(t, sim.now.Sub(sent) >= 18*time.Second, "started again after %v, the run may last until 8 s + 10 s", sim.now.Sub(sent))
+}
+
+// Guards against orders with a newer token to a later incarnation that belongs to another pool,
+// which would then refuse the owner of that pool.
+func TestNoOrdersToIncarnationOfOtherPool(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.register("1")
+	run := sim.runOne("a")
+	moved := executorInfo("1")
+	moved.StartedMs = laterStart
+	sim.plan.SetExecutors(sim.now, nil)
+	sim.plan.EndReplaced(sim.now, []Executor{moved})
+	sim.advance(time.Millisecond)
+	sim.answerFrom(laterStart, sim.takeRenewalOf("1"), nil)
+	assert.Equal(t, sim.plan.RunCount(), 0, "the earlier process has ended")
+	sim.advance(time.Second)
+	for _, r := range sim.leaseRenewals {
+		assert.Assert(t, r.FencingToken <= run.FencingToken)
+	}
+}
--- a/decision/poolplan/start.go
+++ b/decision/poolplan/start.go
@@ -22,7 +22,7 @@
 }
 
 func (p *Plan) startTask(now time.Time, t *task, e *executor, attempt int) {
-	r := p.startRun(now, t, e, attempt, p.leaseDuration(now), false)
+	r := p.startRun(now, t, e, attempt, p.leaseOn(now, e), false)
 	if t.group.prefersRack() && !t.group.step.Gang {
 		p.notePlacement(r)
 	}
--- a/decision/poolplan/trial.go
+++ b/decision/poolplan/trial.go
@@ -26,14 +26,14 @@
 	maxOpenTrials     = 8
 	manyTrials        = 64
 	lateTrialInterval = time.Second
-	// maxVerifications bounds the starts that are sent to find out whether a run has
-	// ended, if the executor refuses them for other reasons.
-	maxVerifications = 8
 	// trialStopDelay is how long a trial may last without an answer before it is stopped,
 	// and the time between its stops, one of which may be lost.
 	trialStopDelay = 100 * time.Millisecond
 	// trialReportWait is reportWait while a trial is open.
 	trialReportWait = 300 * time.Millisecond
+	// unstoppedTrialLease is the lease of other runs while the stop of a trial has no
+	// answer. They outlast two lost renewals, which come every trialReportWait.
+	unstoppedTrialLease = 900 * time.Millisecond
 )
 
 // trials is the state of the trials on an executor.
@@ -103,81 +103,66 @@
 	return p.taskDurations[t.group.job.spec.Queue.Name].expected(t.group.step.Estimate)
 }
 
-// trialLeaseOn returns the duration of the lease for a trial of a task. A lease holds for
-// all runs of an executor.
+// trialLeaseOn returns the duration of the lease for a trial of a task. Runs beside it
+// keep the longer one that they have.
 func (p *Plan) trialLeaseOn(now time.Time, e *executor, t *task) time.Duration {
-	lease := p.leaseDuration(now)
-	if len(e.runs) > e.trials.open {
-		return lease
-	}
 	trial := trialLease
 	if !t.group.step.Gang {
 		trial = min(trial, p.expectedDuration(t)/trialLeasePart)
 	}
-	return min(lease, trial<<min(e.trials.late, maxTrialLeaseDoublings))
+	return min(p.leaseDuration(now), trial<<min(e.trials.late, maxTrialLeaseDoublings))
 }
 
-// mayHaveEndedUnseen reports whether a run that a later incarnation does not list may have
-// begun and ended there, by an order to an earlier one.
-func (p *Plan) mayHaveEndedUnseen(r *run) bool {
-	s := r.task.group.step
-	return r.executor.trials.endsUnseen && r.state != runStopping && !s.Service && !s.Gang && !r.task.group.job.closed()
+// leaseOn returns the duration of the lease for runs on an executor that are no trials. A
+// lease holds for all runs there, also for a trial whose stop has not arrived.
+func (p *Plan) leaseOn(now time.Time, e *executor) time.Duration {
+	lease := p.leaseDuration(now)
+	if e.hasUnstoppedTrial() {
+		return min(lease, unstoppedTrialLease)
+	}
+	return lease
 }
 
-// verifyRun sends the start of a run to a later incarnation again, with the same attempt.
-// An executor refuses an attempt that has ended there. One that has not becomes a trial.
-func (p *Plan) verifyRun(now time.Time, r *run) {
-	if r.verifications++; r.verifications > maxVerifications {
-		p.loseRun(now, r, "not known whether it has ended")
-		return
+func (e *executor) hasUnstoppedTrial() bool {
+	if e.trials.open == 0 {
+		return false
+	}
+	for _, r := range e.runs {
+		if r.trial && r.stopConfirmedAt.IsZero() {
+			return true
+		}
 	}
-	r.undecided, r.trial, r.verified = false, true, true
-	r.executor.trials.open++
-	r.state, r.startTries, r.lastTryAt = runStarting, 1, now
-	p.sendStart(now, r, p.trialLeaseOn(now, r.executor, r.task))
+	return false
 }
 
-// handleVerification handles the answer to the start of a run that is verified, and reports
-// whether that was all.
-func (p *Plan) handleVerification(now time.Time, r *run, o Outcome) bool {
-	switch o.Answer {
-	case Accepted:
-		r.verified = false
+// mayHaveBeenDone reports whether a run that is over, and whose end the executor may not
+// list, has lasted for as long as its task is expected to take: the lease of a run beside it
+// keeps a trial running whose stop does not arrive.
+func (p *Plan) mayHaveBeenDone(now time.Time, r *run) bool {
+	s := r.task.group.step
+	if r.confirmedAt.IsZero() || s.Service || s.Gang || r.task.group.job.closed() {
 		return false
-	case RefusedOld:
-		if p.expectedDuration(r.task) > r.executor.unseenFor {
-			// It cannot have been done meanwhile: its lease has ended, or it has failed.
-			p.loseRun(now, r, "ended unseen before it could be done")
-			break
-		}
-		p.takeForDone(now, r)
-	case RefusedFencingToken, WrongIncarnation:
+	}
+	if r.keepRunning && r.state != runStopping {
+		return true
+	}
+	if !r.trial && !(r.executor.StaleAck && r.executor.reachable()) {
 		return false
-	case NoAnswer:
-		// Refused again, it could have ended by this start.
-		r.verified, r.startAtLarge = false, true
-		p.stopRun(now, r, "start unanswered")
-	default:
-		if o.Answer == RefusedLate {
-			r.executor.trials.late++
-		}
-		// The next report leads to another try.
-		r.undecided, r.trial, r.verified = true, false, false
-		r.executor.trials.open--
 	}
-	return true
+	end := earlier(now, r.executor.leaseEndsAt(now))
+	if !r.stopConfirmedAt.IsZero() {
+		end = earlier(end, r.stopConfirmedAt)
+	}
+	return end.Sub(r.confirmedAt) >= p.expectedDuration(r.task)
 }
 
-// takeForDone handles a run that has ended without its end being listed, by an order to an
-// earlier incarnation of its executor. Whether it was done or has failed is not known. The
-// platform counts its end as acknowledged, and work is paid for once, so it does not run
-// again.
-func (p *Plan) takeForDone(now time.Time, r *run) {
-	t, j := r.task, r.task.group.job
-	p.addEvent(Event{Kind: "run ended unseen, taken for done", Job: j.spec.ID, Task: r.key.task.String(), Peer: r.executor.ID, StartedMs: r.executor.StartedMs, Age: now.Sub(r.orderedAt)})
-	p.removeRun(r)
-	p.completeTask(now, t)
-	p.completeIfDone(now, j)
+// endUnseen handles a run that is over without a report of its end.
+func (p *Plan) endUnseen(now time.Time, r *run, reason string) {
+	if p.mayHaveBeenDone(now, r) {
+		p.takeForDone(now, r)
+		return
+	}
+	p.loseRun(now, r, reason)
 }
 
 // noteListedEnds ends the need for trials once the executor has listed an end.
@@ -201,5 +186,5 @@
 	if r.trial {
 		r.executor.trials.unlisted++
 	}
-	p.loseRun(now, r, "not listed by its executor")
+	p.endUnseen(now, r, "not listed by its executor")
 }
