--- a/ctl/fleetwhere.go
+++ b/ctl/fleetwhere.go
@@ -44,6 +44,7 @@
 			if err != nil {
 				return err
 			}
+			facts.noteEvacuations(state.Evacuations)
 			view.explain(job, facts)
 		}
 		configuration := factView{Fact: "configuration", Version: state.Catalog.Version, AgeMs: milliseconds(time.Since(readAt)), State: "read"}
@@ -112,7 +113,7 @@
 	v.Facts = f.facts
 	v.Notes = f.notes
 	q := poolplan.Query{
-		Catalog: f.catalog, Spec: job.spec, Executors: f.executors,
+		Catalog: f.catalog, Spec: job.spec, Executors: f.executors, Evacuated: f.evacuated,
 		Limits: map[string]fleet.Resources{job.spec.Tenant: f.tenant.allotted},
 		Used:   map[string]fleet.Resources{job.spec.Tenant: f.tenant.used},
 	}
--- a/ctl/fleetwhere_read.go
+++ b/ctl/fleetwhere_read.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"fuchsiafront.example/fuchsiafront/decision/allotment"
 	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/decision/evacuation"
 	"fuchsiafront.example/fuchsiafront/decision/ownership"
 	"fuchsiafront.example/fuchsiafront/decision/poolplan"
 	"fuchsiafront.example/fuchsiafront/fleet"
@@ -24,8 +26,10 @@
 	// unknownUse has the executors about which the owner has published nothing.
 	unknownUse []poolplan.Executor
 	tenant     tenantRoom
-	facts      []factView
-	notes      []string
+	// evacuated has the availability zones that the operator has asked to evacuate.
+	evacuated map[string]bool
+	facts     []factView
+	notes     []string
 }
 
 // obstacleUseUnknown is why nothing is said about placing work on an executor: the owner
@@ -217,6 +221,22 @@
 	}
 }
 
+// noteEvacuations records the evacuated zones, and which of them the owner does not know
+// of yet.
+func (f *placementFacts) noteEvacuations(requests []evacuation.Request) {
+	f.evacuated = make(map[string]bool)
+	for _, request := range requests {
+		if request.TakenBack {
+			continue
+		}
+		f.evacuated[request.Zone] = true
+		applied := func(e jobrecord.EvacuationStatus) bool { return e.Zone == request.Zone && e.Version == request.Version }
+		if !slices.ContainsFunc(f.status.Evacuations, applied) {
+			f.notes = append(f.notes, fmt.Sprintf("the owner has not published that it applies the evacuation of zone %s", request.Zone))
+		}
+	}
+}
+
 // addNotes adds what limits the meaning of the facts.
 func (f *placementFacts) addNotes() {
 	if f.status.Term != f.owner.Term {
--- a/ctl/fleetwhere_test.go
+++ b/ctl/fleetwhere_test.go
@@ -106,6 +106,7 @@
 		args      []string
 		tenantCPU int64
 		silent    bool
+		evacuated string
 		want      func(*testing.T, *whereResult)
 		table     string
 	}{
@@ -129,6 +130,10 @@
 			assert.Equal(t, r.Placement.Never, "")
 			assert.Equal(t, r.Placement.PlacedIfEnlarged, 1)
 		}, table: "used 2 0 0 allotted 3 1024 0"},
+		"evacuated zone": {job: smallJob, evacuated: "z2", want: func(t *testing.T, r *whereResult) {
+			assert.Equal(t, r.Placement.Placed, 0)
+			assert.Equal(t, obstacleOf(r, "i-1"), "zone-evacuated")
+		}, table: "the owner has not published that it applies the evacuation of zone z2"},
 		"silent owner": {job: smallJob, silent: true, want: func(t *testing.T, r *whereResult) {
 			assert.Equal(t, r.Placement.Placed, 0)
 			assert.Equal(t, r.Placement.Wait, "owner-silent")
@@ -143,6 +148,9 @@
 			if !c.silent {
 				renewOwner(t, fleet)
 			}
+			if c.evacuated != "" {
+				fleet.Evacuate(c.evacuated)
+			}
 			result, table := where(t, fleet, c.job, append([]string{"--queue", "queue", "--tenant", fleetTenant}, c.args...)...)
 			c.want(t, &result)
 			assert.Check(t, is.Contains(table, c.table))
@@ -151,6 +159,16 @@
 	}
 }
 
+// obstacleOf returns the obstacle of an executor.
+func obstacleOf(r *whereResult, executor string) string {
+	for i := range r.Executors {
+		if r.Executors[i].Executor == executor {
+			return r.Executors[i].Obstacle
+		}
+	}
+	return "not listed"
+}
+
 // refusedFor checks that a job is refused for one reason and not placed.
 func refusedFor(reason string) func(*testing.T, *whereResult) {
 	return func(t *testing.T, r *whereResult) {
--- a/decision/poolplan/assess.go
+++ b/decision/poolplan/assess.go
@@ -23,6 +23,7 @@
 	// known.
 	obstacleUnknownRuns Obstacle = "unknown-runs"
 	obstacleDoubtful    Obstacle = "doubtful-incarnation"
+	obstacleEvacuated   Obstacle = "zone-evacuated"
 	// The registry has not described the incarnation, whose capacity may be another one
 	// than that of the one before.
 	obstacleUndescribed Obstacle = "undescribed-incarnation"
--- a/decision/poolplan/explain.go
+++ b/decision/poolplan/explain.go
@@ -56,6 +56,8 @@
 	// Limits and Used are what each tenant may use and uses in the pool.
 	Limits, Used map[string]fleet.Resources
 	Executors    []ExecutorUse
+	// Evacuated has the availability zones in which nothing starts.
+	Evacuated map[string]bool
 }
 
 // InEmptyPool returns the query for the same executors and tenants while nothing runs.
@@ -145,6 +147,7 @@
 		listed = append(listed, info)
 	}
 	p.SetExecutors(now, listed)
+	p.SetEvacuated(q.Evacuated)
 	for i := range q.Executors {
 		p.executors[q.Executors[i].ID].setUse(now, &q.Executors[i])
 	}
@@ -200,6 +203,8 @@
 			o.Cost, o.Obstacle = p.assess(g, g.tasks[0], e, len(candidates), planned)
 		case e.workObstacle() != "":
 			o.Obstacle = e.workObstacle()
+		case p.evacuated(e):
+			o.Obstacle = obstacleEvacuated
 		case now.Before(e.avoidUntil):
 			o.Obstacle = obstacleAvoided
 		default:
