poolplan: find the rack of tasks that wait together once a round

Cause: each waiting task of a rack-sensitive step looked at all runs of the step for its preferred rack, so that a round took time with the square of the tasks. Ruled out: ending the search at the first task that waits, which would pass over tasks that may run on other executors of the rack. Change: the rack is kept for a round, unless a task starts away from it.

--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -71,6 +71,8 @@
 	advice   *advice
 	// wait is the wait of the whole group for a preferred placement, or nil.
 	wait *placementWait
+	// rackChoice is the preferred rack in the last round; nil if it has to be found anew.
+	rackChoice *rackChoice
 }
 
 // task is one task of a group.
--- a/decision/poolplan/placecount.go
+++ b/decision/poolplan/placecount.go
@@ -49,6 +49,7 @@
 		return
 	}
 	p.placementCounts.AwayStarts++
+	g.rackChoice = nil
 	if g.step.OneRack {
 		g.markAway()
 	}
--- a/decision/poolplan/placewait.go
+++ b/decision/poolplan/placewait.go
@@ -134,6 +134,23 @@
 	if g.step.DataRack != "" {
 		return g.step.DataRack, true
 	}
+	if g.rackChoice == nil || g.rackChoice.round != p.round {
+		g.rackChoice = &rackChoice{round: p.round}
+		g.rackChoice.rack, g.rackChoice.preferred = p.findPreferredRack(g, candidates)
+	}
+	return g.rackChoice.rack, g.rackChoice.preferred
+}
+
+// rackChoice is the preferred rack of a step that is slower on more than one rack. It holds
+// for all tasks in a round of placement, unless one of them starts away from it.
+type rackChoice struct {
+	round     int64
+	rack      string
+	preferred bool
+}
+
+// findPreferredRack looks at all tasks of the group.
+func (p *Plan) findPreferredRack(g *group, candidates []*executor) (rack string, preferred bool) {
 	rack, runs := g.rackOfRuns()
 	if runs > 0 {
 		return rack, g.runsOnlyIn(rack)
