--- a/decision/poolplan/summary_test.go
+++ b/decision/poolplan/summary_test.go
@@ -104,3 +104,14 @@
 	assert.DeepEqual(t, sim.plan.TakeOutcomes(), map[JobOutcome]int{{EndedOnTime, EndedLate}: 1, {EndedWorthless, EndedLate}: 1})
 	assert.Equal(t, len(sim.plan.TakeOutcomes()), 0)
 }
+
+// Guards against hosts that estimate with the executors of an evacuated zone, where nothing
+// may start, and against refusals right after the request.
+func TestSummaryWithoutEvacuatedZone(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.registerInZones(map[string]string{"1": "a", "2": "b"})
+	assert.Equal(t, sim.plan.Summary(sim.now).FreeMilliCPU, int64(16000))
+	sim.plan.SetEvacuated(evacuate("a"))
+	assert.Assert(t, sim.plan.Summary(sim.now) == nil)
+	assert.Equal(t, sim.plan.Summary(sim.now.Add(settleTime)).FreeMilliCPU, int64(8000))
+}
