waitestimate: admit jobs whose duration or objective is not known

Cause: a step without an estimate counted as taking no time, and a queue without objective as one whose jobs lose their value at once. Change: they are admitted with the reason not-estimated. Result: the test fails without the change and passes with it.

--- a/decision/waitestimate/decide_test.go
+++ b/decision/waitestimate/decide_test.go
@@ -345,3 +345,15 @@
 		}
 	})
 }
+
+// Guards against the refusal of a job of which nothing says that it would end without
+// value: a step has no estimate, or its queue has no objective.
+func TestUnknownValueAdmits(t *testing.T) {
+	full := View{Summary: &Summary{UsedMilliCPU: 1000, Preferred: Work{0: {CoreMs: 1e6, Tasks: 1000}}}, StandbyKnown: true}
+	noEstimate, noObjective := testJob("a", "t"), testJob("a", "t")
+	noEstimate.Steps[0].Estimate = 0
+	noObjective.SlackFactor, noObjective.LatencyTarget = 0, 0
+	for _, j := range []Job{noEstimate, noObjective} {
+		assert.Equal(t, Decide(full, j).Reason, NotEstimated)
+	}
+}
--- a/decision/waitestimate/estimate.go
+++ b/decision/waitestimate/estimate.go
@@ -20,14 +20,16 @@
 	RefusedFor time.Duration
 }
 
-// bounded reports whether the job has an end and takes capacity that is counted.
+// bounded reports whether the job has an objective and an end, and takes capacity that is
+// counted. The time that a step without an estimate takes is not known, nor when a job of a
+// queue without objective loses its value.
 func (j *Job) bounded() bool {
-	if j.Scheduled {
+	if j.Scheduled || j.SlackFactor <= 0 && j.LatencyTarget <= 0 {
 		return false
 	}
 	counted := false
 	for i := range j.Steps {
-		if j.Steps[i].Service {
+		if j.Steps[i].Service || j.Steps[i].Estimate <= 0 {
 			return false
 		}
 		counted = counted || j.Steps[i].Demand().MilliCPU > 0
