jobintake: answer 504 after a transaction whose outcome is unknown

Cause: whether an attempt had no answer was forgotten when a later one met a refusal recorded by another call. If the store then failed, the call was answered with 503, and the first attempt could still record the job once the record of that refusal had been removed. Change: it is known for the whole call. The store of the tests can go down from a numbered call on.

--- a/services/jobintake/jobintake.go
+++ b/services/jobintake/jobintake.go
@@ -216,7 +216,7 @@
 		return true, nil
 	}
 	tx := services.RecordTx{Writes: []services.RecordWrite{{RecordKey: jobrecord.CancelKey(j.pool, id), Value: []byte("{}")}}}
-	commit, err := s.commit(ctx, tx, "cancel")
+	commit, err := s.commit(ctx, tx, "cancel", new(bool))
 	if err != nil {
 		s.log.Info().Err(err).Str("job", id).Str("queue", q.Name).Msg("cancellation not recorded")
 		return true, err
--- a/services/jobintake/refusal_test.go
+++ b/services/jobintake/refusal_test.go
@@ -45,7 +45,9 @@
 	// loseAnswers executes the next transactions and loses their answers.
 	loseAnswers int
 	down        bool
-	last        services.RecordTx
+	// downFrom is the number of the call from which the store is down; zero if it is not.
+	downFrom int
+	last     services.RecordTx
 }
 
 func newMemoryStore() *memoryStore {
@@ -57,7 +59,7 @@
 	defer m.mu.Unlock()
 	m.calls++
 	switch {
-	case m.down:
+	case m.down || m.downFrom > 0 && m.calls >= m.downFrom:
 		return services.RecordCommit{}, errDown
 	case m.delay > 0:
 		m.delay--
@@ -338,3 +340,19 @@
 		assert.Assert(t, !h.refusing("pool", "tenant"))
 	})
 }
+
+// Guards against a 503 for a submission that may still be carried out: its first attempt has
+// no answer, the next one finds a refusal by another call, and then the store is down. That
+// refusal is removed before the first attempt is carried out.
+func TestUnansweredSubmissionIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		assertRefusedEarly(t, submit(t, newHost(m, true)))
+		m.delay, m.downFrom = 1, m.calls+3
+		err := submit(t, newHost(m, false))
+		delete(m.rows, refusedKey)
+		m.applyDelayed()
+		assert.Assert(t, m.has(idKey))
+		assert.Assert(t, err != nil && !fault.IsNotRun(err), "%v", err)
+	})
+}
--- a/services/jobintake/submit.go
+++ b/services/jobintake/submit.go
@@ -46,13 +46,16 @@
 // carried out later, takes effect beside it.
 func (s *Service) record(ctx context.Context, q *catalog.Queue, spec *workload.Spec) (recordedJob, error) {
 	earlier := refusedRow{key: jobrecord.RefusedKey(spec.ID)}
+	// A transaction without an answer may be carried out after the record that keeps it from
+	// taking effect was removed, unless this call confirms a refusal of its own.
+	unanswered := false
 	for range maxConflicts {
 		decision := s.decide(q, spec, &earlier)
 		tx, err := s.transaction(q, spec, &earlier, decision.Refuse)
 		if err != nil {
 			return recordedJob{}, err
 		}
-		commit, err := s.commit(ctx, tx, "submit")
+		commit, err := s.commit(ctx, tx, "submit", &unanswered)
 		switch {
 		case err != nil:
 			return recordedJob{}, err
@@ -116,22 +119,22 @@
 }
 
 // commit retries until the store answers, within the caller's deadline. The
-// error says whether any attempt may have taken effect.
-func (s *Service) commit(ctx context.Context, tx services.RecordTx, step string) (services.RecordCommit, error) {
+// error says whether any attempt may have taken effect. unanswered tells so of earlier
+// transactions of the same call, and is set if this one had an attempt without an answer.
+func (s *Service) commit(ctx context.Context, tx services.RecordTx, step string, unanswered *bool) (services.RecordCommit, error) {
 	start := s.clock()
-	outcomeUnknown := false
 	for {
 		commit, err := s.records.Commit(ctx, tx)
 		if err == nil {
 			return commit, nil
 		}
-		outcomeUnknown = outcomeUnknown || !fault.IsNotRun(err)
+		*unanswered = *unanswered || !fault.IsNotRun(err)
 		reason := fault.ReasonOf(err)
-		if !outcomeUnknown && s.clock().Sub(start) > retryWindow {
+		if !*unanswered && s.clock().Sub(start) > retryWindow {
 			return commit, err
 		}
 		if !s.hasTimeLeft(ctx) || !services.Sleep(ctx, retryDelay) {
-			if outcomeUnknown {
+			if *unanswered {
 				return commit, fault.New(&fault.Unknown, reason, step, "", "%w", err)
 			}
 			return commit, err
