ownership: take no summary from the first read of a pool

Cause: the age of a summary counts from the read before the one that showed its record. A pool that was added to the configuration was not in that read, so that a record of any age passed for one written since, and jobs could be refused by it. Change: the first read of each pool gives no summary, as after a start. Result: the test fails without the change and passes with it.

--- a/services/ownership/observation.go
+++ b/services/ownership/observation.go
@@ -56,10 +56,11 @@
 }
 
 // observe takes the summary from a record that was read. The record may be as old as the
-// read before, which did not show it. If that is long ago, nothing says how old it is.
+// read before, which did not show it. If that is long ago, or did not include the pool,
+// nothing says how old it is.
 func (s *Service) observe(p *pool) {
 	p.observed = nil
-	if s.clock().Sub(s.lastReadAt) <= maxReadGap {
+	if p.recordRead && s.clock().Sub(s.lastReadAt) <= maxReadGap {
 		p.observeAsOf(s.lastReadAt)
 	}
 }
--- a/services/ownership/summary_test.go
+++ b/services/ownership/summary_test.go
@@ -128,6 +128,19 @@
 	assert.Assert(t, f.reader.ObservedSummary(testPool).Summary == nil)
 }
 
+// Guards against the record of a pool that is added to the configuration, which may be old,
+// taken for one that was written since the last read of the other pools.
+func TestFirstReadOfAddedPoolShowsNoSummary(t *testing.T) {
+	f := newSummaryFixture(t)
+	f.reader.catalogs = &fixedCatalogs{catalog: catalog.New(1, nil, nil, nil)}
+	f.publish(t)
+	f.advance(t, time.Second, f.owner, f.reader)
+	f.now = f.now.Add(readInterval)
+	f.reader.catalogs = f.owner.catalogs
+	f.advance(t, readInterval, f.reader)
+	assert.Assert(t, f.reader.ObservedSummary(testPool).Summary == nil)
+}
+
 // Guards against the summary of a former owner that is taken for that of the pool after a
 // release or a takeover.
 func TestSummaryEndsWithOwnership(t *testing.T) {
