poolplan: explain all starts of a step, not those before the first answers

Cause: an explanation placed a step once. The owner gives an executor eight starts until it has answered, so that of 20 tasks on an idle machine 8 were shown as placed, and the others as waiting for room beside 48 free cores. Change: the placement is repeated as if the starts were accepted, until none follows. The first round, and with it the choice, is as before.

--- a/decision/poolplan/explain.go
+++ b/decision/poolplan/explain.go
@@ -108,7 +108,7 @@
 		x.Wait = waitReasonNames[waitRoom]
 		return x
 	}
-	x.Wait = waitReasonNames[p.placeGroup(now, g, candidates)]
+	x.Wait = waitReasonNames[p.placeAnswered(now, g, candidates)]
 	tried := false
 	for _, t := range g.tasks {
 		for _, r := range t.runs {
@@ -125,6 +125,21 @@
 	return x
 }
 
+// placeAnswered starts the tasks of a group as if each start was accepted at once, because
+// starts without an answer hold others up for a moment only. It returns why the rest waits.
+func (p *Plan) placeAnswered(now time.Time, g *group, candidates []*executor) waitReason {
+	for {
+		reason := p.placeGroup(now, g, candidates)
+		if reason != waitRoom || g.step.Gang || p.openStarts == 0 {
+			return reason
+		}
+		p.openStarts, p.unplaceable = 0, nil
+		for _, e := range candidates {
+			e.openStarts = 0
+		}
+	}
+}
+
 // explainLease is the longest lease in a plan that explains placement. Any positive time
 // gives the same choice.
 const explainLease = time.Second
--- a/decision/poolplan/explain_test.go
+++ b/decision/poolplan/explain_test.go
@@ -140,3 +140,22 @@
 		assert.Equal(t, x.Options[0].Obstacle, o)
 	}
 }
+
+// Guards against an explanation that says that tasks wait for room beside a large idle
+// executor, because the owner gives it more only once it has answered the first starts.
+func TestExplanationOfManyTasks(t *testing.T) {
+	large := executorInfo("1")
+	large.Capacity.MilliCPU = 64_000
+	q := Query{
+		Catalog:   catalog.New(1, nil, nil, nil),
+		Spec:      &workload.Spec{ID: "job", Steps: []workload.Step{step(20)}},
+		Executors: []ExecutorUse{{Executor: large}},
+	}
+	x := Explain(time.UnixMilli(1_000_000), q)
+	assert.Equal(t, len(x.Starts), 20)
+	assert.Equal(t, x.Wait, "")
+	q.Spec.Steps[0].Count = 40
+	x = Explain(time.UnixMilli(1_000_000), q)
+	assert.Equal(t, len(x.Starts), 32)
+	assert.Equal(t, x.Wait, waitReasonNames[waitRoom])
+}
