ownership: take no summary from a renewal after a silence

Cause: the age in a record is that at the time when its renewal was sent. The store may carry out a write up to 12 s later, also when its host has ended, and the summary then passed for one of the last 200 ms. Ruled out: counting the age from the change before, which would add 0.7 s to every age, with a limit of 2 s. Change: a record that follows a silence (1 s and more with a slow store) gives no summary; the next renewal does.

--- a/services/ownership/observation.go
+++ b/services/ownership/observation.go
@@ -57,10 +57,12 @@
 
 // observe takes the summary from a record that was read. The record may be as old as the
 // read before, which did not show it. If that is long ago, or did not include the pool,
-// nothing says how old it is.
+// nothing says how old it is. Nor does anything after a silence of the owner: the store may
+// have carried out a renewal seconds after it was sent, which its age does not include.
 func (s *Service) observe(p *pool) {
 	p.observed = nil
-	if p.recordRead && s.clock().Sub(s.lastReadAt) <= maxReadGap {
+	silent := p.unchangedFor >= ownership.SilentAfter(s.storeHealth.ResponseTime())
+	if p.recordRead && !silent && s.clock().Sub(s.lastReadAt) <= maxReadGap {
 		p.observeAsOf(s.lastReadAt)
 	}
 }
--- a/services/ownership/summary_test.go
+++ b/services/ownership/summary_test.go
@@ -141,6 +141,25 @@
 	assert.Assert(t, f.reader.ObservedSummary(testPool).Summary == nil)
 }
 
+// Guards against a renewal that the store carries out seconds after it was sent, whose
+// summary is taken for a recent one.
+func TestDelayedRenewalShowsNoSummary(t *testing.T) {
+	f := newSummaryFixture(t)
+	f.advance(t, time.Second, f.owner, f.reader)
+	p := f.owner.pools[testPool]
+	next := p.record
+	next.Renewals++
+	next.Summary = jobrecord.NewSummaryRecord(&waitestimate.Summary{UsedMilliCPU: 5}, 0)
+	for end := f.now.Add(3 * time.Second); f.now.Before(end); f.now = f.now.Add(readInterval) {
+		assert.NilError(t, f.reader.refresh(t.Context()))
+	}
+	commit, err := f.owner.commit(t.Context(), &ownerWrite{pool: p, next: next})
+	assert.Assert(t, err == nil && commit.Committed)
+	assert.NilError(t, f.reader.refresh(t.Context()))
+	assert.Equal(t, f.reader.pools[testPool].record.Renewals, next.Renewals)
+	assert.Assert(t, f.reader.ObservedSummary(testPool).Summary == nil)
+}
+
 // Guards against the summary of a former owner that is taken for that of the pool after a
 // release or a takeover.
 func TestSummaryEndsWithOwnership(t *testing.T) {
