Allot no pool more machines than it demands

A pool whose least number of machines exceeds its work on time was allotted machines for its late work once more. It kept them above its demand while other pools were short. The second allotment now covers only the demand that the first has not covered.

--- a/decision/sizing/division.go
+++ b/decision/sizing/division.go
@@ -14,7 +14,7 @@
 // gone, although most of it is late by then.
 //
 // Work that can complete on time comes first, in proportion to the pools' demand of
-// it; what is left is divided in proportion to the remaining demand. Machines that
+// it; what is left is divided in proportion to the demand that is not covered yet. Machines that
 // may not leave a pool count for it.
 func divide(states []*poolState) {
 	total, wanted := 0, 0
@@ -36,7 +36,7 @@
 		pools = append(pools, s)
 	}
 	left := allot(pools, total, func(s *poolState) int { return s.wantedOnTime() })
-	allot(pools, left, func(s *poolState) int { return s.wanted() - s.wantedOnTime() })
+	allot(pools, left, func(s *poolState) int { return max(s.wanted()-s.allotted, 0) })
 }
 
 // wantedOnTime returns the part of wanted for work that can complete on time.
--- a/decision/sizing/division_test.go
+++ b/decision/sizing/division_test.go
@@ -36,6 +36,19 @@
 	assert.Equal(t, len(Decide(pools, machines, 200).Cordon), 90-34-9)
 }
 
+// Guards against machines beyond its demand that stay with a pool whose work is late: its
+// least number covers that work, and it was allotted machines for it once more.
+func TestNoPoolIsAllottedMoreThanItDemands(t *testing.T) {
+	pools, machines := twoPeaks(0)
+	p := pools["early"]
+	p.UsualMachines, p.DemandMilliCPU, p.LateMilliCPU = 60, 20*machineMilliCPU, 20*machineMilliCPU
+	pools["early"] = p
+	p = pools["next"]
+	p.DemandMilliCPU, p.LateMilliCPU = 90*machineMilliCPU, 90*machineMilliCPU
+	pools["next"] = p
+	assert.Equal(t, len(Decide(pools, machines, 200).Cordon), 90-30-9)
+}
+
 // Guards against machines that are cordoned back and forth between two pools that are
 // both short while their demand hardly changes.
 func TestDividedMachinesStay(t *testing.T) {
