Keep machines that their pool wants out of standby

When machines are divided, a pool above its allotment but without a backlog gave its machines to the standby pool if the pools that are short already had as many machines on their way as they may have. Work was left without these machines, and each was moved twice. A pool now gives only machines that it does not want to standby.

--- a/decision/sizing/division_test.go
+++ b/decision/sizing/division_test.go
@@ -49,6 +49,20 @@
 	assert.Equal(t, len(Decide(pools, machines, 200).Cordon), 90-30-9)
 }
 
+// Guards against machines that go to standby although their pool has work for them,
+// because the pool that is short already has as many on their way as it may have.
+func TestWantedMachinesStayOutOfStandby(t *testing.T) {
+	pools, machines := twoPeaks(0)
+	p := pools["early"]
+	p.DemandMilliCPU, p.SurplusFor = 88*machineMilliCPU, time.Minute
+	pools["early"] = p
+	p = pools["next"]
+	p.Incoming = 5
+	pools["next"] = p
+	assert.Equal(t, len(Decide(pools, machines, 5).Cordon), 0)
+	assert.Assert(t, len(Decide(pools, machines, 200).Cordon) > 0)
+}
+
 // Guards against machines that are cordoned back and forth between two pools that are
 // both short while their demand hardly changes.
 func TestDividedMachinesStay(t *testing.T) {
--- a/decision/sizing/sizing.go
+++ b/decision/sizing/sizing.go
@@ -121,7 +121,9 @@
 		if s.Standby || s.SurplusFor < surplusTime {
 			continue
 		}
-		for s.surplus() > 0 && plan.release(s, standby) {
+		// A pool that is above its allotment may still want its machines. They go to
+		// pools that are short, and not to standby while none of these can take them.
+		for s.surplus() > 0 && s.machines > s.wanted() && plan.release(s, standby) {
 		}
 	}
 	return plan
