Don't let a wave wait for service tasks in an evacuated zone

Waves preferred all machines of evacuated zones. Those whose service tasks have no room elsewhere stay occupied until the zone is taken back, and took all places of the wave, which did not go on. Only machines without service tasks are preferred now; the others have the place that their service tasks give.

Test: TestWaveDoesNotWaitForServicesInEvacuatedZone.

--- a/decision/upkeep/upkeep.go
+++ b/decision/upkeep/upkeep.go
@@ -165,8 +165,8 @@
 	}
 }
 
-// compareMachines puts standby and cordoned machines first, then those in evacuated
-// zones, those with the fewest service tasks, those of idle pools, and those with the fewest tasks.
+// compareMachines puts standby and cordoned machines first, then those without service
+// tasks in evacuated zones, those with the fewest service tasks, those of idle pools, and those with the fewest tasks.
 func compareMachines(a, b *Machine, loads map[string]PoolLoad, cordoned map[string]bool) int {
 	return cmp.Or(
 		cmp.Compare(cordonRank(a, cordoned), cordonRank(b, cordoned)),
@@ -185,7 +185,8 @@
 		return 1
 	case cordoned[m.Name]:
 		return 2
-	case m.Evacuated:
+	case m.Evacuated && m.Services == 0:
+		// Service tasks may have no room outside the zone and stay until it is taken back.
 		return 3
 	}
 	return 4
--- a/decision/upkeep/upkeep_test.go
+++ b/decision/upkeep/upkeep_test.go
@@ -26,4 +26,25 @@
 	}
 }
 
+// Guards against a wave that waits until a zone is taken back: it emptied machines there
+// whose service tasks had no room elsewhere, and no others.
+func TestWaveDoesNotWaitForServicesInEvacuatedZone(t *testing.T) {
+	now := time.Unix(0, 0)
+	wave := Wave{Number: 1, MaxDown: 2, Deadline: now.Add(time.Minute)}
+	var machines []Machine
+	for i := range 8 {
+		m := Machine{Name: fmt.Sprintf("m%d", i), Pool: "pool", InService: true, Evacuated: i >= 4}
+		if m.Evacuated {
+			m.Services = 1
+		}
+		machines = append(machines, m)
+		wave.Machines = append(wave.Machines, m.Name)
+	}
+	plan := Decide(now, []Wave{wave}, machines, nil, nil, Params{MaintenanceTime: 5 * time.Second, EmptyingTime: emptyingTime})
+	assert.Assert(t, len(plan.Cordon) > 0)
+	for name := range plan.Cordon {
+		assert.Assert(t, name < "m4", "%s cannot be emptied", name)
+	}
+}
+
 const emptyingTime = 2500 * time.Millisecond
