Leave evacuated zones out of the capacity for wait estimates

The summary of a pool and that of the standby pool counted executors and machines in evacuated zones.

Tests: TestSummaryLeavesOutEvacuatedZone, TestStandbyCapacityLeavesOutEvacuatedZone. The catalogs of TestStandbyCapacity got an empty set of evacuations.

--- a/decision/poolplan/summary.go
+++ b/decision/poolplan/summary.go
@@ -51,7 +51,7 @@
 // work.
 func (p *Plan) summarizeRuns(now time.Time, s *waitestimate.Summary) (capacity int64) {
 	for _, e := range p.executors {
-		if !e.acceptsWork() {
+		if !p.mayStartOn(e) {
 			continue
 		}
 		capacity += e.Capacity.MilliCPU
--- a/decision/poolplan/summary_test.go
+++ b/decision/poolplan/summary_test.go
@@ -49,6 +49,20 @@
 	assert.Equal(t, s.Running.CoreMs, 1600.0)
 }
 
+// Guards against waits that are estimated with the capacity of an evacuated zone, and
+// against refusals just after its evacuation has begun.
+func TestSummaryLeavesOutEvacuatedZone(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.registerInZones(map[string]string{"1": "a", "2": "b"})
+	assert.Assert(t, sim.plan.Summary(sim.now) != nil)
+	sim.plan.SetEvacuated(evacuate("a"))
+	assert.Assert(t, sim.plan.Summary(sim.now) == nil)
+	sim.now = sim.now.Add(settleTime)
+	s := sim.plan.Summary(sim.now)
+	assert.Assert(t, s != nil)
+	assert.Equal(t, s.FreeMilliCPU, int64(8000))
+}
+
 // Guards against a tenant beyond its share whose work counts as that of the others.
 func TestSummaryDividesByShare(t *testing.T) {
 	sim := newSimulation(t, 1)
--- a/services/upkeep/evacuate_test.go
+++ b/services/upkeep/evacuate_test.go
@@ -50,3 +50,14 @@
 		assert.DeepEqual(t, moves, []sizing.Move{{Machine: "s2", From: "standby", To: "pool"}, {Machine: "s3", From: "standby", To: "pool"}})
 	}
 }
+
+// Guards against waits that are estimated with standby machines of an evacuated zone, which
+// no pool gets.
+func TestStandbyCapacityLeavesOutEvacuatedZone(t *testing.T) {
+	s := New(Settings{}, time.Now)
+	s.catalogs = evacuatingCatalogs{evacuated: true}
+	machine := func(zone string, milliCPU int64) services.Machine {
+		return services.Machine{Name: zone, Pool: "standby", Zone: zone, State: services.MachineUp, Capacity: fleet.Resources{MilliCPU: milliCPU}}
+	}
+	assert.Equal(t, s.standbyMilliCPU([]services.Machine{machine("a", 1), machine("b", 10)}), int64(10))
+}
--- a/services/upkeep/standby.go
+++ b/services/upkeep/standby.go
@@ -24,8 +24,13 @@
 // their way count as well, because their pools do not have them yet.
 func (s *Service) standbyMilliCPU(machines []services.Machine) int64 {
 	configured := s.catalogs.Catalog().Services
+	evacuated := s.evacuatedMachines(machines)
 	sum := int64(0)
 	for _, m := range machines {
+		if evacuated[m.Name] {
+			// It is not moved, and would take no work.
+			continue
+		}
 		_, moving := s.movesInProgress[m.Name]
 		standby := configured[m.Pool].Standby && m.State == services.MachineUp
 		if standby || moving || m.State == services.MachineMoving {
--- a/services/upkeep/standby_test.go
+++ b/services/upkeep/standby_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/decision/evacuation"
 	"fuchsiafront.example/fuchsiafront/fleet"
 	"fuchsiafront.example/fuchsiafront/services"
 )
@@ -17,6 +18,8 @@
 	return catalog.New(1, nil, []catalog.Service{{Name: "pool"}, {Name: "spare", Standby: true}}, nil)
 }
 
+func (standbyCatalogs) Evacuations() evacuation.Set { return evacuation.Set{} }
+
 // lastSummary keeps what was published.
 type lastSummary struct {
 	services.PoolSummaries
