Evacuate the zone in the plan when a start has been withheld

The check before a start reads the latest evacuations. The outcome of a withheld start could reach the planner before the notice of the change, and the plan then did not stop the other members of the gang, which waited for their time-out. The planner now reads the evacuations before it handles such an outcome. A set that has not changed does not cause the groups to be listed again, since starts are also withheld while the store is unavailable.

Test: TestWithheldStartMakesThePlanEvacuateTheZone.

--- a/decision/poolplan/evacuate.go
+++ b/decision/poolplan/evacuate.go
@@ -17,6 +17,9 @@
 // SetEvacuated replaces the set of evacuated zones. It must be called before the first
 // Step of a plan.
 func (p *Plan) SetEvacuated(zones map[string]bool) {
+	if maps.Equal(zones, p.evacuatedZones) {
+		return
+	}
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
 		if !p.evacuatedZones[zone] {
 			p.addEvent(Event{Kind: "zone evacuated", Peer: zone})
--- a/services/pools/evacuate_test.go
+++ b/services/pools/evacuate_test.go
@@ -59,3 +59,16 @@
 	catalogs.asOf = time.Time{}
 	assert.Assert(t, p.operatorStateRecent(m), "an owner that plans goes on while the store does not answer")
 }
+
+// Guards against members of a gang that wait for one whose start was withheld: the outcome
+// may reach the planner before the change of the evacuations does.
+func TestWithheldStartMakesThePlanEvacuateTheZone(t *testing.T) {
+	now := time.Unix(100, 0)
+	s, owner, _ := newTestService(&now)
+	s.catalogs = &evacuatingCatalogs{zones: zoneSet("a", 5), asOf: now}
+	p := newPlanner(s)
+	m := &managedPool{name: testPool, ownership: owner.owned, plan: poolplan.New(3, now, 0, poolplan.Params{}), operatorStateKnown: true}
+	p.pools[testPool] = m
+	p.handleEvent(startCall{m.ref(), poolplan.Start{Zone: "a"}}.run(t.Context(), s))
+	assert.DeepEqual(t, p.evacuationStatus(m), []jobrecord.EvacuationStatus{{Zone: "a", Version: 5}})
+}
--- a/services/pools/orders.go
+++ b/services/pools/orders.go
@@ -65,6 +65,11 @@
 func (c startCall) notMade() event { return startDone{c, poolplan.Outcome{Answer: poolplan.Withheld}} }
 
 func (e startDone) handle(p *planner) {
+	if e.outcome.Answer == poolplan.Withheld {
+		// The zone may have been evacuated since the plan last learned of evacuations. It
+		// stops the other members of a gang only if it knows.
+		p.refreshEvacuations()
+	}
 	e.withPlan(p, func(plan *poolplan.Plan, now time.Time) { plan.StartDone(now, e.order, e.outcome) })
 }
 
