Forget the departure of a machine that has come back

A machine that returned to a pool within 6 s of leaving it still counted as departed. If a wave cordoned it there, the cordon did not count as one of the wave's, so that the machine was not maintained, and did not keep its place in the wave, until the 6 s were over.

Test: TestReturnedMachineCountsAsCordoned.

--- a/services/upkeep/departures_test.go
+++ b/services/upkeep/departures_test.go
@@ -44,3 +44,16 @@
 	s.cordons["a"] = cordons
 	assert.DeepEqual(t, s.cordonedMachines(), map[string]bool{"n": true})
 }
+
+// Guards against a wave that does not see that it empties a machine, because the machine
+// has left the same pool and come back a short time ago.
+func TestReturnedMachineCountsAsCordoned(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := New(Settings{Host: "h"}, func() time.Time { return now })
+	s.departures[departure{"m", "a"}] = now
+	var cordons poolCordons
+	cordons.record.Machines = []string{"m"}
+	s.cordons["a"] = cordons
+	s.departedMachines(now.Add(4*time.Second), []services.Machine{{Name: "m", Pool: "a", State: services.MachineUp}})
+	assert.DeepEqual(t, s.cordonedMachines(), map[string]bool{"m": true})
+}
--- a/services/upkeep/moves.go
+++ b/services/upkeep/moves.go
@@ -65,7 +65,9 @@
 		leaving := moving && move.pool != d.pool
 		if leaving || m.Pool != d.pool || m.State != services.MachineUp {
 			departed[d.pool] = append(departed[d.pool], d.machine)
+			continue
 		}
+		delete(s.departures, d)
 	}
 	return departed
 }
