--- a/decision/sizing/sizing.go
+++ b/decision/sizing/sizing.go
@@ -21,7 +21,7 @@
 	// donorPercent is the capacity that a donor pool keeps, in percent of its
 	// demand; the difference to targetPercent prevents machines from moving back
 	// and forth.
-	donorPercent = 120
+	donorPercent = 140
 	// minUsualPercent is the percentage of its usual machines that a pool keeps
 	// without demand. Machines with service tasks stay beside it, and the standby
 	// pool replaces the others within a move.
