--- a/decision/sizing/sizing.go
+++ b/decision/sizing/sizing.go
@@ -162,7 +162,10 @@
 		return len(s.removable)
 	}
 	if s.allotted >= 0 {
-		return min(s.machines-s.allotted-max(s.machines*divisionHysteresisPercent/100, minDivisionHysteresis), len(s.removable))
+		// Moving a machine costs some seconds of its work, so that none is taken from
+		// work that can be on time.
+		hysteresis := max(s.machines*divisionHysteresisPercent/100, minDivisionHysteresis)
+		return min(s.machines-max(s.allotted, s.wantedOnTime())-hysteresis, len(s.removable))
 	}
 	required := max(s.machinesForPercent(donorPercent), s.machinesFor(s.ForecastMilliCPU), s.UsualMachines*minUsualPercent/100, 1)
 	return min(s.machines-required, len(s.removable))
