--- a/cmd/fuchsiafrontd/main.go
+++ b/cmd/fuchsiafrontd/main.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	host, err := fleethost.New(settings.Boot, level, os.Stdout, time.Now, fleethost.WithEarlyRefusal(settings.EarlyRefusal))
+	host, err := fleethost.New(settings.Boot, level, os.Stdout, time.Now, fleethost.WithEarlyRefusal(settings.EarlyRefusal), fleethost.WithDividedMachines(settings.DivideMachines))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitSettings)
--- a/decision/sizing/division_test.go
+++ b/decision/sizing/division_test.go
@@ -26,14 +26,14 @@
 // keeps, with a tenth of its 90 above that.
 func TestPoolGivesWhatWorkOnTimeLeaves(t *testing.T) {
 	pools, machines := twoPeaks(28 * machineMilliCPU)
-	assert.Equal(t, len(Decide(pools, machines, 200).Cordon), 90-80-9)
+	assert.Equal(t, len(DecideDivided(pools, machines, 200).Cordon), 90-80-9)
 }
 
 // Guards against machines that are taken from work that can be on time: while they are
 // emptied and moved they do nothing.
 func TestPoolKeepsMachinesForWorkOnTime(t *testing.T) {
 	pools, machines := twoPeaks(0)
-	assert.Equal(t, len(Decide(pools, machines, 200).Cordon), 0)
+	assert.Equal(t, len(DecideDivided(pools, machines, 200).Cordon), 0)
 }
 
 // Guards against machines that stay with work that can only be late while other work
@@ -41,7 +41,7 @@
 // its work on time.
 func TestWorkOnTimeComesBeforeLateWork(t *testing.T) {
 	pools, machines := twoPeaks(90 * machineMilliCPU)
-	assert.Equal(t, len(Decide(pools, machines, 200).Cordon), 90-34-9)
+	assert.Equal(t, len(DecideDivided(pools, machines, 200).Cordon), 90-34-9)
 }
 
 // Guards against machines beyond its demand that stay with a pool whose work is late: its
@@ -54,7 +54,7 @@
 	p = pools["next"]
 	p.DemandMilliCPU, p.LateMilliCPU = 90*machineMilliCPU, 90*machineMilliCPU
 	pools["next"] = p
-	assert.Equal(t, len(Decide(pools, machines, 200).Cordon), 90-30-9)
+	assert.Equal(t, len(DecideDivided(pools, machines, 200).Cordon), 90-30-9)
 }
 
 // Guards against machines that go to standby although their pool has work for them,
@@ -67,8 +67,8 @@
 	p = pools["next"]
 	p.Incoming = 5
 	pools["next"] = p
-	assert.Equal(t, len(Decide(pools, machines, 5).Cordon), 0)
-	assert.Assert(t, len(Decide(pools, machines, 200).Cordon) > 0)
+	assert.Equal(t, len(DecideDivided(pools, machines, 5).Cordon), 0)
+	assert.Assert(t, len(DecideDivided(pools, machines, 200).Cordon) > 0)
 }
 
 // Guards against machines that are cordoned back and forth between two pools that are
@@ -87,7 +87,7 @@
 		p := pools["a"]
 		p.DemandMilliCPU = max(a+a*change/100, 60) * machineMilliCPU
 		pools["a"] = p
-		assert.Equal(t, len(Decide(pools, machines, 200).Cordon), 0)
+		assert.Equal(t, len(DecideDivided(pools, machines, 200).Cordon), 0)
 	})
 }
 
--- a/decision/sizing/sizing.go
+++ b/decision/sizing/sizing.go
@@ -97,15 +97,25 @@
 // Decide returns the moves that the pools need. maxIncoming bounds the machines
 // on their way to one pool.
 func Decide(pools map[string]Pool, machines []Machine, maxIncoming int) Plan {
-	plan := Plan{Cordon: make(map[string]bool)}
+	return decide(newPoolStates(pools, machines), maxIncoming)
+}
+
+// DecideDivided is Decide, but that machines are divided among the pools if there are
+// too few for all.
+func DecideDivided(pools map[string]Pool, machines []Machine, maxIncoming int) Plan {
 	states := newPoolStates(pools, machines)
+	divide(states)
+	return decide(states, maxIncoming)
+}
+
+func decide(states []*poolState, maxIncoming int) Plan {
+	plan := Plan{Cordon: make(map[string]bool)}
 	standby := ""
 	for _, s := range states {
 		if s.Standby && standby == "" {
 			standby = s.name
 		}
 	}
-	divide(states)
 	for _, receiver := range receivers(states) {
 		wanted := min(receiver.target()-receiver.machines, maxIncoming-receiver.Incoming)
 		for _, donor := range donors(states, receiver) {
--- a/entryhost/settings.go
+++ b/entryhost/settings.go
@@ -46,8 +46,9 @@
 	ReferenceRollOut time.Duration `arg:"--reference-roll-out,env:FUCHSIAFRONT_REFERENCE_ROLL_OUT" default:"10s" help:"roll-out time of a wave that costs as much as one host held spare if both weights are equal" placeholder:"DURATION" range:"1s to 24h"`
 	Preset           string        `arg:"--preset,env:FUCHSIAFRONT_PRESET" help:"removed; a value is refused" placeholder:"NAME" unit:"name" range:"no value, and in its place --share-weight, --move-weight, --roll-out-weight, --buffer-weight, --spare-hosts and --reference-roll-out"`
 	LogLevel         string        `arg:"--log-level,env:FUCHSIAFRONT_LOG_LEVEL" default:"info" help:"trace, debug, info, warn or error" placeholder:"LEVEL" unit:"name" range:"trace, debug, info, warn or error; empty means info"`
-	Boot             string        `arg:"--boot,env:FUCHSIAFRONT_BOOT" help:"settings file of the users' platform; if set, the host runs on that platform, and of the other settings only --log-level, --early-refusal and --check apply" placeholder:"FILE" unit:"file name" range:"a readable file, or empty"`
+	Boot             string        `arg:"--boot,env:FUCHSIAFRONT_BOOT" help:"settings file of the users' platform; if set, the host runs on that platform, and of the other settings only --log-level, --early-refusal, --divide-machines and --check apply" placeholder:"FILE" unit:"file name" range:"a readable file, or empty"`
 	EarlyRefusal     bool          `arg:"--early-refusal,env:FUCHSIAFRONT_EARLY_REFUSAL" help:"with --boot: refuse jobs at once that could end only when they have no value any more, and tell callers when to return; turn it on only when every host runs a version that has this setting"`
+	DivideMachines   bool          `arg:"--divide-machines,env:FUCHSIAFRONT_DIVIDE_MACHINES" help:"with --boot: when the pools want more machines than there are, divide them by the work that can be on time"`
 	Check            bool          `arg:"--check" help:"check the settings and exit"`
 }
 
--- a/entryhost/settings_test.go
+++ b/entryhost/settings_test.go
@@ -35,7 +35,7 @@
 	err := s.Validate()
 	for _, r := range settings.List(s) {
 		switch r.Flag {
-		case "--max-timeout", "--readiness-delay", "--drain-timeout", "--early-refusal", "--check":
+		case "--max-timeout", "--readiness-delay", "--drain-timeout", "--early-refusal", "--divide-machines", "--check":
 			continue
 		}
 		assert.Check(t, is.ErrorContains(err, "("+r.Flag+")"))
--- a/fleethost/fleethost.go
+++ b/fleethost/fleethost.go
@@ -46,14 +46,19 @@
 	adapter      *platform.Adapter
 	kernel       *kernel.Kernel
 	log          zerolog.Logger
-	earlyRefusal bool
+	// earlyRefusal and divideMachines are the settings of these names, for the log.
+	earlyRefusal, divideMachines bool
 }
 
 // Option changes how a process is assembled.
 type Option func(*options)
 
 // options are the settings that the platform's file does not have.
-type options struct{ earlyRefusal bool }
+type options struct{ earlyRefusal, divideMachines bool }
+
+// WithDividedMachines sets whether machines are divided among the pools when there are
+// too few for all.
+func WithDividedMachines(on bool) Option { return func(o *options) { o.divideMachines = on } }
 
 // WithEarlyRefusal sets whether jobs are refused that could not end while they have value.
 func WithEarlyRefusal(on bool) Option { return func(o *options) { o.earlyRefusal = on } }
@@ -71,7 +76,7 @@
 	metricsService, scope := metrics.New(zerolog.New(out))
 	sink := logsink.New(out, scope)
 	log := zerolog.New(sink).Level(level).With().Timestamp().Str("host", settings.NodeName).Logger()
-	h := &Host{settingsPath: settingsPath, adapter: platform.New(settings), log: log, kernel: kernel.New(log, scope), earlyRefusal: o.earlyRefusal}
+	h := &Host{settingsPath: settingsPath, adapter: platform.New(settings), log: log, kernel: kernel.New(log, scope), earlyRefusal: o.earlyRefusal, divideMachines: o.divideMachines}
 	k := h.kernel
 	k.Register(services.NameLog, sink)
 	k.Register(services.NameMetrics, metricsService)
@@ -84,7 +89,7 @@
 	k.Register(services.NameUpkeep, upkeep.New(upkeep.Settings{
 		Host: settings.NodeName, MaintenanceTime: platform.Seconds(settings.Bounds.MaintenanceS), MoveTime: platform.Seconds(settings.Bounds.MoveS),
 		OrdersPerSecond: settings.Machines.OrdersPerSecond, OrderLease: platform.Milliseconds(settings.Bounds.OrderLeaseMs),
-		PublishStandby: o.earlyRefusal,
+		PublishStandby: o.earlyRefusal, DivideMachines: o.divideMachines,
 	}, clock))
 	k.Register(services.NameJobIntake, jobintake.New(jobintake.Settings{EarlyRefusal: o.earlyRefusal}, clock))
 	k.Register(services.NameJobFront, platform.NewJobFront(h.adapter, clock))
@@ -132,7 +137,7 @@
 func (h *Host) Serve(ctx context.Context) error {
 	settings := h.adapter.Settings()
 	h.log.Info().Str("zone", settings.Zone).Str("jobs", settings.Listen.Jobs).Str("store", settings.Store.Address).
-		Float64("cpu_share", settings.Limits.CPUShare).Int64("memory_mb", settings.Limits.MemoryMB).Bool("early_refusal", h.earlyRefusal).Msg("starting")
+		Float64("cpu_share", settings.Limits.CPUShare).Int64("memory_mb", settings.Limits.MemoryMB).Bool("early_refusal", h.earlyRefusal).Bool("divide_machines", h.divideMachines).Msg("starting")
 	return h.kernel.Run(ctx, platform.Seconds(settings.Bounds.StopGraceS)-exitMargin)
 }
 
--- a/services/upkeep/moves.go
+++ b/services/upkeep/moves.go
@@ -139,6 +139,9 @@
 		pools[name] = pool
 	}
 	s.logPools(now, pools, machines)
+	if s.settings.DivideMachines {
+		return sizing.DecideDivided(pools, machines, s.settings.maxConcurrentMoves())
+	}
 	return sizing.Decide(pools, machines, s.settings.maxConcurrentMoves())
 }
 
--- a/services/upkeep/upkeep.go
+++ b/services/upkeep/upkeep.go
@@ -62,6 +62,9 @@
 	// which the previous owner may have given one, so that two processes do not
 	// alternate in giving orders for it.
 	OrderLease time.Duration
+	// DivideMachines is set if machines are divided among the pools when there are too
+	// few for all.
+	DivideMachines bool
 	// PublishStandby is set if hosts are told what the standby pools have.
 	PublishStandby bool
 }
