--- /dev/null
+++ b/review/_standin3/cases.go
@@ -0,0 +1,335 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// specOutcome reads how a run ends from the text of its job: "lasts", or the duration in
+// milliseconds.
+func specOutcome(_ *executor, _ runKey, spec string) (time.Duration, string) {
+	if ms, err := strconv.Atoi(spec); err == nil {
+		return time.Duration(ms) * time.Millisecond, "done"
+	}
+	return 0, ""
+}
+
+func jobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
+// configApply is the bound of the settings for a new configuration, and mayBeInForce the
+// time after a confirmation until which RULES.md counts an older one as possibly in force.
+const (
+	configApply  = 2 * time.Second
+	mayBeInForce = configApply + time.Second
+)
+
+// loweredMaximum: the operator lowers a tenant's maximum below what it has running in two
+// pools. In one of them work items last, in the other they end and more wait.
+func loweredMaximum(w *world, trouble bool) verdict {
+	w.outcome = specOutcome
+	services := []service{{"alpha", false}, {"beta", false}}
+	const before, after, item = 40_000, 20_000, 1000
+	w.configure(config{version: 1, services: services, maximumCPU: before, maxAttempts: 3})
+	for i := range 8 {
+		w.addExecutor(fmt.Sprintf("a-%d", i), "alpha", fmt.Sprintf("ma-%d", i), 8000, "a", "r1-1")
+		w.addExecutor(fmt.Sprintf("b-%d", i), "beta", fmt.Sprintf("mb-%d", i), 8000, "a", "r1-2")
+	}
+	for i := range 3 {
+		w.addNode(fmt.Sprintf("edge-%d", i+1))
+	}
+	w.awaitReady()
+	time.Sleep(5 * time.Second)
+	w.submit("/beta/", "00000000000000b1", `{"spec":"lasts","phases":[{"count":18,"cpu":1000,"mem-mb":64,"estimate-ms":900,"long-running":true}]}`)
+	time.Sleep(3 * time.Second)
+	w.submit("/alpha/", "00000000000000a1", `{"spec":"8000","phases":[{"count":20,"cpu":1000,"mem-mb":64,"estimate-ms":8000}]}`)
+	time.Sleep(2 * time.Second)
+	w.submit("/alpha/", "00000000000000a2", `{"spec":"8000","phases":[{"count":20,"cpu":1000,"mem-mb":64,"estimate-ms":8000}]}`)
+	lowered := time.Time{}
+	if trouble {
+		lowered = w.configure(config{version: 5, services: services, maximumCPU: after, maxAttempts: 3})
+	}
+	time.Sleep(30 * time.Second)
+	return checkQuota(w, before, after, item, lowered)
+}
+
+// checkQuota checks QUOTA for work items of one size.
+func checkQuota(w *world, before, after, item int, lowered time.Time) verdict {
+	var broken verdict
+	runs := w.seen()
+	most := 0
+	for i := range runs {
+		at, running := runs[i].began, 0
+		for j := range runs {
+			if !runs[j].began.After(at) && (runs[j].ended.IsZero() || runs[j].ended.After(at)) {
+				running += item
+			}
+		}
+		maximum := before
+		if !lowered.IsZero() && at.After(lowered.Add(mayBeInForce)) {
+			maximum = after
+			most = max(most, running)
+		}
+		if limit := maximum + maximum/10 + item; running > limit {
+			broken = append(broken, fmt.Sprintf("QUOTA: the start of %s at %.3f s brings tenant-1 to %d; at most %d (maximum %d, lowered at %.3f s)", runs[i].task, w.since(at), running, limit, maximum, w.since(lowered)))
+		}
+	}
+	w.note("most that a start brought the tenant to after the new maximum was certainly in force: %d", most)
+	return broken
+}
+
+// failedOnLabel: the only executor with the label that a step asks for fails one run.
+func failedOnLabel(w *world, trouble bool) verdict {
+	const id = "00000000000000c1"
+	w.outcome = func(e *executor, k runKey, spec string) (time.Duration, string) {
+		if trouble && k.task == id+".0.0.0" && k.attempt == 1 {
+			return 300 * time.Millisecond, "failed"
+		}
+		return specOutcome(e, k, spec)
+	}
+	w.configure(config{version: 1, services: []service{{"alpha", false}}, maximumCPU: 0, maxAttempts: 4})
+	labelled := w.addExecutor("a-0", "alpha", "ma-0", 8000, "b", "r1-1")
+	for i := range 3 {
+		w.addExecutor(fmt.Sprintf("a-%d", i+1), "alpha", fmt.Sprintf("ma-%d", i+1), 8000, "a", "r1-1")
+	}
+	for i := range 3 {
+		w.addNode(fmt.Sprintf("edge-%d", i+1))
+	}
+	w.awaitReady()
+	time.Sleep(5 * time.Second)
+	w.submit("/alpha/", id, `{"spec":"500","phases":[{"count":2,"cpu":1000,"mem-mb":64,"estimate-ms":500,"constraints":"b"}]}`)
+	return checkFinished(w, "/alpha/", id, 30*time.Second, labelled)
+}
+
+// checkFinished checks the part of LOST on jobs that have nothing running while a work
+// item's turn has come: wait after its acceptance, a job must have ended, or something of
+// it must have run in the last seconds. The executor that may run it was idle then.
+func checkFinished(w *world, prefix, id string, wait time.Duration, able *executor) verdict {
+	const idle = 3 * time.Second
+	for time.Since(w.accepted[id]) < wait {
+		time.Sleep(2 * time.Second)
+		if state := w.state(prefix, id); state == "completed" || state == "failed" {
+			return nil
+		}
+	}
+	now := time.Now()
+	last := w.accepted[id]
+	for _, r := range w.seen() {
+		if r.executor == able && (r.ended.IsZero() || now.Sub(r.ended) < idle) {
+			w.note("the executor was not idle; nothing to judge")
+			return nil
+		}
+		if jobOf(r.task) != id {
+			continue
+		}
+		if r.ended.IsZero() {
+			return nil
+		}
+		if r.ended.After(last) {
+			last = r.ended
+		}
+	}
+	state := w.state(prefix, id)
+	if state == "completed" || state == "failed" || now.Sub(last) < idle {
+		return nil
+	}
+	return verdict{fmt.Sprintf("LOST: %.1f s after job %s was accepted it is %s, and for %.1f s nothing of it has run, though %s is sound and idle", now.Sub(w.accepted[id]).Seconds(), id, state, now.Sub(last).Seconds(), able.id)}
+}
+
+// lateInSecondLife: a start has no answer and is carried out late. The work item is done
+// meanwhile by a repeat of the order. Its executor is cut off, crashes and starts again
+// behind the cut, where the late start arrives.
+func lateInSecondLife(w *world, trouble bool) verdict {
+	const id = "00000000000000d1"
+	const lateness = 9500 * time.Millisecond
+	w.outcome = specOutcome
+	w.configure(config{version: 1, services: []service{{"alpha", false}}, maximumCPU: 0, maxAttempts: 3})
+	var executors []*executor
+	for i := range 4 {
+		executors = append(executors, w.addExecutor(fmt.Sprintf("a-%d", i), "alpha", fmt.Sprintf("ma-%d", i), 8000, "a", "r1-1"))
+	}
+	for i := range 3 {
+		w.addNode(fmt.Sprintf("edge-%d", i+1))
+	}
+	w.awaitReady()
+	time.Sleep(5 * time.Second)
+	struck := make(chan *executor, 1)
+	if trouble {
+		for _, e := range executors {
+			e.late = func(o *order) time.Duration {
+				if o.Task != id+".0.0.0" || !strings.HasSuffix(o.path, "run-start") {
+					return 0
+				}
+				select {
+				case struck <- e:
+					w.note("%s leaves %s unanswered and carries it out %v later", e.id, describe(o), lateness)
+					return lateness
+				default:
+					return 0
+				}
+			}
+		}
+	}
+	w.submit("/alpha/", id, `{"spec":"1000","phases":[{"count":1,"cpu":1000,"mem-mb":64,"estimate-ms":1000}]}`)
+	if trouble {
+		e := <-struck
+		time.Sleep(6 * time.Second)
+		e.setCut(true)
+		time.Sleep(500 * time.Millisecond)
+		e.crash()
+		time.Sleep(1500 * time.Millisecond)
+		e.start()
+		time.Sleep(3 * time.Second)
+		e.setCut(false)
+	}
+	time.Sleep(10 * time.Second)
+	w.state("/alpha/", id)
+	return checkTwice(w)
+}
+
+// checkTwice checks TWICE for steps that are not speculative.
+func checkTwice(w *world) verdict {
+	var broken verdict
+	runs := w.seen()
+	for i := range runs {
+		for j := range runs {
+			a, b := &runs[i], &runs[j]
+			if i == j || a.task != b.task || b.began.Before(a.began) {
+				continue
+			}
+			if a.ended.IsZero() || b.began.Before(a.ended) {
+				broken = append(broken, fmt.Sprintf("TWICE: %s runs as attempt %d on %s from %.3f s, and as attempt %d on %s from %.3f s", a.task, a.attempt, a.executor.id, w.since(a.began), b.attempt, b.executor.id, w.since(b.began)))
+			} else if a.how == "done" && !a.noted.IsZero() {
+				broken = append(broken, fmt.Sprintf("TWICE: %s ended done as attempt %d on %s at %.3f s, which was taken note of at %.3f s, and starts as attempt %d on %s at %.3f s", a.task, a.attempt, a.executor.id, w.since(a.ended), w.since(a.noted), b.attempt, b.executor.id, w.since(b.began)))
+			}
+		}
+	}
+	return broken
+}
+
+// shortTrials: the only executor with a label starts again soon after the owner of its pool
+// was killed. Only short work items ask for it.
+func shortTrials(w *world, trouble bool) verdict {
+	const id = "00000000000000e1"
+	w.outcome = specOutcome
+	w.configure(config{version: 1, services: []service{{"alpha", false}}, maximumCPU: 0, maxAttempts: 3})
+	labelled := w.addExecutor("a-0", "alpha", "ma-0", 8000, "b", "r1-1")
+	for i := range 3 {
+		w.addExecutor(fmt.Sprintf("a-%d", i+1), "alpha", fmt.Sprintf("ma-%d", i+1), 8000, "a", "r1-1")
+	}
+	for i := range 3 {
+		w.addNode(fmt.Sprintf("edge-%d", i+1))
+	}
+	w.awaitReady()
+	time.Sleep(5 * time.Second)
+	w.submit("/alpha/", "00000000000000e0", `{"spec":"50","phases":[{"count":2,"cpu":1000,"mem-mb":64,"estimate-ms":50,"constraints":"b"}]}`)
+	time.Sleep(2 * time.Second)
+	if trouble {
+		for _, n := range w.nodes {
+			n.kill()
+		}
+		for _, n := range w.nodes {
+			n.start()
+		}
+		w.awaitReady()
+		time.Sleep(6 * time.Second)
+		labelled.crash()
+		time.Sleep(3 * time.Second)
+		labelled.start()
+		time.Sleep(3 * time.Second)
+	}
+	w.submit("/alpha/", id, `{"spec":"50","phases":[{"count":2,"cpu":1000,"mem-mb":64,"estimate-ms":50,"constraints":"b"}]}`)
+	return checkFinished(w, "/alpha/", id, 30*time.Second, labelled)
+}
+
+// farOccurrences: a job runs once a year, for as long as its number of times says.
+func farOccurrences(w *world, trouble bool) verdict {
+	const id = "00000000000000f1"
+	const early = 250 * time.Millisecond
+	w.outcome = specOutcome
+	w.configure(config{version: 1, services: []service{{"alpha", false}}, maximumCPU: 0, maxAttempts: 3})
+	for i := range 4 {
+		w.addExecutor(fmt.Sprintf("a-%d", i), "alpha", fmt.Sprintf("ma-%d", i), 8000, "a", "r1-1")
+	}
+	for i := range 3 {
+		w.addNode(fmt.Sprintf("edge-%d", i+1))
+	}
+	w.awaitReady()
+	time.Sleep(5 * time.Second)
+	times := 10
+	if trouble {
+		times = 400
+	}
+	const interval = 365 * 24 * time.Hour
+	start := time.Now().Add(2 * time.Second)
+	w.submit("/alpha/", id, fmt.Sprintf(`{"spec":"200","phases":[{"count":1,"cpu":1000,"mem-mb":64,"estimate-ms":200}],"times":%d,"start-at-ms":%d,"interval-ms":%d}`, times, start.UnixMilli(), interval.Milliseconds()))
+	time.Sleep(12 * time.Second)
+	var broken verdict
+	for _, r := range w.seen() {
+		k, err := strconv.Atoi(strings.Split(r.task, ".")[1])
+		if err != nil {
+			fatal("task %q", r.task)
+		}
+		years := float64(k) * interval.Seconds()
+		if ahead := start.Sub(r.began).Seconds() + years; ahead > early.Seconds() && len(broken) < 5 {
+			broken = append(broken, fmt.Sprintf("ORDER: occurrence %d is due %.0f days after its start at %.3f s", k, ahead/86400, w.since(r.began)))
+		}
+	}
+	return broken
+}
+
+// unmetReservation: a tenant has work items that last in one pool, and hands in a work item
+// for a second pool that fits below its maximum, but not beside those. Small work in a third
+// pool follows.
+func unmetReservation(w *world, trouble bool) verdict {
+	const id = "00000000000000aa"
+	w.outcome = specOutcome
+	services := []service{{"alpha", false}, {"beta", false}, {"gamma", false}}
+	w.configure(config{version: 1, services: services, maximumCPU: 40_000, maxAttempts: 3})
+	var able *executor
+	for i := range 4 {
+		w.addExecutor(fmt.Sprintf("a-%d", i), "alpha", fmt.Sprintf("ma-%d", i), 32_000, "a", "r1-1")
+		w.addExecutor(fmt.Sprintf("b-%d", i), "beta", fmt.Sprintf("mb-%d", i), 32_000, "a", "r1-2")
+		able = w.addExecutor(fmt.Sprintf("c-%d", i), "gamma", fmt.Sprintf("mc-%d", i), 32_000, "a", "r1-3")
+	}
+	for i := range 3 {
+		w.addNode(fmt.Sprintf("edge-%d", i+1))
+	}
+	w.awaitReady()
+	time.Sleep(5 * time.Second)
+	w.submit("/beta/", "00000000000000ab", `{"spec":"lasts","phases":[{"count":12,"cpu":1000,"mem-mb":64,"estimate-ms":900,"long-running":true}]}`)
+	time.Sleep(4 * time.Second)
+	if trouble {
+		w.submit("/alpha/", "00000000000000ac", `{"spec":"2000","phases":[{"count":1,"cpu":30000,"mem-mb":64,"estimate-ms":2000}]}`)
+		time.Sleep(5 * time.Second)
+	}
+	w.submit("/gamma/", id, `{"spec":"500","phases":[{"count":4,"cpu":1000,"mem-mb":64,"estimate-ms":500}]}`)
+	return checkFinished(w, "/gamma/", id, 30*time.Second, able)
+}
+
+func manyTasks(w *world, trouble bool) verdict {
+	w.outcome = specOutcome
+	w.configure(config{version: 1, services: []service{{"alpha", false}}, maximumCPU: 0, maxAttempts: 3})
+	for i := range 4 {
+		w.addExecutor(fmt.Sprintf("a-%d", i), "alpha", fmt.Sprintf("ma-%d", i), 32_000, "a", "r1-1")
+	}
+	w.addNode("edge-1")
+	w.awaitReady()
+	time.Sleep(5 * time.Second)
+	for i := range 10 {
+		w.submit("/alpha/", fmt.Sprintf("00000000000001%02x", i), `{"spec":"2000","phases":[{"count":50000,"cpu":1000,"mem-mb":64,"estimate-ms":2000}]}`)
+		time.Sleep(3 * time.Second)
+		b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.nodes[0].command.Process.Pid))
+		for _, l := range strings.Split(string(b), "\n") {
+			if strings.HasPrefix(l, "VmRSS") || strings.HasPrefix(l, "VmHWM") {
+				fmt.Println(i, l)
+			}
+		}
+	}
+	return nil
+}
