--- a/review/_standin3/executor.go
+++ b/review/_standin3/executor.go
@@ -98,10 +98,7 @@
 
 func (w *world) addExecutor(id, service, machine string, cpu int, labels ...string) *executor {
 	e := &executor{w: w, id: id, service: service, machine: machine, zone: "z1", labels: labels, cpu: cpu, memMB: 65536}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fatal("listen: %v", err)
-	}
+	l := listen()
 	e.listener, e.address = l, l.Addr().String()
 	e.server = &http.Server{Handler: e}
 	go func() { _ = e.server.Serve(l) }()
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 )
 
 // verdict describes how a rule was broken; empty if it held.
@@ -20,10 +21,11 @@
 	"short-trials":      shortTrials,
 	"far-occurrences":   farOccurrences,
 	"unmet-reservation": unmetReservation,
-	"many-tasks":        manyTasks,
 }
 
 func main() {
+	// The processes are ended with the thread that started them.
+	runtime.LockOSThread()
 	name := flag.String("case", "", "the case to play")
 	recordPath := flag.String("record", "", "the file for what was sent, answered and run")
 	flag.Parse()
