--- a/review/standin3/cases_test.go
+++ b/review/standin3/cases_test.go
@@ -249,6 +249,83 @@
 	return checkFinished(w, "/alpha/", id, 30*time.Second, labelled)
 }
 
+// failedForDone: an executor is cut off, crashes and starts again behind the cut. An earlier
+// renewal of its lease, which had no answer, is carried out late there. A start that was sent
+// into the cut is repeated afterwards. Its work item fails by its own fault, however often it
+// is run.
+func failedForDone(w *world, trouble bool) verdict {
+	const before, id = "00000000000000f0", "00000000000000f1"
+	const lateness = 6 * time.Second
+	w.outcome = func(e *executor, k runKey, spec string) (time.Duration, string) {
+		if jobOf(k.task) == id {
+			return 100 * time.Millisecond, "failed"
+		}
+		return specOutcome(e, k, spec)
+	}
+	w.configure(config{version: 1, services: []service{{"alpha", false}, {"beta", false}}, maximumCPU: 100_000, maxAttempts: 3})
+	struck := w.addExecutor("a-0", "alpha", "ma-0", 8000, "a", "r1-1")
+	for i := range 7 {
+		w.addExecutor(fmt.Sprintf("b-%d", i), "beta", fmt.Sprintf("mb-%d", i), 8000, "a", "r1-2")
+	}
+	for i := range 3 {
+		w.addNode(fmt.Sprintf("edge-%d", i+1))
+	}
+	w.awaitReady()
+	time.Sleep(5 * time.Second)
+	cut := make(chan struct{})
+	if trouble {
+		var hold, start sync.Once
+		struck.late = func(o *order) (late time.Duration) {
+			if o.LastSeen > 0 {
+				hold.Do(func() {
+					w.note("%s leaves %s unanswered and carries it out %v later", struck.id, describe(o), lateness)
+					late = lateness
+				})
+			}
+			if jobOf(o.Task) == id {
+				start.Do(func() {
+					w.note("%s %s: the cut begins before it", struck.id, describe(o))
+					struck.cut, late = true, time.Hour
+					close(cut)
+				})
+			}
+			return late
+		}
+	}
+	w.submit("/alpha/", before, `{"spec":"100","phases":[{"count":4,"cpu":1000,"mem-mb":64,"estimate-ms":100}]}`)
+	time.Sleep(1500 * time.Millisecond)
+	w.submit("/alpha/", id, `{"spec":"fails","phases":[{"count":1,"cpu":1000,"mem-mb":64,"estimate-ms":100}]}`)
+	if trouble {
+		<-cut
+		time.Sleep(300 * time.Millisecond)
+		struck.crash()
+		time.Sleep(1500 * time.Millisecond)
+		struck.start()
+		time.Sleep(3200 * time.Millisecond)
+		struck.setCut(false)
+	}
+	time.Sleep(15 * time.Second)
+	return checkCompleted(w, "/alpha/", id)
+}
+
+// checkCompleted checks MIXED for a job of one work item.
+func checkCompleted(w *world, prefix, id string) verdict {
+	if state := w.state(prefix, id); state != "completed" {
+		return nil
+	}
+	failed := 0
+	for _, r := range w.seen() {
+		switch {
+		case jobOf(r.task) != id:
+		case r.how == "done":
+			return nil
+		case r.how == "failed":
+			failed++
+		}
+	}
+	return verdict{fmt.Sprintf("MIXED: job %s is shown as completed; its work item has ended failed %d times, and never done", id, failed)}
+}
+
 // unmetReservation: a tenant has work items that last in one pool, and hands in a work item
 // for a second pool that fits below its maximum, but not beside those. Small work in a third
 // pool follows.
--- a/review/standin3/executor_test.go
+++ b/review/standin3/executor_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -221,6 +222,9 @@
 	e.mu.Unlock()
 	switch {
 	case cut || late > 0:
+		if cut {
+			e.w.note("%s %s: lost in the cut", e.id, describe(o))
+		}
 		if late > 0 {
 			time.AfterFunc(late, func() { e.carryOut(o, true) })
 		}
@@ -269,6 +273,9 @@
 	case "/fuchsiafront/hold":
 		e.extend(o.DeadlineMs)
 		e.acknowledge(o.LastSeen)
+		if late {
+			e.w.note("%s %s: %d%s", e.id, describe(o), status, lateMark(late))
+		}
 		e.awaitEnd(o, l, late)
 		if e.life != l {
 			return 0, nil
@@ -381,7 +388,7 @@
 	case "/fuchsiafront/run-stop":
 		return fmt.Sprintf("run-stop %s attempt %d fence %d", o.Task, o.Attempt, o.Fence)
 	}
-	return fmt.Sprintf("%s fence %d", o.path, o.Fence)
+	return fmt.Sprintf("%s last-seen %d fence %d", strings.TrimPrefix(o.path, "/fuchsiafront/"), o.LastSeen, o.Fence)
 }
 
 func lateMark(late bool) string {
--- a/review/standin3/main_test.go
+++ b/review/standin3/main_test.go
@@ -22,6 +22,7 @@
 	"failed-on-label":   failedOnLabel,
 	"late-second-life":  lateInSecondLife,
 	"short-trials":      shortTrials,
+	"failed-for-done":   failedForDone,
 	"unmet-reservation": unmetReservation,
 }
 
