review: case 12, a start of the previous owner runs in the executor's next life

Change: a script with a kill of the owner, one late start, and an executor that starts again behind a cut.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays it without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-exec target/review3 -case failed-on-label -record "$here/record.txt"
+exec target/review3 -case failed-for-done -record "$here/record.txt"
--- a/review/standin3/cases_test.go
+++ b/review/standin3/cases_test.go
@@ -213,6 +213,79 @@
 	return broken
 }
 
+// inheritedLateStart: a start has no answer, and the process that sent it is killed. The next
+// owner of the pool hears of no run and starts the work item. The executor of the first start
+// is cut off, crashes and starts again behind the cut, where the late start arrives.
+func inheritedLateStart(w *world, trouble bool) verdict {
+	const id = "00000000000000d2"
+	const lateness = 10500 * time.Millisecond
+	w.outcome = specOutcome
+	w.configure(config{version: 1, services: []service{{"alpha", false}}, maximumCPU: 100_000, maxAttempts: 3})
+	var executors []*executor
+	for i := range 8 {
+		label := "a"
+		if i == 1 {
+			label = "b"
+		}
+		executors = append(executors, w.addExecutor(fmt.Sprintf("a-%d", i), "alpha", fmt.Sprintf("ma-%d", i), 8000, label, "r1-1"))
+	}
+	for i := range 3 {
+		w.addNode(fmt.Sprintf("edge-%d", i+1))
+	}
+	w.awaitReady()
+	time.Sleep(5 * time.Second)
+	struck := make(chan *executor, 1)
+	if trouble {
+		var first sync.Once
+		for _, e := range executors {
+			e.late = func(o *order) (late time.Duration) {
+				if jobOf(o.Task) == id && strings.HasSuffix(o.path, "run-start") {
+					first.Do(func() {
+						w.note("%s leaves %s unanswered and carries it out %v later", e.id, describe(o), lateness)
+						late = lateness
+						struck <- e
+					})
+				}
+				return late
+			}
+		}
+	}
+	// The executor with the label is nearly full at first, and not any more when the pool
+	// has its next owner, which prefers executors in use.
+	w.submit("/alpha/", "00000000000000d3", `{"spec":"30000","phases":[{"count":1,"cpu":1000,"mem-mb":64,"estimate-ms":30000,"constraints":"b"}]}`)
+	w.submit("/alpha/", "00000000000000d4", `{"spec":"2000","phases":[{"count":1,"cpu":6000,"mem-mb":64,"estimate-ms":2000,"constraints":"b"}]}`)
+	time.Sleep(500 * time.Millisecond)
+	w.submit("/alpha/", id, `{"spec":"10000","phases":[{"count":1,"cpu":2000,"mem-mb":64,"estimate-ms":10000}]}`)
+	if trouble {
+		e := <-struck
+		w.killOwner("alpha")
+		time.Sleep(7 * time.Second)
+		e.setCut(true)
+		time.Sleep(500 * time.Millisecond)
+		e.crash()
+		time.Sleep(1500 * time.Millisecond)
+		e.start()
+		time.Sleep(3 * time.Second)
+		e.setCut(false)
+	}
+	time.Sleep(12 * time.Second)
+	return checkTwice(w)
+}
+
+// killOwner kills the process that owns a pool.
+func (w *world) killOwner(pool string) {
+	w.store.mu.Lock()
+	value := w.store.rows[rowKey{"owners", pool, "owner"}].Value
+	w.store.mu.Unlock()
+	for _, n := range w.nodes {
+		if strings.Contains(string(value), strconv.Quote(n.name)) {
+			n.kill()
+			return
+		}
+	}
+	fatal("the owner of %s is not known: %s", pool, value)
+}
+
 // shortTrials: the processes of the system are killed once and go on. Later the only executor
 // with a label crashes and starts again. Only short work items ask for that label.
 func shortTrials(w *world, trouble bool) verdict {
--- a/review/standin3/main_test.go
+++ b/review/standin3/main_test.go
@@ -18,12 +18,13 @@
 type verdict []string
 
 var cases = map[string]func(w *world, trouble bool) verdict{
-	"lowered-maximum":   loweredMaximum,
-	"failed-on-label":   failedOnLabel,
-	"late-second-life":  lateInSecondLife,
-	"short-trials":      shortTrials,
-	"failed-for-done":   failedForDone,
-	"unmet-reservation": unmetReservation,
+	"lowered-maximum":      loweredMaximum,
+	"failed-on-label":      failedOnLabel,
+	"late-second-life":     lateInSecondLife,
+	"inherited-late-start": inheritedLateStart,
+	"short-trials":         shortTrials,
+	"failed-for-done":      failedForDone,
+	"unmet-reservation":    unmetReservation,
 }
 
 // TestMain plays the case that the command line names, in place of tests.
