--- a/review/standin3/cases_test.go
+++ b/review/standin3/cases_test.go
@@ -108,6 +108,49 @@
 	return checkFinished(w, "/alpha/", id, 30*time.Second, labelled)
 }
 
+// goneWithStart: an idle executor falls silent for good just before a job is handed in whose
+// work item lasts, so that its start has no answer.
+func goneWithStart(w *world, trouble bool) verdict {
+	const id = "00000000000000b7"
+	w.outcome = specOutcome
+	w.configure(config{version: 1, services: []service{{"alpha", false}}, maximumCPU: 100_000, maxAttempts: 3})
+	first := w.addExecutor("a-0", "alpha", "ma-0", 8000, "a", "r1-1")
+	for i := range 7 {
+		w.addExecutor(fmt.Sprintf("a-%d", i+1), "alpha", fmt.Sprintf("ma-%d", i+1), 8000, "a", "r1-1")
+	}
+	for i := range 3 {
+		w.addNode(fmt.Sprintf("edge-%d", i+1))
+	}
+	w.awaitReady()
+	time.Sleep(5 * time.Second)
+	w.submit("/alpha/", "00000000000000b6", `{"spec":"300","phases":[{"count":8,"cpu":1000,"mem-mb":64,"estimate-ms":300}]}`)
+	time.Sleep(6 * time.Second)
+	if trouble {
+		first.setCut(true)
+		first.crash()
+		time.Sleep(300 * time.Millisecond)
+	}
+	w.submit("/alpha/", id, `{"spec":"lasts","phases":[{"count":1,"cpu":1000,"mem-mb":64,"estimate-ms":900,"long-running":true}]}`)
+	time.Sleep(20 * time.Second)
+	return checkLasting(w, id)
+}
+
+// checkLasting checks the part of LOST on work items that last for a job of one: nothing but
+// an executor that fell silent before the job was accepted harmed anything.
+func checkLasting(w *world, id string) verdict {
+	const calm = 7 * time.Second
+	for _, r := range w.seen() {
+		if jobOf(r.task) != id {
+			continue
+		}
+		if waited := r.began.Sub(w.accepted[id]); waited > calm {
+			return verdict{fmt.Sprintf("LOST: the work item of job %s began %.1f s after the job was accepted", id, waited.Seconds())}
+		}
+		return nil
+	}
+	return verdict{fmt.Sprintf("LOST: the work item of job %s has not begun", id)}
+}
+
 // checkFinished checks the part of LOST on jobs that have nothing running while a work
 // item's turn has come: wait after its acceptance, a job must have ended, or something of
 // it must have run in the last seconds. The executor that may run it was idle then.
--- a/review/standin3/main_test.go
+++ b/review/standin3/main_test.go
@@ -18,6 +18,7 @@
 type verdict []string
 
 var cases = map[string]func(w *world, trouble bool) verdict{
+	"gone-with-start":      goneWithStart,
 	"lowered-maximum":      loweredMaximum,
 	"failed-on-label":      failedOnLabel,
 	"late-second-life":     lateInSecondLife,
