poolplan, pools: starts in doubt are recorded, and their tasks stay with their executor

Cause: the successor cannot know of a start without an answer, which is carried out late by an incarnation that it has not reached.

Change: the record that changes with each save lists the starts in doubt; a start is sent once the save that names it is written to a connection, after 0.1 s at the latest. A successor keeps their tasks with the executor that has the start and holds back their ends; all other inherited work no longer waits for 4.6 s before it is acknowledged.

--- a/decision/poolplan/answer.go
+++ b/decision/poolplan/answer.go
@@ -38,7 +38,7 @@
 		p.handleStartOfDroppedRun(now, e, o)
 		return
 	}
-	r.startUnanswered = false
+	r.startUnanswered, r.startOpen = false, false
 	if o.Answer != NoAnswer && o.Answer != NotSent && o.Answer != Withheld {
 		// Only the clock says whether the executor is still the one that missed an order.
 		e.recordAnswer(now, o)
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -149,6 +149,11 @@
 	lastTryAt, unansweredTryAt time.Time
 	sentStarts                 int
 	startAtLarge               bool
+	// startOpen is set while the last try has neither an answer nor been given up.
+	startOpen bool
+	// sentTo is the serial of the incarnation that the last try was sent to, and
+	// unansweredBy of that which has not answered one.
+	sentTo, unansweredBy int64
 	// undecided is set if the start went to an earlier incarnation of the executor and
 	// no report of the present one has shown whether that carried it out.
 	undecided bool
--- a/decision/poolplan/incarnation.go
+++ b/decision/poolplan/incarnation.go
@@ -20,13 +20,13 @@
 
 // lateOrderTime is how long after it was sent an order without an answer may still be
 // carried out: the platform's pages give 12 s, and the order has to arrive.
-const lateOrderTime = 13 * time.Second
+const lateOrderTime = MaxOrderLateness
 
-// lateStartTime is how long after a start without an answer its task stays away from other
-// executors. It is shorter than lateOrderTime, because a service task has to run again 6 s
-// after its last run. A start that is later than that and reaches another incarnation of an
-// executor that nobody reaches may therefore begin a second run.
-const lateStartTime = 4600 * time.Millisecond
+// lateServiceStartTime takes the place of lateOrderTime in the question how long after a
+// start without an answer a service task stays away from other executors: it has to run
+// again 6 s after its last run. A start that is later than that and reaches another
+// incarnation of an executor that nobody reaches may therefore begin a second run.
+const lateServiceStartTime = 4600 * time.Millisecond
 
 // incarnationState is what the plan knows of which process an executor is, and of the
 // orders that may have reached another one.
@@ -210,62 +210,6 @@
 	return undecided
 }
 
-// noteUnansweredTry records that the last try of a start may still be carried out.
-func (r *run) noteUnansweredTry() { r.startAtLarge, r.unansweredTryAt = true, r.lastTryAt }
-
-// noteBegun records that an executor has listed the run or its end. An order is carried out
-// at most once, so that the only try of the start is not at large any more.
-func (r *run) noteBegun() {
-	if r.sentStarts == 1 {
-		r.startAtLarge = false
-	}
-}
-
-// lateStart is a start without an answer that may still be carried out. Its task stays away
-// from other executors until a time, and its end is not acknowledged before another.
-type lateStart struct {
-	executor   string
-	until      time.Time
-	holdsAckTo time.Time
-}
-
-// noteLateStart keeps the task of a run that is over from starting again while its start
-// may begin it once more.
-func (p *Plan) noteLateStart(r *run) {
-	until := r.unansweredTryAt.Add(lateStartTime)
-	r.task.lateStart = lateStart{r.executor.ID, until, r.unansweredTryAt.Add(lateOrderTime)}
-	if r.executor.reportDueAt.Before(until) {
-		r.executor.reportDueAt = until
-	}
-}
-
-// ackHeldUntil returns until when a start without an answer may begin a run that has ended
-// on e once more, in a later incarnation: the platform forbids that once the end has been
-// acknowledged. t is nil if its task is not known. Of the starts of a previous owner nothing
-// is known; the last was sent before it fell silent.
-func (p *Plan) ackHeldUntil(e *executor, t *task, attempt int) time.Time {
-	if e.inherited && (t == nil || t.group.job.inherited && attempt <= t.group.job.attemptBase) {
-		return p.takenOverAt.Add(lateStartTime - p.predecessorSilence)
-	}
-	if t == nil {
-		return time.Time{}
-	}
-	return t.lateStart.holdsAckTo
-}
-
-// mayHaveLateStart reports whether a start of the task without an answer may still begin a
-// run, or may have begun one that no report has shown yet.
-func (p *Plan) mayHaveLateStart(now time.Time, t *task) bool {
-	late := t.lateStart
-	if late.executor == "" || now.Before(late.until) {
-		return late.executor != ""
-	}
-	if e := p.executors[late.executor]; e != nil && e.fencingTokenSeen && !e.reportRequestedAt.Before(late.until) {
-		return false
-	}
-	return now.Before(late.until.Add(p.longestLease()))
-}
-
 // mayHaveAckAtLarge reports whether an acknowledgement for e may be carried out by a later
 // incarnation. One that was sent long enough before e last answered is not.
 func (p *Plan) mayHaveAckAtLarge(e *executor) bool {
--- a/decision/poolplan/late_start_test.go
+++ b/decision/poolplan/late_start_test.go
@@ -72,3 +72,85 @@
 		})
 	}
 }
+
+// Guards against a second run beside a start that is carried out 8 s after it was sent, in an
+// incarnation that the owner cannot reach and where the run lasts for the longest lease. A
+// service task does not wait as long, as it has to run again 6 s after its last run.
+func TestTaskWaitsForStartEightSecondsLate(t *testing.T) {
+	for _, service := range []bool{false, true} {
+		sim := newSimulation(t, 1)
+		sim.plan.params.MaxLease = 10 * time.Second
+		sim.register("1")
+		st := step(1)
+		st.Service = service
+		sim.addJob("a", false, st)
+		sim.step()
+		sent := sim.now
+		sim.plan.StartDone(sim.now, sim.takeStart(), sim.outcome(NoAnswer))
+		sim.register("1", "2")
+		for len(sim.starts) == 0 && sim.now.Sub(sent) < time.Minute {
+			sim.advance(50 * time.Millisecond)
+			for range len(sim.leaseRenewals) {
+				sim.plan.RenewLeaseDone(sim.now, sim.takeLeaseRenewal(), Report{Outcome: sim.outcome(NoAnswer)})
+			}
+		}
+		waited := sim.now.Sub(sent)
+		assert.Equal(t, waited < 18*time.Second, service, "started again after %v, the run may last until 8 s + 10 s", waited)
+	}
+}
+
+// successorOfStart returns a successor's simulation after executors 1 and 2 have answered, and
+// the start of a task that its predecessor had sent to executor 1 without an answer. The first
+// report of executor 1 lists a run or its end if it has begun.
+func successorOfStart(t *testing.T, repeated bool, running []RunReport, ended ...EndReport) (*simulation, StartInDoubt) {
+	start := StartInDoubt{Task: taskID("a"), Attempt: 1, Executor: "1", Repeated: repeated, Left: lateOrderTime}
+	sim := newSimulation(t, 2)
+	sim.plan.Inherit(sim.now, executorInfo("1"))
+	sim.plan.Inherit(sim.now, executorInfo("2"))
+	sim.plan.SetExecutors(sim.now, []Executor{executorInfo("1"), executorInfo("2")})
+	sim.plan.MarkRecorded(sim.plan.ExecutorsToRecord())
+	sim.addJob("a", true, step(1))
+	sim.plan.InheritStarts([]StartInDoubt{start})
+	// Executor 2 is in use, and so is preferred.
+	sim.plan.executors["2"].used.MilliCPU = 1000
+	sim.step()
+	for range len(sim.leaseRenewals) {
+		renewal := sim.takeLeaseRenewal()
+		if renewal.Executor == "1" {
+			sim.answerLeaseRenewal(renewal, running, ended...)
+		} else {
+			sim.answerLeaseRenewal(renewal, nil)
+		}
+	}
+	return sim, start
+}
+
+// Guards against a second run beside a start of the previous owner that had no answer when it
+// was killed: the successor heard of no run, and started the task on another executor.
+func TestSuccessorKeepsLateStartWithItsExecutor(t *testing.T) {
+	sim, start := successorOfStart(t, false, nil)
+	sim.advance(time.Second)
+	again := sim.takeStart()
+	assert.Equal(t, again.Executor, start.Executor)
+	assert.Assert(t, again.Attempt > start.Attempt)
+	left := sim.plan.StartsInDoubt(sim.now)
+	assert.Equal(t, len(left), 2, "a third owner has to know of both starts")
+}
+
+// Guards against an end that the successor of its starter acknowledges while an earlier try of
+// the start may be carried out in the next incarnation of the executor, and against ends that
+// wait although no start of theirs is in doubt.
+func TestSuccessorHoldsEndsOfStartsInDoubt(t *testing.T) {
+	for _, repeated := range []bool{true, false} {
+		end := EndReport{Number: 1, Task: taskID("a"), Attempt: 1, Ending: EndedDone}
+		sim, _ := successorOfStart(t, repeated, nil, end)
+		begin := sim.now
+		for sim.answerReports(nil, end) == 0 {
+			sim.saveAll()
+			sim.advance(50 * time.Millisecond)
+			assert.Assert(t, sim.now.Sub(begin) < 2*maxLateness, "never acknowledged")
+		}
+		waited := sim.now.Sub(begin)
+		assert.Equal(t, waited > maxLateness, repeated, "acknowledged after %v", waited)
+	}
+}
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -155,10 +155,6 @@
 			reason = waitPossibleSuccessor
 			continue
 		}
-		if p.mayHaveLateStart(now, t) {
-			reason = waitLateStart
-			continue
-		}
 		if now.Before(t.restart.notBefore) {
 			reason = waitRestartDelay
 			continue
@@ -170,6 +166,12 @@
 		if !p.fitsBesideUnaccounted(g, 1) {
 			return waitInheritedUse
 		}
+		if p.mayHaveLateStart(now, t) {
+			if !p.placeBesideLateStart(now, g, t, candidates) {
+				reason = waitLateStart
+			}
+			continue
+		}
 		e, waits := p.findPlace(now, g, t, candidates)
 		if waits {
 			reason = waitPlace
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -142,6 +142,13 @@
 	openStarts int
 	// shareBuckets holds what is left of each tenant's share.
 	shareBuckets map[string]*shareBucket
+	// sentStarts has the runs whose start may be in doubt, lateStarts the starts in doubt
+	// whose run is over or that a previous owner has sent.
+	sentStarts map[*run]bool
+	lateStarts []endedLateStart
+	// inheritedStarts has, by task, the last start in doubt of a previous owner; nil if
+	// that did not record them.
+	inheritedStarts map[workload.TaskID]lateStart
 	// former holds the executors that were dropped a short time ago, by identifier.
 	former map[string]formerIncarnation
 	// trialsNeeded is set if an executor that accepts work needs a trial.
@@ -193,6 +200,7 @@
 		tenantUsed:         make(map[string]fleet.Resources),
 		blockedTenants:     make(map[string]blockedTenant),
 		unsavedJobs:        make(map[string]*job),
+		sentStarts:         make(map[*run]bool),
 		shareBuckets:       make(map[string]*shareBucket),
 		taskDurations:      make(map[string]*durationEstimator),
 		kindDurations:      make(map[taskKind]*kindEstimator),
@@ -291,7 +299,7 @@
 func (p *Plan) inheritedLeaseTime(e *executor) time.Duration {
 	lease := time.Duration(float64(p.params.LeaseCap)*(1+maxClockDrift)) + leaseExpiryMargin
 	if e.StaleAck || e.isOther(e.entry.StartedMs) {
-		lease = max(lease, lateStartTime+p.longestLease())
+		lease = max(lease, lateServiceStartTime+p.longestLease())
 	}
 	return max(lease-p.predecessorSilence, 0)
 }
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -189,6 +189,7 @@
 		return nil
 	}
 	t.recordAttempt(report.Attempt)
+	p.noteInheritedRun(e, runKey{report.Task, report.Attempt}, t)
 	r := &run{key: runKey{report.Task, report.Attempt}, task: t, executor: e, state: runRunning, orderedAt: now, confirmedAt: now, percentChangedAt: now, speedPercent: 100}
 	// The previous owner may have throttled it.
 	r.speedUnconfirmed = t.group.step.BestEffort
--- a/decision/poolplan/runend.go
+++ b/decision/poolplan/runend.go
@@ -25,7 +25,8 @@
 		run.noteBegun()
 		p.removeRun(run)
 	}
-	if until := p.ackHeldUntil(e, t, end.Attempt); mayNotRunAgain(t, end.Ending) && now.Before(until) {
+	p.noteInheritedRun(e, runKey{end.Task, end.Attempt}, t)
+	if until := p.ackHeldUntil(e, runKey{end.Task, end.Attempt}, t); mayNotRunAgain(t, end.Ending) && now.Before(until) {
 		e.holdAck(end.Number, until)
 	}
 	if t == nil {
--- a/decision/poolplan/start.go
+++ b/decision/poolplan/start.go
@@ -80,6 +80,8 @@
 		s.Ticket = g.advice.tickets[e.ID].text
 	}
 	r.sentStarts++
+	r.startOpen, r.sentTo = true, e.serial
+	p.sentStarts[r] = true
 	p.openStarts++
 	e.openStarts++
 	p.orders = append(p.orders, s)
--- a/services/pools/load.go
+++ b/services/pools/load.go
@@ -37,7 +37,11 @@
 	cordons   *services.Record
 	version   int64
 	// savesVersion is the version of the record that each save changes.
-	savesVersion    int64
+	savesVersion int64
+	// startsInDoubt has the starts that earlier owners have recorded, startsKnown says
+	// whether they did.
+	startsInDoubt   []poolplan.StartInDoubt
+	startsKnown     bool
 	executorRecords executorRecords
 	// ownerRecords has the remaining records, among them that of the owner's term.
 	ownerRecords []services.Record
@@ -207,7 +211,7 @@
 	}), progress)
 	for i := range progressRecords {
 		if progressRecords[i].RecordKey == jobrecord.SavesKey(c.pool) {
-			state.savesVersion = progressRecords[i].Version
+			s.decodeSaves(c.pool, &state, &progressRecords[i])
 		}
 	}
 	for i := range poolRecords {
@@ -216,6 +220,16 @@
 	return state, nil
 }
 
+// decodeSaves decodes the record that changes with each save. If it cannot be decoded, the
+// starts of earlier owners are not known.
+func (s *Service) decodeSaves(pool string, state *poolState, r *services.Record) {
+	state.savesVersion = r.Version
+	var err error
+	if state.startsInDoubt, state.startsKnown, err = jobrecord.DecodeSaves(r.Value); err != nil {
+		s.log.Error().Err(err).Str("pool", pool).Msg("starts in doubt cannot be decoded; not known which starts are late")
+	}
+}
+
 // decodeProgress returns the progress of each job, and the jobs whose progress
 // cannot be decoded. These are not run, because what they have done is not known.
 func (s *Service) decodeProgress(records []services.Record) (progress map[string]workload.Progress, damaged map[string]bool) {
@@ -318,11 +332,14 @@
 	for _, id := range e.state.cancelled {
 		plan.CancelJob(p.now, id)
 	}
+	if e.state.startsKnown {
+		plan.InheritStarts(e.state.startsInDoubt)
+	}
 	m.plan, m.loaded = plan, true
 	m.savesVersion, m.executorRecords = e.state.savesVersion, e.state.executorRecords
 	p.applyCordons(m, e.state.cordons)
 	p.s.log.Info().Str("pool", m.name).Int("term", m.ownership.Term).Int64("fence", m.ownership.FencingToken).Int("jobs", len(e.state.jobs)).
-		Int("executors", len(e.state.executors)).Dur("age", p.now.Sub(m.ownership.RenewedAt)).Msg("pool loaded")
+		Int("executors", len(e.state.executors)).Bool("starts_known", e.state.startsKnown).Int("starts_in_doubt", len(e.state.startsInDoubt)).Dur("age", p.now.Sub(m.ownership.RenewedAt)).Msg("pool loaded")
 	p.applyRegistry(m)
 }
 
--- a/services/pools/planner.go
+++ b/services/pools/planner.go
@@ -79,6 +79,8 @@
 	// changesVersion is the version from which the next call reads changes.
 	changesVersion int64
 	nextSaveAt     time.Time
+	// starts has the starts that wait for their record.
+	starts startQueue
 	// savesAlone is the number of saves that hold one job each, after the store
 	// has refused one with several.
 	savesAlone int
@@ -281,6 +283,7 @@
 	p.continueLoad(m)
 	p.followJobs(m)
 	p.recordExecutors(m)
+	p.sendDueStarts(m)
 	if p.now.Sub(m.ownership.RenewedAt) > ownership.RenewalTimeout {
 		p.logEvents(m)
 		return maxStepWait
@@ -306,19 +309,18 @@
 	p.publishSummary(m)
 	p.expireJobs(m)
 	p.trimJobs(m)
-	return m.plan.NextStep(p.now).Sub(p.now)
+	next := m.plan.NextStep(p.now)
+	if due, ok := m.starts.nextDue(); ok && due.Before(next) {
+		next = due
+	}
+	return next.Sub(p.now)
 }
 
 func (p *planner) sendOrder(m *managedPool, o poolplan.Order) {
 	ref := m.ref()
 	switch o := o.(type) {
 	case poolplan.Start:
-		p.s.meters.starts.Inc(1)
-		p.s.meters.taskWait.RecordDuration(o.Waited)
-		p.s.log.Info().Str("pool", m.name).Str("job", o.Task.Job).Str("task", o.Task.TaskName.String()).Int("attempt", o.Attempt).
-			Str("peer", o.Executor).Int64("life", o.StartedMs).Str("reason", o.Reason).Dur("waited", o.Waited).Int64("fence", o.FencingToken).
-			Int64("lease_until_ms", o.LeaseUntilMs).Msg("start")
-		p.send(p.s.orderCalls, startCall{ref, o})
+		m.starts.add(p.now, o)
 	case poolplan.Stop:
 		p.s.meters.stops.Inc(1)
 		p.s.log.Info().Str("pool", m.name).Str("job", o.Task.Job).Str("task", o.Task.TaskName.String()).Int("attempt", o.Attempt).
--- a/services/pools/pools.go
+++ b/services/pools/pools.go
@@ -97,7 +97,9 @@
 
 // meters holds the service's metrics.
 type meters struct {
-	starts, stops             tally.Counter
+	starts, stops tally.Counter
+	// startsUnrecorded counts the starts that were sent before they were recorded.
+	startsUnrecorded          tally.Counter
 	callsNotMade              tally.Counter
 	panics                    tally.Counter
 	ordersWithheld            tally.Counter
@@ -173,11 +175,12 @@
 func newMeters(scope tally.Scope) meters {
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
 	return meters{
-		starts:         scope.Counter("task_starts_total"),
-		stops:          scope.Counter("task_stops_total"),
-		callsNotMade:   scope.Counter("calls_not_made_total"),
-		panics:         scope.Counter("pool_panics_total"),
-		ordersWithheld: scope.Counter("orders_withheld_total"),
+		starts:           scope.Counter("task_starts_total"),
+		startsUnrecorded: scope.Counter("task_starts_unrecorded_total"),
+		stops:            scope.Counter("task_stops_total"),
+		callsNotMade:     scope.Counter("calls_not_made_total"),
+		panics:           scope.Counter("pool_panics_total"),
+		ordersWithheld:   scope.Counter("orders_withheld_total"),
 		// Starts planned before their zone was evacuated.
 		evacuationWithheld: scope.Counter("evacuation_starts_withheld_total"),
 		orderTime:          scope.Histogram("executor_order_seconds", buckets),
--- a/services/pools/save.go
+++ b/services/pools/save.go
@@ -13,6 +13,10 @@
 	ownershipRef
 	conditions []services.RecordCondition
 	saves      []poolplan.Save
+	// starts has the starts in doubt, among them all that were planned up to the number
+	// startsThrough.
+	starts        []poolplan.StartInDoubt
+	startsThrough int64
 }
 
 type saveDone struct {
@@ -21,25 +25,33 @@
 	err    error
 }
 
-// saveProgress makes the progress of jobs durable.
+// saveProgress makes the progress of jobs durable, and which starts may be carried out late.
 func (p *planner) saveProgress(m *managedPool) {
-	if m.inFlight.saveProgress || !m.plan.HasUnsaved() || p.now.Before(m.nextSaveAt) {
+	if m.inFlight.saveProgress || !m.plan.HasUnsaved() && !m.starts.hasUnrecorded() || p.now.Before(m.nextSaveAt) {
 		return
 	}
 	saves := m.plan.Saves(p.now, m.saveLimit())
-	if len(saves) == 0 {
+	if len(saves) == 0 && !m.starts.hasUnrecorded() {
 		return
 	}
 	m.inFlight.saveProgress = true
 	conditions := []services.RecordCondition{m.ownership.Condition, {RecordKey: jobrecord.SavesKey(m.name), Version: m.savesVersion}}
-	p.send(p.s.recordCalls, saveCall{m.ref(), conditions, saves})
+	p.send(p.s.recordCalls, saveCall{m.ref(), conditions, saves, m.plan.StartsInDoubt(p.now), m.starts.planned})
 }
 
 func (c saveCall) run(ctx context.Context, s *Service) event {
 	start := s.clock()
+	value, recorded, err := jobrecord.EncodeSaves(c.starts)
+	if err != nil {
+		return saveDone{c, services.RecordCommit{}, fault.New(&fault.Invalid, fault.ReasonMalformed, "encode starts", c.pool, "%w", err)}
+	}
+	if recorded < len(c.starts) {
+		s.log.Error().Str("pool", c.pool).Int("starts", len(c.starts)).Int("recorded", recorded).Msg("not all starts in doubt fit the record; a later owner does not know of the others")
+	}
 	tx := services.RecordTx{
 		Conditions: c.conditions,
-		Writes:     []services.RecordWrite{{RecordKey: jobrecord.SavesKey(c.pool), Value: []byte("{}")}},
+		Writes:     []services.RecordWrite{{RecordKey: jobrecord.SavesKey(c.pool), Value: value}},
+		Sent:       func() { s.events.Offer(saveSent{c.ownershipRef, c.startsThrough}) },
 	}
 	for i := range c.saves {
 		for _, part := range c.saves[i].Parts {
@@ -55,6 +67,19 @@
 	return saveDone{c, commit, err}
 }
 
+// saveSent says that a save has been written to a connection. If the ring of events is
+// full, the starts wait for its outcome.
+type saveSent struct {
+	ownershipRef
+	startsThrough int64
+}
+
+func (e saveSent) handle(p *planner) {
+	if m := p.managedPool(e.ownershipRef); m != nil {
+		p.sendStarts(m, m.starts.takeThrough(e.startsThrough))
+	}
+}
+
 func (c saveCall) notMade() event { return saveDone{c, services.RecordCommit{}, errBacklogFull} }
 
 func (e saveDone) handle(p *planner) {
@@ -82,6 +107,8 @@
 		m.nextSaveAt = p.now.Add(saveRetryDelay)
 	case saved:
 		m.savesVersion = e.commit.Version
+		m.starts.recorded = max(m.starts.recorded, e.startsThrough)
+		p.sendStarts(m, m.starts.takeThrough(e.startsThrough))
 	case p.dropIfTermChanged(m, e.commit.Current):
 	default:
 		// An earlier save without a response took effect.
@@ -107,6 +134,11 @@
 // handleRefusedSave finds the job whose progress the store refuses: the jobs are saved
 // one by one, and the one that is refused alone is left out for a while.
 func (p *planner) handleRefusedSave(m *managedPool, e saveDone) {
+	if len(e.saves) == 0 {
+		p.s.log.Error().Err(e.err).Str("pool", m.name).Int("starts", len(e.starts)).Msg("starts in doubt refused; a later owner does not know of them")
+		m.nextSaveAt = p.now.Add(refusedSaveDelay)
+		return
+	}
 	if len(e.saves) > 1 {
 		m.savesAlone = len(e.saves)
 		p.s.log.Warn().Err(e.err).Str("pool", m.name).Int("jobs", len(e.saves)).Msg("progress refused; saving the jobs one by one")
--- a/services/records.go
+++ b/services/records.go
@@ -46,6 +46,9 @@
 type RecordTx struct {
 	Conditions []RecordCondition
 	Writes     []RecordWrite
+	// Sent is called once the transaction has been written to a connection, and not at
+	// all if it never is. It must not block. It may be nil.
+	Sent func()
 }
 
 // RecordCommit is the outcome of a transaction.
