poolplan: a run that ended without a listed end is not taken for done

Cause: a run that a later incarnation no longer lists, after a late acknowledgement had made it forget its ends, was taken for done: verified runs of short tasks, runs refused as old, trials that lasted as long as expected. Such a run may have failed, or never begun, as old may also be the answer after a stop that was meant for the former incarnation.

Where the outcome cannot be known the task is recorded as such: it neither counts as done nor runs again, and its job stays open until it is cancelled.

--- a/ctl/fleetjob.go
+++ b/ctl/fleetjob.go
@@ -38,13 +38,15 @@
 
 // stepView is one step of one occurrence of a job.
 type stepView struct {
-	Occurrence int     `json:"Occurrence"`
-	Step       int     `json:"Step"`
-	Tasks      int     `json:"Tasks"`
-	Done       int     `json:"Done"`
-	Failures   int     `json:"Failures"`
-	Cores      float64 `json:"Cores"`
-	After      []int   `json:"After"`
+	Occurrence int `json:"Occurrence"`
+	Step       int `json:"Step"`
+	Tasks      int `json:"Tasks"`
+	Done       int `json:"Done"`
+	Failures   int `json:"Failures"`
+	// Unknown counts the tasks of which nobody knows whether they succeeded or failed.
+	Unknown int     `json:"Unknown"`
+	Cores   float64 `json:"Cores"`
+	After   []int   `json:"After"`
 }
 
 // Ended reports whether the job has ended.
@@ -60,9 +62,9 @@
 		r("OWNER_SILENT", "at version", j.SilentOwner)
 	}
 	r("STATE", j.State, "ended after", cmp.Or(j.EndedAfter, "-"))
-	r("STEP", "TASKS", "DONE", "FAILURES", "CPU", "AFTER")
+	r("STEP", "TASKS", "DONE", "FAILURES", "UNKNOWN", "CPU", "AFTER")
 	for _, s := range j.Steps {
-		r(fmt.Sprintf("%d.%d", s.Occurrence, s.Step), s.Tasks, s.Done, s.Failures, s.Cores, fmt.Sprint(s.After))
+		r(fmt.Sprintf("%d.%d", s.Occurrence, s.Step), s.Tasks, s.Done, s.Failures, s.Unknown, s.Cores, fmt.Sprint(s.After))
 	}
 }
 
@@ -78,11 +80,7 @@
 	for occurrence := range spec.Occurrences() {
 		for n, step := range spec.Steps {
 			view := stepView{Occurrence: occurrence, Step: n, Tasks: step.Count, Cores: cores(step.Size.MilliCPU), After: step.After}
-			for _, task := range p.Done {
-				if task.Occurrence == occurrence && task.Step == n {
-					view.Done++
-				}
-			}
+			view.Done, view.Unknown = countInStep(p.Done, occurrence, n), countInStep(p.Unknown, occurrence, n)
 			for task, failures := range p.Failures {
 				if task.Occurrence == occurrence && task.Step == n {
 					view.Failures += failures.Count
@@ -95,6 +93,17 @@
 	return j
 }
 
+// countInStep returns how many of the tasks belong to a step.
+func countInStep(tasks []workload.TaskName, occurrence, step int) int {
+	n := 0
+	for _, task := range tasks {
+		if task.Occurrence == occurrence && task.Step == step {
+			n++
+		}
+	}
+	return n
+}
+
 // joinJobsWithProgress combines the records of jobs with those of their progress,
 // in the order in which the jobs were accepted.
 func joinJobsWithProgress(pool string, jobs, progress []services.Record) ([]jobView, error) {
--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -169,9 +169,9 @@
 	// away is set if the run is not in its task's preferred placement.
 	away          bool
 	verifiedSince time.Time
-	// keepRunning is set if the run is not stopped once its start is accepted, although
-	// its end may not be listed.
-	keepRunning bool
+	// endInDoubt is set if nothing more is to be found out about whether the run has ended
+	// unseen.
+	endInDoubt bool
 	// exclusive is set if the run before was lost without a report of its end.
 	exclusive bool
 	// listed is set once a report has listed the run.
--- a/decision/poolplan/incarnation.go
+++ b/decision/poolplan/incarnation.go
@@ -202,7 +202,11 @@
 			r.noteUnansweredTry()
 		}
 		undecided = append(undecided, r)
-		r.trial, r.verified, r.keepRunning = false, false, false
+		r.trial, r.verified = false, false
+		if r.state == runStopping {
+			// The stop was for the earlier incarnation.
+			r.state = runStarting
+		}
 		r.confirmedAt, r.verifiedSince = time.Time{}, time.Time{}
 		p.charge(r, -1)
 		delete(e.runs, r.key)
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -77,13 +77,16 @@
 
 // task is one task of a group.
 type task struct {
-	group       *group
-	index       int
-	done        bool
-	failures    workload.Failures
-	lastAttempt int
-	restart     restart
-	runs        []*run
+	group *group
+	index int
+	done  bool
+	// outcomeUnknown is set if a run has ended without a report, and may have succeeded
+	// or failed.
+	outcomeUnknown bool
+	failures       workload.Failures
+	lastAttempt    int
+	restart        restart
+	runs           []*run
 	// checkpoint is the latest state from which the task can resume.
 	checkpoint string
 	// failedOn lists the executors on which the task failed or stalled.
@@ -135,7 +138,7 @@
 // a second run once its executor has left the registry and does not answer.
 // Missing answers alone may be the fault of this host.
 func (t *task) needsRun() bool {
-	if t.done {
+	if t.done || t.outcomeUnknown {
 		return false
 	}
 	if len(t.runs) == 0 {
@@ -215,6 +218,11 @@
 			p.divideProgress(t, &progress)
 		}
 	}
+	for _, n := range progress.Unknown {
+		if t := j.task(n); t != nil {
+			t.outcomeUnknown, j.begun = true, true
+		}
+	}
 	p.jobs[spec.ID] = j
 	if !inherited {
 		p.countSubmitted(j)
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -214,7 +214,7 @@
 func (p *Plan) decideRun(now time.Time, r *run) {
 	r.undecided = false
 	p.addEvent(Event{Kind: "run begun by a later incarnation", Job: r.key.task.Job, Task: r.key.task.String(), Peer: r.executor.ID, StartedMs: r.executor.StartedMs, Age: now.Sub(r.orderedAt)})
-	if !r.task.group.step.Service && !r.keepRunning {
+	if !r.task.group.step.Service {
 		p.stopRun(now, r, "begun by a later incarnation")
 	}
 }
--- a/decision/poolplan/save.go
+++ b/decision/poolplan/save.go
@@ -67,11 +67,14 @@
 // size one.
 const failureSize = 10
 
-// maxPartSize is the size of a part in which every task has failed.
-const maxPartSize = workload.TasksPerPart * failureSize
+// maxPartSize is the size of a part in which every task has failed and has an unknown
+// outcome.
+const maxPartSize = workload.TasksPerPart * (failureSize + 1)
 
 // ProgressSize returns the size of a part's record in units of a task that is done.
-func ProgressSize(p *workload.Progress) int { return len(p.Done) + failureSize*len(p.Failures) }
+func ProgressSize(p *workload.Progress) int {
+	return len(p.Done) + len(p.Unknown) + failureSize*len(p.Failures)
+}
 
 // maxPartsPerJob bounds the parts of one job in one save, so that a large job does
 // not keep others from being saved.
@@ -161,6 +164,9 @@
 }
 
 func (t *task) addProgress(p *workload.Progress) {
+	if t.outcomeUnknown && !t.done {
+		p.Unknown = append(p.Unknown, t.name())
+	}
 	switch {
 	case t.done:
 		p.Done = append(p.Done, t.name())
--- a/decision/workload/workload.go
+++ b/decision/workload/workload.go
@@ -133,6 +133,9 @@
 	// Failures has the failed attempts of each task that has any. Tasks of services
 	// have none, because no number of failures ends them.
 	Failures map[TaskName]Failures
+	// Unknown lists the tasks of which a run has ended without a report, so that nobody
+	// knows whether it succeeded or failed. They neither count as done nor run again.
+	Unknown []TaskName
 	// HighestAttempt is an upper bound of the attempt numbers of all runs of
 	// tasks that have ended.
 	HighestAttempt int
@@ -163,6 +166,7 @@
 	}
 	p.Undivided = p.Undivided || o.Undivided
 	p.Done = append(p.Done, o.Done...)
+	p.Unknown = append(p.Unknown, o.Unknown...)
 	if p.Failures == nil {
 		p.Failures = make(map[TaskName]Failures, len(o.Failures))
 	}
--- a/wire/jobrecord/progress.go
+++ b/wire/jobrecord/progress.go
@@ -13,6 +13,7 @@
 	State    int              `json:"s"`
 	Done     map[string][]int `json:"d,omitempty"`
 	Failures map[string][]int `json:"f,omitempty"`
+	Unknown  map[string][]int `json:"u,omitempty"`
 	// FailureCounts has the failures of tasks of which not all are listed.
 	FailureCounts  map[string]int `json:"c,omitempty"`
 	HighestAttempt int            `json:"a,omitempty"`
@@ -38,11 +39,7 @@
 		return json.Marshal(record)
 	}
 	record.Divided = true
-	record.Done = make(map[string][]int)
-	for _, n := range p.Done {
-		step := stepName(n)
-		record.Done[step] = append(record.Done[step], n.Index)
-	}
+	record.Done, record.Unknown = indexesByStep(p.Done), indexesByStep(p.Unknown)
 	record.Failures = make(map[string][]int, len(p.Failures))
 	record.FailureCounts = make(map[string]int)
 	for n, failures := range p.Failures {
@@ -54,6 +51,34 @@
 	return json.Marshal(record)
 }
 
+// indexesByStep groups tasks by their step.
+func indexesByStep(names []workload.TaskName) map[string][]int {
+	indexes := make(map[string][]int)
+	for _, n := range names {
+		step := stepName(n)
+		indexes[step] = append(indexes[step], n.Index)
+	}
+	return indexes
+}
+
+// taskNames is the inverse of indexesByStep.
+func taskNames(job string, indexes map[string][]int) ([]workload.TaskName, error) {
+	var names []workload.TaskName
+	for step, list := range indexes {
+		n, err := workload.ParseTaskName(step + ".0")
+		if err != nil {
+			return nil, ErrRecord.New("decode progress of job %s: %v", job, err)
+		}
+		for _, i := range list {
+			if i < 0 {
+				return nil, ErrRecord.New("decode progress of job %s: task number %d is negative", job, i)
+			}
+			names = append(names, workload.TaskName{Occurrence: n.Occurrence, Step: n.Step, Index: i})
+		}
+	}
+	return names, nil
+}
+
 func stepName(n workload.TaskName) string {
 	name := n.String()
 	return name[:strings.LastIndexByte(name, '.')]
@@ -73,17 +98,12 @@
 	if record.EndedAt > 0 {
 		p.EndedAt = time.UnixMilli(record.EndedAt)
 	}
-	for step, indexes := range record.Done {
-		n, err := workload.ParseTaskName(step + ".0")
-		if err != nil {
-			return workload.Progress{}, ErrRecord.New("decode progress of job %s: %v", id, err)
-		}
-		for _, i := range indexes {
-			if i < 0 {
-				return workload.Progress{}, ErrRecord.New("decode progress of job %s: task number %d is negative", id, i)
-			}
-			p.Done = append(p.Done, workload.TaskName{Occurrence: n.Occurrence, Step: n.Step, Index: i})
-		}
+	var err error
+	if p.Done, err = taskNames(id, record.Done); err != nil {
+		return workload.Progress{}, err
+	}
+	if p.Unknown, err = taskNames(id, record.Unknown); err != nil {
+		return workload.Progress{}, err
 	}
 	for name, attempts := range record.Failures {
 		n, err := workload.ParseTaskName(name)
