poolplan: a task goes back where it has failed if no other executor may run it

Cause: the executors on which a task has failed were compared in number with all that accept work, also those that may not run the task.

Change: the task stays away from them only while another executor may run it: by label, advice, bound on one executor, trial, and room beside work that lasts. One answer serves single tasks, copies, gangs, relocation, placement waits and the explanation. Later tasks of the step no longer wait with it.

Ruled out: forgetting failures after a time, which would send tasks back to executors that fail all that they start while others may run them.

--- a/decision/poolplan/assess.go
+++ b/decision/poolplan/assess.go
@@ -92,16 +92,17 @@
 	return ""
 }
 
-// assess returns the cost of a task on e, one of a number of candidates, or why the
-// task may not start there. planned counts the members of the same gang that will start
-// on each executor; it is nil for other tasks.
-func (p *Plan) assess(g *group, t *task, e *executor, candidates int, planned map[*executor]int) (cost int64, obstacle Obstacle) {
+// assess returns the cost of a task on e, or why the task may not start there.
+// leaveOutFailed is set if it stays away from executors on which it has failed. planned
+// counts the members of the same gang that will start on each executor; it is nil for other
+// tasks.
+func (p *Plan) assess(g *group, t *task, e *executor, leaveOutFailed bool, planned map[*executor]int) (cost int64, obstacle Obstacle) {
 	switch {
 	case planned == nil && !e.mayStartMore() || e.mayNotStart():
 		return 0, obstacleOpenOrders
 	case e.StaleAck && !g.step.Service:
 		return 0, obstacleTrial
-	case len(t.failedOn) < candidates && slices.Contains(t.failedOn, e.ID):
+	case leaveOutFailed && t.failedOnExecutor(e):
 		return 0, obstacleFailedBefore
 	}
 	n := planned[e]
--- a/decision/poolplan/explain.go
+++ b/decision/poolplan/explain.go
@@ -215,7 +215,7 @@
 		o := Option{Executor: e.ID}
 		switch {
 		case accepting[e]:
-			o.Cost, o.Obstacle = p.assess(g, g.tasks[0], e, len(candidates), planned)
+			o.Cost, o.Obstacle = p.assess(g, g.tasks[0], e, p.leavesOutFailed(g, g.tasks[0], planned), planned)
 		case e.workObstacle() != "":
 			o.Obstacle = e.workObstacle()
 		case p.evacuated(e):
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -132,8 +132,9 @@
 	}
 	if len(list) == 0 {
 		// An executor that failed or refused work is better than none.
-		return avoided
+		list = avoided
 	}
+	p.accepting = list
 	return list
 }
 
@@ -178,6 +179,11 @@
 			continue
 		}
 		if e == nil && !p.startTrial(now, g, t, candidates) {
+			if len(t.failedOn) > 0 {
+				// Others of the step may start where it has failed.
+				reason = waitRoom
+				continue
+			}
 			return waitRoom
 		}
 		if e != nil {
@@ -231,8 +237,9 @@
 func (p *Plan) chooseExecutor(g *group, t *task, candidates []*executor, planned map[*executor]int) *executor {
 	var best *executor
 	var bestCost int64
+	leaveOutFailed := p.leavesOutFailed(g, t, planned)
 	for _, e := range candidates {
-		cost, obstacle := p.assess(g, t, e, len(candidates), planned)
+		cost, obstacle := p.assess(g, t, e, leaveOutFailed, planned)
 		if obstacle == "" && (best == nil || cost < bestCost) {
 			best, bestCost = e, cost
 		}
--- a/decision/poolplan/placesupply.go
+++ b/decision/poolplan/placesupply.go
@@ -56,8 +56,9 @@
 		return s
 	}
 	var ends []placewait.End
+	leaveOutFailed := p.leavesOutFailed(g, t, nil)
 	for _, e := range near {
-		if e.waitable() && !slices.Contains(t.failedOn, e.ID) {
+		if e.waitable() && !(leaveOutFailed && t.failedOnExecutor(e)) {
 			ends = p.appendEnds(ends, now, g, e)
 		}
 	}
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -108,6 +108,8 @@
 	sortedExecutors []*executor
 	tenantLimits    map[string]fleet.Resources
 	tenantUsed      map[string]fleet.Resources
+	// accepting has the executors that accepted work when they were last listed.
+	accepting []*executor
 	// blockedTenants holds, for each tenant that is at its limit, what its
 	// first waiting group needs; round numbers the rounds of placement.
 	blockedTenants map[string]blockedTenant
