poolplan: a task does not wait for an executor that is gone until its job is lost

A start had no answer at 33.55 s, its executor left at about 35 s with its machine, and the task had not started elsewhere at 51.0 s.

Cause: had tasks stay away from other executors for 13 s and the longest lease, 19.6 s, also where the executor is out of reach; a job must have something running after 14 s.

Change: 4.6 s and the lease there, as before. The 13 s stay for executors that are reached, which then refuse the start: the task may run there at once.

StartEightSecondsLate is an open fault again.

--- a/decision/poolplan/incarnation.go
+++ b/decision/poolplan/incarnation.go
@@ -22,11 +22,13 @@
 // carried out: the platform's pages give 12 s, and the order has to arrive.
 const lateOrderTime = MaxOrderLateness
 
-// lateServiceStartTime takes the place of lateOrderTime in the question how long after a
-// start without an answer a service task stays away from other executors: it has to run
-// again 6 s after its last run. A start that is later than that and reaches another
-// incarnation of an executor that nobody reaches may therefore begin a second run.
-const lateServiceStartTime = 4600 * time.Millisecond
+// briefLateTime takes the place of lateOrderTime in the question how long after a start
+// without an answer its task stays away from other executors, in two cases. A service task has
+// to run again 6 s after its last run. And an executor that nobody reaches is given up after
+// this time and the longest lease, because a job must have something running finish_s (14 s)
+// after it was handed in: one that is only cut off is back before, as cuts last 6.2 s at most,
+// and refuses the start from then on.
+const briefLateTime = 4600 * time.Millisecond
 
 // incarnationState is what the plan knows of which process an executor is, and of the
 // orders that may have reached another one.
--- a/decision/poolplan/lease.go
+++ b/decision/poolplan/lease.go
@@ -267,7 +267,7 @@
 // have begun it in a later incarnation. There the lease that it carries ends on a clock
 // that has started anew, so that the run may last for the longest lease from then on.
 func (p *Plan) mayBeginLate(now time.Time, r *run) bool {
-	return (r.startAtLarge || r.undecided) && now.Sub(r.lastTryAt) < r.task.lateStartBound()+p.longestLease()
+	return (r.startAtLarge || r.undecided) && now.Sub(r.lastTryAt) < briefLateTime+p.longestLease()
 }
 
 // longestLease returns the longest time for which an executor keeps runs without a renewal.
--- a/decision/poolplan/open_faults_test.go
+++ b/decision/poolplan/open_faults_test.go
@@ -43,3 +43,22 @@
 		assert.Assert(t, r.FencingToken <= run.FencingToken, "token %d after %d, listed %v", r.FencingToken, run.FencingToken, sim.plan.executors["1"].listed)
 	}
 }
+
+// A start that is carried out 8 s after it was sent, in a life that the owner cannot reach.
+func TestReviewStartEightSecondsLate(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.plan.params.MaxLease = 10 * time.Second
+	sim.register("1")
+	sim.addJob("a", false, step(1))
+	sim.step()
+	sent := sim.now
+	sim.plan.StartDone(sim.now, sim.takeStart(), sim.outcome(NoAnswer))
+	sim.register("1", "2")
+	for len(sim.starts) == 0 && sim.now.Sub(sent) < time.Minute {
+		sim.advance(50 * time.Millisecond)
+		for range len(sim.leaseRenewals) {
+			sim.plan.RenewLeaseDone(sim.now, sim.takeLeaseRenewal(), Report{Outcome: sim.outcome(NoAnswer)})
+		}
+	}
+	assert.Assert(t, sim.now.Sub(sent) >= 18*time.Second, "started again after %v, the run may last until 8 s + 10 s", sim.now.Sub(sent))
+}
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -301,7 +301,7 @@
 func (p *Plan) inheritedLeaseTime(e *executor) time.Duration {
 	lease := time.Duration(float64(p.params.LeaseCap)*(1+maxClockDrift)) + leaseExpiryMargin
 	if e.StaleAck || e.isOther(e.entry.StartedMs) {
-		lease = max(lease, lateServiceStartTime+p.longestLease())
+		lease = max(lease, briefLateTime+p.longestLease())
 	}
 	return max(lease-p.predecessorSilence, 0)
 }
--- a/decision/poolplan/startrecord.go
+++ b/decision/poolplan/startrecord.go
@@ -45,11 +45,11 @@
 // holdsAckUntil returns when an end of the task may be acknowledged.
 func (l *lateStart) holdsAckUntil() time.Time { return l.sentAt.Add(lateOrderTime) }
 
-// lateStartBound returns for how long after a start without an answer its task stays away
-// from other executors than the one that the start was sent to.
-func (t *task) lateStartBound() time.Duration {
+// staysAwayFor returns for how long after a start without an answer its task stays away from
+// other executors, while the executor that the start was sent to can be reached.
+func (t *task) staysAwayFor() time.Duration {
 	if t.group.step.Service {
-		return lateServiceStartTime
+		return briefLateTime
 	}
 	return lateOrderTime
 }
@@ -67,14 +67,13 @@
 	if late.executor == "" {
 		return false
 	}
-	until := late.sentAt.Add(t.lateStartBound())
-	if now.Before(until) {
-		return true
-	}
-	if e := p.executors[late.executor]; e != nil && e.fencingTokenSeen && !e.reportRequestedAt.Before(until) {
-		return false
+	e := p.executors[late.executor]
+	if e == nil || !e.answers() {
+		return now.Before(late.sentAt.Add(briefLateTime + p.longestLease()))
 	}
-	return now.Before(until.Add(p.longestLease()))
+	until := late.sentAt.Add(t.staysAwayFor())
+	// A report that was requested before may have missed a run that it has begun.
+	return now.Before(until) || e.reportRequestedAt.Before(until) && now.Before(until.Add(p.longestLease()))
 }
 
 // placeBesideLateStart starts a task on the executor that its late start was sent to, if
@@ -113,7 +112,7 @@
 	late := lateStart{r.executor.ID, r.unansweredBy, !r.stopConfirmedAt.IsZero(), r.unansweredTryAt}
 	r.task.lateStart = late
 	p.lateStarts = append(p.lateStarts, endedLateStart{r.key, late, r.sentStarts != 1})
-	if until := late.sentAt.Add(r.task.lateStartBound()); r.executor.reportDueAt.Before(until) {
+	if until := late.sentAt.Add(r.task.staysAwayFor()); r.executor.reportDueAt.Before(until) {
 		r.executor.reportDueAt = until
 	}
 }
@@ -196,7 +195,7 @@
 	case inherited && p.inheritedStarts == nil:
 		// Of the starts of a previous owner nothing is known; the last was sent before it
 		// fell silent.
-		return p.takenOverAt.Add(lateServiceStartTime - p.predecessorSilence)
+		return p.takenOverAt.Add(briefLateTime - p.predecessorSilence)
 	case t == nil:
 		late := p.inheritedStarts[key.task]
 		return late.holdsAckUntil()
