allotment: a reservation that does not fit beside lasting work holds nothing back

Cause: a reservation was entered for any need below the maximum and served until it was met, also where work that lasts in another pool leaves too little for it.

Change: owners record what lasts in their pools while the tenant has reservations. The oldest that fits beside that is served; others keep their age. Until it is met, other pools start no work that ends beyond the rest: work in wait took what ended before anything could be taken from its pool, so that a large task starved beside small work. In its own pool later groups of the tenant wait for it in the same way.

--- a/decision/allotment/allotment.go
+++ b/decision/allotment/allotment.go
@@ -15,7 +15,10 @@
 // Reservation is what a pool needs to start any of its waiting work while the
 // other pools leave it less.
 type Reservation struct {
+	// Need is what it takes beside all that runs in the pool, and Least beside what
+	// lasts there. Earlier versions of this program did not record Least.
 	Need    fleet.Resources `json:"Need"`
+	Least   fleet.Resources `json:"Least"`
 	SinceMs int64           `json:"SinceMs"`
 }
 
@@ -23,17 +26,22 @@
 type Row struct {
 	Pools        Allotments             `json:"pools"`
 	Reservations map[string]Reservation `json:"reservations,omitempty"`
+	// Lasting is what work that does not end by itself uses in each pool, while there
+	// are reservations.
+	Lasting Allotments `json:"lasting,omitempty"`
 }
 
 // Demand is a tenant's demand in one pool.
 type Demand struct {
-	// Used is what running work takes; an allotment is never cut below it.
-	Used fleet.Resources
+	// Used is what running work takes; an allotment is never cut below it. Lasting is
+	// the part of it that does not come free by itself.
+	Used, Lasting fleet.Resources
 	// Want is what could run if the limit allowed it, including Used.
 	Want fleet.Resources
 	// Need is the least allotment with which any waiting work can start,
-	// including Used; zero if the allotment is not what delays that work.
-	Need fleet.Resources
+	// including Used; zero if the allotment is not what delays that work. Least is the
+	// same once the work in Used that ends has ended.
+	Need, Least fleet.Resources
 }
 
 // Parameters of the size of an allotment.
@@ -49,11 +57,13 @@
 )
 
 // Next returns row with the allotment and reservation that a pool should have.
-// The oldest reservation is served first: until it is met, the other pools give
-// up what they do not use, even below their floor, because a gang may need
-// nearly the whole limit. pools is the number of pools that share the limit.
+// The oldest reservation that can be met is served first: until it is met, the other
+// pools give up what they do not use, even below their floor, because a gang may need
+// nearly the whole limit. One that does not fit beside the lasting work of other pools
+// holds nothing back, and keeps its age for the time when it fits. pools is the number of
+// pools that share the limit.
 func Next(maximum fleet.Resources, row Row, pool string, demand Demand, pools int, nowMs int64) Row {
-	next := Row{Pools: maps.Clone(row.Pools), Reservations: maps.Clone(row.Reservations)}
+	next := Row{Pools: maps.Clone(row.Pools), Reservations: maps.Clone(row.Reservations), Lasting: maps.Clone(row.Lasting)}
 	if next.Pools == nil {
 		next.Pools = Allotments{}
 	}
@@ -64,6 +74,7 @@
 		}
 	}
 	reserved := reservedForOther(maximum, row, pool)
+	demand.dropUnattainable(maximum, row, pool)
 	allot := func(limit, others, current, used, want, reserved int64) int64 {
 		return allotDimension(bounds{limit, max(limit-others, 0), reserved, limit / (floorDivisor * int64(max(pools, 1)))}, current, used, max(want, used))
 	}
@@ -76,13 +87,26 @@
 	if allotted != current {
 		next.Pools[pool] = allotted
 	}
-	next.reserve(maximum, pool, demand.Need, nowMs)
+	next.reserve(maximum, pool, &demand, nowMs)
+	next.recordLasting(pool, demand.Lasting)
 	return next
 }
 
+// dropUnattainable removes the blocked work from what a pool wants, if that cannot start
+// whatever the allotment: it would keep room from others.
+func (d *Demand) dropUnattainable(maximum fleet.Resources, row Row, pool string) {
+	if _, ok := row.attainable(maximum, pool); ok || d.Need == (fleet.Resources{}) {
+		return
+	}
+	blocked := d.Least.Sub(d.Lasting)
+	if rest := d.Want.Sub(blocked); d.Used.Fits(rest) {
+		d.Want = rest
+	}
+}
+
 // reserve sets or removes the reservation of a pool.
-func (r *Row) reserve(maximum fleet.Resources, pool string, need fleet.Resources, nowMs int64) {
-	if need == (fleet.Resources{}) || covers(maximum, r.Pools[pool], need) || !covers(maximum, maximum, need) {
+func (r *Row) reserve(maximum fleet.Resources, pool string, demand *Demand, nowMs int64) {
+	if demand.Need == (fleet.Resources{}) || covers(maximum, r.Pools[pool], demand.Need) || !covers(maximum, maximum, demand.least()) {
 		delete(r.Reservations, pool)
 		return
 	}
@@ -93,18 +117,74 @@
 	if old, ok := r.Reservations[pool]; ok {
 		since = old.SinceMs
 	}
-	r.Reservations[pool] = Reservation{need, since}
+	r.Reservations[pool] = Reservation{demand.Need, demand.least(), since}
+}
+
+// least returns Least, or Need if that is not known.
+func (d *Demand) least() fleet.Resources {
+	if d.Least == (fleet.Resources{}) {
+		return d.Need
+	}
+	return d.Least
+}
+
+// recordLasting records what lasts in a pool, if a reservation depends on it.
+func (r *Row) recordLasting(pool string, lasting fleet.Resources) {
+	if len(r.Reservations) == 0 {
+		r.Lasting = nil
+		return
+	}
+	if lasting == (fleet.Resources{}) {
+		delete(r.Lasting, pool)
+		return
+	}
+	if r.Lasting == nil {
+		r.Lasting = Allotments{}
+	}
+	r.Lasting[pool] = lasting
+}
+
+// attainable returns the allotment that meets the reservation of a pool, and whether the
+// lasting work of the other pools leaves so much. It may be less than the need, as work
+// that runs in the pool itself ends.
+func (r *Row) attainable(maximum fleet.Resources, pool string) (need fleet.Resources, ok bool) {
+	reservation, reserved := r.Reservations[pool]
+	if !reserved {
+		return need, true
+	}
+	left := maximum
+	for name, lasting := range r.Lasting {
+		if name != pool {
+			left = left.Sub(lasting)
+		}
+	}
+	least := reservation.Least
+	if least == (fleet.Resources{}) {
+		least = reservation.Need
+	}
+	if !covers(maximum, left, least) {
+		return need, false
+	}
+	return Lower(reservation.Need, left), true
+}
+
+// HasAttainableReservation reports whether a reservation can be met.
+func (r *Row) HasAttainableReservation(maximum fleet.Resources) bool {
+	return r.oldestReservation(maximum) != ""
 }
 
 // Equal reports whether r and o have the same allotments and reservations.
 func (r Row) Equal(o Row) bool {
-	return maps.Equal(r.Pools, o.Pools) && maps.Equal(r.Reservations, o.Reservations)
+	return maps.Equal(r.Pools, o.Pools) && maps.Equal(r.Reservations, o.Reservations) && maps.Equal(r.Lasting, o.Lasting)
 }
 
 // oldestReservation returns the pool whose reservation is served first, or "".
-func (r Row) oldestReservation() string {
+func (r *Row) oldestReservation(maximum fleet.Resources) string {
 	oldest := ""
 	for name, reservation := range r.Reservations {
+		if _, ok := r.attainable(maximum, name); !ok {
+			continue
+		}
 		oldestSoFar := r.Reservations[oldest]
 		if oldest == "" || reservation.SinceMs < oldestSoFar.SinceMs || reservation.SinceMs == oldestSoFar.SinceMs && name < oldest {
 			oldest = name
@@ -113,14 +193,22 @@
 	return oldest
 }
 
-// reservedForOther returns what must be kept free for the oldest reservation,
-// if that is another pool's.
+// HeldBack returns how much of its allotment a pool leaves to the oldest reservation that can
+// be met: no work that ends starts there beyond the rest. Otherwise a pool with work in wait
+// would use what its work gives back before anything could be taken from it.
+func (r *Row) HeldBack(maximum fleet.Resources, pool string) fleet.Resources {
+	return reservedForOther(maximum, *r, pool)
+}
+
+// reservedForOther returns what must be kept free for the oldest reservation that can be
+// met, if that is another pool's.
 func reservedForOther(maximum fleet.Resources, row Row, pool string) fleet.Resources {
-	oldest := row.oldestReservation()
+	oldest := row.oldestReservation(maximum)
 	if oldest == "" || oldest == pool {
 		return fleet.Resources{}
 	}
-	need, have := row.Reservations[oldest].Need, row.Pools[oldest]
+	need, _ := row.attainable(maximum, oldest)
+	have := row.Pools[oldest]
 	missing := func(limit, need, have int64) int64 {
 		if limit <= 0 {
 			return 0
--- a/decision/allotment/allotment_test.go
+++ b/decision/allotment/allotment_test.go
@@ -26,10 +26,12 @@
 			used := min(rapid.Int64Range(0, 500).Draw(t, "used"), row.Pools[pool].MilliCPU)
 			before := total(row.Pools)
 			demand := Demand{
-				Used: fleet.Resources{MilliCPU: used},
-				Want: fleet.Resources{MilliCPU: used + rapid.Int64Range(0, 900).Draw(t, "waiting")},
-				Need: fleet.Resources{MilliCPU: rapid.Int64Range(0, 1200).Draw(t, "need")},
+				Used:    fleet.Resources{MilliCPU: used},
+				Lasting: fleet.Resources{MilliCPU: rapid.Int64Range(0, used).Draw(t, "lasting")},
+				Want:    fleet.Resources{MilliCPU: used + rapid.Int64Range(0, 900).Draw(t, "waiting")},
+				Need:    fleet.Resources{MilliCPU: rapid.Int64Range(0, 1200).Draw(t, "need")},
 			}
+			demand.Least = fleet.Resources{MilliCPU: rapid.Int64Range(0, demand.Need.MilliCPU).Draw(t, "least")}
 			row = Next(limit, row, pool, demand, len(names), rapid.Int64Range(0, 3).Draw(t, "now"))
 			assert.Assert(t, total(row.Pools) <= max(maximum, before), "%v after %d of %d", row, before, maximum)
 			assert.Assert(t, row.Pools[pool].MilliCPU >= used, "allotment of pool %s is below the %d in use: %v", pool, used, row)
@@ -107,3 +109,96 @@
 	row := Next(limit, Row{}, "a", Demand{Want: need, Need: need}, 2, 1)
 	assert.Equal(t, len(row.Reservations), 0)
 }
+
+// tenantWorld has the demands of one tenant in several pools. Work that lasts stays, work that
+// ends takes its pool's allotment and gives it back each round.
+type tenantWorld struct {
+	limit          fleet.Resources
+	row            Row
+	lasting, small map[string]int64
+	// large is the size of one waiting task in each pool, started that of those that run.
+	large, started map[string]int64
+	now            int64
+}
+
+func (w *tenantWorld) rounds(n int) {
+	for range n {
+		for _, pool := range []string{"a", "b", "c"} {
+			w.now++
+			lasting := w.lasting[pool]
+			rest := w.row.Pools[pool].MilliCPU - w.row.HeldBack(w.limit, pool).MilliCPU - lasting
+			used := lasting + min(w.small[pool], max(rest, 0))
+			d := Demand{Used: cpu(used), Lasting: cpu(lasting), Want: cpu(lasting + w.small[pool] + w.large[pool])}
+			if large := w.large[pool]; large > 0 {
+				d.Need, d.Least = cpu(used+large), cpu(lasting+large)
+			}
+			w.row = Next(w.limit, w.row, pool, d, 3, w.now)
+			// Small work in the pool lets the large task go first.
+			if large := w.large[pool]; large > 0 && w.row.Pools[pool].MilliCPU >= lasting+large {
+				w.large[pool], w.started[pool] = 0, large
+			}
+		}
+	}
+}
+
+func cpu(milli int64) fleet.Resources { return fleet.Resources{MilliCPU: milli} }
+
+func newTenantWorld() *tenantWorld {
+	return &tenantWorld{limit: cpu(40), lasting: make(map[string]int64), small: make(map[string]int64), large: make(map[string]int64), started: make(map[string]int64)}
+}
+
+// Guards against pools of a tenant that stand still because of a reservation that does not fit
+// beside lasting work of another pool, and against one that is forgotten until that work ends.
+func TestReservationBesideLastingWork(t *testing.T) {
+	w := newTenantWorld()
+	w.lasting["b"] = 12
+	w.rounds(settleRounds)
+	w.large["a"] = 30
+	w.rounds(settleRounds)
+	w.small["c"] = 4
+	w.rounds(settleRounds)
+	assert.Assert(t, w.row.Pools["c"].MilliCPU >= 4, "%+v", w.row)
+	assert.Equal(t, w.started["a"], int64(0))
+	w.small["b"], w.small["c"] = 20, 20
+	w.rounds(settleRounds)
+	w.lasting["b"] = 0
+	w.rounds(settleRounds)
+	assert.Equal(t, w.started["a"], int64(30), "the large task does not get its turn: %+v", w.row)
+}
+
+// Guards against a large task that starves while small work keeps coming, in its own pool and
+// in others, and against an older reservation that cannot be met and keeps it waiting.
+func TestLargeTaskGetsItsTurn(t *testing.T) {
+	for _, blockedOlder := range []bool{false, true} {
+		w := newTenantWorld()
+		w.small["a"], w.small["b"], w.small["c"] = 20, 20, 20
+		w.rounds(settleRounds)
+		if blockedOlder {
+			w.lasting["b"] = 5
+			w.large["c"] = 38
+			w.rounds(settleRounds)
+		}
+		w.large["a"] = 30
+		w.rounds(settleRounds)
+		assert.Equal(t, w.started["a"], int64(30), "%+v", w.row)
+		assert.Equal(t, w.started["c"], int64(0))
+	}
+}
+
+// Guards against a reservation that holds others back after the maximum was lowered below it.
+func TestReservationAboveLoweredMaximum(t *testing.T) {
+	w := newTenantWorld()
+	w.small["b"], w.small["c"] = 20, 20
+	w.rounds(settleRounds)
+	w.large["a"] = 30
+	w.now++
+	w.row = Next(w.limit, w.row, "a", Demand{Want: cpu(30), Need: cpu(30), Least: cpu(30)}, 3, w.now)
+	assert.Equal(t, len(w.row.Reservations), 1)
+	for name, reserved := range map[string]bool{"40": true, "20": false} {
+		limit := cpu(40)
+		if !reserved {
+			limit = cpu(20)
+		}
+		assert.Equal(t, w.row.HasAttainableReservation(limit), reserved, name)
+	}
+}
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -372,6 +372,7 @@
 	p.tenantUsed[tenant] = p.tenantUsed[tenant].Add(scale(s.Size, sign))
 	if s.Service {
 		r.executor.serviceRuns += int(sign)
+		p.tenantLasting[tenant] = p.tenantLasting[tenant].Add(scale(s.Size, sign))
 	}
 	if s.Service && s.LatencyTarget > 0 {
 		r.executor.latencyBoundRuns += int(sign)
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -101,6 +101,8 @@
 		return waitInherited
 	case g.job.spec.SilentOwner > 0 && p.ownershipRenewalVersion <= g.job.spec.SilentOwner:
 		return waitOwnershipRenewal
+	case p.heldByBlocked(g):
+		return waitLimit
 	case p.needsAdvice(g):
 		return p.placeWithAdvice(now, g, candidates)
 	}
@@ -297,6 +299,9 @@
 	}
 	after := p.tenantUsed[tenant.Name].Add(scale(g.step.Size, n))
 	limit := p.tenantLimits[tenant.Name]
+	if !g.step.Service {
+		limit = limit.Sub(p.heldBack[tenant.Name])
+	}
 	return withinBounds(after, limit, tenant.Maximum)
 }
 
--- a/decision/poolplan/plan.go
+++ b/decision/poolplan/plan.go
@@ -107,9 +107,12 @@
 	// changed.
 	sortedExecutors []*executor
 	tenantLimits    map[string]fleet.Resources
+	heldBack        map[string]fleet.Resources
 	tenantUsed      map[string]fleet.Resources
 	// accepting has the executors that accepted work when they were last listed.
 	accepting []*executor
+	// tenantLasting is the part of tenantUsed that service tasks use.
+	tenantLasting map[string]fleet.Resources
 	// blockedTenants holds, for each tenant that is at its limit, what its
 	// first waiting group needs; round numbers the rounds of placement.
 	blockedTenants map[string]blockedTenant
@@ -200,6 +203,7 @@
 		endedPrunedAt:      now,
 		tenantLimits:       make(map[string]fleet.Resources),
 		tenantUsed:         make(map[string]fleet.Resources),
+		tenantLasting:      make(map[string]fleet.Resources),
 		blockedTenants:     make(map[string]blockedTenant),
 		unsavedJobs:        make(map[string]*job),
 		sentStarts:         make(map[*run]bool),
@@ -221,6 +225,10 @@
 // without an entry may start nothing.
 func (p *Plan) SetLimits(limits map[string]fleet.Resources) { p.tenantLimits = limits }
 
+// SetHeldBack replaces the parts of these limits that work which ends leaves unused, because
+// other pools wait for them.
+func (p *Plan) SetHeldBack(heldBack map[string]fleet.Resources) { p.heldBack = heldBack }
+
 // SetCurrent sets whether this owner is certain to have no successor. While it
 // is not, a task whose run was lost without a report is not started again,
 // because the successor may have recorded its end.
--- a/decision/poolplan/use.go
+++ b/decision/poolplan/use.go
@@ -1,29 +1,27 @@
 package poolplan
 
-import "fuchsiafront.example/fuchsiafront/fleet"
+import (
+	"maps"
 
-// TenantUse returns what each tenant's tasks use here; want adds the demand of
-// all tasks that could start now.
-func (p *Plan) TenantUse() (used, want map[string]fleet.Resources) {
-	used = make(map[string]fleet.Resources, len(p.tenantUsed))
-	want = make(map[string]fleet.Resources, len(p.tenantUsed))
-	for tenant, r := range p.tenantUsed {
-		used[tenant] = r
-		want[tenant] = r
-	}
+	"fuchsiafront.example/fuchsiafront/fleet"
+)
+
+// TenantUse returns what each tenant's tasks use here; lasting is the part of it that
+// service tasks use, want adds the demand of all tasks that could start now. A service task
+// that is about to start again counts as if it ran.
+func (p *Plan) TenantUse() (used, lasting, want map[string]fleet.Resources) {
+	used, lasting, want = maps.Clone(p.tenantUsed), maps.Clone(p.tenantLasting), maps.Clone(p.tenantUsed)
 	for _, g := range p.readyGroups {
 		if !g.ready || g.job.closed() {
 			continue
 		}
-		waiting := int64(g.waitingTasks())
-		size := g.step.Size
-		want[g.job.spec.Tenant] = want[g.job.spec.Tenant].Add(fleet.Resources{
-			MilliCPU:     size.MilliCPU * waiting,
-			MemoryBytes:  size.MemoryBytes * waiting,
-			Accelerators: size.Accelerators * waiting,
-		})
+		tenant, waiting := g.job.spec.Tenant, scale(g.step.Size, int64(g.waitingTasks()))
+		want[tenant] = want[tenant].Add(waiting)
+		if g.step.Service && g.job.begun {
+			used[tenant], lasting[tenant] = used[tenant].Add(waiting), lasting[tenant].Add(waiting)
+		}
 	}
-	return used, want
+	return used, lasting, want
 }
 
 // MachineUse describes the use of one machine.
--- a/services/pools/limits.go
+++ b/services/pools/limits.go
@@ -9,6 +9,7 @@
 
 	"fuchsiafront.example/fuchsiafront/decision/allotment"
 	"fuchsiafront.example/fuchsiafront/decision/catalog"
+	"fuchsiafront.example/fuchsiafront/decision/poolplan"
 	"fuchsiafront.example/fuchsiafront/fault"
 	"fuchsiafront.example/fuchsiafront/fleet"
 	"fuchsiafront.example/fuchsiafront/services"
@@ -101,8 +102,22 @@
 		if m.plan == nil {
 			continue
 		}
-		p.guardPool(m.ref(), func() { m.plan.SetLimits(l.poolLimits(p.catalog, m)) })
+		p.guardPool(m.ref(), func() {
+			m.plan.SetLimits(l.poolLimits(p.catalog, m))
+			m.plan.SetHeldBack(l.heldBack(p.catalog, m.name))
+		})
+	}
+}
+
+// heldBack returns what a pool leaves unused of each tenant's limit for other pools.
+func (l *limiter) heldBack(c *catalog.Catalog, pool string) map[string]fleet.Resources {
+	heldBack := make(map[string]fleet.Resources)
+	for name, t := range c.Tenants {
+		if stored := l.rows[name]; stored != nil && len(stored.row.Reservations) > 0 {
+			heldBack[name] = stored.row.HeldBack(t.Maximum, pool)
+		}
 	}
+	return heldBack
 }
 
 // poolLimits returns how much each tenant may use in a pool.
@@ -142,8 +157,20 @@
 }
 
 type poolDemand struct {
-	inheritedRunsKnown bool
-	used, want, need   map[string]fleet.Resources
+	inheritedRunsKnown  bool
+	used, lasting, want map[string]fleet.Resources
+	need                map[string]poolplan.LimitNeed
+}
+
+// of returns a tenant's demand. Until the runs of previous owners are known, as much lasts
+// as they have recorded.
+func (d *poolDemand) of(tenant string, recorded fleet.Resources) allotment.Demand {
+	need := d.need[tenant]
+	demand := allotment.Demand{Used: d.used[tenant], Lasting: d.lasting[tenant], Want: d.want[tenant], Need: need.Need, Least: need.Least}
+	if !d.inheritedRunsKnown && demand.Lasting.Fits(recorded) {
+		demand.Lasting = recorded
+	}
+	return demand
 }
 
 func (p *planner) poolDemands() map[string]poolDemand {
@@ -153,8 +180,8 @@
 			continue
 		}
 		p.guardPool(m.ref(), func() {
-			used, want := m.plan.TenantUse()
-			demands[name] = poolDemand{m.plan.InheritedRunsKnown(), used, want, m.plan.LimitNeeds(p.now)}
+			used, lasting, want := m.plan.TenantUse()
+			demands[name] = poolDemand{m.plan.InheritedRunsKnown(), used, lasting, want, m.plan.LimitNeeds(p.now)}
 		})
 	}
 	return demands
@@ -174,7 +201,7 @@
 	grows := false
 	for _, name := range slices.Sorted(maps.Keys(demands)) {
 		demand := demands[name]
-		next := allotment.Next(t.Maximum, row, name, allotment.Demand{Used: demand.used[t.Name], Want: demand.want[t.Name], Need: demand.need[t.Name]}, len(pools), now.UnixMilli())
+		next := allotment.Next(t.Maximum, row, name, demand.of(t.Name, row.Lasting[name]), len(pools), now.UnixMilli())
 		shrinks := !stored.row.Pools[name].Fits(next.Pools[name])
 		if shrinks && !demand.inheritedRunsKnown {
 			continue
@@ -182,7 +209,7 @@
 		grows = grows || !shrinks && next.Pools[name] != stored.row.Pools[name]
 		row = next
 	}
-	urgent := grows || len(row.Reservations) > 0 || len(stored.row.Reservations) > 0
+	urgent := grows || row.HasAttainableReservation(t.Maximum) || stored.row.HasAttainableReservation(t.Maximum)
 	change := limitChange{tenant: t.Name, version: stored.version, row: row}
 	return change, !row.Equal(stored.row) && (urgent || now.Sub(stored.changedAt) >= minShrinkInterval)
 }
@@ -324,7 +351,7 @@
 		for _, c := range e.changes {
 			delete(p.limits.unconfirmed, c.tenant)
 			p.limits.rows[c.tenant] = &storedRow{row: c.row, version: e.commit.Version, changedAt: p.now}
-			p.s.log.Info().Str("tenant", c.tenant).Int64("version", e.commit.Version).Interface("pools", c.row.Pools).Interface("reservations", c.row.Reservations).Msg("limit divided")
+			p.s.log.Info().Str("tenant", c.tenant).Int64("version", e.commit.Version).Interface("pools", c.row.Pools).Interface("reservations", c.row.Reservations).Interface("lasting", c.row.Lasting).Msg("limit divided")
 		}
 	case len(e.commit.Current) == 0:
 		p.limits.loaded = false
