poolplan: a step follows the end of a lease at once

Read in the code: a service task starts again once the lease of its lost executor is certainly over, 6.3 s after it was sent; the rule leaves 7 s of calm, and the next step of a quiet pool may come 0.2 s later. NextStep names the end of the lease now.

TestStepFollowsTheEndOfALease fails before the change (118 ms late).

--- a/decision/poolplan/lease.go
+++ b/decision/poolplan/lease.go
@@ -227,15 +227,18 @@
 
 // leaseExpired reports whether every lease that was sent has certainly expired.
 func (e *executor) leaseExpired(now time.Time, maxLease time.Duration) bool {
-	if now.Sub(e.leaseSentAt) > maxLease+maxLease/20+leaseExpiryMargin {
-		// Also if the clock that was read last is another incarnation's.
-		return true
-	}
+	return now.After(e.leaseOverAt(maxLease))
+}
+
+// leaseOverAt returns when every lease that was sent has certainly expired.
+func (e *executor) leaseOverAt(maxLease time.Duration) time.Time {
+	// Also if the clock that was read last is another incarnation's.
+	longest := e.leaseSentAt.Add(maxLease + maxLease/20 + leaseExpiryMargin)
 	if e.clockAt.IsZero() {
-		return false
+		return longest
 	}
-	elapsedMs := float64(now.Sub(e.clockAt).Milliseconds()) * (1 - maxClockDrift)
-	return float64(e.clockMs)+elapsedMs > float64(e.leaseUntilMs+leaseExpiryMargin.Milliseconds())
+	leftMs := float64(e.leaseUntilMs + leaseExpiryMargin.Milliseconds() - e.clockMs)
+	return earlier(longest, e.clockAt.Add(time.Duration(leftMs/(1-maxClockDrift))*time.Millisecond))
 }
 
 // expireLeases gives up the runs of executors whose leases have certainly
--- a/decision/poolplan/place.go
+++ b/decision/poolplan/place.go
@@ -323,6 +323,10 @@
 		if e.trials.open > 0 || !e.silentSince.IsZero() && now.Sub(e.silentSince) < promptCheckTime {
 			next = earlier(next, now.Add(checkInterval))
 		}
+		if over := e.leaseOverAt(p.params.MaxLease); len(e.runs) > 0 && !e.reachable() && over.After(now) {
+			// Service tasks have to run again within 6 s of their last run.
+			next = earlier(next, over.Add(time.Millisecond))
+		}
 		if !e.leaseRenewalOpen && len(e.runs) > 0 && e.nextLeaseRenewalAt.After(now) && e.nextLeaseRenewalAt.Before(next) {
 			next = e.nextLeaseRenewalAt
 		}
--- a/decision/poolplan/renewal_test.go
+++ b/decision/poolplan/renewal_test.go
@@ -73,3 +73,25 @@
 	sim.step()
 	assert.Equal(t, len(sim.starts), 1)
 }
+
+// Guards against a service task that starts again up to 0.2 s after the lease of its lost
+// executor is over: the rule leaves it 7 s, and leases take 6.3 s of these.
+func TestStepFollowsTheEndOfALease(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.register("1")
+	run := sim.runOne("a")
+	sim.register("1", "2")
+	sim.starts = nil
+	lastAnswer := sim.now
+	for len(sim.starts) == 0 {
+		for range len(sim.leaseRenewals) {
+			sim.plan.RenewLeaseDone(sim.now, sim.takeLeaseRenewal(), Report{Outcome: Outcome{Answer: NoAnswer, SentAt: sim.now}})
+		}
+		sim.now = sim.plan.NextStep(sim.now)
+		sim.step()
+		assert.Assert(t, sim.now.Sub(lastAnswer) < 10*time.Second, "the task does not start again")
+	}
+	assert.Equal(t, sim.takeStart().Task, run.Task)
+	over := sim.plan.executors[run.Executor].leaseOverAt(testParams.MaxLease)
+	assert.Assert(t, sim.now.Sub(over) <= time.Millisecond, "started %v after the lease was over", sim.now.Sub(over))
+}
