poolplan: idle executors report once late orders are over

Cause: its last report was older than 13 s after the takeover, as it was idle, so that an acknowledgement of the previous owner seemed possible and only trials started there; tasks of under 80 ms were no trials.

Change: it reports once 13 s after the takeover, and after an acknowledgement without an answer. Trials use tasks from 20 ms on, for at most half their expected duration.

TestIdleExecutorReportsOnceLateOrdersAreOver fails without the report.

--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -60,8 +60,10 @@
 	runs              map[runKey]*run
 	// reserved is kept for tasks that are relocated to the executor.
 	reserved fleet.Resources
-	// reportDueAt is when a report is needed that shows what a late start has begun.
-	reportDueAt time.Time
+	// reportDueAt is when a report is needed that shows what a late start has begun, and
+	// idleReportDueAt when one shows that no acknowledgement is at large any more. An
+	// executor with runs reports anyway.
+	reportDueAt, idleReportDueAt time.Time
 	// unknownRuns counts the runs of the last report whose demand is not known
 	// because their job has ended or belongs to another pool.
 	unknownRuns int
--- a/decision/poolplan/former_orders_test.go
+++ b/decision/poolplan/former_orders_test.go
@@ -129,7 +129,9 @@
 	gang.Gang = true
 	short := step(1)
 	short.Estimate = 200 * time.Millisecond
-	for name, st := range map[string]workload.Step{"gang": gang, "short": short} {
+	shortest := step(1)
+	shortest.Estimate = 50 * time.Millisecond
+	for name, st := range map[string]workload.Step{"gang": gang, "short": short, "shortest": shortest} {
 		t.Run(name, func(t *testing.T) {
 			sim := newSimulation(t, 1)
 			sim.register("1")
--- a/decision/poolplan/lease.go
+++ b/decision/poolplan/lease.go
@@ -117,7 +117,7 @@
 	if !e.runsKnown() || e.doubtful {
 		return true
 	}
-	if e.reportRequestedAt.Before(e.reportDueAt) && !now.Before(e.reportDueAt) {
+	if e.reportIsDue(now, e.reportDueAt) || e.reportIsDue(now, e.idleReportDueAt) {
 		return true
 	}
 	if e.listed && e.clockAt.IsZero() {
@@ -136,6 +136,11 @@
 	return len(e.runs) > 0 || e.unknownRuns > 0 || e.ackableEnd(now) > e.ackedEnd
 }
 
+// reportIsDue reports whether no report has been requested since a time that has passed.
+func (e *executor) reportIsDue(now, at time.Time) bool {
+	return e.reportRequestedAt.Before(at) && !now.Before(at)
+}
+
 // answers reports whether the executor has answered all that it was sent.
 func (e *executor) answers() bool { return e.reachable() && !e.doubtful && e.fencingTokenSeen }
 
--- a/decision/poolplan/report.go
+++ b/decision/poolplan/report.go
@@ -61,6 +61,9 @@
 		}
 		e.fencingTokenSeenAt = now
 		e.assumeInheritedLease(now, p.params.MaxLease)
+		if e.inherited {
+			e.idleReportDueAt = p.takenOverAt.Add(lateOrderTime)
+		}
 	}
 	e.recordReport(now, r.Outcome)
 	p.noteListedEnds(e, r)
@@ -85,6 +88,7 @@
 		e.ackedEnd = max(e.ackedEnd, o.AckedEnd)
 	case out.Answer == NoAnswer:
 		e.unansweredAckAt = out.SentAt
+		e.idleReportDueAt = out.SentAt.Add(lateOrderTime)
 	}
 }
 
--- a/decision/poolplan/restarted_test.go
+++ b/decision/poolplan/restarted_test.go
@@ -245,3 +245,20 @@
 		assert.Assert(t, r.FencingToken <= run.FencingToken)
 	}
 }
+
+// Guards against an executor that is tried for no reason after it has started again, and that
+// is not used at all if only tasks too short for a trial ask for it: it was idle since the
+// takeover, so that no report showed that no acknowledgement of the previous owner is at large.
+func TestIdleExecutorReportsOnceLateOrdersAreOver(t *testing.T) {
+	sim := newSimulation(t, 2)
+	sim.plan.Inherit(sim.now, executorInfo("1"))
+	sim.register("1")
+	for begin := sim.now; sim.now.Sub(begin) < 2*maxLateness; sim.advance(100 * time.Millisecond) {
+		for range len(sim.leaseRenewals) {
+			sim.answerFrom(formerStart, sim.takeLeaseRenewal(), nil)
+		}
+	}
+	sim.answerFrom(laterStart, RenewLease{Target: sim.plan.reportTarget(sim.plan.executors["1"])}, nil)
+	assert.Equal(t, sim.plan.executors["1"].StartedMs, int64(laterStart))
+	assert.Assert(t, !sim.plan.executors["1"].StaleAck, "no acknowledgement of the previous owner can be at large")
+}
--- a/decision/poolplan/trial.go
+++ b/decision/poolplan/trial.go
@@ -18,8 +18,9 @@
 	trialLease             = 100 * time.Millisecond
 	maxTrialLeaseDoublings = 2
 	trialLeasePart         = 4
-	// minTrialEstimate is the expected duration of tasks that are used for trials.
-	minTrialEstimate = 80 * time.Millisecond
+	// minTrialEstimate is the expected duration of tasks that are used for trials. A
+	// quarter of it is enough for a start to arrive.
+	minTrialEstimate = 20 * time.Millisecond
 	// maxOpenTrials bounds the trials at a time on one executor. After manyTrials without
 	// a listed end, one is started every lateTrialInterval: an acknowledgement of a long
 	// life would take more of them than the executor is worth.
@@ -106,11 +107,12 @@
 // trialLeaseOn returns the duration of the lease for a trial of a task. Runs beside it
 // keep the longer one that they have.
 func (p *Plan) trialLeaseOn(now time.Time, e *executor, t *task) time.Duration {
-	trial := trialLease
-	if !t.group.step.Gang {
-		trial = min(trial, p.expectedDuration(t)/trialLeasePart)
+	doublings := min(e.trials.late, maxTrialLeaseDoublings)
+	if t.group.step.Gang {
+		return min(p.leaseDuration(now), trialLease<<doublings)
 	}
-	return min(p.leaseDuration(now), trial<<min(e.trials.late, maxTrialLeaseDoublings))
+	trial := min(trialLease, p.expectedDuration(t)/trialLeasePart) << doublings
+	return min(p.leaseDuration(now), trial, p.expectedDuration(t)/2)
 }
 
 // leaseOn returns the duration of the lease for runs on an executor that are no trials. A
--- a/decision/poolplan/verify.go
+++ b/decision/poolplan/verify.go
@@ -38,7 +38,7 @@
 	}
 	lease := p.leaseOn(now, e)
 	if e.StaleAck && p.expectedDuration(r.task) <= p.params.StopTime {
-		lease = min(p.trialLeaseOn(now, e, r.task), p.expectedDuration(r.task)/2)
+		lease = p.trialLeaseOn(now, e, r.task)
 		if e.leaseEndsAt(now).After(now.Add(lease)) {
 			// A run beside it keeps a longer lease. It waits until ends are listed.
 			return
