--- a/decision/poolplan/executor.go
+++ b/decision/poolplan/executor.go
@@ -280,14 +280,11 @@
 		present[info.ID] = true
 		p.setExecutor(now, info)
 	}
-	for id, e := range p.executors {
-		if present[id] {
-			continue
-		}
-		if e.listed {
+	for _, e := range p.allExecutors() {
+		if e.listed && !present[e.ID] {
 			e.listed = false
 			p.groupsChanged = true
-			p.addEvent(Event{Kind: "executor left the registry", Peer: id})
+			p.addEvent(Event{Kind: "executor left the registry", Peer: e.ID})
 		}
 	}
 }
@@ -321,7 +318,7 @@
 }
 
 func (p *Plan) addExecutor(now time.Time, info Executor, inherited bool) *executor {
-	for _, other := range p.executors {
+	for _, other := range p.allExecutors() {
 		if other.Address != info.Address || other.ID == info.ID || other.StartedMs >= info.StartedMs {
 			continue
 		}
--- a/decision/poolplan/incarnation.go
+++ b/decision/poolplan/incarnation.go
@@ -204,11 +204,12 @@
 			r.noteUnansweredTry()
 		}
 		undecided = append(undecided, r)
-		r.trial, r.verified = false, false
-		if r.state == runStopping {
-			// The stop was for the earlier incarnation.
+		if r.state == runStopping && !r.trial {
+			// The stop was for the earlier incarnation. Those of a trial come every
+			// trialStopDelay, so that it is not done in the later one either.
 			r.state = runStarting
 		}
+		r.trial, r.verified = false, false
 		r.confirmedAt, r.verifiedSince = time.Time{}, time.Time{}
 		p.charge(r, -1)
 		delete(e.runs, r.key)
--- a/decision/poolplan/job.go
+++ b/decision/poolplan/job.go
@@ -293,10 +293,8 @@
 
 // stopEndedJobs stops the runs of jobs that were cancelled or have failed.
 func (p *Plan) stopEndedJobs(now time.Time) {
-	for id, j := range p.jobs {
-		if !j.cancelled && j.progress.State != workload.Failed {
-			continue
-		}
+	for _, id := range p.jobsToStop() {
+		j := p.jobs[id]
 		openRuns := 0
 		for _, r := range j.runs() {
 			openRuns++
@@ -311,6 +309,18 @@
 	}
 }
 
+// jobsToStop returns the jobs that were cancelled or have failed, in a fixed order.
+func (p *Plan) jobsToStop() []string {
+	var ids []string
+	for id, j := range p.jobs {
+		if j.cancelled || j.progress.State == workload.Failed {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // endedRetention is how long the plan remembers that a job has ended. The store
 // may deliver a change again while it is in its history, which covers 20 s.
 const endedRetention = 2 * time.Minute
--- a/decision/poolplan/lease.go
+++ b/decision/poolplan/lease.go
@@ -67,7 +67,7 @@
 // renewLeases renews the lease of, and requests a report from, each executor
 // that runs something or that a previous owner may have used.
 func (p *Plan) renewLeases(now time.Time) {
-	for _, e := range p.executors {
+	for _, e := range p.allExecutors() {
 		p.recordUnsure(e)
 		p.checkIncarnation(now, e)
 		switch {
@@ -249,7 +249,7 @@
 // expireLeases gives up the runs of executors whose leases have certainly
 // expired.
 func (p *Plan) expireLeases(now time.Time) {
-	for _, e := range p.executors {
+	for _, e := range p.allExecutors() {
 		if e.reachable() && (e.listed || now.Sub(e.lastAnswerAt) < p.params.MaxLease) {
 			continue
 		}
--- a/decision/poolplan/watch.go
+++ b/decision/poolplan/watch.go
@@ -30,7 +30,7 @@
 
 // checkRuns stops stalled runs and throttles best-effort tasks.
 func (p *Plan) checkRuns(now time.Time) {
-	for _, e := range p.executors {
+	for _, e := range p.allExecutors() {
 		if e.bestEffortRuns > 0 {
 			p.throttleBestEffort(now, e)
 		}
