allotment: a lowered maximum is not filled again beside lasting work

Cause: all parts were cut in proportion, and the pool with lasting work stayed above its own.

Change: each part is cut by all that the sum exceeds the maximum by. The sum of what pools may start up to is still at most the maximum, and what a pool uses is within its uncut part.

TestLoweredMaximumIsNotFilledBesideLastingWork fails before; the properties pass 2,000 cases.

--- a/decision/allotment/allotment.go
+++ b/decision/allotment/allotment.go
@@ -270,8 +270,9 @@
 	}
 }
 
-// Effective returns what a pool may use: its allotment, scaled down in
-// proportion while the sum exceeds a limit that was lowered.
+// Effective returns what a pool may use: its allotment, less all that the sum of the
+// allotments exceeds a limit by that was lowered. The other pools may use all of theirs, as
+// work that lasts does.
 func Effective(maximum fleet.Resources, allotments Allotments, pool string) fleet.Resources {
 	sum := fleet.Resources{}
 	for _, r := range allotments {
@@ -279,15 +280,15 @@
 	}
 	allotted := allotments[pool]
 	return fleet.Resources{
-		MilliCPU:     scaleToLimit(allotted.MilliCPU, sum.MilliCPU, maximum.MilliCPU),
-		MemoryBytes:  scaleToLimit(allotted.MemoryBytes, sum.MemoryBytes, maximum.MemoryBytes),
-		Accelerators: scaleToLimit(allotted.Accelerators, sum.Accelerators, maximum.Accelerators),
+		MilliCPU:     lessExcess(allotted.MilliCPU, sum.MilliCPU, maximum.MilliCPU),
+		MemoryBytes:  lessExcess(allotted.MemoryBytes, sum.MemoryBytes, maximum.MemoryBytes),
+		Accelerators: lessExcess(allotted.Accelerators, sum.Accelerators, maximum.Accelerators),
 	}
 }
 
-func scaleToLimit(allotted, sum, maximum int64) int64 {
+func lessExcess(allotted, sum, maximum int64) int64 {
 	if maximum <= 0 || sum <= maximum {
 		return allotted
 	}
-	return int64(float64(allotted) * float64(maximum) / float64(sum))
+	return max(allotted-(sum-maximum), 0)
 }
--- a/decision/allotment/allotment_test.go
+++ b/decision/allotment/allotment_test.go
@@ -202,3 +202,29 @@
 		assert.Equal(t, w.row.HasAttainableReservation(limit), reserved, name)
 	}
 }
+
+// Guards against a tenant above a maximum that was lowered: one pool's lasting work keeps its
+// allotment, and another one fills a part of its own again that the two do not have together.
+func TestLoweredMaximumIsNotFilledBesideLastingWork(t *testing.T) {
+	w := newTenantWorld()
+	w.lasting["b"] = 18
+	w.rounds(settleRounds)
+	w.small["a"] = 20
+	w.rounds(settleRounds)
+	lowered := cpu(20)
+	running := int64(20)
+	for now := range int64(2 * settleRounds) {
+		// Some of the work that ends does, and more waits.
+		running = max(running-5, 0)
+		allowed := Effective(lowered, w.row.Pools, "a").MilliCPU
+		running = max(running, min(allowed, 20))
+		used := running + w.lasting["b"]
+		if running <= allowed {
+			assert.Assert(t, used <= lowered.MilliCPU, "%d in use: %+v", used, w.row)
+		}
+		w.row = Next(lowered, w.row, "a", Demand{Used: cpu(running), Want: cpu(40), Need: cpu(running + 1), Least: cpu(1)}, 3, w.now+now)
+		w.row = Next(lowered, w.row, "b", Demand{Used: cpu(18), Lasting: cpu(18), Want: cpu(18)}, 3, w.now+now)
+		w.row = Next(lowered, w.row, "c", Demand{}, 3, w.now+now)
+	}
+	assert.Assert(t, running > 0, "what is left of the maximum is not used: %+v", w.row)
+}
