--- a/decision/poolplan/restart_property_test.go
+++ b/decision/poolplan/restart_property_test.go
@@ -22,7 +22,7 @@
 		"takeovers":       {lost: 0.05, takeovers: true, clockSteps: true},
 		"relay takeovers": {relay: true, takeovers: true},
 		"failing tasks":   {late: 0.05, lost: 0.02, latest: maxLateness, failing: 0.2},
-		"late takeovers":  {late: 0.05, lost: 0.02, latest: maxLateness, takeovers: true, acksInTime: true},
+		"late takeovers":  {late: 0.05, lost: 0.02, latest: maxLateness, takeovers: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/decision/poolplan/restart_world_test.go
+++ b/decision/poolplan/restart_world_test.go
@@ -45,10 +45,6 @@
 	// 4.5 s if that is zero.
 	late   float64
 	latest time.Duration
-	// acksInTime is set if requests for reports, which acknowledge ends, are never late. A
-	// late acknowledgement and a late start that both reach an incarnation which nobody
-	// sees leave no trace of its run (KNOWN-RED.txt).
-	acksInTime bool
 	// failing is the share of tasks that fail however often they run.
 	failing float64
 	// lost is the share of orders that are carried out and not answered.
@@ -400,11 +396,6 @@
 		w.send(o.Target, 0, func(l *worldLife, answer func(Report)) { answer(Report{Outcome: Outcome{Answer: w.stop(l, o)}}) },
 			func(r Report) { w.plan.StopDone(w.now, o, r.Outcome) })
 	case RenewLease:
-		late := w.faults.late
-		defer func() { w.faults.late = late }()
-		if w.faults.acksInTime {
-			w.faults.late = 0
-		}
 		w.send(o.Target, o.Wait, func(l *worldLife, answer func(Report)) { w.renew(l, o, answer) },
 			func(r Report) { w.plan.RenewLeaseDone(w.now, o, r) })
 	}
