--- a/standin/fleetplatform/settings.go
+++ b/standin/fleetplatform/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"time"
 )
 
@@ -49,19 +50,35 @@
 
 // FreeAddress returns an address with a port chosen by the operating system, on a
 // loopback IP that only this process uses. On a shared IP, another process could
-// take the port before it is used.
+// take the port before it is used. No other listener of this process gets it.
 func FreeAddress() (string, error) {
 	l, err := listenOnOwnIP()
 	if err != nil {
 		return "", err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	address := l.Addr().String()
+	givenAddresses.Store(address, true)
+	return address, l.Close()
 }
 
+// givenAddresses has the addresses that FreeAddress has returned. The kernel may choose
+// their ports again.
+var givenAddresses sync.Map
+
 // listenOnOwnIP listens on a loopback IP that only this process uses, with a port chosen
-// by the operating system.
+// by the operating system that FreeAddress has not returned.
 func listenOnOwnIP() (net.Listener, error) {
 	pid := os.Getpid()
-	return net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, 1+pid&127))
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid>>16&63, pid>>8&255, 1+pid&127))
+		if err != nil {
+			return nil, err
+		}
+		if _, given := givenAddresses.Load(l.Addr().String()); !given {
+			return l, nil
+		}
+		if err := l.Close(); err != nil {
+			return nil, err
+		}
+	}
 }
